Keep each workspace within its rate over all hosts by short grants

Cause: each host took an equal static share of rate and burst. A workspace whose callers gather at one host is refused eleven twelfths of its rate, and a change in the number of live hosts lets the sum exceed the rate for a while.

Ruled out: a central counter asked for each request (one message a request, and nothing is served while its owner is gone); prefetched grants (what expires unused is demand refused within rate).

Change: the owner of a workspace's slot keeps its bucket and grants exactly what waits at a host, one question under way a workspace and host, used within at most 250 ms of being asked. Floors of one request a host need no owner. A new owner after a silent one waits until the old one can't grant any more and starts empty; after a release it goes on from the level that the release carries.

Before/after: the property test over random delays, hosts and a takeover passes 300 draws.

Conclusion: the bound holds for every window; what is refused within rate during a takeover is still to be measured.

--- /dev/null
+++ b/core/bucket/bucket_test.go
@@ -0,0 +1,169 @@
+package bucket_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cardamomward/core/bucket"
+	"cardamomward/core/id"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261203", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// start is an arbitrary present.
+var start = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// requireWithin checks every window of a history of admissions against rate and burst.
+func requireWithin(t require.TestingT, rate, burst float64, admitted []time.Time) {
+	sort.Slice(admitted, func(i, j int) bool { return admitted[i].Before(admitted[j]) })
+	// The largest excess over all windows in one pass: count minus what the rate allows since the window began.
+	best := 0.0
+	worst := 0.0
+	for i, at := range admitted {
+		if i > 0 {
+			best -= at.Sub(admitted[i-1]).Seconds() * rate
+		}
+		best = max(best, 0) + 1
+		worst = max(worst, best)
+	}
+	const rounding = 1e-6
+	require.LessOrEqual(t, worst, burst+rounding, "admissions exceed rate %g and burst %g", rate, burst)
+}
+
+// fleet is a model of hosts and of the owners that one bucket has in turn.
+type fleet struct {
+	rate, burst float64
+	split       bucket.Split
+	floors      []bucket.Bucket
+	admitted    []time.Time
+}
+
+func (f *fleet) floor(now time.Time, host int) bool {
+	taken, _ := f.floors[host].Take(now, f.split.FloorRate, f.split.FloorBurst, 1)
+	if taken == 1 {
+		f.admitted = append(f.admitted, now)
+	}
+
+	return taken == 1
+}
+
+// grant asks a pool; the answer arrives after delay and is used if its lease still runs.
+func (f *fleet) grant(asked time.Time, pool *bucket.Pool, handover bucket.Handover, want int64, there, back time.Duration) {
+	grant := pool.Grant(asked.Add(there), f.split, handover, want)
+	used := asked.Add(there + back)
+	if used.Sub(asked) >= grant.Lease {
+		return
+	}
+	for range grant.Requests {
+		f.admitted = append(f.admitted, used)
+	}
+}
+
+func TestAdmissionsStayWithinRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(rt, "hosts")
+		f := &fleet{
+			rate:   rapid.Float64Range(1, 500).Draw(rt, "rate"),
+			burst:  float64(rapid.IntRange(2, 600).Draw(rt, "burst")),
+			floors: make([]bucket.Bucket, hosts),
+		}
+		f.split = bucket.NewSplit(f.rate, f.burst, 12)
+		// An earlier owner goes on granting for a while after a later one has claimed.
+		const overlap = 3 * time.Second
+		pools := []*bucket.Pool{{}, {}}
+		handovers := []bucket.Handover{{Epoch: 1, Since: start, Full: true}}
+		claimed := start.Add(time.Duration(rapid.IntRange(0, 8000).Draw(rt, "claimed")) * time.Millisecond)
+		handovers = append(handovers, bucket.Handover{Epoch: 2, Since: claimed, Wait: overlap + bucket.MaxLease})
+		now := start
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(rt, "pause")) * time.Millisecond)
+			host := rapid.IntRange(0, hosts-1).Draw(rt, "host")
+			if f.floor(now, host) {
+				continue
+			}
+			there := time.Duration(rapid.IntRange(0, 300).Draw(rt, "there")) * time.Millisecond
+			back := time.Duration(rapid.IntRange(0, 300).Draw(rt, "back")) * time.Millisecond
+			owner := 0
+			if now.After(claimed) && rapid.Bool().Draw(rt, "newer") {
+				owner = 1
+			}
+			if owner == 0 && now.Add(there).After(claimed.Add(overlap)) {
+				continue
+			}
+			f.grant(now, pools[owner], handovers[owner], int64(rapid.IntRange(1, 40).Draw(rt, "want")), there, back)
+		}
+		requireWithin(rt, f.rate, f.burst, f.admitted)
+	})
+}
+
+func TestWithoutWaitingOutTheLastOwnerTheRateIsExceeded(t *testing.T) {
+	split := bucket.NewSplit(10, 40, 12)
+	f := &fleet{rate: 10, burst: 40, split: split, floors: make([]bucket.Bucket, 12)}
+	for host := range f.floors {
+		f.floor(start, host)
+	}
+	f.grant(start, &bucket.Pool{}, bucket.Handover{Epoch: 1, Since: start, Full: true}, 100, 0, 0)
+	f.grant(start, &bucket.Pool{}, bucket.Handover{Epoch: 2, Since: start, Full: true}, 100, 0, 0)
+	require.Greater(t, float64(len(f.admitted)), f.burst)
+}
+
+func TestSplitAdmitsTheWholeRate(t *testing.T) {
+	for _, tt := range []struct {
+		rate, burst float64
+		floored     bool
+	}{
+		{rate: 10, burst: 2},
+		{rate: 10, burst: 20},
+		{rate: 10, burst: 24, floored: true},
+		{rate: 500, burst: 1000, floored: true},
+	} {
+		t.Run(fmt.Sprintf("rate %g burst %g", tt.rate, tt.burst), func(t *testing.T) {
+			split := bucket.NewSplit(tt.rate, tt.burst, 12)
+			require.InDelta(t, tt.rate, split.PoolRate+12*split.FloorRate, 1e-9)
+			require.Equal(t, tt.floored, split.FloorBurst == 1)
+			require.GreaterOrEqual(t, split.PoolBurst, 1.0)
+			require.Positive(t, split.Lease)
+		})
+	}
+}
+
+func TestGrantAfterARelease(t *testing.T) {
+	split := bucket.NewSplit(10, 40, 12)
+	var pool bucket.Pool
+	handover := bucket.Handover{Epoch: id.Epoch(7), Since: start, Wait: time.Second, Level: 3}
+	require.Equal(t, bucket.Grant{Retry: time.Second}, pool.Grant(start, split, handover, 5))
+	grant := pool.Grant(start.Add(time.Second), split, handover, 5)
+	require.EqualValues(t, 3, grant.Requests)
+	level, ok := pool.Level(7)
+	require.True(t, ok)
+	require.InDelta(t, 0, level, 1e-9)
+	_, ok = pool.Level(6)
+	require.False(t, ok)
+}
+
+func BenchmarkPoolGrant(b *testing.B) {
+	split := bucket.NewSplit(1e6, 2e6, 12)
+	handover := bucket.Handover{Epoch: 1, Since: start, Full: true}
+	var pool bucket.Pool
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		pool.Grant(now, split, handover, 1)
+	}
+}
--- a/core/fold/slots.go
+++ b/core/fold/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"slices"
 
 	"cardamomward/core/chart"
 	"cardamomward/core/id"
@@ -26,6 +27,8 @@
 	Owner id.Host
 	Epoch id.Epoch
 	State chart.State
+	// Fresh is set while no owner may have granted anything from the slot's buckets.
+	Fresh bool
 	// Claims counts the claims so far.
 	Claims int
 	// LastRecord is the position of the latest valid record of the slot.
@@ -35,6 +38,15 @@
 // Slots is the fold of all claims and releases.
 type Slots struct {
 	slots [id.SlotCount]SlotState
+	// levels are the buckets that the last owner of a slot handed over.
+	levels map[id.Workspace]float64
+}
+
+// BucketLevel returns what a workspace's bucket held when its slot was released, if it was.
+func (s *Slots) BucketLevel(workspace id.Workspace) (float64, bool) {
+	level, ok := s.levels[workspace]
+
+	return level, ok
 }
 
 // Slot returns the state of a slot.
@@ -79,11 +91,21 @@
 		if !body.GetForced() && state.State == SlotOwned {
 			continue
 		}
+		if state.State == SlotOwned {
+			s.forgetLevels(slot)
+		}
 		next, err := slotChart.Next(state.State, "claim")
 		if err != nil {
 			continue
 		}
-		s.slots[slot] = SlotState{Owner: host, Epoch: pos, State: next, Claims: state.Claims + 1, LastRecord: pos}
+		s.slots[slot] = SlotState{
+			Owner:      host,
+			Epoch:      pos,
+			State:      next,
+			Fresh:      state.State == SlotUnowned || (state.State == SlotReleased && state.Fresh),
+			Claims:     state.Claims + 1,
+			LastRecord: pos,
+		}
 		taken = append(taken, slot)
 	}
 
@@ -109,5 +131,29 @@
 		released = append(released, slot)
 	}
 
+	s.keepLevels(released, body.GetLevels())
+
 	return released
 }
+
+func (s *Slots) keepLevels(released []id.Slot, levels []*recordpb.BucketLevel) {
+	if s.levels == nil {
+		s.levels = make(map[id.Workspace]float64)
+	}
+	for _, level := range levels {
+		workspace := id.Workspace(level.GetWorkspace())
+		if slices.Contains(released, id.WorkspaceSlot(workspace)) {
+			s.levels[workspace] = level.GetRequests()
+			s.slots[id.WorkspaceSlot(workspace)].Fresh = false
+		}
+	}
+}
+
+// forgetLevels drops the levels of a slot, which are worth nothing once an owner has granted from them.
+func (s *Slots) forgetLevels(slot id.Slot) {
+	for workspace := range s.levels {
+		if id.WorkspaceSlot(workspace) == slot {
+			delete(s.levels, workspace)
+		}
+	}
+}
--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -33,6 +33,8 @@
 	MaxBodyBytes int `yaml:"max-body-bytes"`
 	// MaxCalls bounds the upstream calls under way at this host.
 	MaxCalls int `yaml:"max-calls"`
+	// MaxHosts is the largest number of hosts that the fleet may have; all hosts must agree on it.
+	MaxHosts int `yaml:"max-hosts"`
 }
 
 const (
@@ -42,6 +44,7 @@
 	defaultDrainTimeout  = 30 * time.Second
 	defaultMaxBody       = 4 << 20
 	defaultMaxCalls      = 4096
+	defaultMaxHosts      = 12
 )
 
 var (
@@ -98,6 +101,7 @@
 	fallback(&c.DrainTimeout, defaultDrainTimeout)
 	fallback(&c.MaxBodyBytes, defaultMaxBody)
 	fallback(&c.MaxCalls, defaultMaxCalls)
+	fallback(&c.MaxHosts, defaultMaxHosts)
 
 	return c
 }
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -18,6 +18,7 @@
 	"cardamomward/io/caller"
 	"cardamomward/io/engine"
 	"cardamomward/io/httpx"
+	"cardamomward/io/limiter"
 	"cardamomward/io/operator"
 	"cardamomward/io/owner"
 	"cardamomward/io/peer"
@@ -44,7 +45,8 @@
 	owner    *owner.Owner
 	engines  *engine.Pool
 	callers  *caller.Server
-	limits   *limits
+	limits   *limiter.Limiter
+	pools    *limiter.Pools
 	decider  slot.Decider
 	pool     *ants.Pool
 
@@ -128,7 +130,8 @@
 		ServiceHTTP: newHTTP(false),
 		Logger:      h.logger,
 	}
-	h.limits = &limits{hosts: func(now time.Time) int { return len(h.members.Live(now)) + 1 }}
+	h.limits = &limiter.Limiter{MaxHosts: h.config.MaxHosts, Ask: h.askGrant}
+	h.pools = &limiter.Pools{MaxHosts: h.config.MaxHosts}
 	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
 }
 
--- a/io/daemon/limits.go
+++ b/io/daemon/limits.go
@@ -2,40 +2,77 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"cardamomward/core/bucket"
+	"cardamomward/core/fold"
 	"cardamomward/core/id"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
+	"cardamomward/io/limiter"
+	"cardamomward/io/peer/peerpb"
 )
 
-// limits gives each host an equal share of each workspace's rate and burst.
-type limits struct {
-	hosts func(now time.Time) int
+// askGrant asks the owner of a workspace's bucket, here or at another host.
+func (h *Host) askGrant(ctx context.Context, name id.Workspace, want int64) (bucket.Grant, error) {
+	var state fold.SlotState
+	h.programs.View(func(p *fold.Programs) { state = p.Slot(id.WorkspaceSlot(name)) })
+	if state.Owner == h.config.Host {
+		return h.grant(time.Now(), name, want)
+	}
+	member, ok := h.members.Get(state.Owner)
+	if state.State != fold.SlotOwned || !ok {
+		return bucket.Grant{}, refusal.New(refusal.OwnerChanged, "the bucket of %s has no owner at the moment", name).WithRetry(noOwnerRetry)
+	}
+	resp, err := h.members.Remote(member.Peer).Peer.Grant(ctx, &peerpb.GrantRequest{
+		Host: string(h.config.Host), Workspace: string(name), Requests: want,
+	})
+	if err != nil {
+		return bucket.Grant{}, err
+	}
 
-	mu      sync.Mutex
-	buckets map[id.Workspace]*bucket.Bucket
+	return bucket.Grant{
+		Requests: resp.GetRequests(),
+		Lease:    time.Duration(resp.GetLeaseMicros()) * time.Microsecond,
+		Retry:    time.Duration(resp.GetRetryMillis()) * time.Millisecond,
+	}, nil
 }
 
-// Take takes one request of the workspace's rate.
-func (l *limits) Take(_ context.Context, workspace *settings.Workspace, now time.Time) error {
-	share := 1 / float64(l.hosts(now))
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.buckets == nil {
-		l.buckets = make(map[id.Workspace]*bucket.Bucket)
+// grant grants requests of a workspace whose bucket this host owns.
+func (h *Host) grant(now time.Time, name id.Workspace, want int64) (bucket.Grant, error) {
+	workspace, err := h.workspace(name)
+	if err != nil {
+		return bucket.Grant{}, err
 	}
-	b, ok := l.buckets[workspace.ID]
+	owner := limiter.Owner{Self: h.config.Host, Slot: id.WorkspaceSlot(name), Heard: h.programs.Status().Heard}
+	h.programs.View(func(p *fold.Programs) {
+		owner.State = p.Slot(owner.Slot)
+		owner.Level, _ = p.BucketLevel(name)
+	})
+
+	return h.pools.Grant(now, workspace, owner, want)
+}
+
+func (h *Host) workspace(name id.Workspace) (*settings.Workspace, error) {
+	fleet, _ := h.control.Fleet()
+	workspace, ok := fleet.Workspaces[name]
 	if !ok {
-		b = &bucket.Bucket{}
-		l.buckets[workspace.ID] = b
+		return nil, refusal.New(refusal.Forbidden, "workspace %q is not in the settings", name)
 	}
-	if ok, wait := b.Take(now, float64(workspace.Rate)*share, float64(workspace.Burst)*share); !ok {
-		return refusal.New(refusal.RateLimited, "workspace %s is over its rate of %g/s", workspace.ID, float64(workspace.Rate)).
-			WithRetry(wait)
+
+	return workspace, nil
+}
+
+// Grant answers another host that asks for requests of a workspace.
+func (h *Host) Grant(_ context.Context, req *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
+	grant, err := h.grant(time.Now(), id.Workspace(req.GetWorkspace()), req.GetRequests())
+	if err != nil {
+		return nil, err
 	}
 
-	return nil
+	return &peerpb.GrantResponse{
+		Requests:    grant.Requests,
+		LeaseMicros: grant.Lease.Microseconds(),
+		RetryMillis: grant.Retry.Milliseconds(),
+	}, nil
 }
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -30,11 +30,6 @@
 	}, nil
 }
 
-// Grant refuses: this host gives no grants yet.
-func (h *Host) Grant(context.Context, *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
-	return nil, refusal.New(refusal.NotFound, "grants are not served")
-}
-
 // ReadControl refuses: this host relays no control records yet.
 func (h *Host) ReadControl(context.Context, *peerpb.ReadControlRequest) (*peerpb.ReadControlResponse, error) {
 	return nil, refusal.New(refusal.NotFound, "control records are not relayed")
--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -95,19 +95,32 @@
 	if _, err := h.programs.Append(ctx, rec); err != nil {
 		h.logger.Error(err, "claim-failed", "slots", len(slots))
 	}
+	// A claim without an answer may count as well, so its time is noted in any case.
+	h.pools.Claimed(time.Now(), slots, forced)
 }
 
 func (h *Host) release(ctx context.Context, slots []id.Slot) {
 	if len(slots) == 0 {
 		return
 	}
+	body := &recordpb.Release{Slots: numbers(slots)}
+	for _, level := range h.pools.Stop(time.Now(), slots, h.epochOf) {
+		body.Levels = append(body.Levels, &recordpb.BucketLevel{Workspace: string(level.Workspace), Requests: level.Requests})
+	}
 	rec := record.New(h.config.Host)
-	rec.Body = &recordpb.Record_Release{Release: &recordpb.Release{Slots: numbers(slots)}}
+	rec.Body = &recordpb.Record_Release{Release: body}
 	if _, err := h.programs.Append(ctx, rec); err != nil {
 		h.logger.Error(err, "release-failed", "slots", len(slots))
 	}
 }
 
+func (h *Host) epochOf(number id.Slot) id.Epoch {
+	var state fold.SlotState
+	h.programs.View(func(p *fold.Programs) { state = p.Slot(number) })
+
+	return state.Epoch
+}
+
 func numbers(slots []id.Slot) []uint32 {
 	out := make([]uint32, len(slots))
 	for i, s := range slots {
