Relay control records between hosts, and a network that tests can cut

Cause: a host that reaches its peers but not the log keeps admitting a withdrawn key until its knowledge is 4 s old, and then refuses everybody.

Ruled out: pushing withdrawals from the host that took them: a host that was cut at that moment would miss them, and the log's order is what decides.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return cmdutil.Usage("%s: %v", opts.Settings, err)
 	}
-	host, err := daemon.New(config, opts.Factory.Logger(opts.Verbosity))
+	host, err := daemon.New(config, daemon.Options{Logger: opts.Factory.Logger(opts.Verbosity)})
 	if err != nil {
 		return err
 	}
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -47,6 +47,8 @@
 	callers  *caller.Server
 	limits   *limiter.Limiter
 	pools    *limiter.Pools
+	relay    *platform.Relay
+	dial     DialFunc
 	decider  slot.Decider
 	pool     *ants.Pool
 
@@ -59,14 +61,28 @@
 	once    sync.Once
 }
 
+// DialFunc dials an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options are what a host needs of the world.
+type Options struct {
+	Logger logr.Logger
+	// Dial connects to peers, upstreams and the platform; nil stands for a plain dialer.
+	Dial DialFunc
+}
+
 // New binds the host's addresses and puts its parts together; Run starts it.
-func New(config Config, logger logr.Logger) (*Host, error) {
+func New(config Config, opts Options) (*Host, error) {
 	config = config.withDefaults()
 	h := &Host{
 		config:  config,
-		logger:  logger.WithValues("host", config.Host),
+		logger:  opts.Logger.WithValues("host", config.Host),
+		dial:    opts.Dial,
 		drained: make(chan struct{}),
 	}
+	if h.dial == nil {
+		h.dial = (&net.Dialer{}).DialContext
+	}
 	if err := h.bind(); err != nil {
 		return nil, err
 	}
@@ -99,9 +115,16 @@
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
-func newHTTP(keepAlive bool) *http.Client {
+func (h *Host) newHTTP(keepAlive bool) *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+
+		return h.dial(ctx, network, address)
+	}
+
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
@@ -109,16 +132,17 @@
 }
 
 func (h *Host) wire() {
-	shared := newHTTP(true)
-	log := &platform.LogClient{Address: h.config.LogAddress, Client: newHTTP(true)}
+	shared := h.newHTTP(true)
+	log := &platform.LogClient{Address: h.config.LogAddress, Client: h.newHTTP(true)}
 	h.hosts = &platform.HostsClient{Address: h.config.HostsAddress, Client: shared}
-	options := platform.JournalOptions{Log: log, Linger: h.config.AppendLinger, Logger: h.logger}
+	h.relay = &platform.Relay{Log: log, Peers: h.readFromPeers}
+	options := platform.JournalOptions{Log: h.relay, Linger: h.config.AppendLinger, Logger: h.logger}
 	options.Stream = platform.ControlStream
 	h.control = &platform.Control{Journal: platform.NewJournal(&fold.Control{}, options), Host: h.config.Host}
-	options.Stream = platform.ProgramsStream
+	options.Log, options.Stream = log, platform.ProgramsStream
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
-	h.engines = &engine.Pool{HTTP: newHTTP(true), Logger: h.logger}
+	h.engines = &engine.Pool{HTTP: h.newHTTP(true), Logger: h.logger}
 	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
 	h.engines.Changed = dispatcher.Pump
 	h.owner = &owner.Owner{
@@ -127,7 +151,7 @@
 		Control:     h.control,
 		Dispatcher:  dispatcher,
 		Pool:        h.pool,
-		ServiceHTTP: newHTTP(false),
+		ServiceHTTP: h.newHTTP(false),
 		Logger:      h.logger,
 	}
 	h.limits = &limiter.Limiter{MaxHosts: h.config.MaxHosts, Ask: h.askGrant}
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -30,9 +31,64 @@
 	}, nil
 }
 
-// ReadControl refuses: this host relays no control records yet.
-func (h *Host) ReadControl(context.Context, *peerpb.ReadControlRequest) (*peerpb.ReadControlResponse, error) {
-	return nil, refusal.New(refusal.NotFound, "control records are not relayed")
+// ReadControl passes recent control records on to a host that does not reach the log.
+func (h *Host) ReadControl(_ context.Context, req *peerpb.ReadControlRequest) (*peerpb.ReadControlResponse, error) {
+	page, err := h.relay.Recent(id.Offset(req.GetFrom()), time.Now())
+	if err != nil {
+		return nil, err
+	}
+	resp := &peerpb.ReadControlResponse{Next: uint64(page.Next), AgeMillis: page.Age.Milliseconds()}
+	for _, entry := range page.Entries {
+		resp.Records = append(resp.Records, &peerpb.ControlRecord{Offset: uint64(entry.Offset), Data: entry.Data})
+	}
+
+	return resp, nil
+}
+
+// relayPeers is how many peers are asked for control records at a time.
+const relayPeers = 3
+
+// readFromPeers asks a few live peers for control records and takes the freshest answer.
+func (h *Host) readFromPeers(ctx context.Context, from id.Offset) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	live := h.members.Live(time.Now())
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	best := platform.Page{}
+	found := false
+	for _, name := range live[:min(len(live), relayPeers)] {
+		member, ok := h.members.Get(name)
+		if !ok {
+			continue
+		}
+		asked := time.Now()
+		resp, err := h.members.Remote(member.Peer).Peer.ReadControl(ctx, &peerpb.ReadControlRequest{From: uint64(from)})
+		if err != nil {
+			continue
+		}
+		page := pageOf(resp, from, time.Since(asked))
+		if !found || page.Age < best.Age {
+			best, found = page, true
+		}
+	}
+	if !found {
+		return platform.Page{}, refusal.New(refusal.LogUnavailable, "no peer passes control records on").WithRetry(noOwnerRetry)
+	}
+
+	return best, nil
+}
+
+func pageOf(resp *peerpb.ReadControlResponse, from id.Offset, spent time.Duration) platform.Page {
+	page := platform.Page{
+		First: from,
+		Next:  id.Offset(resp.GetNext()),
+		Age:   time.Duration(resp.GetAgeMillis())*time.Millisecond + spent,
+	}
+	for _, rec := range resp.GetRecords() {
+		page.Entries = append(page.Entries, platform.Entry{Offset: id.Offset(rec.GetOffset()), Data: rec.GetData()})
+	}
+
+	return page
 }
 
 // maxDumpedPrograms bounds the programs in a dump.
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -168,6 +168,7 @@
 func (j *Journal[S]) readLoop(ctx context.Context) {
 	var next id.Offset
 	for ctx.Err() == nil {
+		asked := time.Now()
 		readCtx, cancel := context.WithTimeout(ctx, readWait+readGrace)
 		page, err := j.log.Read(readCtx, j.stream, next, readWait)
 		cancel()
@@ -177,12 +178,12 @@
 
 			continue
 		}
-		next = j.apply(page, next, time.Now())
+		next = j.apply(page, next, asked.Add(-page.Age))
 	}
 }
 
-// apply folds a page and returns the offset to read next.
-func (j *Journal[S]) apply(page Page, from id.Offset, now time.Time) id.Offset {
+// apply folds a page that was asked for at a time and returns the offset to read next.
+func (j *Journal[S]) apply(page Page, from id.Offset, asked time.Time) id.Offset {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if page.First > from && from > 0 {
@@ -196,7 +197,10 @@
 		}
 		next = entry.Offset + 1
 	}
-	j.heard = now
+	// What the page does not show may have been appended right after the question.
+	if asked.After(j.heard) {
+		j.heard = asked
+	}
 	if next >= page.Next {
 		j.caughtUp = true
 	}
--- a/io/platform/log.go
+++ b/io/platform/log.go
@@ -22,6 +22,8 @@
 	First   id.Offset `json:"first"`
 	Next    id.Offset `json:"next"`
 	Entries []Entry   `json:"entries"`
+	// Age is how old the page's knowledge is where it did not come from the log itself.
+	Age time.Duration `json:"-"`
 }
 
 // AppendResponse carries the offset of an append.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"cardamomward/core/settings"
 	"cardamomward/io/daemon"
 	"cardamomward/io/operator"
+	"cardamomward/standin/cut"
 	"cardamomward/standin/engine"
 	"cardamomward/standin/hostlist"
 	"cardamomward/standin/logserver"
@@ -34,10 +35,18 @@
 	// WhereLifetime is how long the callers keep an answer.
 	WhereLifetime time.Duration
 	Logger        logr.Logger
+	// Network lets tests cut links; its ends are the hosts' and upstreams' names, log and hosts.
+	Network *cut.Network
 }
 
 const defaultHosts = 3
 
+// Names of the platform's services in the network.
+const (
+	LogName   = "log"
+	HostsName = "hosts"
+)
+
 // Fleet is a set of running stand-ins and hosts.
 type Fleet struct {
 	Log      *logserver.Server
@@ -50,7 +59,9 @@
 	// Settings is the parsed document.
 	Settings *settings.Fleet
 
+	network *cut.Network
 	cancels []context.CancelFunc
+	done    []chan struct{}
 	group   sync.WaitGroup
 }
 
@@ -67,6 +78,7 @@
 		Engines:  make(map[id.Upstream]*engine.Server),
 		Services: make(map[id.Upstream]*service.Server),
 		Document: opts.Document,
+		network:  opts.Network,
 	}
 	parsed, findings := settings.Parse("settings", opts.Document)
 	if len(findings) > 0 {
@@ -103,6 +115,8 @@
 	log.Start()
 	list.Start()
 	f.Log, f.List = log, list
+	f.name(log.Address(), LogName)
+	f.name(list.Address(), HostsName)
 
 	return nil
 }
@@ -115,6 +129,7 @@
 			if err != nil {
 				return err
 			}
+			f.name(address, string(upstream.ID))
 			f.Document = bytes.ReplaceAll(f.Document, []byte(upstream.Address), []byte(address))
 		}
 	}
@@ -160,22 +175,47 @@
 		LogAddress:    f.Log.Address(),
 		HostsAddress:  f.List.Address(),
 		WhereLifetime: opts.WhereLifetime,
-	}, opts.Logger)
+	}, daemon.Options{Logger: opts.Logger, Dial: f.dialer(name)})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
+	done := make(chan struct{})
+	f.done = append(f.done, done)
 	f.group.Go(func() {
+		defer close(done)
 		if err := host.Run(ctx); err != nil {
 			opts.Logger.Error(err, "host-failed")
 		}
 	})
 	f.Hosts = append(f.Hosts, host)
+	f.name(host.Entry().Peer, name)
 
 	return host, nil
 }
 
+// dialer returns the network's dial function for an end, or nil for the plain one.
+func (f *Fleet) dialer(name string) daemon.DialFunc {
+	if f.network == nil {
+		return nil
+	}
+
+	return daemon.DialFunc(f.network.Dialer(name))
+}
+
+func (f *Fleet) name(address, name string) {
+	if f.network != nil {
+		f.network.Name(address, name)
+	}
+}
+
+// Kill ends a host at once, without a drain.
+func (f *Fleet) Kill(index int) {
+	f.cancels[index]()
+	<-f.done[index]
+}
+
 // Operator returns a client for the operators' interface of a host.
 func (f *Fleet) Operator(index int) *operator.Client {
 	return &operator.Client{Address: f.Hosts[index].Entry().Operator}
