--- a/cmd/cardamomward/main_test.go
+++ b/cmd/cardamomward/main_test.go
@@ -111,6 +111,7 @@
 	engines   []string
 	service   string
 	logAddr   string
+	listAddr  string
 	settings  string
 }
 
@@ -152,23 +153,31 @@
 		s.engines = append(s.engines, start(t, "standin", "engine").address(t))
 	}
 	s.service = start(t, "standin", "service").address(t)
-	dir := t.TempDir()
-	for i := 1; i <= 3; i++ {
-		file := filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))
-		require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, hostSettings, i, i, s.logAddr, listAddr), 0o600))
-		host := start(t, "serve", "--settings", file)
-		line := host.await(t, "event=host-started")
-		s.hosts = append(s.hosts, host)
-		s.callers = append(s.callers, field(line, "caller-address"))
-		s.operators = append(s.operators, field(line, "operator-address"))
+	s.listAddr = listAddr
+	for range 3 {
+		s.addHost(t)
 	}
-	s.settings = filepath.Join(dir, "fleet.yaml")
+	s.settings = filepath.Join(t.TempDir(), "fleet.yaml")
 	document := fmt.Appendf(nil, fleetSettings, s.engines[0], s.engines[1], s.service)
 	require.NoError(t, os.WriteFile(s.settings, document, 0o600))
 
 	return s
 }
 
+// addHost starts one more host.
+func (s *system) addHost(t *testing.T) {
+	t.Helper()
+	number := len(s.hosts) + 1
+	file := filepath.Join(t.TempDir(), fmt.Sprintf("host-%d.yaml", number))
+	domain := (number-1)%3 + 1
+	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, hostSettings, number, domain, s.logAddr, s.listAddr), 0o600))
+	host := start(t, "serve", "--settings", file)
+	line := host.await(t, "event=host-started")
+	s.hosts = append(s.hosts, host)
+	s.callers = append(s.callers, field(line, "caller-address"))
+	s.operators = append(s.operators, field(line, "operator-address"))
+}
+
 // ready waits until all hosts see each other and own slots.
 func (s *system) ready(ctx context.Context, t *testing.T) {
 	t.Helper()
@@ -189,6 +198,17 @@
 	}, 30*time.Second, 50*time.Millisecond)
 }
 
+// publish puts the settings in force and returns a key of their workspace.
+func (s *system) publish(ctx context.Context, t *testing.T) string {
+	t.Helper()
+	s.ready(ctx, t)
+	out := command(t, "settings", "publish", "--operator", s.operators[0], s.settings)
+	require.Contains(t, out, "is in force on [host-1 host-2 host-3]")
+	out = command(t, "key", "issue", "--operator", s.operators[1], "--workspace", "clerks")
+
+	return strings.TrimSpace(out[strings.LastIndex(out, "cwk_"):])
+}
+
 // command runs the command line to its end and returns what it printed.
 func command(t *testing.T, args ...string) string {
 	t.Helper()
@@ -203,11 +223,7 @@
 func TestWholePathAsProcesses(t *testing.T) {
 	ctx := t.Context()
 	s := startSystem(t)
-	s.ready(ctx, t)
-	out := command(t, "settings", "publish", "--operator", s.operators[0], s.settings)
-	require.Contains(t, out, "is in force on [host-1 host-2 host-3]")
-	out = command(t, "key", "issue", "--operator", s.operators[1], "--workspace", "clerks")
-	bearer := strings.TrimSpace(out[strings.LastIndex(out, "cwk_"):])
+	bearer := s.publish(ctx, t)
 
 	client := &caller.Client{Address: s.callers[2], Bearer: bearer}
 	where, err := client.Where(ctx, "")
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -197,9 +197,10 @@
 	}
 	select {
 	case <-ctx.Done():
+		h.abort()
 	case <-h.drained:
+		h.close()
 	}
-	h.close()
 	cancel()
 	group.Wait()
 	h.logger.Info("host-stopped")
@@ -210,16 +211,32 @@
 // closeTimeout bounds the closing of the listeners once the host is drained.
 const closeTimeout = 2 * time.Second
 
+// close ends the servers once the host is drained; only idle connections are left then.
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, web := range []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb} {
-		if err := web.Close(ctx); err != nil {
-			h.logger.V(1).Info("close-failed", "error", err)
-		}
+	var group sync.WaitGroup
+	for _, web := range h.servers() {
+		group.Go(func() {
+			if err := web.Close(ctx); err != nil {
+				h.logger.V(1).Info("close-failed", "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// abort ends the servers with all requests under way.
+func (h *Host) abort() {
+	for _, web := range h.servers() {
+		web.Abort()
 	}
 }
 
+func (h *Host) servers() []*httpx.Server {
+	return []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb}
+}
+
 func (h *Host) announceLoop(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -32,7 +32,7 @@
 type Server struct {
 	*server.Hertz
 
-	listener net.Listener
+	listener *listener
 	done     chan error
 }
 
@@ -48,10 +48,11 @@
 
 // NewServer binds the address and returns a server that does not accept requests yet.
 func NewServer(opts Options) (*Server, error) {
-	listener, err := net.Listen("tcp", opts.Address)
+	inner, err := net.Listen("tcp", opts.Address)
 	if err != nil {
 		return nil, err
 	}
+	listener := &listener{Listener: inner}
 	h := server.New(
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
@@ -76,9 +77,18 @@
 	go func() { s.done <- s.Run() }()
 }
 
-// Close stops accepting, waits for requests under way up to the drain timeout and returns.
+// Close stops accepting, waits until ctx ends for connections to become idle and ends what remains.
 func (s *Server) Close(ctx context.Context) error {
-	return s.Shutdown(ctx)
+	err := s.Shutdown(ctx)
+	s.listener.abort()
+
+	return err
+}
+
+// Abort ends the server and all its connections at once.
+func (s *Server) Abort() {
+	s.listener.Close() //nolint:errcheck // the server is given up
+	s.listener.abort()
 }
 
 // JSON answers with a JSON body.
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -15,8 +15,10 @@
 type Ask func(ctx context.Context, workspace id.Workspace, want int64) (bucket.Grant, error)
 
 const (
-	// askTimeout bounds one question to a bucket's owner.
-	askTimeout = 500 * time.Millisecond
+	// askTimeout bounds how long requests wait for a bucket's owner, which may be about to change.
+	askTimeout = 1500 * time.Millisecond
+	// askPause is the pause before a question is asked again.
+	askPause = 50 * time.Millisecond
 	// ownerRetry is when to come back while a bucket's owner does not answer.
 	ownerRetry = time.Second
 )
@@ -96,8 +98,7 @@
 func (l *Limiter) askFor(workspace *settings.Workspace, waiting []chan error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	asked := time.Now()
-	grant, err := l.Ask(ctx, workspace.ID, int64(len(waiting)))
+	asked, grant, err := l.askUntilAnswered(ctx, workspace, int64(len(waiting)))
 	granted := min(grant.Requests, int64(len(waiting)))
 	if err != nil || time.Since(asked) >= grant.Lease {
 		granted = 0
@@ -110,6 +111,27 @@
 	}
 }
 
+// askUntilAnswered asks again while the bucket changes hands, and returns when the last question was asked.
+func (l *Limiter) askUntilAnswered(
+	ctx context.Context, workspace *settings.Workspace, want int64,
+) (time.Time, bucket.Grant, error) {
+	for {
+		asked := time.Now()
+		grant, err := l.Ask(ctx, workspace.ID, want)
+		if err == nil {
+			return asked, grant, nil
+		}
+		timer := time.NewTimer(askPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+
+			return asked, grant, err
+		case <-timer.C:
+		}
+	}
+}
+
 // refuse tells a request that got no grant when to come back; place counts the refused ones before it.
 func refuse(workspace *settings.Workspace, grant bucket.Grant, err error, place int) error {
 	if err != nil {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -322,7 +322,13 @@
 }
 
 func (s *Server) listSeen(_ context.Context, c *app.RequestContext) {
+	httpx.JSON(c, 200, SeenList{Requests: s.Seen()})
+}
+
+// Seen returns what reached the engine so far.
+func (s *Server) Seen() []SeenRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	httpx.JSON(c, 200, SeenList{Requests: s.seen})
+
+	return append([]SeenRequest(nil), s.seen...)
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -265,14 +265,12 @@
 		cancel()
 	}
 	f.group.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	for _, server := range f.Engines {
-		server.Close(ctx) //nolint:errcheck // the process is about to end
+		server.Abort()
 	}
 	for _, server := range f.Services {
-		server.Close(ctx) //nolint:errcheck // the process is about to end
+		server.Abort()
 	}
-	f.List.Close(ctx) //nolint:errcheck // the process is about to end
-	f.Log.Close(ctx)  //nolint:errcheck // the process is about to end
+	f.List.Abort()
+	f.Log.Abort()
 }
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -147,7 +147,13 @@
 }
 
 func (s *Server) listEffects(_ context.Context, c *app.RequestContext) {
+	httpx.JSON(c, 200, EffectList{Effects: s.Effects()})
+}
+
+// Effects returns all that the service ran so far.
+func (s *Server) Effects() []Effect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	httpx.JSON(c, 200, EffectList{Effects: s.effects})
+
+	return append([]Effect(nil), s.effects...)
 }
--- /dev/null
+++ b/test/promises/doc.go
@@ -0,0 +1,2 @@
+// Package promises proves under failure what must always hold, with whole hosts and stand-ins.
+package promises
--- /dev/null
+++ b/test/promises/keys_test.go
@@ -0,0 +1,152 @@
+package promises_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/core/refusal"
+	"cardamomward/io/caller"
+	"cardamomward/standin/engine"
+	"cardamomward/standin/fleet"
+)
+
+func TestWithdrawnKeyEndsRunningAndQueuedCalls(t *testing.T) {
+	// Two engines with one slot each and endless answers: two calls run, the rest wait.
+	w := start(t, engine.Config{Slots: 1, TokenInterval: time.Hour})
+	issued := w.key("clerks")
+	var calls []<-chan result
+	for i := range 6 {
+		client := w.client(i%3, issued.Bearer)
+		calls = append(calls, background(func() (caller.Answer, error) {
+			program, err := client.Open(t.Context(), caller.OpenRequest{})
+			if err != nil {
+				return caller.Answer{}, err
+			}
+
+			return client.Ask(t.Context(), program.Program, model, "endless")
+		}))
+	}
+	w.eventually(func() bool {
+		running := 0
+		for i := range w.Hosts {
+			dump, err := w.Operator(i).Dump(t.Context())
+			require.NoError(t, err)
+			running += dump.Running
+		}
+
+		return running >= len(calls)
+	})
+	_, err := w.Operator(1).WithdrawKey(t.Context(), issued.Key)
+	require.NoError(t, err)
+	for _, call := range calls {
+		require.Equal(t, refusal.Unauthenticated, kindOf(w.await(call).err))
+	}
+	// The engines' places are free again.
+	other := w.key("desk")
+	client := w.client(0, other.Bearer)
+	program, err := client.Open(t.Context(), caller.OpenRequest{})
+	require.NoError(t, err)
+	answered := background(func() (caller.Answer, error) { return client.Ask(t.Context(), program.Program, model, "free") })
+	w.eventually(func() bool {
+		for _, server := range w.Engines {
+			for _, seen := range server.Seen() {
+				if strings.Contains(seen.Body, "free") {
+					return true
+				}
+			}
+		}
+
+		return false
+	})
+	_, err = w.Operator(0).WithdrawKey(t.Context(), other.Key)
+	require.NoError(t, err)
+	require.Equal(t, refusal.Unauthenticated, kindOf(w.await(answered).err))
+}
+
+func TestWithdrawnKeyStopsAtAHostThatOnlyPeersReach(t *testing.T) {
+	w := start(t, engine.Config{})
+	issued := w.key("clerks")
+	kept := w.key("desk")
+	w.network.Cut("host-1", fleet.LogName)
+	_, err := w.Operator(1).WithdrawKey(t.Context(), issued.Key)
+	require.NoError(t, err)
+	client := w.client(0, issued.Bearer)
+	w.eventually(func() bool {
+		_, err := client.Where(t.Context(), "")
+		require.NoError(t, err)
+		_, err = client.Open(t.Context(), caller.OpenRequest{})
+
+		return kindOf(err) == refusal.Unauthenticated
+	})
+	// The host knows keys as freshly as its peers do, so it still tells keys apart.
+	require.Never(t, func() bool {
+		_, err := w.client(0, kept.Bearer).History(t.Context(), "none")
+
+		return kindOf(err) == refusal.Unauthenticated
+	}, time.Second, 100*time.Millisecond)
+}
+
+func TestHostThatReachesNeitherLogNorPeersStopsAdmitting(t *testing.T) {
+	w := start(t, engine.Config{})
+	issued := w.key("clerks")
+	w.network.Cut("host-1", fleet.LogName)
+	w.network.Cut("host-1", "host-2")
+	w.network.Cut("host-1", "host-3")
+	client := w.client(0, issued.Bearer)
+	w.eventually(func() bool {
+		_, err := client.History(t.Context(), "none")
+
+		return kindOf(err) == refusal.LogUnavailable
+	})
+	w.network.Heal("host-1", fleet.LogName)
+	w.eventually(func() bool {
+		_, err := client.History(t.Context(), "none")
+
+		return kindOf(err) != refusal.LogUnavailable
+	})
+}
+
+func TestNoUpstreamSeesACallersKey(t *testing.T) {
+	w := start(t, engine.Config{})
+	issued := w.key("clerks")
+	secret := issued.Bearer[strings.LastIndex(issued.Bearer, "_")+1:]
+	for i := range w.Hosts {
+		client := w.client(i, issued.Bearer)
+		program, err := client.Open(t.Context(), caller.OpenRequest{Name: "keys"})
+		require.NoError(t, err)
+		_, err = client.Ask(t.Context(), program.Program, model, "hello")
+		require.NoError(t, err)
+		_, err = client.Call(t.Context(), program.Program, "bookings", "confirm", "key-"+string(program.Program), "body")
+		require.NoError(t, err)
+	}
+	requests := 0
+	for _, server := range w.Engines {
+		for _, seen := range server.Seen() {
+			requests++
+			requireNoKey(t, secret, string(issued.Key), seen.Path, seen.Body, seen.Headers)
+		}
+	}
+	for _, server := range w.Services {
+		for _, effect := range server.Effects() {
+			requests++
+			requireNoKey(t, secret, string(issued.Key), effect.Path+effect.Key, effect.Body, effect.Headers)
+		}
+	}
+	require.GreaterOrEqual(t, requests, 6)
+}
+
+func requireNoKey(t *testing.T, secret, key, path, body string, headers map[string]string) {
+	t.Helper()
+	texts := []string{path, body}
+	for name, value := range headers {
+		texts = append(texts, name, value)
+	}
+	for _, text := range texts {
+		require.NotContains(t, text, secret)
+		require.NotContains(t, text, key)
+		require.NotContains(t, strings.ToLower(text), "bearer")
+	}
+}
