Check settings over the syntax tree and report all findings with their place

Cause: the decoder stopped at the first mistake and gave line 1, column 1, the upstream's duplicate names, cycles and impossible combinations were accepted.

Ruled out: the decoder's strict mode (one error at a time, no place for semantic findings); resolving aliases and merge keys (a second way to inherit, whose values would have no one origin and may recurse), so they are findings.

Change: every key is defined once; checks, inheritance, origins and the reference come from the definitions.

--- /dev/null
+++ b/core/settings/reference.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// WriteReference writes every key of the scopes with its default, unit and range as Markdown.
+func WriteReference(w io.Writer, scopes []Scope) error {
+	var b strings.Builder
+	for i, scope := range scopes {
+		if i > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "## %s\n\n%s\n", scope.Name, scope.Doc)
+		for j := range scope.Keys {
+			writeKey(&b, &scope.Keys[j])
+		}
+	}
+	_, err := io.WriteString(w, b.String())
+
+	return err
+}
+
+func writeKey(b *strings.Builder, spec *Spec) {
+	fmt.Fprintf(b, "\n### %s\n\n%s\n\n", spec.Name, spec.Doc)
+	fmt.Fprintf(b, "- allowed: %s\n", spec.Allowed())
+	switch {
+	case spec.Required:
+		b.WriteString("- default: none, the key is required\n")
+	case spec.Default != "":
+		fmt.Fprintf(b, "- default: %s\n", spec.Default)
+	default:
+		b.WriteString("- default: none\n")
+	}
+	if spec.Kind != "" {
+		fmt.Fprintf(b, "- only for: services of kind %s\n", spec.Kind)
+	}
+	if spec.Inherited {
+		b.WriteString("- inherited: yes\n")
+	}
+}
--- /dev/null
+++ b/core/settings/value.go
@@ -0,0 +1,360 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// Value is the checked value of a key.
+type Value struct {
+	// Text is the value as written, of a list its items.
+	Text string
+	// Amount is a number in its base unit: requests a second, tokens, nanoseconds or bytes.
+	Amount float64
+	Flag   bool
+	Items  []Item
+
+	upstreams []Upstream
+	places    []upstreamPlace
+}
+
+// Item is one item of a list.
+type Item struct {
+	Text string
+	at   place
+}
+
+// Texts returns the items of a list.
+func (v Value) Texts() []string { return namesOf[string](v) }
+
+var (
+	namePattern     = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+	textPattern     = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/:@+-]{0,127}$`)
+	routePattern    = regexp.MustCompile(`^/[A-Za-z0-9._~/-]{0,255}$`)
+	wholePattern    = regexp.MustCompile(`^[0-9]{1,15}$`)
+	decimalPattern  = regexp.MustCompile(`^[0-9]{1,15}(\.[0-9]{1,9})?$`)
+	durationPattern = regexp.MustCompile(`^([0-9]{1,9}(\.[0-9]{1,9})?(us|ms|s|m|h))+$`)
+	quantityPattern = regexp.MustCompile(`^([0-9.]+) *([^0-9. ].*)?$`)
+)
+
+// unit is a unit of an amount and how many base units it has.
+type unit struct {
+	name  string
+	scale float64
+}
+
+var (
+	rateUnits  = []unit{{"/s", 1}, {"/m", 1 / time.Minute.Seconds()}, {"/h", 1 / time.Hour.Seconds()}}
+	tokenUnits = []unit{{"tokens", 1}, {"k tokens", 1e3}, {"M tokens", 1e6}}
+	sizeUnits  = []unit{{"B", 1}, {"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}}
+)
+
+// forms say in words how values are written.
+var forms = map[Type]string{
+	TypeName:          "a name of lower-case letters, digits and hyphens, up to 63 characters",
+	TypeText:          "a text of letters, digits and ._/:@+-, up to 128 characters",
+	TypeFlag:          "true or false",
+	TypeCount:         "a whole number without a unit",
+	TypeNumber:        "a number without a unit, such as 1 or 2.5",
+	TypeRate:          "a rate with its unit, such as 40/s, 300/m or 5000/h",
+	TypeTokens:        "a whole number of tokens with its unit, such as 4096 tokens, 200k tokens or 2M tokens",
+	TypeDuration:      "a duration with its unit, such as 250ms, 30s, 10m or 8h",
+	TypeSize:          "a size with its unit, such as 64KiB or 4MiB",
+	TypeAddress:       "an IP number and port, such as 10.0.0.1:7000 or [2001:db8::1]:7000",
+	TypeListenAddress: "an IP number of this host and port, such as 10.0.0.1:7000; port 0 takes a free one",
+	TypeNames:         "a list of names, such as [drafting, bookings]",
+	TypeRoutes:        "a list of routes, such as [/healthz, /v1/where]",
+	TypeUpstreams:     "a list of upstreams, each with name, address and failure-domain",
+	TypeTree:          "entries by name",
+}
+
+// Allowed says in words which values the key may have.
+func (s Spec) Allowed() string {
+	switch {
+	case s.Type == TypeChoice:
+		return strings.Join(s.Choices, " or ")
+	case s.Min != "":
+		return fmt.Sprintf("%s, from %s to %s", forms[s.Type], s.Min, s.Max)
+	default:
+		return forms[s.Type]
+	}
+}
+
+// parse reads a scalar value as written; the problem is empty if it is allowed.
+func (s Spec) parse(text string) (value Value, problem string) {
+	value.Text = text
+	switch s.Type {
+	case TypeName:
+		return value, mismatch(text, namePattern)
+	case TypeText:
+		return value, mismatch(text, textPattern)
+	case TypeChoice:
+		return value, s.parseChoice(text)
+	case TypeFlag:
+		value.Flag = text == "true"
+
+		return value, unless(text == "true" || text == "false", "%q is not a flag", text)
+	case TypeAddress, TypeListenAddress:
+		value.Text, problem = parseAddress(text, s.Type == TypeListenAddress)
+
+		return value, problem
+	case TypeNames, TypeRoutes, TypeUpstreams, TypeTree:
+		return value, fmt.Sprintf("%q stands alone", text)
+	default:
+		value.Amount, problem = s.parseAmount(text)
+
+		return value, problem
+	}
+}
+
+func mismatch(text string, pattern *regexp.Regexp) string {
+	return unless(pattern.MatchString(text), "%q is not allowed", text)
+}
+
+func unless(ok bool, format string, args ...any) string {
+	if ok {
+		return ""
+	}
+
+	return fmt.Sprintf(format, args...)
+}
+
+func (s Spec) parseChoice(text string) string {
+	if slices.Contains(s.Choices, text) {
+		return ""
+	}
+
+	return fmt.Sprintf("%q is no choice%s", text, hint(text, s.Choices))
+}
+
+// parseAmount reads a number with its unit and checks its range.
+func (s Spec) parseAmount(text string) (amount float64, problem string) {
+	amount, problem = s.Type.amount(text)
+	if problem != "" || s.Min == "" {
+		return amount, problem
+	}
+	lowest, _ := s.Type.amount(s.Min)
+	highest, _ := s.Type.amount(s.Max)
+	switch {
+	case amount < lowest:
+		return amount, fmt.Sprintf("%q is too small", text)
+	case amount > highest:
+		return amount, fmt.Sprintf("%q is too large", text)
+	default:
+		return amount, ""
+	}
+}
+
+func (t Type) amount(text string) (amount float64, problem string) {
+	switch t {
+	case TypeCount:
+		return decimal(text, wholePattern, "whole number")
+	case TypeNumber:
+		return decimal(text, decimalPattern, "number")
+	case TypeRate:
+		return quantity(text, decimalPattern, rateUnits)
+	case TypeTokens:
+		return quantity(text, wholePattern, tokenUnits)
+	case TypeSize:
+		return quantity(text, wholePattern, sizeUnits)
+	default:
+		return duration(text)
+	}
+}
+
+func decimal(text string, pattern *regexp.Regexp, what string) (amount float64, problem string) {
+	if !pattern.MatchString(text) {
+		return 0, fmt.Sprintf("%q is not a %s", text, what)
+	}
+	amount, err := strconv.ParseFloat(text, 64)
+
+	return amount, unless(err == nil, "%q is not a %s", text, what)
+}
+
+func quantity(text string, pattern *regexp.Regexp, units []unit) (amount float64, problem string) {
+	parts := quantityPattern.FindStringSubmatch(text)
+	if parts == nil || !pattern.MatchString(parts[1]) {
+		return 0, fmt.Sprintf("%q is not an allowed number with a unit", text)
+	}
+	name := strings.Join(strings.Fields(parts[2]), " ")
+	if name == "" {
+		return 0, fmt.Sprintf("%q has no unit", text)
+	}
+	for _, u := range units {
+		if u.name == name {
+			amount, problem = decimal(parts[1], pattern, "number")
+
+			return amount * u.scale, problem
+		}
+	}
+
+	return 0, fmt.Sprintf("%q has the unknown unit %q", text, name)
+}
+
+func duration(text string) (amount float64, problem string) {
+	if wholePattern.MatchString(text) || decimalPattern.MatchString(text) {
+		return 0, fmt.Sprintf("%q has no unit", text)
+	}
+	if !durationPattern.MatchString(text) {
+		return 0, fmt.Sprintf("%q is not a duration", text)
+	}
+	parsed, err := time.ParseDuration(text)
+
+	return float64(parsed), unless(err == nil, "%q is not a duration", text)
+}
+
+func parseAddress(text string, listen bool) (address, problem string) {
+	parsed, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil || parsed.Addr().Zone() != "":
+		return text, fmt.Sprintf("%q is not an IP number and port", text)
+	case parsed.Port() == 0 && !listen:
+		return text, fmt.Sprintf("%q has the port 0", text)
+	case parsed.Addr().IsUnspecified():
+		return text, fmt.Sprintf("%q is no address that others can reach", text)
+	case parsed.Addr().IsMulticast():
+		return text, fmt.Sprintf("%q is a multicast address", text)
+	default:
+		return text, ""
+	}
+}
+
+// sameAddress returns one text for all ways to write an address.
+func sameAddress(text string) string {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return text
+	}
+
+	return netip.AddrPortFrom(parsed.Addr().Unmap(), parsed.Port()).String()
+}
+
+// read checks the value of a key at its node.
+func (s Spec) read(r *report, path string, node ast.Node) (Value, bool) {
+	if s.Type == TypeNames || s.Type == TypeRoutes {
+		return s.readList(r, path, node)
+	}
+	text, ok := s.readScalar(r, path, node)
+	if !ok {
+		return Value{}, false
+	}
+	value, problem := s.parse(text)
+	if problem != "" {
+		r.add(placeOf(node), path, "%s; allowed is %s", problem, s.Allowed())
+	}
+
+	return value, problem == ""
+}
+
+// readScalar returns the text of a scalar whose YAML type suits the key.
+func (s Spec) readScalar(r *report, path string, node ast.Node) (string, bool) {
+	at := placeOf(node)
+	found := ""
+	switch n := node.(type) {
+	case nil, *ast.NullNode:
+		found = "there is no value"
+	case *ast.StringNode:
+		if s.Type == TypeFlag {
+			found = fmt.Sprintf("%q is a text", n.Value)
+		}
+
+		return n.Value, s.accept(r, at, path, found)
+	case *ast.IntegerNode, *ast.FloatNode:
+		text := node.GetToken().Value
+		if s.Type == TypeName || s.Type == TypeText || s.Type == TypeChoice {
+			found = fmt.Sprintf("%s is a number, which needs quotes to be a text", text)
+		}
+
+		return text, s.accept(r, at, path, found)
+	case *ast.BoolNode:
+		if s.Type != TypeFlag {
+			found = fmt.Sprintf("%s is a flag", node.GetToken().Value)
+		}
+
+		return strconv.FormatBool(n.Value), s.accept(r, at, path, found)
+	default:
+		found = "there is " + describe(node)
+	}
+
+	return "", s.accept(r, at, path, found)
+}
+
+func (s Spec) accept(r *report, at place, path, found string) bool {
+	if found != "" {
+		r.add(at, path, "%s; allowed is %s", found, s.Allowed())
+	}
+
+	return found == ""
+}
+
+// describe names the YAML type of a node.
+func describe(node ast.Node) string {
+	switch node.(type) {
+	case nil, *ast.NullNode:
+		return "no value"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.LiteralNode:
+		return "a block of text"
+	case *ast.InfinityNode, *ast.NanNode:
+		return "a number without a finite value"
+	default:
+		return "a single value"
+	}
+}
+
+// readList checks a list of names or routes, in which each may stand once.
+func (s Spec) readList(r *report, path string, node ast.Node) (Value, bool) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		r.add(placeOf(node), path, "there is %s; allowed is %s", describe(node), s.Allowed())
+
+		return Value{}, false
+	}
+	item := Spec{Type: TypeName}
+	if s.Type == TypeRoutes {
+		item.Type = TypeText
+	}
+	value := Value{Items: []Item{}}
+	for _, child := range sequence.Values {
+		at := placeOf(child)
+		if child = plainNode(r, path, child); child == nil {
+			continue
+		}
+		text, ok := item.readScalar(r, path, child)
+		if !ok {
+			continue
+		}
+		if problem := s.itemProblem(text); problem != "" {
+			r.add(at, path, "%s; allowed is %s", problem, s.Allowed())
+
+			continue
+		}
+		if first := slices.IndexFunc(value.Items, func(i Item) bool { return i.Text == text }); first >= 0 {
+			r.add(at, path, "%q stands twice, first at %s; allowed is each once", text, value.Items[first].at)
+
+			continue
+		}
+		value.Items = append(value.Items, Item{Text: text, at: at})
+	}
+	value.Text = "[" + strings.Join(value.Texts(), ", ") + "]"
+
+	return value, true
+}
+
+func (s Spec) itemProblem(text string) string {
+	if s.Type == TypeRoutes {
+		return mismatch(text, routePattern)
+	}
+
+	return mismatch(text, namePattern)
+}
