Check a host's own settings with the same definitions as the fleet's

Cause: serve reported one problem without a place, and defaults stood apart from the keys. Ruled out: a second checker in io/daemon. go test ./io/daemon passes.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -45,9 +45,9 @@
 	if err != nil {
 		return cmdutil.Usage("read %s: %v", opts.Settings, err)
 	}
-	config, err := daemon.LoadConfig(source)
-	if err != nil {
-		return cmdutil.Usage("%s: %v", opts.Settings, err)
+	config, findings := daemon.LoadConfig(opts.Settings, source)
+	if len(findings) > 0 {
+		return cmdutil.Findings(opts.Factory.IOStreams.Err, findings)
 	}
 	host, err := daemon.New(config, daemon.Options{Logger: opts.Factory.Logger(opts.Verbosity)})
 	if err != nil {
--- a/core/settings/mapping.go
+++ b/core/settings/mapping.go
@@ -15,6 +15,7 @@
 		return zero, r.sorted()
 	}
 	parsed := readMapping(r, "", documentStart, mapping, keys)
+	checkListeners(r, mapping, keys)
 	if len(r.findings) > 0 {
 		return zero, r.sorted()
 	}
@@ -22,6 +23,46 @@
 	return parsed, nil
 }
 
+// Defaults returns a T in which each key has its default.
+func Defaults[T any](keys []Key[T]) T {
+	var filled T
+	for i := range keys {
+		keys[i].setDefault(&filled)
+	}
+
+	return filled
+}
+
+func (k *Key[T]) setDefault(target *T) {
+	if k.Default == "" || k.Set == nil {
+		return
+	}
+	value, _ := k.parse(k.Default)
+	k.Set(target, value)
+}
+
+// checkListeners reports addresses that are listened on twice; port 0 takes a free one each time.
+func checkListeners[T any](r *report, mapping *ast.MappingNode, keys []Key[T]) {
+	fields, _ := fieldsOf(&report{}, "", mapping)
+	first := make(map[string]field)
+	for _, f := range fields {
+		spec, ok := lookup(keys, f.name)
+		if !ok || spec.Type != TypeListenAddress || f.value == nil {
+			continue
+		}
+		address := sameAddress(f.value.GetToken().Value)
+		if strings.HasSuffix(address, ":0") {
+			continue
+		}
+		if earlier, ok := first[address]; ok {
+			r.add(placeOf(f.value), f.name, "the address %q is that of %s too; allowed is one use of each", address, earlier.name)
+
+			continue
+		}
+		first[address] = f
+	}
+}
+
 // readMapping checks a mapping against its keys and fills a T.
 func readMapping[T any](r *report, path string, at place, node ast.Node, keys []Key[T]) T {
 	var filled T
@@ -45,9 +86,8 @@
 			fill(r, path, fields, key, &filled)
 		case key.Required:
 			r.add(at, join(path, key.Name), "the key is missing; allowed is %s", key.Allowed())
-		case key.Default != "":
-			value, _ := key.parse(key.Default)
-			key.Set(&filled, value)
+		default:
+			key.setDefault(&filled)
 		}
 	}
 
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -49,9 +49,8 @@
 		}
 		if _, s, ok := e.find(&key.Spec); ok {
 			key.Set(&resolved, s.value)
-		} else if key.Default != "" {
-			value, _ := key.parse(key.Default)
-			key.Set(&resolved, value)
+		} else {
+			key.setDefault(&resolved)
 		}
 	}
 
--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -1,107 +1,57 @@
 package daemon
 
 import (
-	"bytes"
-	"net"
-	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-	"github.com/joomcode/errorx"
-
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 )
 
 // Config is a host's own settings.
 type Config struct {
-	Host          id.Host          `yaml:"host"`
-	FailureDomain id.FailureDomain `yaml:"failure-domain"`
+	Host          id.Host
+	FailureDomain id.FailureDomain
 	// CallerAddress, OperatorAddress and PeerAddress are IP numbers and ports; port 0 takes a free one.
-	CallerAddress   string `yaml:"caller-address"`
-	OperatorAddress string `yaml:"operator-address"`
-	PeerAddress     string `yaml:"peer-address"`
+	CallerAddress   string
+	OperatorAddress string
+	PeerAddress     string
 	// LogAddress and HostsAddress are the platform's services.
-	LogAddress   string `yaml:"log-address"`
-	HostsAddress string `yaml:"hosts-address"`
+	LogAddress   string
+	HostsAddress string
 	// AppendLinger is how long an append waits for more records.
-	AppendLinger time.Duration `yaml:"append-linger"`
+	AppendLinger time.Duration
 	// WhereLifetime is how long callers may keep the answer to where.
-	WhereLifetime time.Duration `yaml:"where-lifetime"`
+	WhereLifetime time.Duration
 	// DrainTimeout bounds a graceful shutdown.
-	DrainTimeout time.Duration `yaml:"drain-timeout"`
+	DrainTimeout time.Duration
 	// MaxBodyBytes bounds a caller's request.
-	MaxBodyBytes int `yaml:"max-body-bytes"`
+	MaxBodyBytes int
 	// MaxCalls bounds the upstream calls under way at this host.
-	MaxCalls int `yaml:"max-calls"`
+	MaxCalls int
 	// MaxHosts is the largest number of hosts that the fleet may have; all hosts must agree on it.
-	MaxHosts int `yaml:"max-hosts"`
+	MaxHosts int
 }
 
-const (
-	defaultAddress       = "127.0.0.1:0"
-	defaultLinger        = 5 * time.Millisecond
-	defaultWhereLifetime = 10 * time.Second
-	defaultDrainTimeout  = 30 * time.Second
-	defaultMaxBody       = 4 << 20
-	defaultMaxCalls      = 4096
-	defaultMaxHosts      = 12
-)
-
-var (
-	errs = errorx.NewNamespace("daemon")
-
-	// ErrSettings marks a host's settings with findings.
-	ErrSettings = errs.NewType("settings")
-)
-
-// LoadConfig parses and checks a host's settings.
-func LoadConfig(source []byte) (Config, error) {
-	var config Config
-	if err := yaml.NewDecoder(bytes.NewReader(source), yaml.Strict()).Decode(&config); err != nil {
-		return Config{}, ErrSettings.Wrap(err, "parse host settings")
-	}
-	if findings := config.check(); len(findings) > 0 {
-		return Config{}, ErrSettings.New("host settings: %s", strings.Join(findings, "; "))
-	}
-
-	return config, nil
-}
-
-func (c *Config) check() []string {
-	var findings []string
-	if c.Host == "" {
-		findings = append(findings, "host: a name is missing")
-	}
-	if c.FailureDomain == "" {
-		findings = append(findings, "failure-domain: a name is missing")
-	}
-	addresses := []struct{ key, value string }{
-		{"caller-address", c.CallerAddress},
-		{"operator-address", c.OperatorAddress},
-		{"peer-address", c.PeerAddress},
-		{"log-address", c.LogAddress},
-		{"hosts-address", c.HostsAddress},
-	}
-	for _, address := range addresses {
-		host, _, err := net.SplitHostPort(address.value)
-		if err != nil || net.ParseIP(host) == nil {
-			findings = append(findings, address.key+": an IP number and port is needed, such as 10.0.0.1:7000")
-		}
-	}
+// loopback is the address of a host that is started without settings.
+const loopback = "127.0.0.1:0"
 
-	return findings
+// LoadConfig checks a host's settings and returns them, or all findings by place.
+func LoadConfig(file string, source []byte) (Config, []settings.Finding) {
+	return settings.ParseFlat(file, source, configKeys)
 }
 
+// withDefaults fills the fields that are zero.
 func (c Config) withDefaults() Config {
-	fallback(&c.CallerAddress, defaultAddress)
-	fallback(&c.OperatorAddress, defaultAddress)
-	fallback(&c.PeerAddress, defaultAddress)
-	fallback(&c.AppendLinger, defaultLinger)
-	fallback(&c.WhereLifetime, defaultWhereLifetime)
-	fallback(&c.DrainTimeout, defaultDrainTimeout)
-	fallback(&c.MaxBodyBytes, defaultMaxBody)
-	fallback(&c.MaxCalls, defaultMaxCalls)
-	fallback(&c.MaxHosts, defaultMaxHosts)
+	defaults := settings.Defaults(configKeys)
+	fallback(&c.CallerAddress, loopback)
+	fallback(&c.OperatorAddress, loopback)
+	fallback(&c.PeerAddress, loopback)
+	fallback(&c.AppendLinger, defaults.AppendLinger)
+	fallback(&c.WhereLifetime, defaults.WhereLifetime)
+	fallback(&c.DrainTimeout, defaults.DrainTimeout)
+	fallback(&c.MaxBodyBytes, defaults.MaxBodyBytes)
+	fallback(&c.MaxCalls, defaults.MaxCalls)
+	fallback(&c.MaxHosts, defaults.MaxHosts)
 
 	return c
 }
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/core/slot"
 	"cardamomward/io/caller"
 	"cardamomward/io/engine"
@@ -106,12 +107,15 @@
 		return web
 	}
 	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
-	h.operatorWeb = open(h.config.OperatorAddress, defaultMaxBody)
+	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
 	return errors.Join(errsFound...)
 }
 
+// maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
+const maxOperatorBody = settings.MaxDocument + 1<<20
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
