--- a/command/cmdutil/flags.go
+++ b/command/cmdutil/flags.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/netip"
+	"os"
 	"strings"
 	"text/tabwriter"
 
@@ -22,12 +24,37 @@
 	return &cli.StringFlag{
 		Name:        "operator",
 		Usage:       "operator address of any host, an IP number and port",
-		Sources:     cli.EnvVars(OperatorVariable),
+		Sources:     cli.NewValueSourceChain(variable(OperatorVariable)),
 		Required:    required,
 		Destination: target,
+		Validator:   checkAddress,
 	}
 }
 
+// variable is an environment variable that counts as absent while it is empty.
+type variable string
+
+// Lookup returns the variable's value.
+func (v variable) Lookup() (string, bool) {
+	value := os.Getenv(string(v))
+
+	return value, value != ""
+}
+
+func (v variable) String() string { return fmt.Sprintf("environment variable %q", string(v)) }
+
+// GoString returns the variable as Go code.
+func (v variable) GoString() string { return fmt.Sprintf("variable(%q)", string(v)) }
+
+// checkAddress reports what is wrong with an operator address.
+func checkAddress(address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return Usage("--operator or %s is %q, which is not an IP number and port such as 127.0.0.1:7002", OperatorVariable, address)
+	}
+
+	return nil
+}
+
 // JSONFlag returns the flag for output that programs read.
 func JSONFlag(target *bool) cli.Flag {
 	return &cli.BoolFlag{Name: "json", Usage: "print JSON", Destination: target}
--- a/command/program/program.go
+++ b/command/program/program.go
@@ -18,11 +18,11 @@
 	}
 }
 
-var header = cmdutil.Row{"program", "name", "state", "end-reason", "turns", "used", "budget", "host"}
+var header = cmdutil.Row{"program", "workspace", "name", "state", "end-reason", "turns", "used", "budget", "host"}
 
 func row(p *caller.Program) cmdutil.Row {
 	return cmdutil.Row{
-		string(p.Program), p.Name, p.State, p.Reason, fmt.Sprint(p.Turns), fmt.Sprint(p.Used), fmt.Sprint(p.Budget), string(p.Host),
+		string(p.Program), string(p.Workspace), p.Name, p.State, p.Reason, fmt.Sprint(p.Turns), fmt.Sprint(p.Used), fmt.Sprint(p.Budget), string(p.Host),
 	}
 }
 
--- a/command/settings/publish.go
+++ b/command/settings/publish.go
@@ -9,6 +9,7 @@
 
 	"cardamomward/command/cmdutil"
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/io/operator"
 )
 
@@ -63,6 +64,10 @@
 	if err != nil {
 		return cmdutil.Usage("read %s: %v", opts.File, err)
 	}
+	_, findings := settings.Parse(opts.File, document)
+	if err := cmdutil.Findings(opts.Factory.IOStreams.Err, findings); err != nil {
+		return err
+	}
 	client := opts.Factory.Operator(opts.Operator)
 	base := id.Position(opts.Base)
 	if !opts.BaseSet {
@@ -78,13 +83,21 @@
 	if err != nil {
 		return err
 	}
-	if opts.JSON {
-		return cmdutil.PrintJSON(opts.Factory.IOStreams, resp)
+	if err := printPublished(opts, resp); err != nil {
+		return err
 	}
-	fmt.Fprintf(opts.Factory.IOStreams.Out, "version %d is in force on %v\n", resp.Version, resp.InForce)
 	if len(resp.Waiting) > 0 {
 		return fmt.Errorf("version %d is not yet in force on %v; look again with status", resp.Version, resp.Waiting)
 	}
 
 	return nil
 }
+
+func printPublished(opts *PublishOptions, resp operator.PublishResponse) error {
+	if opts.JSON {
+		return cmdutil.PrintJSON(opts.Factory.IOStreams, resp)
+	}
+	_, err := fmt.Fprintf(opts.Factory.IOStreams.Out, "version %d is in force on %v\n", resp.Version, resp.InForce)
+
+	return err
+}
--- a/command/settings/settings.go
+++ b/command/settings/settings.go
@@ -9,8 +9,8 @@
 // NewCmdSettings returns the command with a subcommand for each verb.
 func NewCmdSettings(f *cmdutil.Factory) *cli.Command {
 	return &cli.Command{
-		Name:     "settings",
-		Usage:    "check, publish and show the fleet's settings",
+		Name:  "settings",
+		Usage: "check, publish and show the fleet's settings",
 		Commands: []*cli.Command{
 			NewCmdCheck(f, nil), NewCmdPublish(f, nil), NewCmdShow(f, nil), NewCmdHistory(f, nil), NewCmdSchema(f, nil),
 		},
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -34,18 +34,20 @@
 
 // Program is a program as callers see it.
 type Program struct {
-	Program  id.Program   `json:"program"`
-	Parent   id.Program   `json:"parent,omitempty"`
-	Name     string       `json:"name,omitempty"`
-	State    string       `json:"state"`
-	Reason   string       `json:"end-reason,omitempty"`
-	Turns    id.Turn      `json:"turns"`
-	Budget   id.Tokens    `json:"budget-tokens"`
-	Used     id.Tokens    `json:"used-tokens"`
-	Reserved id.Tokens    `json:"reserved-tokens"`
-	Host     id.Host      `json:"host"`
-	Address  string       `json:"address,omitempty"`
-	History  []TurnRecord `json:"history,omitempty"`
+	Program id.Program `json:"program"`
+	Parent  id.Program `json:"parent,omitempty"`
+	// Workspace is set in operators' listings only.
+	Workspace id.Workspace `json:"workspace,omitempty"`
+	Name      string       `json:"name,omitempty"`
+	State     string       `json:"state"`
+	Reason    string       `json:"end-reason,omitempty"`
+	Turns     id.Turn      `json:"turns"`
+	Budget    id.Tokens    `json:"budget-tokens"`
+	Used      id.Tokens    `json:"used-tokens"`
+	Reserved  id.Tokens    `json:"reserved-tokens"`
+	Host      id.Host      `json:"host"`
+	Address   string       `json:"address,omitempty"`
+	History   []TurnRecord `json:"history,omitempty"`
 }
 
 // TurnRecord is one turn of a program's history.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -182,15 +182,16 @@
 // Summary returns a program without its history.
 func Summary(state *fold.Programs, p *fold.Program) caller.Program {
 	return caller.Program{
-		Program: p.ID,
-		Parent:  p.Parent,
-		Name:    p.Name,
-		State:   string(p.State),
-		Reason:  p.EndReason,
-		Turns:   id.Turn(len(p.Turns)),
-		Budget:  p.Budget,
-		Used:    p.Used,
-		Host:    state.Slot(id.ProgramSlot(p.ID)).Owner,
+		Program:   p.ID,
+		Parent:    p.Parent,
+		Workspace: p.Workspace,
+		Name:      p.Name,
+		State:     string(p.State),
+		Reason:    p.EndReason,
+		Turns:     id.Turn(len(p.Turns)),
+		Budget:    p.Budget,
+		Used:      p.Used,
+		Host:      state.Slot(id.ProgramSlot(p.ID)).Owner,
 	}
 }
 
