--- a/command/cmdutil/flags.go
+++ b/command/cmdutil/flags.go
@@ -41,6 +41,12 @@
 	return value, value != ""
 }
 
+// IsFromEnv tells the help that the source is an environment variable.
+func (v variable) IsFromEnv() bool { return true }
+
+// Key returns the variable's name.
+func (v variable) Key() string { return string(v) }
+
 func (v variable) String() string { return fmt.Sprintf("environment variable %q", string(v)) }
 
 // GoString returns the variable as Go code.
