Report findings above a syntax error, and none that follow from another

Cause: a syntax error hid all other mistakes; a wrong kind or budget was reported a second time as missing or too small; entries on a cycle and those whose name stands twice were not checked for services that are absent. Ruled out: going on below a syntax error, where the levels are unknown. Change: what stands above the error is checked key by key; combinations are checked only where their keys are valid.

--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -13,14 +13,19 @@
 func (t *Tree) check(r *report) {
 	t.checkUpstreams(r)
 	for _, e := range t.services.entries {
-		if !e.broken {
+		if !e.broken && t.services.byName[e.name] == e {
 			t.checkService(r, e)
 		}
 	}
 	seen := make(map[place]bool)
 	for _, e := range t.workspaces.entries {
-		if !e.broken {
-			t.checkWorkspace(r, e, seen)
+		for _, item := range e.own[keyServices].value.Items {
+			t.checkReference(r, join(e.path, keyServices), item)
+		}
+		if !e.broken && t.workspaces.byName[e.name] == e {
+			w := t.fleet.Workspaces[id.Workspace(e.name)]
+			t.checkBudget(r, e, w, seen)
+			checkBurst(r, e, w, seen)
 		}
 	}
 }
@@ -52,15 +57,12 @@
 
 func (t *Tree) checkService(r *report, e *entry[Service]) {
 	s := t.fleet.Services[id.Service(e.name)]
-	if t.services.byName[e.name] != e {
-		return
-	}
 	t.checkKind(r, e, s.Kind)
-	if len(s.Upstreams) > 0 && s.Kind == "" && !e.sets(keyKind) {
+	if len(s.Upstreams) > 0 && s.Kind == "" && e.valid(keyKind) {
 		r.add(e.own[keyUpstreams].at, join(e.path, keyKind), "a service with upstreams has no kind; allowed is %s",
 			specOf(serviceKeys, keyKind).Allowed())
 	}
-	if len(s.Upstreams) > 0 && s.Kind == KindEngine && s.Model == "" {
+	if len(s.Upstreams) > 0 && s.Kind == KindEngine && s.Model == "" && e.valid(keyModel) {
 		r.add(e.own[keyUpstreams].at, join(e.path, keyModel), "engines have no model; allowed is %s",
 			specOf(serviceKeys, keyModel).Allowed())
 	}
@@ -87,7 +89,7 @@
 
 // checkTimeouts compares the longest silence with the whole call's timeout, where either is set.
 func checkTimeouts(r *report, e *entry[Service], s *Service) {
-	if s.Kind == KindPlain || s.Progress <= s.Timeout {
+	if s.Kind == KindPlain || s.Progress <= s.Timeout || !e.valid(keyTimeout, keyProgress) {
 		return
 	}
 	origin, own, _ := e.find(specOf(serviceKeys, keyProgress))
@@ -102,20 +104,6 @@
 		formatDuration(s.Progress), formatDuration(s.Timeout), e.name)
 }
 
-func (t *Tree) checkWorkspace(r *report, e *entry[Workspace], seen map[place]bool) {
-	if t.workspaces.byName[e.name] != e {
-		return
-	}
-	w := t.fleet.Workspaces[id.Workspace(e.name)]
-	if own, ok := e.own[keyServices]; ok {
-		for _, item := range own.value.Items {
-			t.checkReference(r, join(e.path, keyServices), item)
-		}
-	}
-	t.checkBudget(r, e, w, seen)
-	checkBurst(r, e, w, seen)
-}
-
 // minBurst is the shortest time in which a workspace's rate may admit its whole burst. Hosts use parts of
 // the burst that they ask for, and those of a smaller burst expire on their way.
 const minBurst = 40 * time.Millisecond
@@ -123,7 +111,7 @@
 // checkBurst reports a burst that is too small to be shared by hosts at the workspace's rate.
 func checkBurst(r *report, e *entry[Workspace], w *Workspace, seen map[place]bool) {
 	least := int64(math.Ceil(float64(w.Rate) * minBurst.Seconds()))
-	if w.Burst >= least {
+	if w.Burst >= least || !e.valid(keyRate, keyBurst) {
 		return
 	}
 	origin, own, key := e, setting{at: e.at}, keyBurst
@@ -175,13 +163,16 @@
 
 // checkBudget reports a budget that does not suffice for one call of a service.
 func (t *Tree) checkBudget(r *report, e *entry[Workspace], w *Workspace, seen map[place]bool) {
+	if !e.valid(keyBudget) {
+		return
+	}
 	at, path := e.at, e.path
 	if origin, own, ok := e.find(specOf(workspaceKeys, keyBudget)); ok {
 		at, path = own.at, join(origin.path, keyBudget)
 	}
 	for _, name := range w.Services {
 		s, ok := t.fleet.Services[name]
-		if !ok || s.Kind != KindEngine || w.Budget >= s.MaxTokens || seen[at] {
+		if !ok || s.Kind != KindEngine || w.Budget >= s.MaxTokens || seen[at] || !t.services.byName[string(name)].valid(keyMaxTokens) {
 			continue
 		}
 		seen[at] = true
@@ -189,14 +180,3 @@
 			w.Budget, s.ID, s.MaxTokens)
 	}
 }
-
-// sets reports whether the entry or an ancestor sets a key.
-func (e *entry[T]) sets(name string) bool {
-	for at := e; at != nil; at = at.parent {
-		if _, ok := at.own[name]; ok {
-			return true
-		}
-	}
-
-	return false
-}
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"strconv"
@@ -26,18 +27,41 @@
 )
 
 // readDocument parses the one mapping that a document consists of; nil stands for a document that cannot be read.
+//
+// After a syntax error it returns what stands above it, and the report is partial: only findings that do
+// not depend on the rest of the document can be made.
 func readDocument(r *report, source []byte) *ast.MappingNode {
+	source = bytes.TrimPrefix(source, []byte("\ufeff"))
 	if !checkSource(r, source) {
 		return nil
 	}
 	file, err := parse(source)
-	if err != nil {
-		reportSyntax(r, err)
-
+	if err == nil {
+		return checkDocuments(r, file)
+	}
+	at := reportSyntax(r, err)
+	r.partial = true
+	above, err := parse(firstLines(source, at.line-1))
+	if err != nil || len(above.Docs) != 1 {
 		return nil
 	}
+	mapping, _ := above.Docs[0].Body.(*ast.MappingNode)
+
+	return mapping
+}
+
+// firstLines returns the start of a source.
+func firstLines(source []byte, lines int) []byte {
+	end := 0
+	for range lines {
+		next := bytes.IndexByte(source[end:], '\n')
+		if next < 0 {
+			return source
+		}
+		end += next + 1
+	}
 
-	return checkDocuments(r, file)
+	return source[:end]
 }
 
 // checkSource looks for what the YAML parser must not see; it reports whether to go on.
@@ -124,14 +148,16 @@
 	return nil
 }
 
-func reportSyntax(r *report, err error) {
+// reportSyntax reports a syntax error and returns its place.
+func reportSyntax(r *report, err error) place {
+	at, message := documentStart, err.Error()
 	var syntax yaml.Error
-	if !errors.As(err, &syntax) {
-		r.add(documentStart, wholeDocument, "it is not YAML: %v; allowed is a YAML mapping", err)
-
-		return
+	if errors.As(err, &syntax) {
+		at, message = placeOfToken(syntax.GetToken()), syntax.GetMessage()
 	}
-	r.add(placeOfToken(syntax.GetToken()), wholeDocument, "it is not YAML: %s; allowed is a YAML mapping", syntax.GetMessage())
+	r.add(at, wholeDocument, "it is not YAML: %s; allowed is a YAML mapping", message)
+
+	return at
 }
 
 // checkDocuments returns the mapping of the first document and reports all others.
@@ -227,7 +253,7 @@
 	}
 }
 
-// plainNode reports anchors, aliases and tags and returns the node behind them, nil for an alias.
+// plainNode reports anchors, aliases and tags and returns the node behind them, nil for one that cannot be used.
 func plainNode(r *report, path string, node ast.Node) ast.Node {
 	for {
 		switch n := node.(type) {
@@ -241,6 +267,12 @@
 		case *ast.TagNode:
 			r.add(placeOf(n), path, "tags are not supported; allowed is a value without one")
 			node = n.Value
+		case *ast.NullNode:
+			if r.partial {
+				return nil
+			}
+
+			return node
 		default:
 			return node
 		}
--- a/core/settings/finding.go
+++ b/core/settings/finding.go
@@ -72,6 +72,8 @@
 	file     string
 	findings []Finding
 	hints    int
+	// partial is set while the rest of the document is unknown.
+	partial bool
 }
 
 // maxHints bounds the hints of a document, each of which looks at all known names.
--- a/core/settings/mapping.go
+++ b/core/settings/mapping.go
@@ -15,7 +15,9 @@
 		return zero, r.sorted()
 	}
 	parsed := readMapping(r, "", documentStart, mapping, keys)
-	checkListeners(r, mapping, keys)
+	if !r.partial {
+		checkListeners(r, mapping, keys)
+	}
 	if len(r.findings) > 0 {
 		return zero, r.sorted()
 	}
@@ -33,6 +35,18 @@
 	return filled
 }
 
+// defaultValues returns the default of each key.
+func defaultValues[T any](keys []Key[T]) []Value {
+	values := make([]Value, len(keys))
+	for i := range keys {
+		if keys[i].Default != "" {
+			values[i], _ = keys[i].parse(keys[i].Default)
+		}
+	}
+
+	return values
+}
+
 func (k *Key[T]) setDefault(target *T) {
 	if k.Default == "" || k.Set == nil {
 		return
@@ -84,7 +98,7 @@
 		switch {
 		case present[key.Name]:
 			fill(r, path, fields, key, &filled)
-		case key.Required:
+		case key.Required && !r.partial:
 			r.add(at, join(path, key.Name), "the key is missing; allowed is %s", key.Allowed())
 		default:
 			key.setDefault(&filled)
--- a/core/settings/parse.go
+++ b/core/settings/parse.go
@@ -39,6 +39,9 @@
 		services:   forest[Service]{container: keyServices, keys: serviceKeys, byName: make(map[string]*entry[Service])},
 	}
 	t.read(r, mapping)
+	if r.partial {
+		return nil, r.sorted()
+	}
 	t.workspaces.link(r)
 	t.services.link(r)
 	t.resolve()
@@ -70,8 +73,9 @@
 // resolve fills the fleet.
 func (t *Tree) resolve() {
 	t.fleet.Workspaces = make(map[id.Workspace]*Workspace, len(t.workspaces.entries))
+	defaults := defaultValues(workspaceKeys)
 	for _, e := range t.workspaces.entries {
-		w := e.resolve(workspaceKeys)
+		w := e.resolve(workspaceKeys, defaults)
 		w.ID = id.Workspace(e.name)
 		if e.parent != nil {
 			w.Parent = id.Workspace(e.parent.name)
@@ -79,8 +83,9 @@
 		t.fleet.Workspaces[w.ID] = &w
 	}
 	t.fleet.Services = make(map[id.Service]*Service, len(t.services.entries))
+	defaults = defaultValues(serviceKeys)
 	for _, e := range t.services.entries {
-		s := e.resolve(serviceKeys)
+		s := e.resolve(serviceKeys, defaults)
 		s.ID = id.Service(e.name)
 		if e.parent != nil {
 			s.Parent = id.Service(e.parent.name)
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -80,6 +80,11 @@
 	require.Empty(t, fleet.Services["engines"].Upstreams)
 }
 
+func TestByteOrderMarkIsAllowed(t *testing.T) {
+	_, findings := Parse("fleet.yaml", []byte("\ufeffworkspaces: {}\n"))
+	require.Empty(t, findings)
+}
+
 func TestEffectiveNamesTheAncestor(t *testing.T) {
 	tree, findings := ParseTree("fleet.yaml", []byte(valid))
 	require.Empty(t, findings)
@@ -153,8 +158,10 @@
 		"service without upstreams": {workspace("services: [drafting]") + service("kind: engine", "services:", "  child: {model: m, "+oneUpstream+"}"), []string{
 			`3:16: workspaces.clerks.services: the service "drafting" has no upstreams; allowed are services with upstreams, such as child`,
 		}},
-		"parent that is absent": {workspace("parent: nobody"), []string{`3:13: workspaces.clerks.parent: there is no "nobody"; allowed is a name of workspaces`}},
-		"own parent":            {workspace("parent: clerks"), []string{`3:13: workspaces.clerks.parent: the parents form a cycle: clerks -> clerks`}},
+		"parent that is absent":                     {workspace("parent: nobody"), []string{`3:13: workspaces.clerks.parent: there is no "nobody"; allowed is a name of workspaces`}},
+		"references inside a cycle":                 {"workspaces:\n  a: {parent: a, services: [none]}\n", []string{`2:15: workspaces.a.parent: the parents form a cycle`, `2:29: workspaces.a.services: there is no service "none"`}},
+		"references under a name that stands twice": {"workspaces:\n  a: {workspaces: {b: {}}}\n  b: {services: [none]}\n", []string{`3:3: workspaces.b: the name stands twice`, `3:18: workspaces.b.services: there is no service "none"`}},
+		"own parent":                                {workspace("parent: clerks"), []string{`3:13: workspaces.clerks.parent: the parents form a cycle: clerks -> clerks`}},
 		"cycle": {"services:\n  a: {parent: b}\n  b: {parent: c}\n  c: {parent: a}\n  d: {parent: a}\n", []string{
 			`2:15: services.a.parent: the parents form a cycle: a -> b -> c -> a`,
 		}},
@@ -169,6 +176,8 @@
 		"upstream without keys":   {service("kind: plain", "upstreams: [{name: a}]"), []string{`4:17: services.drafting.upstreams[0].address: the key is missing`, `4:17: services.drafting.upstreams[0].failure-domain: the key is missing`}},
 		"upstream of a text":      {service("kind: plain", "upstreams: [a]"), []string{`4:17: services.drafting.upstreams[0]: there is a single value; allowed is a mapping with the keys name, address`}},
 		"upstreams of a mapping":  {service("kind: plain", "upstreams: {a: b}"), []string{`4:16: services.drafting.upstreams: there is a mapping; allowed is a list of upstreams`}},
+		"unknown kind":            {service("kind: engin", oneUpstream), []string{`3:11: services.drafting.kind: "engin" is no choice, did you mean "engine"?`}},
+		"unknown model":           {service("kind: engine", "model: []", oneUpstream), []string{`4:12: services.drafting.model: there is a list`}},
 		"no kind":                 {service("model: m", oneUpstream), []string{`4:5: services.drafting.kind: a service with upstreams has no kind; allowed is engine or plain`}},
 		"engine without model":    {service("kind: engine", oneUpstream), []string{`4:5: services.drafting.model: engines have no model`}},
 		"plain with model":        {service("kind: plain", "model: m", oneUpstream), []string{`4:12: services.drafting.model: the key means nothing for a service of kind plain; allowed is kind engine`}},
@@ -194,6 +203,9 @@
 		"open brace":  {"workspaces: {a: {}\nservices: {}\n", []string{`2:1: document: it is not YAML`}},
 		"open quote":  {"workspaces:\n  a: \"b\n", []string{`2:6: document: it is not YAML: could not find end character of double-quoted text`}},
 		"indentation": {"workspaces:\n  a:\n    burst: 2\n   rate: 1/s\n", []string{`4:`}},
+		"findings above a syntax error": {"workspaces:\n  a: {rate: 5, services: [later]}\nservices:\n  b:\n    upstreams:\n      - name: u\n        address: \"10\n  later: {}\n", []string{
+			`2:13: workspaces.a.rate: "5" has no unit`, `7:18: document: it is not YAML`,
+		}},
 		"deep braces": {"a: " + strings.Repeat("[", 1000), []string{`1:36: document: it is not YAML: braces nest too deep`}},
 		"long line":   {"a: " + strings.Repeat("- ", 5000), []string{`1:4097: document: the line has 10003 bytes`}},
 		"too large":   {strings.Repeat("# comment\n", 400_000), []string{`1:1: document: it has 4000000 bytes; allowed are up to 3145728`}},
--- a/core/settings/tree.go
+++ b/core/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml/ast"
@@ -21,10 +22,23 @@
 	// nested entries stand inside their parent.
 	nested bool
 	own    map[string]setting
+	// invalid are the keys whose values have findings.
+	invalid []string
 	// broken entries have no chain of parents that ends.
 	broken bool
 }
 
+// valid reports whether neither the entry nor an ancestor has findings at the keys.
+func (e *entry[T]) valid(keys ...string) bool {
+	for at := e; at != nil; at = at.parent {
+		if slices.ContainsFunc(keys, func(key string) bool { return slices.Contains(at.invalid, key) }) {
+			return false
+		}
+	}
+
+	return true
+}
+
 // find returns the nearest entry from e upwards that sets the key.
 func (e *entry[T]) find(spec *Spec) (*entry[T], setting, bool) {
 	for at := e; at != nil; at = at.parent {
@@ -40,7 +54,7 @@
 }
 
 // resolve returns the entry's fields with all that it inherits.
-func (e *entry[T]) resolve(keys []Key[T]) T {
+func (e *entry[T]) resolve(keys []Key[T], defaults []Value) T {
 	var resolved T
 	for i := range keys {
 		key := &keys[i]
@@ -49,8 +63,8 @@
 		}
 		if _, s, ok := e.find(&key.Spec); ok {
 			key.Set(&resolved, s.value)
-		} else {
-			key.setDefault(&resolved)
+		} else if key.Default != "" {
+			key.Set(&resolved, defaults[i])
 		}
 	}
 
@@ -114,14 +128,19 @@
 		case !ok:
 			unknownKey(r, path, keyField, f.keys)
 		case keyField.value == nil:
+			e.invalid = append(e.invalid, spec.Name)
 		case spec.Type == TypeTree:
 			f.collect(r, path, keyField.value, e, level+1)
 		case spec.Type == TypeUpstreams:
 			e.own[spec.Name] = setting{value: readUpstreams(r, path, keyField.value, spec), at: keyField.at}
 		default:
-			if value, ok := spec.read(r, path, keyField.value); ok {
-				e.own[spec.Name] = setting{value: value, at: placeOf(keyField.value)}
+			value, ok := spec.read(r, path, keyField.value)
+			if !ok {
+				e.invalid = append(e.invalid, spec.Name)
+
+				continue
 			}
+			e.own[spec.Name] = setting{value: value, at: placeOf(keyField.value)}
 		}
 	}
 }
