Count the messages of an aggregate over a tree with adaptive leases

Cause: the design size has to choose between direct messages and a tree by failure domain, and nothing counted either.

--- /dev/null
+++ b/core/aggregate/messages_test.go
@@ -0,0 +1,225 @@
+package aggregate_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"cardamomward/core/aggregate"
+	"cardamomward/core/id"
+)
+
+// fleet is a size of which messages are counted.
+type fleet struct {
+	hosts   int
+	domains int
+}
+
+// fleets are today's size, one between, and the size to design for.
+var fleets = []fleet{{12, 3}, {100, 8}, {830, 16}}
+
+func (f fleet) layout() ([][]id.Host, []id.Host) {
+	domains := make([][]id.Host, f.domains)
+	hosts := make([]id.Host, f.hosts)
+	for i := range hosts {
+		hosts[i] = id.Host(fmt.Sprintf("host-%03d", i))
+		domains[i%f.domains] = append(domains[i%f.domains], hosts[i])
+	}
+
+	return domains, hosts
+}
+
+// mix is a sequence of requests; its rounds are the periods of the mechanisms that send by period.
+type mix struct {
+	name   string
+	rounds int
+	round  func(random *rand.Rand, hosts []id.Host) []request
+}
+
+var mixes = []mix{
+	{"demand of one workspace: 8 hosts report, the bucket's owner reads once", 50, demandRound},
+	{"lowest version in force: all report one change, the publisher reads 4 times", 4, versionRound},
+	{"lowest version in force at rest: one host writes, the publishers of 4 hosts read", 50, restRound},
+	{"load: every host writes and every host reads", 1, loadRound},
+}
+
+// demandHosts is at how many hosts the callers of one workspace are.
+const demandHosts = 8
+
+func demandRound(random *rand.Rand, hosts []id.Host) []request {
+	var requests []request
+	for range demandHosts {
+		requests = append(requests, request{host: hosts[1+random.IntN(len(hosts)-1)]})
+	}
+
+	return append(requests, request{host: hosts[0], read: true})
+}
+
+// versionReads is how often a publisher looks until all hosts have the change.
+const versionReads = 4
+
+func versionRound(random *rand.Rand, hosts []id.Host) []request {
+	publisher := hosts[random.IntN(len(hosts))]
+	var requests []request
+	for i, at := range random.Perm(len(hosts)) {
+		requests = append(requests, request{host: hosts[at]})
+		if (i+1)%(len(hosts)/versionReads) == 0 {
+			requests = append(requests, request{host: publisher, read: true})
+		}
+	}
+
+	return requests
+}
+
+func restRound(random *rand.Rand, hosts []id.Host) []request {
+	requests := []request{{host: hosts[random.IntN(len(hosts))]}}
+	for range versionReads {
+		requests = append(requests, request{host: hosts[random.IntN(len(hosts))], read: true})
+	}
+
+	return requests
+}
+
+func loadRound(random *rand.Rand, hosts []id.Host) []request {
+	var requests []request
+	for _, host := range hosts {
+		requests = append(requests, request{host: host}, request{host: host, read: true})
+	}
+	random.Shuffle(len(requests), func(i, j int) { requests[i], requests[j] = requests[j], requests[i] })
+
+	return requests
+}
+
+// sequence returns the requests of all rounds, the same for each mechanism.
+func (m mix) sequence(f fleet) [][]request {
+	random := rand.New(rand.NewPCG(6, uint64(f.hosts)))
+	_, hosts := f.layout()
+	sequence := make([][]request, m.rounds)
+	for i := range sequence {
+		sequence[i] = m.round(random, hosts)
+	}
+
+	return sequence
+}
+
+func countKinds(round []request) (reads, writes int, readers map[id.Host]bool) {
+	readers = make(map[id.Host]bool)
+	for _, r := range round {
+		if r.read {
+			reads++
+			readers[r.host] = true
+		} else {
+			writes++
+		}
+	}
+
+	return reads, writes, readers
+}
+
+// mechanism counts the messages of a sequence.
+type mechanism struct {
+	name  string
+	count func(f fleet, sequence [][]request) int
+}
+
+var mechanisms = []mechanism{
+	{"direct, each write to all", directPush},
+	{"direct, each read asks all", directPull},
+	{"direct, writes to readers", directReaders},
+	{"direct, by period", directPeriod},
+	{"tree, each read asks all", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.OnDemand) }},
+	{"tree, leases for ever", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.Always) }},
+	{"tree, RWW leases", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.RWW) }},
+	{"tree, by period", treePeriod},
+}
+
+func directPush(f fleet, sequence [][]request) int {
+	total := 0
+	for _, round := range sequence {
+		_, writes, _ := countKinds(round)
+		total += writes * (f.hosts - 1)
+	}
+
+	return total
+}
+
+func directPull(f fleet, sequence [][]request) int {
+	total := 0
+	for _, round := range sequence {
+		reads, _, _ := countKinds(round)
+		total += 2 * reads * (f.hosts - 1)
+	}
+
+	return total
+}
+
+// directReaders sends each write to the hosts that read in the same round, as if the readers were known.
+func directReaders(_ fleet, sequence [][]request) int {
+	total := 0
+	for _, round := range sequence {
+		_, _, readers := countKinds(round)
+		for _, r := range round {
+			switch {
+			case r.read:
+			case readers[r.host]:
+				total += len(readers) - 1
+			default:
+				total += len(readers)
+			}
+		}
+	}
+
+	return total
+}
+
+// directPeriod sends each host's value to all others once a period, as heartbeats do.
+func directPeriod(f fleet, sequence [][]request) int {
+	return len(sequence) * f.hosts * (f.hosts - 1)
+}
+
+// treePeriod sends values up to the domain's head, summaries between the heads and the total down, once a period.
+func treePeriod(f fleet, sequence [][]request) int {
+	return len(sequence) * (2*(f.hosts-f.domains) + f.domains*(f.domains-1))
+}
+
+func overTree(f fleet, sequence [][]request, policy aggregate.Policy) int {
+	domains, _ := f.layout()
+	n := newNetwork(aggregate.TwoLevel(domains), policy)
+	for _, round := range sequence {
+		for i, r := range round {
+			if r.read {
+				n.read(r.host)
+			} else {
+				n.write(r.host, i)
+			}
+			n.settle()
+		}
+	}
+
+	return n.total
+}
+
+// TestMessageCounts prints and checks the messages of each mechanism over the same requests.
+func TestMessageCounts(t *testing.T) {
+	var table strings.Builder
+	for _, m := range mixes {
+		fmt.Fprintf(&table, "%s\n%-28s", m.name, fmt.Sprintf("messages, rounds: %d", m.rounds))
+		for _, f := range fleets {
+			fmt.Fprintf(&table, "%12d", f.hosts)
+		}
+		table.WriteString("\n")
+		for _, mechanism := range mechanisms {
+			fmt.Fprintf(&table, "%-28s", mechanism.name)
+			for _, f := range fleets {
+				fmt.Fprintf(&table, "%12d", mechanism.count(f, m.sequence(f)))
+			}
+			table.WriteString("\n")
+		}
+		table.WriteString("\n")
+	}
+	t.Log("\n" + table.String())
+	goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, "messages", []byte(table.String()))
+}
