--- /dev/null
+++ b/core/fold/capacity_test.go
@@ -0,0 +1,299 @@
+package fold_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+)
+
+const capacityHost id.Host = "host-0830"
+
+// bytesPerToken is how much text stands for a token.
+const bytesPerToken = 4
+
+// heapOf returns the growth of the heap that build leaves behind.
+func heapOf[T any](build func() T) (kept T, bytes uint64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept = build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+
+	return kept, after.HeapAlloc - before.HeapAlloc
+}
+
+func capacityText(tokens int) string { return strings.Repeat("text", tokens*bytesPerToken/4) }
+
+func claimAll(tb testing.TB, programs *fold.Programs) id.Epoch {
+	tb.Helper()
+	claim := &recordpb.Claim{}
+	for slot := range id.SlotCount {
+		claim.Slots = append(claim.Slots, uint32(slot))
+	}
+	rec := record.New(capacityHost)
+	rec.Body = &recordpb.Record_Claim{Claim: claim}
+	epoch := id.NewPosition(0, 0)
+	require.Equal(tb, fold.Valid, programs.Apply(epoch, rec))
+
+	return epoch
+}
+
+func openRecord(program id.Program, epoch id.Epoch) *record.Record {
+	rec := record.NewFenced(capacityHost, id.ProgramSlot(program), epoch)
+	rec.Body = &recordpb.Record_ProgramOpen{ProgramOpen: &recordpb.ProgramOpen{
+		Program: string(program), Workspace: "workspace-8500", Name: "stand rules",
+		BudgetTokens: 460_000, LeaseMillis: 600_000,
+	}}
+
+	return rec
+}
+
+func turnOf(program id.Program, number, input, answer int) *recordpb.Turn {
+	return &recordpb.Turn{
+		Program: string(program), Number: uint32(number),
+		Input:        []*recordpb.Message{{Role: "user", Content: capacityText(input)}},
+		Answer:       &recordpb.Message{Role: "assistant", Content: capacityText(answer)},
+		PromptTokens: 230_000, CachedTokens: 225_000, CompletionTokens: int64(answer),
+		Upstream: "draft-1234", FinishReason: "stop",
+	}
+}
+
+func turnRecord(epoch id.Epoch, turn *recordpb.Turn) *record.Record {
+	rec := record.NewFenced(capacityHost, id.ProgramSlot(id.Program(turn.GetProgram())), epoch)
+	rec.Body = &recordpb.Record_Turn{Turn: turn}
+
+	return rec
+}
+
+func programName(i int) id.Program { return id.Program(fmt.Sprintf("p-%020d", i)) }
+
+// appendOf encodes records as one append.
+func appendOf(tb testing.TB, records ...*record.Record) []byte {
+	tb.Helper()
+	data, err := record.Encode(records)
+	require.NoError(tb, err)
+
+	return data
+}
+
+// BenchmarkFoldIdlePrograms measures the memory of programs without turns, and of one of each size of history.
+func BenchmarkFoldIdlePrograms(b *testing.B) {
+	const count = 100_000
+	for b.Loop() {
+		programs, bytes := heapOf(func() *fold.Programs {
+			folder := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			epoch := claimAll(b, folder.State)
+			for i := range count {
+				folder.Append(id.Offset(i+1), appendOf(b, openRecord(programName(i), epoch)))
+			}
+
+			return folder.State
+		})
+		_, ok := programs.Program(programName(count - 1))
+		require.True(b, ok)
+		b.ReportMetric(float64(bytes)/count, "heap-bytes/program")
+	}
+}
+
+// BenchmarkFoldLongProgram measures the memory of a program of 110 turns and 460,000 tokens, by its folded records.
+func BenchmarkFoldLongProgram(b *testing.B) {
+	const count, turns, tokens = 20, 110, 460_000
+	for b.Loop() {
+		programs, bytes := heapOf(func() *fold.Programs {
+			folder := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			epoch := claimAll(b, folder.State)
+			offset := id.Offset(1)
+			for i := range count {
+				folder.Append(offset, appendOf(b, openRecord(programName(i), epoch)))
+				offset++
+				for number := range turns {
+					turn := turnOf(programName(i), number+1, tokens/turns-303, 303)
+					folder.Append(offset, appendOf(b, turnRecord(epoch, turn)))
+					offset++
+				}
+			}
+
+			return folder.State
+		})
+		program, ok := programs.Program(programName(0))
+		require.True(b, ok)
+		require.Len(b, program.Turns, turns)
+		b.ReportMetric(float64(bytes)/count, "heap-bytes/program")
+	}
+}
+
+// BenchmarkFoldSeenRecords measures the memory by which second copies are recognised.
+func BenchmarkFoldSeenRecords(b *testing.B) {
+	const count = 100_000
+	rec := record.New(capacityHost)
+	rec.Body = &recordpb.Record_BudgetMark{BudgetMark: &recordpb.BudgetMark{Program: "none"}}
+	for b.Loop() {
+		folder, bytes := heapOf(func() *fold.Folder[*fold.Programs] {
+			folder := &fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			for range count / 100 {
+				batch := make([]*record.Record, 100)
+				for i := range batch {
+					batch[i] = record.New(capacityHost)
+					batch[i].Body = rec.GetBody()
+				}
+				folder.Append(folder.Next(), appendOf(b, batch...))
+			}
+
+			return folder
+		})
+		require.EqualValues(b, count/100, folder.Next())
+		b.ReportMetric(float64(bytes)/count, "heap-bytes/record")
+	}
+}
+
+// BenchmarkFoldTurn folds turns of typical size, decoding included.
+func BenchmarkFoldTurn(b *testing.B) {
+	for _, batch := range []int{1, 223} {
+		b.Run(fmt.Sprintf("records=%d", batch), func(b *testing.B) {
+			folder := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			epoch := claimAll(b, folder.State)
+			programs := make([]id.Program, batch)
+			for i := range programs {
+				programs[i] = programName(i)
+				folder.Append(folder.Next(), appendOf(b, openRecord(programs[i], epoch)))
+			}
+			b.ReportAllocs()
+			number := 0
+			for b.Loop() {
+				b.StopTimer()
+				number++
+				records := make([]*record.Record, batch)
+				for i, program := range programs {
+					records[i] = turnRecord(epoch, turnOf(program, number, 303, 303))
+				}
+				data := appendOf(b, records...)
+				b.SetBytes(int64(len(data)))
+				b.StartTimer()
+				verdicts := folder.Append(folder.Next(), data)
+				if !verdicts[0].Valid() {
+					b.Fatal(verdicts[0].Reason)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*batch), "ns/record")
+		})
+	}
+}
+
+// BenchmarkFoldRecords folds the other kinds of record, decoding included.
+func BenchmarkFoldRecords(b *testing.B) {
+	epoch := id.NewPosition(0, 0)
+	program := programName(0)
+	kinds := []struct {
+		name  string
+		build func(i int) *record.Record
+	}{
+		{"open", func(i int) *record.Record { return openRecord(programName(i+1), epoch) }},
+		{"budget-mark", func(i int) *record.Record {
+			rec := record.NewFenced(capacityHost, id.ProgramSlot(program), epoch)
+			rec.Body = &recordpb.Record_BudgetMark{BudgetMark: &recordpb.BudgetMark{Program: string(program), Tokens: int64(i)}}
+
+			return rec
+		}},
+		{"intent", func(i int) *record.Record {
+			key := fmt.Sprintf("key-%016d", i)
+			rec := record.NewFenced(capacityHost, id.CallSlot("clerks", key), epoch)
+			rec.Body = &recordpb.Record_Intent{Intent: &recordpb.Intent{
+				Workspace: "clerks", Service: "bookings", Key: key, Upstream: "bookings-1",
+			}}
+
+			return rec
+		}},
+		{"stale-epoch", func(int) *record.Record { return openRecord(programName(0), epoch+1) }},
+	}
+	for _, kind := range kinds {
+		b.Run(kind.name, func(b *testing.B) {
+			folder := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			claimAll(b, folder.State)
+			folder.Append(0, appendOf(b, openRecord(program, epoch)))
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				b.StopTimer()
+				data := appendOf(b, kind.build(i))
+				i++
+				b.StartTimer()
+				folder.Append(folder.Next(), data)
+			}
+		})
+	}
+}
+
+// BenchmarkFoldClaim folds one claim of a share of the slots.
+func BenchmarkFoldClaim(b *testing.B) {
+	for _, slots := range []int{5, 342, id.SlotCount} {
+		b.Run(fmt.Sprintf("slots=%d", slots), func(b *testing.B) {
+			claim := &recordpb.Claim{Forced: true}
+			for i := range slots {
+				claim.Slots = append(claim.Slots, uint32(i))
+			}
+			folder := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+			b.ReportAllocs()
+			for b.Loop() {
+				b.StopTimer()
+				rec := record.New(capacityHost)
+				rec.Body = &recordpb.Record_Claim{Claim: claim}
+				data := appendOf(b, rec)
+				b.StartTimer()
+				folder.Append(folder.Next(), data)
+			}
+		})
+	}
+}
+
+func keyRecord(i int, salt []byte) *record.Record {
+	rec := record.New(capacityHost)
+	rec.Body = &recordpb.Record_KeyIssue{KeyIssue: &recordpb.KeyIssue{
+		Key: fmt.Sprintf("%020d", i), Workspace: fmt.Sprintf("workspace-%04d", i%8500),
+		Salt: salt, Hash: fold.HashSecret(salt, "secret"),
+	}}
+
+	return rec
+}
+
+// BenchmarkFoldKeys measures the memory of 100,000 keys.
+func BenchmarkFoldKeys(b *testing.B) {
+	const count = 100_000
+	for b.Loop() {
+		control, bytes := heapOf(func() *fold.Control {
+			folder := fold.Folder[*fold.Control]{State: &fold.Control{}}
+			for i := range count {
+				folder.Append(folder.Next(), appendOf(b, keyRecord(i, make([]byte, 16))))
+			}
+
+			return folder.State
+		})
+		_, ok := control.Authenticate("00000000000000099999", "secret")
+		require.True(b, ok)
+		b.ReportMetric(float64(bytes)/count, "heap-bytes/key")
+	}
+}
+
+// BenchmarkAuthenticate checks a caller's key among 100,000.
+func BenchmarkAuthenticate(b *testing.B) {
+	const count = 100_000
+	control := &fold.Control{}
+	salt := make([]byte, 16)
+	for i := range count {
+		control.Apply(id.NewPosition(id.Offset(i), 0), keyRecord(i, salt))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := control.Authenticate("00000000000000050000", "secret"); !ok {
+			b.Fatal("not authenticated")
+		}
+	}
+}
--- /dev/null
+++ b/test/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the bytes that an HTTP client exchanges, for capacity measurements.
+package meter
