--- /dev/null
+++ b/io/platform/capacity_test.go
@@ -0,0 +1,81 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/io/platform"
+	"cardamomward/standin/logserver"
+	"cardamomward/test/meter"
+)
+
+const (
+	// waitForServer bounds the start of the server under test.
+	waitForServer = 5 * time.Second
+	pollForServer = 5 * time.Millisecond
+)
+
+func startLog(b *testing.B) (*platform.LogClient, *meter.Meter) {
+	b.Helper()
+	server, err := logserver.New("127.0.0.1:0")
+	require.NoError(b, err)
+	server.Start()
+	b.Cleanup(func() { require.NoError(b, server.Close(context.Background())) })
+	bytes := &meter.Meter{}
+	client := &platform.LogClient{Address: server.Address(), Client: bytes.Client()}
+	require.Eventually(b, func() bool {
+		_, err := client.Read(b.Context(), "control", 0, 0)
+
+		return err == nil
+	}, waitForServer, pollForServer)
+
+	return client, bytes
+}
+
+// report adds the bytes of each operation since the last ones.
+func report(b *testing.B, bytes *meter.Meter, sentBefore, receivedBefore int64) {
+	b.Helper()
+	sent, received := bytes.Bytes()
+	b.ReportMetric(float64(sent-sentBefore)/float64(b.N), "bytes-sent/op")
+	b.ReportMetric(float64(received-receivedBefore)/float64(b.N), "bytes-received/op")
+}
+
+// BenchmarkReadNothing reads a stream that has nothing new.
+func BenchmarkReadNothing(b *testing.B) {
+	client, bytes := startLog(b)
+	sent, received := bytes.Bytes()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Read(b.Context(), "control", 0, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	report(b, bytes, sent, received)
+}
+
+// BenchmarkAppendAndRead appends one entry and reads it back.
+func BenchmarkAppendAndRead(b *testing.B) {
+	for _, size := range []int{100, 2559, 23_500, 570_657} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			client, bytes := startLog(b)
+			data := make([]byte, size)
+			sent, received := bytes.Bytes()
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				offset, err := client.Append(b.Context(), "programs", data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := client.Read(b.Context(), "programs", offset, 0); err != nil {
+					b.Fatal(err)
+				}
+			}
+			report(b, bytes, sent, received)
+		})
+	}
+}
