--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -122,8 +122,11 @@
 func (m *Members) beat(ctx context.Context, member Member, self *peerpb.HeartbeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
+	traffic.Add(metricHeartbeatsSent, 1)
 	resp, err := m.Remote(member.Peer).Peer.Heartbeat(ctx, self)
 	if err != nil || resp.GetHost() != string(member.Host) {
+		traffic.Add(metricHeartbeatsUnheard, 1)
+
 		return
 	}
 	m.Heard(&peerpb.HeartbeatRequest{
@@ -137,6 +140,7 @@
 
 // Heard notes a heartbeat of another host.
 func (m *Members) Heard(beat *peerpb.HeartbeatRequest, now time.Time) {
+	traffic.Add(metricHeartbeatsReceived, 1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	member, ok := m.members[id.Host(beat.GetHost())]
--- a/io/peer/turn.go
+++ b/io/peer/turn.go
@@ -58,6 +58,7 @@
 
 			return
 		}
+		traffic.Add(metricTurnsReceived, 1)
 		ctx, cancel := withDeadline(ctx, req.GetCaller())
 		defer cancel()
 		runTurn(ctx, cancel, turns, &req, sse.NewWriter(c))
@@ -135,6 +136,7 @@
 func (r *Remote) Turn(
 	ctx context.Context, req *peerpb.TurnRequest, visit func(delta string) error,
 ) (*peerpb.TurnOutcome, error) {
+	traffic.Add(metricTurnsSent, 1)
 	setDeadline(ctx, req.GetCaller())
 	body, err := proto.Marshal(req)
 	if err != nil {
--- a/io/platform/log.go
+++ b/io/platform/log.go
@@ -54,6 +54,7 @@
 	var resp AppendResponse
 	url := fmt.Sprintf("http://%s/v1/streams/%s", l.Address, stream)
 	err := httpx.DoRaw(ctx, l.client(), http.MethodPost, url, bytes.NewReader(data), &resp)
+	countAppend(stream, data)
 
 	return resp.Offset, err
 }
@@ -63,6 +64,7 @@
 	var page Page
 	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d&wait-ms=%d", l.Address, stream, from, wait.Milliseconds())
 	err := httpx.Do(ctx, l.client(), http.MethodGet, url, nil, &page)
+	countRead(stream, page)
 
 	return page, err
 }
