--- a/core/aggregate/messages_test.go
+++ b/core/aggregate/messages_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/aggregate"
 	"cardamomward/core/id"
@@ -133,6 +134,11 @@
 	{"tree, each read asks all", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.OnDemand) }},
 	{"tree, leases for ever", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.Always) }},
 	{"tree, RWW leases", func(f fleet, s [][]request) int { return overTree(f, s, aggregate.RWW) }},
+	{"narrow tree, RWW leases", func(f fleet, s [][]request) int {
+		domains, _ := f.layout()
+
+		return countTree(aggregate.Layered(domains, narrow), s, aggregate.RWW)
+	}},
 	{"tree, by period", treePeriod},
 }
 
@@ -187,7 +193,15 @@
 
 func overTree(f fleet, sequence [][]request, policy aggregate.Policy) int {
 	domains, _ := f.layout()
-	n := newNetwork(aggregate.TwoLevel(domains), policy)
+
+	return countTree(aggregate.TwoLevel(domains), sequence, policy)
+}
+
+// narrow is how many hosts are below each host of a domain in the narrow tree.
+const narrow = 2
+
+func countTree(tree aggregate.Tree, sequence [][]request, policy aggregate.Policy) int {
+	n := newNetwork(tree, policy)
 	for _, round := range sequence {
 		for i, r := range round {
 			if r.read {
@@ -223,3 +237,47 @@
 	t.Log("\n" + table.String())
 	goldie.New(t, goldie.WithNameSuffix(".txt")).Assert(t, "messages", []byte(table.String()))
 }
+
+// TestBusiestHost counts what the host that receives most is sent while one change comes into force.
+func TestBusiestHost(t *testing.T) {
+	for _, test := range []struct {
+		fleet fleet
+		// direct are the messages to the publisher, wide and narrow those to the busiest host of a tree with RWW.
+		direct, wide, narrow int
+	}{
+		{fleets[0], 11, 18, 17},
+		{fleets[1], 99, 84, 72},
+		{fleets[2], 829, 241, 172},
+	} {
+		t.Run(fmt.Sprintf("hosts=%d", test.fleet.hosts), func(t *testing.T) {
+			round := mix{rounds: 1, round: versionRound}.sequence(test.fleet)
+			domains, _ := test.fleet.layout()
+			require.Equal(t, test.direct, directReaders(test.fleet, round))
+			require.Equal(t, test.wide, busiest(aggregate.TwoLevel(domains), round[0]))
+			require.Equal(t, test.narrow, busiest(aggregate.Layered(domains, narrow), round[0]))
+		})
+	}
+}
+
+// busiest returns the messages to the host that receives most.
+func busiest(tree aggregate.Tree, round []request) int {
+	n := newNetwork(tree, aggregate.RWW)
+	received := make(map[id.Host]int)
+	for i, r := range round {
+		if r.read {
+			n.read(r.host)
+		} else {
+			n.write(r.host, i)
+		}
+		for len(n.queue) > 0 {
+			received[n.queue[0].To]++
+			n.deliver(0)
+		}
+	}
+	most := 0
+	for _, count := range received {
+		most = max(most, count)
+	}
+
+	return most
+}
--- a/core/aggregate/tree.go
+++ b/core/aggregate/tree.go
@@ -5,9 +5,19 @@
 // Tree lists the neighbours of each host.
 type Tree map[id.Host][]id.Host
 
-// TwoLevel returns the tree in which the first host of each failure domain is joined to the rest of its
-// domain, and the first host of the first domain to the first hosts of the others.
+// TwoLevel returns the tree in which the first host of each failure domain, its head, is joined to the rest
+// of its domain, and the head of the first domain to the other heads.
 func TwoLevel(domains [][]id.Host) Tree {
+	widest := 1
+	for _, hosts := range domains {
+		widest = max(widest, len(hosts))
+	}
+
+	return Layered(domains, widest)
+}
+
+// Layered is TwoLevel with at most children hosts below each host of a domain.
+func Layered(domains [][]id.Host, children int) Tree {
 	tree := make(Tree)
 	var root id.Host
 	for _, hosts := range domains {
@@ -20,8 +30,8 @@
 		} else {
 			tree.join(root, head)
 		}
-		for _, host := range hosts[1:] {
-			tree.join(head, host)
+		for i, host := range hosts[1:] {
+			tree.join(hosts[i/children], host)
 		}
 	}
 
--- a/core/slot/capacity_test.go
+++ b/core/slot/capacity_test.go
@@ -1,7 +1,10 @@
 package slot
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,3 +72,68 @@
 		})
 	}
 }
+
+// bounded shares slots out by rendezvous hashing where no host takes more than its cap.
+func bounded(hosts []id.Host, slots int, slack float64) []id.Host {
+	most := int(math.Ceil(slack * float64(slots) / float64(len(hosts))))
+	seeds := make([]uint64, len(hosts))
+	for i, host := range hosts {
+		seeds[i] = xxhash.Sum64String(string(host))
+	}
+	load := make([]int, len(hosts))
+	owners := make([]id.Host, slots)
+	var buf [16]byte
+	for slot := range owners {
+		best, bestScore := -1, uint64(0)
+		for i := range hosts {
+			if load[i] >= most {
+				continue
+			}
+			binary.LittleEndian.PutUint64(buf[:8], seeds[i])
+			binary.LittleEndian.PutUint64(buf[8:], uint64(slot))
+			if score := xxhash.Sum64(buf[:]); best < 0 || score > bestScore {
+				best, bestScore = i, score
+			}
+		}
+		owners[slot] = hosts[best]
+		load[best]++
+	}
+
+	return owners
+}
+
+// BenchmarkBounded measures how even shares with a cap are, and how many slots move when one host goes.
+func BenchmarkBounded(b *testing.B) {
+	for _, hosts := range []int{12, 830} {
+		for _, slots := range []int{4096, 16_384} {
+			for _, slack := range []float64{1.1, 1.25, 4} {
+				b.Run(fmt.Sprintf("hosts=%d/slots=%d/cap=%g", hosts, slots, slack), func(b *testing.B) {
+					names := capacityHosts(hosts)
+					var owners []id.Host
+					for b.Loop() {
+						owners = bounded(names, slots, slack)
+					}
+					counts := make(map[id.Host]int, hosts)
+					for _, owner := range owners {
+						counts[owner]++
+					}
+					most, least := 0, slots
+					for _, host := range names {
+						most, least = max(most, counts[host]), min(least, counts[host])
+					}
+					const gone = 5
+					moved := 0
+					for slot, owner := range bounded(slices.Delete(slices.Clone(names), gone, gone+1), slots, slack) {
+						if owner != owners[slot] {
+							moved++
+						}
+					}
+					mean := float64(slots) / float64(hosts)
+					b.ReportMetric(float64(most)/mean, "largest/mean")
+					b.ReportMetric(float64(least)/mean, "least/mean")
+					b.ReportMetric(float64(moved)/float64(counts[names[gone]]), "moved/least-moves")
+				})
+			}
+		}
+	}
+}
--- a/io/platform/capacity_test.go
+++ b/io/platform/capacity_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cardamomward/core/id"
 	"cardamomward/io/platform"
+	"cardamomward/standin/hostlist"
 	"cardamomward/standin/logserver"
 	"cardamomward/test/meter"
 )
@@ -79,3 +81,37 @@
 		})
 	}
 }
+
+// BenchmarkHostList reads the platform's list of hosts, as each host does once a second.
+func BenchmarkHostList(b *testing.B) {
+	for _, hosts := range []int{12, 100, 830} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			server, err := hostlist.New("127.0.0.1:0", 0)
+			require.NoError(b, err)
+			server.Start()
+			b.Cleanup(func() { require.NoError(b, server.Close(context.Background())) })
+			bytes := &meter.Meter{}
+			client := &platform.HostsClient{Address: server.Address(), Client: bytes.Client()}
+			require.Eventually(b, func() bool {
+				_, err := client.List(b.Context())
+
+				return err == nil
+			}, waitForServer, pollForServer)
+			for i := range hosts {
+				entry := platform.HostEntry{
+					Host: id.Host(fmt.Sprintf("host-%04d", i)), FailureDomain: "domain-16",
+					Caller: "10.0.12.34:7000", Operator: "10.0.12.34:7001", Peer: "10.0.12.34:7002",
+				}
+				require.NoError(b, client.Announce(b.Context(), entry))
+			}
+			sent, received := bytes.Bytes()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := client.List(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			report(b, bytes, sent, received)
+		})
+	}
+}
