--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -115,6 +115,7 @@
 	log, list *process
 	hosts     []*process
 	operators []string
+	callers   []string
 }
 
 const hostSettings = `host: host-%03d
@@ -126,6 +127,9 @@
 hosts-address: %s
 `
 
+// engineSlots is how many calls each stand-in of an engine runs at a time.
+const engineSlots = "64"
+
 // domains is how many failure domains the hosts belong to.
 const domains = 3
 
@@ -140,7 +144,9 @@
 		f.hosts = append(f.hosts, start(t, "serve", "--settings", file))
 	}
 	for _, host := range f.hosts {
-		f.operators = append(f.operators, field(host.await(t, "event=host-started"), "operator-address"))
+		line := host.await(t, "event=host-started")
+		f.operators = append(f.operators, field(line, "operator-address"))
+		f.callers = append(f.callers, field(line, "caller-address"))
 	}
 	if engines > 0 {
 		f.publish(t, engines)
@@ -153,10 +159,9 @@
 // publish starts engines and names them in the settings.
 func (f *fleet) publish(t *testing.T, engines int) {
 	t.Helper()
-	document := "workspaces:\n  clerks: {services: [drafting]}\nservices:\n  drafting:\n    kind: engine\n    upstreams:\n"
+	document := loadDocument
 	for i := range engines {
-		address := start(t, "standin", "engine").address(t)
-		document += fmt.Sprintf("      - {name: draft-%d, address: %q, failure-domain: domain-0}\n", i, address)
+		document += upstreamLine(i, start(t, "standin", "engine", "--slots", engineSlots).address(t))
 	}
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(document), 0o600))
@@ -260,10 +265,12 @@
 
 // rates are what a host of the fleet uses a second, on average.
 type rates struct {
-	cpu                                  float64
-	resident                             float64
-	bytes, calls                         float64
-	heartbeats, logReads, appends, claim float64
+	cpu                           float64
+	resident                      float64
+	bytes, calls                  float64
+	heartbeats, logReads, appends float64
+	// appended are bytes a second, claimed the bytes so far.
+	appended, claimed float64
 }
 
 func (f *fleet) samples(t *testing.T) []sample {
@@ -294,7 +301,8 @@
 		r.heartbeats += rate("heartbeats-sent") + rate("heartbeats-received")
 		r.logReads += rate("log control-reads") + rate("log programs-reads")
 		r.appends += rate("log programs-appends")
-		r.claim += float64(after.counters["log programs-append-bytes"]) / float64(len(f.hosts))
+		r.appended += rate("log programs-append-bytes")
+		r.claimed += float64(after.counters["log programs-append-bytes"]) / float64(len(f.hosts))
 	}
 
 	return r
@@ -330,7 +338,7 @@
 			r := measure(t, f, period)
 			t.Logf("hosts %d engines %d: core %.2f%%, resident %.1f MB, %.0f bytes/s in %.0f calls/s, "+
 				"heartbeats %.1f/s, log reads %.2f/s, appends %.2f/s, appended so far %.0f bytes",
-				count, engines, r.cpu*100, r.resident/1e6, r.bytes, r.calls, r.heartbeats, r.logReads, r.appends, r.claim)
+				count, engines, r.cpu*100, r.resident/1e6, r.bytes, r.calls, r.heartbeats, r.logReads, r.appends, r.claimed)
 			require.Positive(t, r.heartbeats)
 			require.Positive(t, r.bytes)
 			require.Positive(t, r.resident)
