--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -29,6 +29,8 @@
 	secondsVariable = "CARDAMOMWARD_CAPACITY_SECONDS"
 	// enginesVariable says how many engines the settings name.
 	enginesVariable = "CARDAMOMWARD_CAPACITY_ENGINES"
+	// lingerVariable says how long the hosts' appends wait for more records.
+	lingerVariable = "CARDAMOMWARD_CAPACITY_LINGER"
 	// readyTimeout bounds the start of a fleet.
 	readyTimeout = 60 * time.Second
 	readyPoll    = 200 * time.Millisecond
@@ -125,8 +127,18 @@
 peer-address: 127.0.0.1:0
 log-address: %s
 hosts-address: %s
+append-linger: %s
 `
 
+// linger returns how long the hosts' appends wait for more records.
+func linger() string {
+	if text := os.Getenv(lingerVariable); text != "" {
+		return text
+	}
+
+	return "5ms"
+}
+
 // engineSlots is how many calls each stand-in of an engine runs at a time.
 const engineSlots = "64"
 
@@ -140,7 +152,8 @@
 	dir := t.TempDir()
 	for i := range hosts {
 		file := filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))
-		require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, hostSettings, i, i%domains, logAddress, listAddress), 0o600))
+		settings := fmt.Appendf(nil, hostSettings, i, i%domains, logAddress, listAddress, linger())
+		require.NoError(t, os.WriteFile(file, settings, 0o600))
 		f.hosts = append(f.hosts, start(t, "serve", "--settings", file))
 	}
 	for _, host := range f.hosts {
