--- /dev/null
+++ b/core/aggregate/tree.go
@@ -0,0 +1,44 @@
+package aggregate
+
+import "cardamomward/core/id"
+
+// Tree lists the neighbours of each host.
+type Tree map[id.Host][]id.Host
+
+// TwoLevel returns the tree in which the first host of each failure domain, its head, is joined to the rest
+// of its domain, and the head of the first domain to the other heads.
+func TwoLevel(domains [][]id.Host) Tree {
+	widest := 1
+	for _, hosts := range domains {
+		widest = max(widest, len(hosts))
+	}
+
+	return Layered(domains, widest)
+}
+
+// Layered is TwoLevel with at most children hosts below each host of a domain.
+func Layered(domains [][]id.Host, children int) Tree {
+	tree := make(Tree)
+	var root id.Host
+	for _, hosts := range domains {
+		if len(hosts) == 0 {
+			continue
+		}
+		head := hosts[0]
+		if root == "" {
+			root = head
+		} else {
+			tree.join(root, head)
+		}
+		for i, host := range hosts[1:] {
+			tree.join(hosts[i/children], host)
+		}
+	}
+
+	return tree
+}
+
+func (t Tree) join(a, b id.Host) {
+	t[a] = append(t[a], b)
+	t[b] = append(t[b], a)
+}
--- /dev/null
+++ b/core/slot/capacity_test.go
@@ -0,0 +1,139 @@
+package slot
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+)
+
+func capacityHosts(count int) []id.Host {
+	hosts := make([]id.Host, count)
+	for i := range hosts {
+		hosts[i] = id.Host(fmt.Sprintf("host-%04d", i))
+	}
+
+	return hosts
+}
+
+// BenchmarkRendezvous shares slots out over hosts and measures how even the shares are.
+func BenchmarkRendezvous(b *testing.B) {
+	for _, hosts := range []int{12, 100, 830} {
+		for _, slots := range []int{4096, 16_384, 65_536} {
+			b.Run(fmt.Sprintf("hosts=%d/slots=%d", hosts, slots), func(b *testing.B) {
+				names := capacityHosts(hosts)
+				seeds := make([]uint64, hosts)
+				for i, host := range names {
+					seeds[i] = xxhash.Sum64String(string(host))
+				}
+				counts := make(map[id.Host]int, hosts)
+				b.ReportAllocs()
+				for b.Loop() {
+					clear(counts)
+					for slot := range slots {
+						counts[pick(names, seeds, uint64(slot))]++
+					}
+				}
+				most, least := 0, slots
+				for _, host := range names {
+					most, least = max(most, counts[host]), min(least, counts[host])
+				}
+				mean := float64(slots) / float64(hosts)
+				b.ReportMetric(float64(most)/mean, "largest/mean")
+				b.ReportMetric(float64(least)/mean, "least/mean")
+			})
+		}
+	}
+}
+
+// BenchmarkDecide looks at all slots once, as a host does five times a second, while nothing has changed.
+func BenchmarkDecide(b *testing.B) {
+	for _, hosts := range []int{12, 830} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			names := capacityHosts(hosts)
+			decider := &Decider{}
+			view := View{
+				Self: names[0], Live: names, Slots: &fold.Slots{},
+				Silence: func(id.Host) time.Duration { return 0 },
+				Busy:    func(id.Slot) bool { return false },
+			}
+			now := time.Unix(0, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				decider.Decide(now, view)
+			}
+		})
+	}
+}
+
+// bounded shares slots out by rendezvous hashing where no host takes more than its cap.
+func bounded(hosts []id.Host, slots int, slack float64) []id.Host {
+	most := int(math.Ceil(slack * float64(slots) / float64(len(hosts))))
+	seeds := make([]uint64, len(hosts))
+	for i, host := range hosts {
+		seeds[i] = xxhash.Sum64String(string(host))
+	}
+	load := make([]int, len(hosts))
+	owners := make([]id.Host, slots)
+	var buf [16]byte
+	for slot := range owners {
+		best, bestScore := -1, uint64(0)
+		for i := range hosts {
+			if load[i] >= most {
+				continue
+			}
+			binary.LittleEndian.PutUint64(buf[:8], seeds[i])
+			binary.LittleEndian.PutUint64(buf[8:], uint64(slot))
+			if score := xxhash.Sum64(buf[:]); best < 0 || score > bestScore {
+				best, bestScore = i, score
+			}
+		}
+		owners[slot] = hosts[best]
+		load[best]++
+	}
+
+	return owners
+}
+
+// BenchmarkBounded measures how even shares with a cap are, and how many slots move when one host goes.
+func BenchmarkBounded(b *testing.B) {
+	for _, hosts := range []int{12, 830} {
+		for _, slots := range []int{4096, 16_384} {
+			for _, slack := range []float64{1.1, 1.25, 4} {
+				b.Run(fmt.Sprintf("hosts=%d/slots=%d/cap=%g", hosts, slots, slack), func(b *testing.B) {
+					names := capacityHosts(hosts)
+					var owners []id.Host
+					for b.Loop() {
+						owners = bounded(names, slots, slack)
+					}
+					counts := make(map[id.Host]int, hosts)
+					for _, owner := range owners {
+						counts[owner]++
+					}
+					most, least := 0, slots
+					for _, host := range names {
+						most, least = max(most, counts[host]), min(least, counts[host])
+					}
+					const gone = 5
+					moved := 0
+					for slot, owner := range bounded(slices.Delete(slices.Clone(names), gone, gone+1), slots, slack) {
+						if owner != owners[slot] {
+							moved++
+						}
+					}
+					mean := float64(slots) / float64(hosts)
+					b.ReportMetric(float64(most)/mean, "largest/mean")
+					b.ReportMetric(float64(least)/mean, "least/mean")
+					b.ReportMetric(float64(moved)/float64(counts[names[gone]]), "moved/least-moves")
+				})
+			}
+		}
+	}
+}
