--- a/core/fold/calls.go
+++ b/core/fold/calls.go
@@ -39,38 +39,46 @@
 		Service:   id.Service(body.GetService()),
 		Key:       body.GetKey(),
 	}
-	if _, ok := p.calls[key]; ok {
-		return IntentExists
-	}
 	if id.CallSlot(key.Workspace, key.Key) != slot {
 		return WrongSlot
 	}
-	if p.calls == nil {
-		p.calls = make(map[CallKey]*Call)
+	if _, ok := p.calls[key]; ok {
+		return IntentExists
 	}
-	p.calls[key] = &Call{
+	p.addCall(slot, &Call{
 		CallKey:     key,
 		Program:     id.Program(body.GetProgram()),
 		Fingerprint: id.Fingerprint(body.GetFingerprint()),
 		Upstream:    id.Upstream(body.GetUpstream()),
 		Position:    pos,
 		Epoch:       p.Slot(slot).Epoch,
-	}
+	})
 
 	return Valid
 }
 
-func (p *Programs) outcome(body *recordpb.Outcome) Reason {
+func (p *Programs) addCall(slot id.Slot, call *Call) {
+	if p.calls == nil {
+		p.calls = make(map[CallKey]*Call)
+	}
+	p.calls[call.CallKey] = call
+	p.content(slot).calls = append(p.content(slot).calls, call)
+}
+
+func (p *Programs) outcome(slot id.Slot, body *recordpb.Outcome) Reason {
 	key := CallKey{
 		Workspace: id.Workspace(body.GetWorkspace()),
 		Service:   id.Service(body.GetService()),
 		Key:       body.GetKey(),
 	}
+	if id.CallSlot(key.Workspace, key.Key) != slot {
+		return WrongSlot
+	}
 	call, ok := p.calls[key]
 	if !ok {
 		return NoSuchIntent
 	}
-	if call.Outcome != nil && !call.Outcome.GetUnknown() {
+	if call.Outcome != nil && (body.GetUnknown() || !call.Outcome.GetUnknown()) {
 		return OutcomeExists
 	}
 	call.Outcome = body
--- a/core/fold/control.go
+++ b/core/fold/control.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 
 	"cardamomward/core/id"
 	"cardamomward/core/record"
@@ -35,14 +36,24 @@
 	return sum[:]
 }
 
-// historyLimit is how many settings versions are kept for the operators' history.
-const historyLimit = 64
+const (
+	// historyLimit is how many settings versions are kept for the operators' history.
+	historyLimit = 64
+	// historyBytes bounds the documents of the versions that are no longer in force.
+	historyBytes = 4 << 20
+)
 
 // Control is the fold of the control stream: settings, keys and quarantined requests.
 type Control struct {
 	settings []SettingsVersion
 	keys     map[id.Key]*KeyState
 	crashes  map[id.Fingerprint]*crashes
+	now      id.Offset
+	snapshot SnapshotMark
+	// lost, since and pending belong to an unknown state: what was read since a gap.
+	lost    bool
+	since   id.Offset
+	pending []pendingRecord
 }
 
 // Settings returns the version in force, which is zero before the first publish.
@@ -90,21 +101,29 @@
 	return *state, true
 }
 
-// Apply folds one control record.
+// Apply folds one control record, or keeps it until the state is known.
 func (c *Control) Apply(pos id.Position, rec *record.Record) Reason {
+	if c.lost {
+		c.pending = append(c.pending, pendingRecord{pos: pos, rec: rec})
+
+		return StateUnknown
+	}
+
+	return c.apply(pos, rec)
+}
+
+func (c *Control) apply(pos id.Position, rec *record.Record) Reason {
+	c.now = pos.Offset()
+	c.sweep()
 	switch body := rec.GetBody().(type) {
 	case *recordpb.Record_SettingsPublish:
 		return c.publish(pos, body.SettingsPublish)
-	case *recordpb.Record_SettingsSnapshot:
-		return c.restateSettings(body.SettingsSnapshot)
 	case *recordpb.Record_KeyIssue:
 		return c.issue(pos, body.KeyIssue)
 	case *recordpb.Record_KeyWithdraw:
 		return c.withdraw(body.KeyWithdraw)
-	case *recordpb.Record_KeySnapshot:
-		return c.restateKeys(pos, body.KeySnapshot)
 	case *recordpb.Record_Crash:
-		return c.crash(body.Crash)
+		return c.crash(pos, body.Crash)
 	default:
 		return UnknownKind
 	}
@@ -120,25 +139,22 @@
 		Author:   body.GetAuthor(),
 		Document: body.GetDocument(),
 	})
-	if len(c.settings) > historyLimit {
-		c.settings = c.settings[1:]
-	}
+	c.trimHistory()
 
 	return Valid
 }
 
-func (c *Control) restateSettings(body *recordpb.SettingsSnapshot) Reason {
-	version := id.Position(body.GetVersion())
-	if version <= c.Settings().Version {
-		return AlreadyIncluded
+// trimHistory keeps the version in force and a bounded number and size of earlier ones.
+func (c *Control) trimHistory() {
+	last := len(c.settings) - 1
+	keep := last
+	for size := 0; keep > 0 && len(c.settings)-keep < historyLimit; keep-- {
+		size += len(c.settings[keep-1].Document)
+		if size > historyBytes {
+			break
+		}
 	}
-	c.settings = append(c.settings, SettingsVersion{
-		Version:  version,
-		Author:   body.GetAuthor(),
-		Document: body.GetDocument(),
-	})
-
-	return Valid
+	c.settings = slices.Clone(c.settings[keep:])
 }
 
 func (c *Control) issue(pos id.Position, body *recordpb.KeyIssue) Reason {
@@ -169,14 +185,3 @@
 
 	return Valid
 }
-
-func (c *Control) restateKeys(pos id.Position, body *recordpb.KeySnapshot) Reason {
-	for _, issued := range body.GetIssued() {
-		c.issue(pos, issued)
-	}
-	for _, key := range body.GetWithdrawn() {
-		c.withdraw(&recordpb.KeyWithdraw{Key: key})
-	}
-
-	return Valid
-}
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -5,6 +5,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
 )
 
 // Reason says why a record is void; the empty reason means that it is valid.
@@ -14,6 +15,9 @@
 const (
 	Valid           Reason = ""
 	Duplicate       Reason = "duplicate"
+	Late            Reason = "late"
+	Malformed       Reason = "malformed"
+	StateUnknown    Reason = "state-unknown"
 	StaleEpoch      Reason = "stale-epoch"
 	StaleBase       Reason = "stale-base"
 	UnknownVersion  Reason = "unknown-version"
@@ -56,19 +60,38 @@
 type State interface {
 	// Apply folds one record and says whether it counts.
 	Apply(pos id.Position, rec *record.Record) Reason
+	// Lose marks all state as unknown: the records before first were not read.
+	Lose(first id.Offset)
+	// Wants reports whether the state of a slot is unknown, so that a snapshot of it is needed.
+	Wants(slot id.Slot) bool
+	// Restore takes over a complete snapshot; its data is nil where the state did not want it.
+	Restore(slot id.Slot, mark SnapshotMark, data []byte) error
+	// Complete reports whether the state can be used at all.
+	Complete() bool
 }
 
-// dedupWindow is how many appends back a second copy of a record is recognised.
-const dedupWindow = 1 << 16
+// Windows, in appends, after which the fold forgets.
+const (
+	// DedupWindow is how far behind its birth a record may be appended, so also how long its id is remembered.
+	DedupWindow = 1 << 14
+	// ProgramWindow is how long a program is kept after its end.
+	ProgramWindow = 1 << 18
+	// CallWindow is how long the key of a call that must not be repeated is kept after its intent.
+	CallWindow = 1 << 22
+	// CrashWindow is how long the crashes of a request are kept after the latest.
+	CrashWindow = 1 << 17
+)
 
 // Folder feeds the appends of one stream to a state and drops second copies.
 type Folder[S State] struct {
 	State    S
 	next     id.Offset
-	started  bool
 	seen     map[string]id.Offset
 	expiry   []seenRecord
+	chunks   assembler
 	findings []Finding
+	unknown  map[uint32]int
+	corrupt  int
 }
 
 type seenRecord struct {
@@ -85,18 +108,35 @@
 // Findings returns the latest payloads that could not be folded.
 func (f *Folder[S]) Findings() []Finding { return f.findings }
 
+// Unknown returns how many records of each newer version were skipped.
+func (f *Folder[S]) Unknown() map[uint32]int { return f.unknown }
+
+// Corrupt returns how many appends could not be decoded.
+func (f *Folder[S]) Corrupt() int { return f.corrupt }
+
+// Skip says that the appends before first can no longer be read, which makes the state unknown.
+func (f *Folder[S]) Skip(first id.Offset) {
+	if first <= f.next {
+		return
+	}
+	f.State.Lose(first)
+	f.next = first
+	f.seen, f.expiry, f.chunks = nil, nil, assembler{}
+}
+
 // Append folds the payload of one append; a corrupt one is reported and skipped.
 func (f *Folder[S]) Append(offset id.Offset, data []byte) []Verdict {
-	if f.started && offset < f.next {
+	if offset < f.next {
 		return nil
 	}
-	f.started = true
+	f.Skip(offset)
 	f.next = offset + 1
 	f.forget(offset)
 
 	records, err := record.Decode(data)
 	if err != nil {
-		f.report(Finding{Offset: offset, Problem: err.Error()})
+		f.corrupt++
+		f.report(offset, err.Error())
 
 		return nil
 	}
@@ -111,7 +151,12 @@
 
 func (f *Folder[S]) apply(pos id.Position, rec *record.Record) Reason {
 	if rec.GetVersion() > record.Version {
-		return UnknownVersion
+		return f.skipVersion(pos, rec)
+	}
+	if rec.GetId() == "" {
+		f.report(pos.Offset(), "a record has no id")
+
+		return Malformed
 	}
 	if _, ok := f.seen[rec.GetId()]; ok {
 		return Duplicate
@@ -121,21 +166,63 @@
 	}
 	f.seen[rec.GetId()] = pos.Offset()
 	f.expiry = append(f.expiry, seenRecord{id: rec.GetId(), offset: pos.Offset()})
+	if id.Offset(rec.GetBorn())+DedupWindow < pos.Offset() {
+		return Late
+	}
+	if chunk, ok := rec.GetBody().(*recordpb.Record_SnapshotChunk); ok {
+		return f.chunk(pos, rec, chunk.SnapshotChunk)
+	}
+	reason := f.State.Apply(pos, rec)
+	if reason == UnknownKind {
+		f.report(pos.Offset(), fmt.Sprintf("record %s is of an unknown kind", rec.GetId()))
+	}
+
+	return reason
+}
+
+// skipVersion counts a record that a newer build wrote; the log still holds it for that build.
+func (f *Folder[S]) skipVersion(pos id.Position, rec *record.Record) Reason {
+	if f.unknown == nil {
+		f.unknown = make(map[uint32]int)
+	}
+	f.unknown[rec.GetVersion()]++
+	f.report(pos.Offset(), fmt.Sprintf("record %s has the unknown version %d", rec.GetId(), rec.GetVersion()))
+
+	return UnknownVersion
+}
+
+// chunk collects a part of a snapshot and restores the state once the snapshot is complete.
+func (f *Folder[S]) chunk(pos id.Position, rec *record.Record, body *recordpb.SnapshotChunk) Reason {
+	if rec.GetSlot() >= id.SlotCount {
+		return WrongSlot
+	}
+	slot := id.Slot(rec.GetSlot())
+	data, complete, reason := f.chunks.add(pos, body, f.State.Wants(slot))
+	if !complete {
+		return reason
+	}
+	mark := SnapshotMark{Next: id.Offset(body.GetNext()), AtMillis: body.GetAtMillis()}
+	if err := f.State.Restore(slot, mark, data); err != nil {
+		f.report(pos.Offset(), fmt.Sprintf("snapshot %s: %v", body.GetSnapshot(), err))
+
+		return Malformed
+	}
 
-	return f.State.Apply(pos, rec)
+	return Valid
 }
 
 func (f *Folder[S]) forget(offset id.Offset) {
 	drop := 0
-	for drop < len(f.expiry) && f.expiry[drop].offset+dedupWindow < offset {
+	for drop < len(f.expiry) && f.expiry[drop].offset+DedupWindow < offset {
 		delete(f.seen, f.expiry[drop].id)
 		drop++
 	}
 	f.expiry = f.expiry[drop:]
+	f.chunks.forget(offset)
 }
 
-func (f *Folder[S]) report(finding Finding) {
-	f.findings = append(f.findings, finding)
+func (f *Folder[S]) report(offset id.Offset, problem string) {
+	f.findings = append(f.findings, Finding{Offset: offset, Problem: problem})
 	if len(f.findings) > maxFindings {
 		f.findings = f.findings[1:]
 	}
--- a/core/fold/programs.go
+++ b/core/fold/programs.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"slices"
 
 	"cardamomward/core/chart"
 	"cardamomward/core/id"
@@ -37,6 +38,8 @@
 	Marked id.Tokens
 	// LastRecord is the position of the program's latest valid record.
 	LastRecord id.Position
+	// Ended is the position of the record that ended the program.
+	Ended id.Position
 }
 
 // Programs is the fold of the programs stream: slots, programs and calls that must not be repeated.
@@ -44,8 +47,9 @@
 	Slots
 
 	programs map[id.Program]*Program
-	bySlot   map[id.Slot][]id.Program
 	calls    map[CallKey]*Call
+	contents map[id.Slot]*content
+	swept    id.Offset
 }
 
 // Program returns a program; the caller must not change it.
@@ -56,7 +60,13 @@
 }
 
 // SlotPrograms returns the programs of a slot in the order in which they were opened.
-func (p *Programs) SlotPrograms(slot id.Slot) []id.Program { return p.bySlot[slot] }
+func (p *Programs) SlotPrograms(slot id.Slot) []id.Program {
+	if c, ok := p.contents[slot]; ok {
+		return c.programs
+	}
+
+	return nil
+}
 
 // All calls visit for each program until it returns false.
 func (p *Programs) All(visit func(*Program) bool) {
@@ -69,21 +79,68 @@
 
 // Apply folds one record of the programs stream.
 func (p *Programs) Apply(pos id.Position, rec *record.Record) Reason {
+	p.hear(pos, id.Host(rec.GetHost()))
+	p.sweep(pos.Offset())
 	switch body := rec.GetBody().(type) {
 	case *recordpb.Record_Claim:
-		return p.applyClaim(pos, rec, body.Claim)
+		return p.applyAll(pos, rec, body.Claim.GetSlots())
 	case *recordpb.Record_Release:
-		return p.applyRelease(rec, body.Release)
+		return p.applyAll(pos, rec, body.Release.GetSlots())
 	}
-	if reason := p.fence(pos, rec); reason != Valid {
+	if rec.GetSlot() >= id.SlotCount {
+		return WrongSlot
+	}
+
+	return p.applyOrKeep(pos, id.Slot(rec.GetSlot()), rec)
+}
+
+// applyAll folds a claim or release, which counts if it counts for one of its slots.
+func (p *Programs) applyAll(pos id.Position, rec *record.Record, slots []uint32) Reason {
+	result := NotOwner
+	for _, number := range slots {
+		if number >= id.SlotCount {
+			continue
+		}
+		if p.applyOrKeep(pos, id.Slot(number), rec) == Valid {
+			result = Valid
+		}
+	}
+
+	return result
+}
+
+// applyOrKeep folds a record for a slot, or keeps it until the slot's state is known.
+func (p *Programs) applyOrKeep(pos id.Position, slot id.Slot, rec *record.Record) Reason {
+	if p.Wants(slot) {
+		c := p.content(slot)
+		c.pending = append(c.pending, pendingRecord{pos: pos, rec: rec})
+
+		return StateUnknown
+	}
+
+	return p.applySlot(pos, slot, rec)
+}
+
+func (p *Programs) applySlot(pos id.Position, slot id.Slot, rec *record.Record) Reason {
+	p.forget(slot, pos.Offset())
+	switch body := rec.GetBody().(type) {
+	case *recordpb.Record_Claim:
+		return p.applyClaim(pos, slot, rec, body.Claim)
+	case *recordpb.Record_Release:
+		return p.applyRelease(pos, slot, rec, body.Release)
+	}
+	if reason := p.fence(slot, rec); reason != Valid {
 		return reason
 	}
+	reason := p.applyFenced(pos, slot, rec)
+	if reason == Valid {
+		p.slots[slot].LastRecord = pos
+	}
 
-	return p.applyFenced(pos, rec)
+	return reason
 }
 
-func (p *Programs) applyFenced(pos id.Position, rec *record.Record) Reason {
-	slot := id.Slot(rec.GetSlot())
+func (p *Programs) applyFenced(pos id.Position, slot id.Slot, rec *record.Record) Reason {
 	switch body := rec.GetBody().(type) {
 	case *recordpb.Record_ProgramOpen:
 		return p.open(pos, slot, body.ProgramOpen)
@@ -96,54 +153,76 @@
 	case *recordpb.Record_Intent:
 		return p.intent(pos, slot, body.Intent)
 	case *recordpb.Record_Outcome:
-		return p.outcome(body.Outcome)
+		return p.outcome(slot, body.Outcome)
 	default:
 		return UnknownKind
 	}
 }
 
-func (p *Programs) applyClaim(pos id.Position, rec *record.Record, body *recordpb.Claim) Reason {
-	taken := p.claim(pos, id.Host(rec.GetHost()), body)
-	if len(taken) == 0 {
+func (p *Programs) applyClaim(pos id.Position, slot id.Slot, rec *record.Record, body *recordpb.Claim) Reason {
+	base, ok := epochOf(slot, body.GetSlots(), body.GetEpochs())
+	if !ok {
+		return Malformed
+	}
+	terms := claimTerms{
+		host: id.Host(rec.GetHost()), run: id.Run(body.GetRun()), slot: slot, base: base, forced: body.GetForced(),
+	}
+	if !p.claim(pos, terms) {
 		return NotOwner
 	}
 	// What the last owner had reserved may have been spent: it counts as spent.
-	for _, slot := range taken {
-		for _, program := range p.bySlot[slot] {
-			state := p.programs[program]
-			state.Used = max(state.Used, state.Marked)
-		}
+	for _, program := range p.SlotPrograms(slot) {
+		state := p.programs[program]
+		state.Used = max(state.Used, state.Marked)
 	}
 
 	return Valid
 }
 
-func (p *Programs) applyRelease(rec *record.Record, body *recordpb.Release) Reason {
-	released := p.release(id.Host(rec.GetHost()), body)
-	if len(released) == 0 {
+func (p *Programs) applyRelease(pos id.Position, slot id.Slot, rec *record.Record, body *recordpb.Release) Reason {
+	epoch, ok := epochOf(slot, body.GetSlots(), body.GetEpochs())
+	if !ok {
+		return Malformed
+	}
+	if !p.release(pos, claimTerms{host: id.Host(rec.GetHost()), slot: slot, base: epoch}) {
 		return NotOwner
 	}
+	p.keepLevels(slot, body.GetLevels())
 	// A release follows the end of all calls, so nothing reserved is in doubt.
-	for _, slot := range released {
-		for _, program := range p.bySlot[slot] {
-			state := p.programs[program]
-			state.Marked = state.Used
-		}
+	for _, program := range p.SlotPrograms(slot) {
+		state := p.programs[program]
+		state.Marked = state.Used
 	}
 
 	return Valid
 }
 
+// epochOf returns the epoch that stands beside a slot in a claim or release.
+func epochOf(slot id.Slot, slots []uint32, epochs []uint64) (id.Epoch, bool) {
+	i := slices.Index(slots, uint32(slot))
+	if i < 0 || len(slots) != len(epochs) {
+		return 0, false
+	}
+
+	return id.Epoch(epochs[i]), true
+}
+
 func (p *Programs) open(pos id.Position, slot id.Slot, body *recordpb.ProgramOpen) Reason {
 	program := id.Program(body.GetProgram())
+	if program == "" {
+		return Malformed
+	}
 	if id.ProgramSlot(program) != slot {
 		return WrongSlot
 	}
 	if _, ok := p.programs[program]; ok {
 		return ProgramExists
 	}
-	if program.Root() != program {
-		parent, ok := p.programs[id.Program(body.GetParent())]
+	parentID := id.Program(body.GetParent())
+	if program.Root() == program {
+		parentID = ""
+	} else {
+		parent, ok := p.programs[parentID]
 		if !ok || parent.ID.Root() != program.Root() {
 			return NoSuchProgram
 		}
@@ -151,25 +230,38 @@
 			return ProgramNotOpen
 		}
 	}
-	if p.programs == nil {
-		p.programs = make(map[id.Program]*Program)
-		p.bySlot = make(map[id.Slot][]id.Program)
-	}
-	p.programs[program] = &Program{
+	p.addProgram(slot, &Program{
 		ID:          program,
 		Workspace:   id.Workspace(body.GetWorkspace()),
-		Parent:      id.Program(body.GetParent()),
+		Parent:      parentID,
 		Name:        body.GetName(),
 		State:       programChart.Initial,
 		LeaseMillis: body.GetLeaseMillis(),
 		Budget:      id.Tokens(body.GetBudgetTokens()),
 		LastRecord:  pos,
-	}
-	p.bySlot[slot] = append(p.bySlot[slot], program)
+	})
 
 	return Valid
 }
 
+func (p *Programs) addProgram(slot id.Slot, program *Program) {
+	if p.programs == nil {
+		p.programs = make(map[id.Program]*Program)
+	}
+	p.programs[program.ID] = program
+	c := p.content(slot)
+	c.programs = append(c.programs, program.ID)
+}
+
+// finish ends a program and notes when it may be forgotten.
+func (p *Programs) finish(pos id.Position, slot id.Slot, program *Program, reason string) {
+	program.State = ProgramEnded
+	program.EndReason = reason
+	program.Ended = pos
+	c := p.content(slot)
+	c.ended = append(c.ended, endedProgram{program: program.ID, at: pos})
+}
+
 // step moves a program along its chart and returns it, or why the record is void.
 func (p *Programs) step(pos id.Position, slot id.Slot, name string, event chart.Event) (*Program, Reason) {
 	program, ok := p.programs[id.Program(name)]
@@ -199,7 +291,7 @@
 	}
 	program.Turns = append(program.Turns, body)
 	root := p.programs[program.ID.Root()]
-	root.Used += id.Tokens(body.GetPromptTokens() + body.GetCompletionTokens())
+	root.Used += id.Tokens(max(0, body.GetPromptTokens()) + max(0, body.GetCompletionTokens()))
 	root.Marked = max(root.Marked, root.Used)
 
 	return Valid
@@ -210,31 +302,35 @@
 	if reason != Valid {
 		return reason
 	}
-	program.EndReason = body.GetReason()
-	p.endChildren(program, body.GetReason())
+	p.finish(pos, slot, program, body.GetReason())
+	p.endChildren(pos, slot, program)
 
 	return Valid
 }
 
 // endChildren ends the sub-agents below a program that has ended.
-func (p *Programs) endChildren(parent *Program, reason string) {
-	for _, name := range p.bySlot[id.ProgramSlot(parent.ID)] {
+func (p *Programs) endChildren(pos id.Position, slot id.Slot, parent *Program) {
+	for _, name := range p.SlotPrograms(slot) {
 		child := p.programs[name]
 		if child.Parent != parent.ID || child.State != ProgramOpen {
 			continue
 		}
-		child.State = ProgramEnded
-		child.EndReason = reason
-		p.endChildren(child, reason)
+		p.finish(pos, slot, child, parent.EndReason)
+		p.endChildren(pos, slot, child)
 	}
 }
 
 func (p *Programs) mark(pos id.Position, slot id.Slot, body *recordpb.BudgetMark) Reason {
+	// A mark that an earlier one covers changes nothing, so that a late copy leaves no trace.
+	program, ok := p.programs[id.Program(body.GetProgram())]
+	if ok && program.State == ProgramOpen && id.Tokens(body.GetTokens()) <= program.Marked {
+		return Valid
+	}
 	program, reason := p.step(pos, slot, body.GetProgram(), "budget-mark")
 	if reason != Valid {
 		return reason
 	}
-	program.Marked = max(program.Marked, id.Tokens(body.GetTokens()))
+	program.Marked = id.Tokens(body.GetTokens())
 
 	return Valid
 }
--- a/core/fold/slots.go
+++ b/core/fold/slots.go
@@ -1,6 +1,7 @@
 package fold
 
 import (
+	"cmp"
 	_ "embed"
 	"slices"
 
@@ -20,11 +21,15 @@
 	SlotUnowned  chart.State = "unowned"
 	SlotOwned    chart.State = "owned"
 	SlotReleased chart.State = "released"
+	// SlotUnknown is a slot whose records expired before this host read them.
+	SlotUnknown chart.State = "unknown"
 )
 
 // SlotState says who owns a slot and since which claim.
 type SlotState struct {
 	Owner id.Host
+	// Run identifies the owner's process.
+	Run   id.Run
 	Epoch id.Epoch
 	State chart.State
 	// Fresh is set while no owner may have granted anything from the slot's buckets.
@@ -38,13 +43,14 @@
 // Slots is the fold of all claims and releases.
 type Slots struct {
 	slots [id.SlotCount]SlotState
+	heard map[id.Host]id.Position
 	// levels are the buckets that the last owner of a slot handed over.
-	levels map[id.Workspace]float64
+	levels map[id.Slot]map[id.Workspace]float64
 }
 
 // BucketLevel returns what a workspace's bucket held when its slot was released, if it was.
 func (s *Slots) BucketLevel(workspace id.Workspace) (float64, bool) {
-	level, ok := s.levels[workspace]
+	level, ok := s.levels[id.WorkspaceSlot(workspace)][workspace]
 
 	return level, ok
 }
@@ -66,94 +72,102 @@
 	return state.State == SlotOwned && state.Owner == host && state.Epoch == epoch
 }
 
-// fence returns why a record of a slot's owner is void, or Valid.
-func (s *Slots) fence(pos id.Position, rec *record.Record) Reason {
-	if rec.GetSlot() >= id.SlotCount {
-		return WrongSlot
+// Heard returns the position of a host's latest record, valid or not.
+func (s *Slots) Heard(host id.Host) id.Position { return s.heard[host] }
+
+func (s *Slots) hear(pos id.Position, host id.Host) {
+	if s.heard == nil {
+		s.heard = make(map[id.Host]id.Position)
 	}
-	slot := id.Slot(rec.GetSlot())
+	s.heard[host] = pos
+}
+
+// fence returns why a record of a slot's owner is void, or Valid.
+func (s *Slots) fence(slot id.Slot, rec *record.Record) Reason {
 	if !s.Owns(id.Host(rec.GetHost()), slot, id.Epoch(rec.GetEpoch())) {
 		return StaleEpoch
 	}
-	s.slots[slot].LastRecord = pos
 
 	return Valid
 }
 
-func (s *Slots) claim(pos id.Position, host id.Host, body *recordpb.Claim) []id.Slot {
-	var taken []id.Slot
-	for _, number := range body.GetSlots() {
-		if number >= id.SlotCount {
-			continue
-		}
-		slot := id.Slot(number)
-		state := s.Slot(slot)
-		if !body.GetForced() && state.State == SlotOwned {
-			continue
-		}
-		if state.State == SlotOwned {
-			s.forgetLevels(slot)
-		}
-		next, err := slotChart.Next(state.State, "claim")
-		if err != nil {
-			continue
-		}
-		s.slots[slot] = SlotState{
-			Owner:      host,
-			Epoch:      pos,
-			State:      next,
-			Fresh:      state.State == SlotUnowned || (state.State == SlotReleased && state.Fresh),
-			Claims:     state.Claims + 1,
-			LastRecord: pos,
-		}
-		taken = append(taken, slot)
+// claimTerms is what a claim says about one slot.
+type claimTerms struct {
+	host   id.Host
+	run    id.Run
+	slot   id.Slot
+	base   id.Epoch
+	forced bool
+}
+
+// claim gives a slot to a host if nobody has claimed it since the epoch on which the claim is based.
+func (s *Slots) claim(pos id.Position, terms claimTerms) bool {
+	state := s.Slot(terms.slot)
+	if state.Epoch != terms.base || (!terms.forced && state.State == SlotOwned) {
+		return false
+	}
+	next, err := slotChart.Next(state.State, "claim")
+	if err != nil {
+		return false
+	}
+	if state.State == SlotOwned {
+		// Levels are worth nothing once an owner has granted from them.
+		delete(s.levels, terms.slot)
+	}
+	s.slots[terms.slot] = SlotState{
+		Owner:      terms.host,
+		Run:        terms.run,
+		Epoch:      pos,
+		State:      next,
+		Fresh:      state.State == SlotUnowned || (state.State == SlotReleased && state.Fresh),
+		Claims:     state.Claims + 1,
+		LastRecord: pos,
 	}
 
-	return taken
+	return true
 }
 
-func (s *Slots) release(host id.Host, body *recordpb.Release) []id.Slot {
-	var released []id.Slot
-	for _, number := range body.GetSlots() {
-		if number >= id.SlotCount {
-			continue
-		}
-		slot := id.Slot(number)
-		state := s.Slot(slot)
-		if state.Owner != host {
-			continue
-		}
-		next, err := slotChart.Next(state.State, "release")
-		if err != nil {
-			continue
-		}
-		s.slots[slot].State = next
-		released = append(released, slot)
+// release ends a host's ownership if it still has the epoch that the release names.
+func (s *Slots) release(pos id.Position, terms claimTerms) bool {
+	state := s.Slot(terms.slot)
+	if state.Owner != terms.host || state.Epoch != terms.base {
+		return false
 	}
+	next, err := slotChart.Next(state.State, "release")
+	if err != nil {
+		return false
+	}
+	s.slots[terms.slot].State = next
+	s.slots[terms.slot].LastRecord = pos
 
-	s.keepLevels(released, body.GetLevels())
-
-	return released
+	return true
 }
 
-func (s *Slots) keepLevels(released []id.Slot, levels []*recordpb.BucketLevel) {
-	if s.levels == nil {
-		s.levels = make(map[id.Workspace]float64)
-	}
+// keepLevels notes the buckets that a release hands over with a slot.
+func (s *Slots) keepLevels(slot id.Slot, levels []*recordpb.BucketLevel) {
 	for _, level := range levels {
 		workspace := id.Workspace(level.GetWorkspace())
-		if slices.Contains(released, id.WorkspaceSlot(workspace)) {
-			s.levels[workspace] = level.GetRequests()
-			s.slots[id.WorkspaceSlot(workspace)].Fresh = false
+		if id.WorkspaceSlot(workspace) != slot {
+			continue
 		}
+		if s.levels == nil {
+			s.levels = make(map[id.Slot]map[id.Workspace]float64)
+		}
+		if s.levels[slot] == nil {
+			s.levels[slot] = make(map[id.Workspace]float64)
+		}
+		s.levels[slot][workspace] = level.GetRequests()
+		s.slots[slot].Fresh = false
 	}
 }
 
-// forgetLevels drops the levels of a slot, which are worth nothing once an owner has granted from them.
-func (s *Slots) forgetLevels(slot id.Slot) {
-	for workspace := range s.levels {
-		if id.WorkspaceSlot(workspace) == slot {
-			delete(s.levels, workspace)
-		}
+// slotLevels restates the buckets of a slot, by workspace.
+func (s *Slots) slotLevels(slot id.Slot) []*recordpb.BucketLevel {
+	var levels []*recordpb.BucketLevel
+	for workspace, requests := range s.levels[slot] {
+		levels = append(levels, &recordpb.BucketLevel{Workspace: string(workspace), Requests: requests})
 	}
+	slices.SortFunc(levels, func(a, b *recordpb.BucketLevel) int { return cmp.Compare(a.GetWorkspace(), b.GetWorkspace()) })
+
+	return levels
 }
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -11,6 +11,9 @@
 // Host names one entry host of the system.
 type Host string
 
+// Run identifies one process of a host, so that a host that starts again is told from its predecessor.
+type Run string
+
 // FailureDomain names a set of hosts that fail together.
 type FailureDomain string
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -11,6 +11,9 @@
 // Version is the newest record version that this build folds.
 const Version = 1
 
+// MaxRecords bounds the records of one append, as a position has 16 bits for their index.
+const MaxRecords = 1 << 16
+
 // Record aliases the generated message so that callers need one import.
 type Record = recordpb.Record
 
@@ -35,6 +38,11 @@
 	return rec
 }
 
+// EncodeOne returns a record as a part of a batch: parts that are joined are the payload of one append.
+func EncodeOne(rec *Record) ([]byte, error) {
+	return Encode([]*Record{rec})
+}
+
 // Encode returns the payload of one append.
 func Encode(records []*Record) ([]byte, error) {
 	return proto.Marshal(&recordpb.Batch{Records: records})
@@ -47,5 +55,9 @@
 		return nil, ErrCorrupt.Wrap(err, "decode batch of %d bytes", len(data))
 	}
 
+	if len(batch.Records) > MaxRecords {
+		return nil, ErrCorrupt.New("batch of %d records, at most %d", len(batch.Records), MaxRecords)
+	}
+
 	return batch.Records, nil
 }
--- a/core/slot/decide.go
+++ b/core/slot/decide.go
@@ -10,108 +10,179 @@
 const (
 	// SilenceTimeout is how long an owner must be silent before its slots are taken from it.
 	SilenceTimeout = 2 * time.Second
-	// supersededBackoff is the pause before a slot is claimed again after a claim that was superseded.
-	supersededBackoff = 4 * time.Second
+	// MinorityTimeout is the silence that a host waits for which hears less than half of the listed hosts.
+	MinorityTimeout = 20 * time.Second
+	// pauseGap is the time between two decisions after which a process counts as having been paused.
+	pauseGap = time.Second
+	// lostBackoff is the first pause before a slot is forced again that another host has taken.
+	lostBackoff = 4 * time.Second
 	// maxBackoffDoublings bounds the growth of the pause.
-	maxBackoffDoublings = 4
-	// claimsPerMinute bounds the forced claims of a host, counted in whole fleets of slots.
-	claimsPerMinute = 4 * id.SlotCount
+	maxBackoffDoublings = 7
+	// settledAfter is how long a slot must stay with this host until earlier losses are forgotten.
+	settledAfter = 10 * time.Minute
+	// forcedPerMinute bounds the slots that a host takes by force in a minute.
+	forcedPerMinute = id.SlotCount
 )
 
 // View is what a host knows when it decides.
 type View struct {
 	Self    id.Host
+	Run     id.Run
 	Leaving bool
 	// Live are the hosts that take slots, sorted, this host among them unless it is leaving.
 	Live []id.Host
-	// Silence returns how long nothing was heard from a host; hosts never heard count from the start.
+	// Listed is how many hosts the platform's list shows that are not leaving; zero if it was not read.
+	Listed int
+	// Silence returns how long no heartbeat came from a host; hosts never heard count from the start.
 	Silence func(id.Host) time.Duration
 	Slots   *fold.Slots
 	// Busy reports whether calls of the slot are under way at this host.
 	Busy func(id.Slot) bool
+	// Sealed reports whether a release of the slot may still come into force.
+	Sealed func(id.Slot) bool
+}
+
+// Target is a slot at the epoch on which a decision is based.
+type Target struct {
+	Slot  id.Slot
+	Epoch id.Epoch
 }
 
 // Decision lists the slots to claim, to take from a silent owner and to release.
 type Decision struct {
-	Claim   []id.Slot
-	Force   []id.Slot
-	Release []id.Slot
+	Claim   []Target
+	Force   []Target
+	Release []Target
 }
 
 // Empty reports whether there is nothing to do.
 func (d Decision) Empty() bool { return len(d.Claim)+len(d.Force)+len(d.Release) == 0 }
 
-// Decider remembers what a host claimed; its zero value is ready.
+// Decider remembers what a host has forced and heard; its zero value is ready.
 type Decider struct {
 	table       Table
-	claimed     map[id.Slot]claimState
+	forced      map[id.Slot]forcedSlot
+	heard       map[id.Host]heardHost
+	last        time.Time
+	awake       time.Time
 	window      time.Time
 	windowCount int
 }
 
-type claimState struct {
-	epoch   id.Epoch
+// forcedSlot is what became of a slot that this host has forced.
+type forcedSlot struct {
+	// base is the epoch on which the latest attempt was based.
+	base    id.Epoch
 	lost    int
 	retryAt time.Time
+	since   time.Time
+}
+
+type heardHost struct {
+	pos id.Position
+	at  time.Time
 }
 
 // Decide returns what to do about all slots.
 func (d *Decider) Decide(now time.Time, view View) Decision {
 	d.table.Update(view.Live)
+	d.wake(now)
 	d.observe(now, view)
 	var decision Decision
 	for number := range id.SlotCount {
 		slot := id.Slot(number)
 		state := view.Slots.Slot(slot)
-		mine := !view.Leaving && d.table.Owner(slot) == view.Self
+		target := Target{Slot: slot, Epoch: state.Epoch}
+		belongs := !view.Leaving && d.table.Owner(slot) == view.Self
 		switch {
-		case state.State == fold.SlotOwned && state.Owner == view.Self:
-			if !mine && !view.Busy(slot) {
-				decision.Release = append(decision.Release, slot)
-			}
-		case !mine:
+		case state.State == fold.SlotUnknown:
+			// Somebody who knows the slot looks after it until a snapshot is read.
 		case state.State != fold.SlotOwned:
-			decision.Claim = append(decision.Claim, slot)
-		case view.Silence(state.Owner) >= SilenceTimeout && d.mayForce(now, slot):
-			decision.Force = append(decision.Force, slot)
+			if belongs {
+				decision.Claim = append(decision.Claim, target)
+			}
+		case state.Owner == view.Self && state.Run != view.Run:
+			// An earlier process of this host: what it had reserved is settled by a new claim.
+			decision.Force = append(decision.Force, target)
+		case state.Owner == view.Self:
+			if view.Sealed(slot) || (!belongs && !view.Busy(slot)) {
+				decision.Release = append(decision.Release, target)
+			}
+		case belongs && d.silent(now, view, state.Owner) && d.mayForce(now, target):
+			decision.Force = append(decision.Force, target)
 		}
 	}
 
 	return decision
 }
 
-// observe counts claims of this host that another host has superseded by force.
+// wake notes when this process has run without a pause since: after a pause all others seem silent.
+func (d *Decider) wake(now time.Time) {
+	if now.Sub(d.last) >= pauseGap {
+		d.awake = now
+	}
+	d.last = now
+}
+
+// silent reports whether neither heartbeats nor records of a host came for the timeout.
+func (d *Decider) silent(now time.Time, view View, host id.Host) bool {
+	timeout := SilenceTimeout
+	if 2*len(view.Live) < view.Listed {
+		timeout = MinorityTimeout
+	}
+	if d.heard == nil {
+		d.heard = make(map[id.Host]heardHost)
+	}
+	heard, ok := d.heard[host]
+	if pos := view.Slots.Heard(host); !ok || pos != heard.pos {
+		heard = heardHost{pos: pos, at: now}
+		d.heard[host] = heard
+	}
+
+	return min(view.Silence(host), now.Sub(heard.at), now.Sub(d.awake)) >= timeout
+}
+
+// observe counts the slots that this host has forced and another host holds.
 func (d *Decider) observe(now time.Time, view View) {
-	for slot, claim := range d.claimed {
+	for slot, f := range d.forced {
 		state := view.Slots.Slot(slot)
 		switch {
-		case state.Owner == view.Self && state.State == fold.SlotOwned:
-			claim.epoch = state.Epoch
-			d.claimed[slot] = claim
-		case claim.epoch != 0 && state.Epoch > claim.epoch:
-			claim.lost = min(claim.lost+1, maxBackoffDoublings)
-			claim.retryAt = now.Add(supersededBackoff << (claim.lost - 1))
-			claim.epoch = 0
-			d.claimed[slot] = claim
+		case state.Epoch == f.base:
+		case state.Owner == view.Self:
+			f.base = state.Epoch
+			if f.since.IsZero() {
+				f.since = now
+			}
+			d.forced[slot] = f
+		default:
+			f.base = state.Epoch
+			f.since = time.Time{}
+			f.lost = min(f.lost+1, maxBackoffDoublings)
+			f.retryAt = now.Add(lostBackoff << (f.lost - 1))
+			d.forced[slot] = f
+		}
+		if !f.since.IsZero() && now.Sub(f.since) >= settledAfter {
+			delete(d.forced, slot)
 		}
 	}
 }
 
 // mayForce applies the back-off and the cap on forced claims.
-func (d *Decider) mayForce(now time.Time, slot id.Slot) bool {
+func (d *Decider) mayForce(now time.Time, target Target) bool {
 	if now.Sub(d.window) >= time.Minute {
 		d.window = now
 		d.windowCount = 0
 	}
-	claim := d.claimed[slot]
-	if now.Before(claim.retryAt) || d.windowCount >= claimsPerMinute {
+	f := d.forced[target.Slot]
+	if now.Before(f.retryAt) || d.windowCount >= forcedPerMinute {
 		return false
 	}
 	d.windowCount++
-	if d.claimed == nil {
-		d.claimed = make(map[id.Slot]claimState)
+	if d.forced == nil {
+		d.forced = make(map[id.Slot]forcedSlot)
 	}
-	d.claimed[slot] = claim
+	f.base = target.Epoch
+	d.forced[target.Slot] = f
 
 	return true
 }
--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -25,6 +25,8 @@
 	HostsAddress string `yaml:"hosts-address"`
 	// AppendLinger is how long an append waits for more records.
 	AppendLinger time.Duration `yaml:"append-linger"`
+	// LogRetention is how long the log keeps records at least; snapshots are due before half of it has passed.
+	LogRetention time.Duration `yaml:"log-retention"`
 	// WhereLifetime is how long callers may keep the answer to where.
 	WhereLifetime time.Duration `yaml:"where-lifetime"`
 	// DrainTimeout bounds a graceful shutdown.
@@ -40,6 +42,7 @@
 const (
 	defaultAddress       = "127.0.0.1:0"
 	defaultLinger        = 5 * time.Millisecond
+	defaultLogRetention  = time.Hour
 	defaultWhereLifetime = 10 * time.Second
 	defaultDrainTimeout  = 30 * time.Second
 	defaultMaxBody       = 4 << 20
@@ -97,6 +100,7 @@
 	fallback(&c.OperatorAddress, defaultAddress)
 	fallback(&c.PeerAddress, defaultAddress)
 	fallback(&c.AppendLinger, defaultLinger)
+	fallback(&c.LogRetention, defaultLogRetention)
 	fallback(&c.WhereLifetime, defaultWhereLifetime)
 	fallback(&c.DrainTimeout, defaultDrainTimeout)
 	fallback(&c.MaxBodyBytes, defaultMaxBody)
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -112,7 +112,7 @@
 	shared := newHTTP(true)
 	log := &platform.LogClient{Address: h.config.LogAddress, Client: newHTTP(true)}
 	h.hosts = &platform.HostsClient{Address: h.config.HostsAddress, Client: shared}
-	options := platform.JournalOptions{Log: log, Linger: h.config.AppendLinger, Logger: h.logger}
+	options := platform.JournalOptions{Log: log, Linger: h.config.AppendLinger, Spacing: h.appendSpacing, Logger: h.logger}
 	options.Stream = platform.ControlStream
 	h.control = &platform.Control{Journal: platform.NewJournal(&fold.Control{}, options), Host: h.config.Host}
 	options.Stream = platform.ProgramsStream
@@ -123,6 +123,7 @@
 	h.engines.Changed = dispatcher.Pump
 	h.owner = &owner.Owner{
 		Host:        h.config.Host,
+		Run:         id.Run(id.Random()),
 		Journal:     h.programs,
 		Control:     h.control,
 		Dispatcher:  dispatcher,
@@ -135,6 +136,14 @@
 	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
 }
 
+// fleetAppends is how many appends a second all hosts together aim at, for each stream.
+const fleetAppends = 250
+
+// appendSpacing is this host's part of the fleet's appends.
+func (h *Host) appendSpacing() time.Duration {
+	return time.Duration(len(h.members.Live(time.Now()))+1) * time.Second / fleetAppends
+}
+
 func (h *Host) register() {
 	h.callers.Register(h.callerWeb)
 	(&operator.Server{Control: h.control, Programs: h.programs, Locator: h, Self: h}).Register(h.operatorWeb)
@@ -167,7 +176,7 @@
 	var group sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
-		h.announceLoop, h.settingsLoop, h.slotLoop,
+		h.announceLoop, h.settingsLoop, h.slotLoop, h.snapshotLoop,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -68,11 +68,14 @@
 	h.programs.View(func(state *fold.Programs) {
 		decision = h.decider.Decide(now, slot.View{
 			Self:    h.config.Host,
+			Run:     h.owner.Run,
 			Leaving: h.leaving.Load(),
 			Live:    live,
+			Listed:  h.members.Listed(),
 			Silence: func(host id.Host) time.Duration { return h.members.Silence(host, now) },
 			Slots:   &state.Slots,
 			Busy:    h.owner.Busy,
+			Sealed:  h.owner.Sealed,
 		})
 	})
 	if decision.Empty() {
@@ -86,31 +89,43 @@
 	h.release(ctx, decision.Release)
 }
 
-func (h *Host) claim(ctx context.Context, slots []id.Slot, forced bool) {
-	if len(slots) == 0 {
+func (h *Host) claim(ctx context.Context, targets []slot.Target, forced bool) {
+	if len(targets) == 0 {
 		return
 	}
+	slots, epochs := columns(targets)
 	rec := record.New(h.config.Host)
-	rec.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{Slots: numbers(slots), Forced: forced}}
+	rec.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{
+		Slots: slots, Epochs: epochs, Forced: forced, Run: string(h.owner.Run),
+	}}
 	if _, err := h.programs.Append(ctx, rec); err != nil {
 		h.logger.Error(err, "claim-failed", "slots", len(slots))
 	}
 	// A claim without an answer may count as well, so its time is noted in any case.
-	h.pools.Claimed(time.Now(), slots, forced)
+	h.pools.Claimed(time.Now(), slotsOf(targets), forced)
 }
 
-func (h *Host) release(ctx context.Context, slots []id.Slot) {
-	if len(slots) == 0 {
+// release gives idle slots up; while the fate of the release is unknown, they take no calls.
+func (h *Host) release(ctx context.Context, targets []slot.Target) {
+	targets = slices.DeleteFunc(targets, func(t slot.Target) bool { return !h.owner.Seal(t.Slot) })
+	if len(targets) == 0 {
 		return
 	}
-	body := &recordpb.Release{Slots: numbers(slots)}
-	for _, level := range h.pools.Stop(time.Now(), slots, h.epochOf) {
+	slots, epochs := columns(targets)
+	body := &recordpb.Release{Slots: slots, Epochs: epochs}
+	for _, level := range h.pools.Stop(time.Now(), slotsOf(targets), h.epochOf) {
 		body.Levels = append(body.Levels, &recordpb.BucketLevel{Workspace: string(level.Workspace), Requests: level.Requests})
 	}
 	rec := record.New(h.config.Host)
 	rec.Body = &recordpb.Record_Release{Release: body}
 	if _, err := h.programs.Append(ctx, rec); err != nil {
 		h.logger.Error(err, "release-failed", "slots", len(slots))
+		if refusal.From(err).Ran != refusal.NotRun {
+			return
+		}
+	}
+	for _, target := range targets {
+		h.owner.Unseal(target.Slot)
 	}
 }
 
@@ -121,13 +136,23 @@
 	return state.Epoch
 }
 
-func numbers(slots []id.Slot) []uint32 {
-	out := make([]uint32, len(slots))
-	for i, s := range slots {
-		out[i] = uint32(s)
+// columns returns the slots and epochs as a record carries them.
+func columns(targets []slot.Target) (slots []uint32, epochs []uint64) {
+	for _, target := range targets {
+		slots = append(slots, uint32(target.Slot))
+		epochs = append(epochs, uint64(target.Epoch))
+	}
+
+	return slots, epochs
+}
+
+func slotsOf(targets []slot.Target) []id.Slot {
+	slots := make([]id.Slot, len(targets))
+	for i, target := range targets {
+		slots[i] = target.Slot
 	}
 
-	return out
+	return slots
 }
 
 // Local returns the owner at this host.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -32,7 +32,9 @@
 
 // Owner runs the programs and calls of the slots that its host owns.
 type Owner struct {
-	Host       id.Host
+	Host id.Host
+	// Run identifies this process in its claims.
+	Run        id.Run
 	Journal    *platform.Journal[*fold.Programs]
 	Control    *platform.Control
 	Dispatcher *Dispatcher
@@ -45,6 +47,7 @@
 	mu       sync.Mutex
 	programs map[id.Program]*active
 	busy     map[id.Slot]int
+	sealed   map[id.Slot]struct{}
 	calls    map[fold.CallKey]struct{}
 }
 
@@ -74,7 +77,8 @@
 	defer o.mu.Unlock()
 	var state fold.SlotState
 	o.Journal.View(func(p *fold.Programs) { state = p.Slot(slot) })
-	if state.State != fold.SlotOwned || state.Owner != o.Host {
+	_, sealed := o.sealed[slot]
+	if state.State != fold.SlotOwned || state.Owner != o.Host || state.Run != o.Run || sealed {
 		return lease{}, nil, refusal.New(refusal.OwnerChanged, "slot %d is not owned by host %s", slot, o.Host).WithRetry(movedRetry)
 	}
 	if o.busy == nil {
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -175,6 +175,18 @@
 	return live
 }
 
+// Listed returns how many hosts the platform's list shows that are not leaving, this host among them.
+func (m *Members) Listed() int {
+	listed := 0
+	for _, member := range m.All() {
+		if !member.Leaving && !member.SaysLeaving {
+			listed++
+		}
+	}
+
+	return listed
+}
+
 // Silence returns how long nothing was heard from a host.
 func (m *Members) Silence(host id.Host, now time.Time) time.Duration {
 	m.mu.Lock()
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,8 +12,6 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
-	"cardamomward/core/record"
-	"cardamomward/core/refusal"
 )
 
 const (
@@ -19,12 +19,8 @@
 	readWait = time.Second
 	// readGrace is how much longer than readWait the answer may take.
 	readGrace = 2 * time.Second
-	// appendTimeout bounds one append; without an answer it is in doubt.
-	appendTimeout = 2 * time.Second
-	// retryPause is the pause after a failed read or append.
-	retryPause = 100 * time.Millisecond
-	// maxBatchRecords bounds the records of one append.
-	maxBatchRecords = 4096
+	// queueLength bounds the records that wait for an append.
+	queueLength = 8192
 )
 
 var (
@@ -32,26 +28,31 @@
 
 	// ErrOutage marks a log that cannot be reached in time; the record's effect is unknown.
 	ErrOutage = errs.NewType("outage")
-	// ErrRetentionGap marks entries that expired before they were read.
+	// ErrRetentionGap marks entries that expired before they were read; the record's effect is unknown.
 	ErrRetentionGap = errs.NewType("retention-gap")
 )
 
 // Journal folds one stream of the log and appends to it in groups.
 type Journal[S fold.State] struct {
-	log    Log
-	stream id.Stream
-	linger time.Duration
-	logger logr.Logger
+	log     Log
+	stream  id.Stream
+	linger  time.Duration
+	spacing func() time.Duration
+	logger  logr.Logger
 
 	mu       sync.RWMutex
 	folder   fold.Folder[S]
-	waiting  map[string]chan fold.Verdict
+	waiting  map[string]*waiter
 	heard    time.Time
 	caughtUp bool
 	changed  chan struct{}
 	gaps     int
+	halted   string
 
-	queue chan *record.Record
+	queue chan *queued
+	// held is a record that did not fit into the last batch; it belongs to the append loop, as does the pace.
+	held *queued
+	pace pacer
 }
 
 // JournalOptions say how a journal reads and appends.
@@ -60,23 +61,27 @@
 	Stream id.Stream
 	// Linger is how long an append waits for more records.
 	Linger time.Duration
-	Logger logr.Logger
+	// Spacing returns the least time between two appends of this host; nil sets none.
+	Spacing func() time.Duration
+	Logger  logr.Logger
 }
 
-// queueLength bounds the records that wait for an append.
-const queueLength = 8192
-
 // NewJournal returns a journal over an empty state.
 func NewJournal[S fold.State](state S, opts JournalOptions) *Journal[S] {
+	if opts.Spacing == nil {
+		opts.Spacing = func() time.Duration { return 0 }
+	}
+
 	return &Journal[S]{
 		log:     opts.Log,
 		stream:  opts.Stream,
 		linger:  opts.Linger,
+		spacing: opts.Spacing,
 		logger:  opts.Logger,
 		folder:  fold.Folder[S]{State: state},
-		waiting: make(map[string]chan fold.Verdict),
+		waiting: make(map[string]*waiter),
 		changed: make(chan struct{}),
-		queue:   make(chan *record.Record, queueLength),
+		queue:   make(chan *queued, queueLength),
 	}
 }
 
@@ -95,14 +100,26 @@
 	read(j.folder.State)
 }
 
+// ViewAt is View with the offset of the first append that the state does not contain.
+func (j *Journal[S]) ViewAt(read func(S, id.Offset)) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	read(j.folder.State, j.folder.Next())
+}
+
 // Status is what a journal knows of its stream.
 type Status struct {
-	Stream   id.Stream      `json:"stream"`
-	Next     id.Offset      `json:"next-offset"`
-	Heard    time.Time      `json:"heard"`
-	CaughtUp bool           `json:"caught-up"`
-	Waiting  int            `json:"waiting-records"`
-	Gaps     int            `json:"retention-gaps"`
+	Stream id.Stream `json:"stream"`
+	Next   id.Offset `json:"next-offset"`
+	// Heard is when the latest read that reached the end of the stream was sent.
+	Heard    time.Time `json:"heard"`
+	CaughtUp bool      `json:"caught-up"`
+	Waiting  int       `json:"waiting-records"`
+	Gaps     int       `json:"retention-gaps"`
+	// Halted says why the journal takes nothing from the log any more.
+	Halted   string         `json:"halted,omitempty"`
+	Corrupt  int            `json:"corrupt-appends,omitempty"`
+	Unknown  map[uint32]int `json:"unknown-versions,omitempty"`
 	Findings []fold.Finding `json:"findings,omitempty"`
 }
 
@@ -118,7 +135,10 @@
 		CaughtUp: j.caughtUp,
 		Waiting:  len(j.waiting),
 		Gaps:     j.gaps,
-		Findings: j.folder.Findings(),
+		Halted:   j.halted,
+		Corrupt:  j.folder.Corrupt(),
+		Unknown:  maps.Clone(j.folder.Unknown()),
+		Findings: slices.Clone(j.folder.Findings()),
 	}
 }
 
@@ -130,170 +150,98 @@
 	return j.changed
 }
 
-// Append adds a record and waits until it has been folded, or returns ErrOutage when ctx ends first.
-func (j *Journal[S]) Append(ctx context.Context, rec *record.Record) (fold.Verdict, error) {
-	verdict := make(chan fold.Verdict, 1)
-	j.mu.Lock()
-	j.waiting[rec.GetId()] = verdict
-	j.mu.Unlock()
-	defer j.forget(rec.GetId())
-
-	select {
-	case j.queue <- rec:
-	case <-ctx.Done():
-		return fold.Verdict{}, refusal.New(refusal.LogUnavailable, "the log does not take records now").WithRetry(time.Second)
-	}
-	select {
-	case v := <-verdict:
-		return v, nil
-	case <-ctx.Done():
-		return fold.Verdict{}, ErrOutage.New("record %s is not known to be in the log: %v", rec.GetId(), context.Cause(ctx))
-	}
-}
-
-func (j *Journal[S]) forget(recordID string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	delete(j.waiting, recordID)
-}
-
-func (j *Journal[S]) awaited(recordID string) bool {
-	j.mu.RLock()
-	defer j.mu.RUnlock()
-	_, ok := j.waiting[recordID]
-
-	return ok
-}
-
 func (j *Journal[S]) readLoop(ctx context.Context) {
+	pause := newBackOff()
 	var next id.Offset
 	for ctx.Err() == nil {
+		sent := time.Now()
 		readCtx, cancel := context.WithTimeout(ctx, readWait+readGrace)
 		page, err := j.log.Read(readCtx, j.stream, next, readWait)
 		cancel()
+		if err == nil {
+			next, err = j.apply(page, next, sent)
+		}
 		if err != nil {
 			j.logger.V(1).Info("log-read-failed", "stream", j.stream, "error", err)
-			sleep(ctx, retryPause)
+			sleep(ctx, pause.NextBackOff())
 
 			continue
 		}
-		next = j.apply(page, next, time.Now())
+		pause.Reset()
 	}
 }
 
-// apply folds a page and returns the offset to read next.
-func (j *Journal[S]) apply(page Page, from id.Offset, now time.Time) id.Offset {
+// apply folds a page that was asked for at sent and returns the offset to read next.
+func (j *Journal[S]) apply(page Page, from id.Offset, sent time.Time) (id.Offset, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if page.First > from && from > 0 {
-		j.gaps++
-		j.logger.Info("log-retention-gap", "stream", j.stream, "from", from, "first", page.First)
+	if page.Next < from {
+		return from, j.halt(page, from)
+	}
+	if page.First > from {
+		j.gap(page.First, from)
 	}
-	next := max(from, page.First)
 	for _, entry := range page.Entries {
 		for _, verdict := range j.folder.Append(entry.Offset, entry.Data) {
 			j.deliver(verdict)
 		}
-		next = entry.Offset + 1
 	}
-	j.heard = now
-	if next >= page.Next {
+	next := j.folder.Next()
+	// A page that waited in a paused process is old: what it tells was true when it was asked for.
+	news := len(page.Entries) > 0
+	if next >= page.Next && j.folder.State.Complete() {
+		news = news || !j.caughtUp
+		j.heard = sent
 		j.caughtUp = true
 	}
-	if len(page.Entries) > 0 || !j.caughtUp {
+	if news {
 		close(j.changed)
 		j.changed = make(chan struct{})
 	}
 
-	return next
+	return next, nil
 }
 
-func (j *Journal[S]) deliver(verdict fold.Verdict) {
-	if verdict.Reason == fold.Duplicate {
-		return
+// halt stops the journal: a log that ends before what was read from it has lost or replaced its history.
+func (j *Journal[S]) halt(page Page, from id.Offset) error {
+	err := errs.NewType("history-lost").New("the log ends at offset %d, but offset %d was read", page.Next, from)
+	if j.halted == "" {
+		j.logger.Error(err, "log-history-lost", "stream", j.stream)
 	}
-	if waiter, ok := j.waiting[verdict.ID]; ok {
-		waiter <- verdict
-		delete(j.waiting, verdict.ID)
-	}
-}
+	j.halted = err.Error()
 
-func (j *Journal[S]) appendLoop(ctx context.Context) {
-	for {
-		batch := j.collect(ctx)
-		if len(batch) == 0 {
-			return
-		}
-		j.appendBatch(ctx, batch)
-	}
+	return err
 }
 
-// collect waits for a record and then for more of them up to the linger.
-func (j *Journal[S]) collect(ctx context.Context) []*record.Record {
-	var batch []*record.Record
-	select {
-	case <-ctx.Done():
-		return nil
-	case rec := <-j.queue:
-		batch = append(batch, rec)
-	}
-	timer := time.NewTimer(j.linger)
-	defer timer.Stop()
-	for len(batch) < maxBatchRecords {
-		select {
-		case rec := <-j.queue:
-			batch = append(batch, rec)
-		case <-timer.C:
-			return batch
-		case <-ctx.Done():
-			return batch
+// gap gives up the state: entries expired before they were read.
+func (j *Journal[S]) gap(first, from id.Offset) {
+	j.caughtUp = false
+	j.folder.Skip(first)
+	for name, w := range j.waiting {
+		if w.inDoubt {
+			j.resolve(name, result{err: ErrRetentionGap.New("entries %d to %d expired before they were read", from, first)})
 		}
 	}
-
-	return batch
-}
-
-// appendBatch appends until the log answers; a second copy after a lost answer is dropped by the fold.
-func (j *Journal[S]) appendBatch(ctx context.Context, batch []*record.Record) {
-	for ctx.Err() == nil {
-		batch = j.stillAwaited(batch)
-		if len(batch) == 0 {
-			return
-		}
-		data, err := record.Encode(batch)
-		if err != nil {
-			j.logger.Error(err, "log-encode-failed", "stream", j.stream)
-
-			return
-		}
-		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err = j.log.Append(appendCtx, j.stream, data)
-		cancel()
-		if err == nil {
-			return
-		}
-		j.logger.Info("log-append-failed", "stream", j.stream, "records", len(batch), "error", err)
-		sleep(ctx, retryPause)
+	if from > 0 {
+		j.gaps++
+		j.logger.Info("log-retention-gap", "stream", j.stream, "from", from, "first", first)
 	}
 }
 
-// stillAwaited drops records that have been folded or given up on.
-func (j *Journal[S]) stillAwaited(batch []*record.Record) []*record.Record {
-	kept := batch[:0]
-	for _, rec := range batch {
-		if j.awaited(rec.GetId()) {
-			kept = append(kept, rec)
-		}
+func (j *Journal[S]) deliver(verdict fold.Verdict) {
+	switch verdict.Reason {
+	case fold.Duplicate:
+		// The first copy had its verdict.
+	case fold.StateUnknown:
+		j.resolve(verdict.ID, result{err: ErrRetentionGap.New("the state of record %s is unknown", verdict.ID)})
+	default:
+		j.resolve(verdict.ID, result{verdict: verdict})
 	}
-
-	return kept
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+func (j *Journal[S]) resolve(recordID string, r result) {
+	if w, ok := j.waiting[recordID]; ok {
+		delete(j.waiting, recordID)
+		w.done <- r
 	}
 }
