--- a/core/fold/assemble.go
+++ b/core/fold/assemble.go
@@ -15,8 +15,8 @@
 
 // assembler collects the chunks of snapshots; one that stays incomplete is forgotten.
 type assembler struct {
-	open   map[string]*assembly
-	expiry []seenRecord
+	open map[string]*assembly
+	seen seen
 }
 
 type assembly struct {
@@ -40,7 +40,7 @@
 			state.data = []byte{}
 		}
 		a.open[name] = state
-		a.expiry = append(a.expiry, seenRecord{id: name, offset: pos.Offset()})
+		a.seen.add(name, pos.Offset())
 	}
 	if chunk.GetIndex() != state.received || chunk.GetCount() != state.count || state.received >= state.count {
 		return nil, false, OutOfOrder
@@ -58,10 +58,7 @@
 }
 
 func (a *assembler) forget(offset id.Offset) {
-	drop := 0
-	for drop < len(a.expiry) && a.expiry[drop].offset+DedupWindow < offset {
-		delete(a.open, a.expiry[drop].id)
-		drop++
+	for _, dropped := range a.seen.forget(offset) {
+		delete(a.open, dropped.name)
 	}
-	a.expiry = a.expiry[drop:]
 }
--- a/core/fold/control.go
+++ b/core/fold/control.go
@@ -50,6 +50,8 @@
 	crashes  map[id.Fingerprint]*crashes
 	now      id.Offset
 	snapshot SnapshotMark
+	// voids are the records that were void: a second copy might be valid by then.
+	voids seen
 	// lost, since and pending belong to an unknown state: what was read since a gap.
 	lost    bool
 	since   id.Offset
@@ -115,6 +117,18 @@
 func (c *Control) apply(pos id.Position, rec *record.Record) Reason {
 	c.now = pos.Offset()
 	c.sweep()
+	if c.voids.has(rec.GetId()) {
+		return Duplicate
+	}
+	reason := c.judge(pos, rec)
+	if reason != Valid {
+		c.voids.add(rec.GetId(), pos.Offset())
+	}
+
+	return reason
+}
+
+func (c *Control) judge(pos id.Position, rec *record.Record) Reason {
 	switch body := rec.GetBody().(type) {
 	case *recordpb.Record_SettingsPublish:
 		return c.publish(pos, body.SettingsPublish)
--- a/core/fold/control_snapshot.go
+++ b/core/fold/control_snapshot.go
@@ -19,7 +19,7 @@
 	if c.lost {
 		return nil
 	}
-	snapshot := &recordpb.ControlSnapshot{}
+	snapshot := &recordpb.ControlSnapshot{Voids: c.voids.snapshot(next)}
 	for _, version := range c.settings {
 		snapshot.Settings = append(snapshot.Settings, &recordpb.SettingsSnapshot{
 			Version: uint64(version.Version), Base: uint64(version.Base),
@@ -96,6 +96,7 @@
 }
 
 func (c *Control) take(snapshot *recordpb.ControlSnapshot) {
+	c.voids.restore(snapshot.GetVoids())
 	for _, version := range snapshot.GetSettings() {
 		c.settings = append(c.settings, SettingsVersion{
 			Version: id.Position(version.GetVersion()), Base: id.Position(version.GetBase()),
--- /dev/null
+++ b/core/fold/control_test.go
@@ -0,0 +1,143 @@
+package fold_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+)
+
+type controlScript struct {
+	t       *rapid.T
+	records []*record.Record
+	folder  fold.Folder[*fold.Control]
+}
+
+func (s *controlScript) payload(index int) []byte {
+	data, err := record.EncodeOne(s.records[index])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	return data
+}
+
+func (s *controlScript) add(rec *record.Record) fold.Verdict {
+	s.records = append(s.records, rec)
+	index := len(s.records) - 1
+
+	return s.folder.Append(id.Offset(index), s.payload(index))[0]
+}
+
+func (s *controlScript) draw() *record.Record {
+	rec := record.New("host-1")
+	rec.Id = fmt.Sprintf("r%d", len(s.records))
+	key := rapid.SampledFrom([]string{"k1", "k2", "k3"}).Draw(s.t, "key")
+	switch rapid.SampledFrom([]string{"publish", "publish", "issue", "withdraw", "crash", "copy", "snapshot"}).Draw(s.t, "kind") {
+	case "publish":
+		history := append([]fold.SettingsVersion{{}}, s.folder.State.History()...)
+		base := history[max(0, len(history)-rapid.IntRange(1, 2).Draw(s.t, "back"))]
+		rec.Body = &recordpb.Record_SettingsPublish{SettingsPublish: &recordpb.SettingsPublish{
+			Base: uint64(base.Version), Document: rec.GetId(),
+		}}
+	case "issue":
+		rec.Body = &recordpb.Record_KeyIssue{KeyIssue: &recordpb.KeyIssue{
+			Key: key, Workspace: "w", Salt: []byte("salt"), Hash: fold.HashSecret([]byte("salt"), "secret"),
+		}}
+	case "withdraw":
+		rec.Body = &recordpb.Record_KeyWithdraw{KeyWithdraw: &recordpb.KeyWithdraw{Key: key}}
+	case "crash":
+		rec.Body = &recordpb.Record_Crash{Crash: &recordpb.Crash{
+			Fingerprint: 7, Upstream: "u", Run: rapid.SampledFrom([]string{"1", "2", "3"}).Draw(s.t, "run"),
+		}}
+	case "snapshot":
+		data, err := proto.Marshal(s.folder.State.Snapshot(s.folder.Next()))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		rec.Body = &recordpb.Record_SnapshotChunk{SnapshotChunk: &recordpb.SnapshotChunk{
+			Snapshot: rec.GetId(), Count: 1, Next: uint64(s.folder.Next()), Data: data,
+		}}
+	default:
+		if len(s.records) > 0 {
+			return s.records[rapid.IntRange(0, len(s.records)-1).Draw(s.t, "copied")]
+		}
+		rec.Body = &recordpb.Record_KeyWithdraw{KeyWithdraw: &recordpb.KeyWithdraw{Key: key}}
+	}
+
+	return rec
+}
+
+// Settings change only on the version in force, a withdrawn key stays withdrawn, and late readers agree.
+func TestControlInvariants(t *testing.T) {
+	restored := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := &controlScript{t: t, folder: fold.Folder[*fold.Control]{State: &fold.Control{}}}
+		state := s.folder.State
+		withdrawn := make(map[id.Key]bool)
+		for range scriptLength {
+			before := state.Settings().Version
+			rec := s.draw()
+			verdict := s.add(rec)
+			publish := rec.GetSettingsPublish()
+			switch {
+			case publish != nil && verdict.Valid():
+				require.Equal(t, before, id.Position(publish.GetBase()), "published on a version that was not in force")
+				require.Equal(t, verdict.Position, state.Settings().Version)
+			default:
+				require.Equal(t, before, state.Settings().Version, "the settings changed without a publish")
+			}
+			for _, key := range state.Keys() {
+				require.False(t, withdrawn[key.Key] && !key.Withdrawn, "key %s works again", key.Key)
+				withdrawn[key.Key] = key.Withdrawn
+				_, ok := state.Authenticate(key.Key, "secret")
+				require.Equal(t, !key.Withdrawn, ok)
+			}
+		}
+		want := controlState(t, state, s.folder.Next())
+		for first := 1; first < len(s.records); first += 5 {
+			late := fold.Folder[*fold.Control]{State: &fold.Control{}}
+			for offset := first; offset < len(s.records); offset++ {
+				late.Append(id.Offset(offset), s.payload(offset))
+			}
+			if late.State.Complete() {
+				require.Equal(t, want, controlState(t, late.State, late.Next()), "read from offset %d", first)
+				restored++
+			}
+		}
+	})
+	require.Positive(t, restored)
+	t.Logf("%d restored states compared", restored)
+}
+
+func controlState(t *rapid.T, state *fold.Control, next id.Offset) string {
+	snapshot := state.Snapshot(next)
+	snapshot.Voids = nil
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
+	require.NoError(t, err)
+
+	return string(data)
+}
+
+func TestHistoryOfSettingsIsBounded(t *testing.T) {
+	const documentBytes = 1 << 20
+	folder := fold.Folder[*fold.Control]{State: &fold.Control{}}
+	for i := range 20 {
+		rec := record.New("host-1")
+		rec.Body = &recordpb.Record_SettingsPublish{SettingsPublish: &recordpb.SettingsPublish{
+			Base: uint64(folder.State.Settings().Version), Document: string(make([]byte, documentBytes)),
+		}}
+		data, err := record.EncodeOne(rec)
+		require.NoError(t, err)
+		require.True(t, folder.Append(id.Offset(i), data)[0].Valid())
+	}
+	require.Len(t, folder.State.History(), 5)
+	require.Equal(t, id.Offset(19), folder.State.Settings().Version.Offset())
+}
--- a/core/fold/crash.go
+++ b/core/fold/crash.go
@@ -46,6 +46,7 @@
 
 // sweep forgets the crashes that have left their window.
 func (c *Control) sweep() {
+	c.voids.forget(c.now)
 	if c.now%crashSweep != 0 {
 		return
 	}
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -86,19 +86,13 @@
 type Folder[S State] struct {
 	State    S
 	next     id.Offset
-	seen     map[string]id.Offset
-	expiry   []seenRecord
+	seen     seen
 	chunks   assembler
 	findings []Finding
 	unknown  map[uint32]int
 	corrupt  int
 }
 
-type seenRecord struct {
-	id     string
-	offset id.Offset
-}
-
 // maxFindings bounds the findings that a folder keeps for the dump.
 const maxFindings = 100
 
@@ -121,7 +115,7 @@
 	}
 	f.State.Lose(first)
 	f.next = first
-	f.seen, f.expiry, f.chunks = nil, nil, assembler{}
+	f.seen, f.chunks = seen{}, assembler{}
 }
 
 // Append folds the payload of one append; a corrupt one is reported and skipped.
@@ -131,7 +125,8 @@
 	}
 	f.Skip(offset)
 	f.next = offset + 1
-	f.forget(offset)
+	f.seen.forget(offset)
+	f.chunks.forget(offset)
 
 	records, err := record.Decode(data)
 	if err != nil {
@@ -158,14 +153,10 @@
 
 		return Malformed
 	}
-	if _, ok := f.seen[rec.GetId()]; ok {
+	if f.seen.has(rec.GetId()) {
 		return Duplicate
 	}
-	if f.seen == nil {
-		f.seen = make(map[string]id.Offset)
-	}
-	f.seen[rec.GetId()] = pos.Offset()
-	f.expiry = append(f.expiry, seenRecord{id: rec.GetId(), offset: pos.Offset()})
+	f.seen.add(rec.GetId(), pos.Offset())
 	if id.Offset(rec.GetBorn())+DedupWindow < pos.Offset() {
 		return Late
 	}
@@ -211,16 +202,6 @@
 	return Valid
 }
 
-func (f *Folder[S]) forget(offset id.Offset) {
-	drop := 0
-	for drop < len(f.expiry) && f.expiry[drop].offset+DedupWindow < offset {
-		delete(f.seen, f.expiry[drop].id)
-		drop++
-	}
-	f.expiry = f.expiry[drop:]
-	f.chunks.forget(offset)
-}
-
 func (f *Folder[S]) report(offset id.Offset, problem string) {
 	f.findings = append(f.findings, Finding{Offset: offset, Problem: problem})
 	if len(f.findings) > maxFindings {
--- a/core/fold/programs.go
+++ b/core/fold/programs.go
@@ -121,8 +121,22 @@
 	return p.applySlot(pos, slot, rec)
 }
 
+// applySlot folds a record for a slot of known state. A copy of a valid record is void by its own content;
+// a void one is remembered, because its copy might have become valid in between.
 func (p *Programs) applySlot(pos id.Position, slot id.Slot, rec *record.Record) Reason {
 	p.forget(slot, pos.Offset())
+	if c, ok := p.contents[slot]; ok && c.voids.has(rec.GetId()) {
+		return Duplicate
+	}
+	reason := p.judge(pos, slot, rec)
+	if reason != Valid {
+		p.content(slot).voids.add(rec.GetId(), pos.Offset())
+	}
+
+	return reason
+}
+
+func (p *Programs) judge(pos id.Position, slot id.Slot, rec *record.Record) Reason {
 	switch body := rec.GetBody().(type) {
 	case *recordpb.Record_Claim:
 		return p.applyClaim(pos, slot, rec, body.Claim)
@@ -290,7 +304,10 @@
 		return reason
 	}
 	program.Turns = append(program.Turns, body)
-	root := p.programs[program.ID.Root()]
+	root, ok := p.programs[program.ID.Root()]
+	if !ok {
+		return Valid
+	}
 	root.Used += id.Tokens(max(0, body.GetPromptTokens()) + max(0, body.GetCompletionTokens()))
 	root.Marked = max(root.Marked, root.Used)
 
--- a/core/fold/retain.go
+++ b/core/fold/retain.go
@@ -14,6 +14,8 @@
 	ended    []endedProgram
 	// calls are in the order of their intents.
 	calls []*Call
+	// voids are the records that were void for the slot: a second copy might be valid by then.
+	voids seen
 	// snapshot is the latest complete snapshot of the slot.
 	snapshot SnapshotMark
 	// since and pending belong to a slot of unknown state: what was read of it since a gap.
@@ -67,6 +69,7 @@
 		drop++
 	}
 	c.calls = slices.Delete(c.calls, 0, drop)
+	c.voids.forget(now)
 }
 
 // sweep forgets in one slot for each append, so that quiet slots are emptied as well.
--- /dev/null
+++ b/core/fold/retain_test.go
@@ -0,0 +1,201 @@
+package fold_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+)
+
+// stream appends records to a folder, each in an append of its own.
+type stream struct {
+	t      *testing.T
+	folder fold.Folder[*fold.Programs]
+	epochs map[id.Slot]id.Epoch
+}
+
+func newStream(t *testing.T) *stream {
+	return &stream{t: t, folder: fold.Folder[*fold.Programs]{State: &fold.Programs{}}, epochs: make(map[id.Slot]id.Epoch)}
+}
+
+func (s *stream) append(rec *record.Record) fold.Reason {
+	s.t.Helper()
+	data, err := record.EncodeOne(rec)
+	require.NoError(s.t, err)
+
+	return s.folder.Append(s.folder.Next(), data)[0].Reason
+}
+
+// quiet passes appends without records.
+func (s *stream) quiet(appends id.Offset) {
+	for range appends {
+		s.folder.Append(s.folder.Next(), nil)
+	}
+}
+
+func (s *stream) claim(slot id.Slot) {
+	s.t.Helper()
+	rec := record.New("host-1")
+	rec.Born = uint64(s.folder.Next())
+	rec.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{
+		Slots: []uint32{uint32(slot)}, Epochs: []uint64{uint64(s.epochs[slot])}, Forced: true,
+	}}
+	require.Equal(s.t, fold.Valid, s.append(rec))
+	s.epochs[slot] = s.folder.State.Slot(slot).Epoch
+}
+
+func (s *stream) fenced(slot id.Slot) *record.Record {
+	rec := record.NewFenced("host-1", slot, s.epochs[slot])
+	rec.Born = uint64(s.folder.Next())
+
+	return rec
+}
+
+func (s *stream) open(program, parent string) *record.Record {
+	rec := s.fenced(id.ProgramSlot(id.Program(program)))
+	rec.Body = &recordpb.Record_ProgramOpen{ProgramOpen: &recordpb.ProgramOpen{Program: program, Workspace: "w", Parent: parent}}
+
+	return rec
+}
+
+func (s *stream) end(program string) *record.Record {
+	rec := s.fenced(id.ProgramSlot(id.Program(program)))
+	rec.Body = &recordpb.Record_ProgramEnd{ProgramEnd: &recordpb.ProgramEnd{Program: program, Reason: "ended"}}
+
+	return rec
+}
+
+func (s *stream) turn(program string) *record.Record {
+	rec := s.fenced(id.ProgramSlot(id.Program(program)))
+	rec.Body = &recordpb.Record_Turn{Turn: &recordpb.Turn{Program: program, Number: 1}}
+
+	return rec
+}
+
+func (s *stream) intent() *record.Record {
+	rec := s.fenced(id.CallSlot("w", "k"))
+	rec.Body = &recordpb.Record_Intent{Intent: &recordpb.Intent{Workspace: "w", Service: "s", Key: "k"}}
+
+	return rec
+}
+
+func TestEndedProgramsAndOldCallsLeave(t *testing.T) {
+	s := newStream(t)
+	s.claim(id.ProgramSlot("a"))
+	s.claim(id.CallSlot("w", "k"))
+	opened := s.open("a", "")
+	require.Equal(t, fold.Valid, s.append(opened))
+	require.Equal(t, fold.Valid, s.append(s.open("a.x", "a")))
+	require.Equal(t, fold.Valid, s.append(s.intent()))
+	require.Equal(t, fold.Valid, s.append(s.end("a")))
+	require.Equal(t, fold.ProgramNotOpen, s.append(s.turn("a.x")), "the end of a program ends its sub-agents")
+
+	s.quiet(fold.ProgramWindow - 2)
+	require.Equal(t, fold.ProgramNotOpen, s.append(s.turn("a")))
+	require.Equal(t, fold.NoSuchProgram, s.append(s.turn("a")))
+	require.Empty(t, s.folder.State.SlotPrograms(id.ProgramSlot("a")))
+	require.Equal(t, fold.Late, s.append(proto.CloneOf(withID(opened, "again"))), "a late copy does not open the program again")
+
+	require.Equal(t, fold.IntentExists, s.append(s.intent()))
+	s.quiet(fold.CallWindow - fold.ProgramWindow)
+	require.Equal(t, fold.Valid, s.append(s.intent()))
+}
+
+func withID(rec *record.Record, name string) *record.Record {
+	rec.Id = name
+
+	return rec
+}
+
+func TestQuietSlotsAreSwept(t *testing.T) {
+	s := newStream(t)
+	s.claim(id.ProgramSlot("a"))
+	require.Equal(t, fold.Valid, s.append(s.open("a", "")))
+	require.Equal(t, fold.Valid, s.append(s.end("a")))
+	s.quiet(fold.ProgramWindow)
+	for range id.SlotCount {
+		s.append(s.turn("b"))
+	}
+	_, ok := s.folder.State.Program("a")
+	require.False(t, ok)
+}
+
+func TestRecordsFarBehindTheirBirthAreVoid(t *testing.T) {
+	s := newStream(t)
+	s.claim(id.ProgramSlot("a"))
+	late, later := s.open("a", ""), s.open("a", "")
+	s.quiet(fold.DedupWindow)
+	require.Equal(t, fold.Valid, s.append(late))
+	require.Equal(t, fold.Duplicate, s.append(late))
+	s.quiet(fold.DedupWindow + 1)
+	require.Equal(t, fold.Late, s.append(late), "the window of births ends before ids are forgotten")
+	require.Equal(t, fold.Late, s.append(later))
+}
+
+func TestClaimAndTurnInOneAppend(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	old := s.open("a", "")
+	claim := record.New("host-2")
+	claim.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{
+		Slots: []uint32{uint32(slot)}, Epochs: []uint64{uint64(s.epochs[slot])}, Forced: true,
+	}}
+	next := s.folder.Next()
+	taken := record.NewFenced("host-2", slot, id.NewPosition(next, 0))
+	taken.Body = s.open("a", "").GetBody()
+	data, err := record.Encode([]*record.Record{claim, taken, old})
+	require.NoError(t, err)
+	verdicts := s.folder.Append(next, data)
+	require.Equal(t, []fold.Reason{fold.Valid, fold.Valid, fold.StaleEpoch},
+		[]fold.Reason{verdicts[0].Reason, verdicts[1].Reason, verdicts[2].Reason})
+}
+
+func TestSnapshotBeforeTheFirstReadRecordRestoresNothing(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	data, err := proto.Marshal(s.folder.State.Snapshot(slot, s.folder.Next()))
+	require.NoError(t, err)
+	late := fold.Folder[*fold.Programs]{State: &fold.Programs{}}
+	late.Skip(5)
+	for _, next := range []id.Offset{4, 5} {
+		rec := record.New("host-1")
+		rec.Slot = uint32(slot)
+		rec.Body = &recordpb.Record_SnapshotChunk{SnapshotChunk: &recordpb.SnapshotChunk{
+			Snapshot: rec.GetId(), Count: 1, Next: uint64(next), Data: data,
+		}}
+		payload, err := record.EncodeOne(rec)
+		require.NoError(t, err)
+		late.Append(late.Next(), payload)
+		require.Equal(t, next < 5, late.State.Wants(slot), "a snapshot that contains the appends before %d", next)
+	}
+	require.Equal(t, fold.SlotOwned, late.State.Slot(slot).State)
+}
+
+func TestNewerAndCorruptRecordsAreReported(t *testing.T) {
+	s := newStream(t)
+	newer := s.open("a", "")
+	newer.Version = record.Version + 1
+	require.Equal(t, fold.UnknownVersion, s.append(newer))
+	require.Empty(t, s.folder.Append(1, []byte("not a batch")))
+	require.Equal(t, fold.UnknownKind, s.append(s.fencedOwned("b")))
+	require.Equal(t, map[uint32]int{2: 1}, s.folder.Unknown())
+	require.Equal(t, 1, s.folder.Corrupt())
+	var offsets []id.Offset
+	for _, finding := range s.folder.Findings() {
+		offsets = append(offsets, finding.Offset)
+	}
+	require.Equal(t, []id.Offset{0, 1, 3}, offsets)
+}
+
+func (s *stream) fencedOwned(program id.Program) *record.Record {
+	s.claim(id.ProgramSlot(program))
+
+	return s.fenced(id.ProgramSlot(program))
+}
--- a/core/fold/snapshot.go
+++ b/core/fold/snapshot.go
@@ -41,6 +41,7 @@
 	if !ok {
 		return snapshot
 	}
+	snapshot.Voids = c.voids.snapshot(next)
 	for _, name := range c.programs {
 		program := p.programs[name]
 		if program.Ended == 0 || !expired(program.Ended, ProgramWindow, next) {
@@ -148,6 +149,7 @@
 	}
 	p.keepLevels(slot, snapshot.GetLevels())
 	p.slots[slot].Fresh = snapshot.GetFresh()
+	c.voids.restore(snapshot.GetVoids())
 	for _, program := range snapshot.GetPrograms() {
 		p.restoreProgram(slot, program)
 	}
