--- a/core/fold/control_test.go
+++ b/core/fold/control_test.go
@@ -94,6 +94,10 @@
 			default:
 				require.Equal(t, before, state.Settings().Version, "the settings changed without a publish")
 			}
+			if verdict.Valid() && rec.GetKeyWithdraw() != nil {
+				key, ok := state.Key(id.Key(rec.GetKeyWithdraw().GetKey()))
+				require.True(t, ok && key.Withdrawn, "a withdrawal counts at once")
+			}
 			for _, key := range state.Keys() {
 				require.False(t, withdrawn[key.Key] && !key.Withdrawn, "key %s works again", key.Key)
 				withdrawn[key.Key] = key.Withdrawn
--- a/core/fold/retain_test.go
+++ b/core/fold/retain_test.go
@@ -199,3 +199,68 @@
 
 	return s.fenced(id.ProgramSlot(program))
 }
+
+func (s *stream) mark(program string, tokens int64) *record.Record {
+	rec := s.fenced(id.ProgramSlot(id.Program(program)))
+	rec.Body = &recordpb.Record_BudgetMark{BudgetMark: &recordpb.BudgetMark{Program: program, Tokens: tokens}}
+
+	return rec
+}
+
+func TestTakeoverCountsWhatWasReserved(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	require.Equal(t, fold.Valid, s.append(s.open("a", "")))
+	require.Equal(t, fold.Valid, s.append(s.mark("a", 100)))
+	require.Equal(t, fold.Valid, s.append(s.mark("a", 60)))
+	program, ok := s.folder.State.Program("a")
+	require.True(t, ok)
+	require.Equal(t, id.Tokens(100), program.Marked)
+	require.Zero(t, program.Used)
+	s.claim(slot)
+	require.Equal(t, id.Tokens(100), program.Used, "the last owner may have spent all of it")
+
+	require.Equal(t, fold.Valid, s.append(s.mark("a", 150)))
+	release := record.New("host-1")
+	release.Body = &recordpb.Record_Release{Release: &recordpb.Release{
+		Slots: []uint32{uint32(slot)}, Epochs: []uint64{uint64(s.epochs[slot])},
+	}}
+	require.Equal(t, fold.Valid, s.append(release))
+	require.Equal(t, fold.StaleEpoch, s.append(s.turn("a")), "a call that was under way at the release")
+	s.claim(slot)
+	require.Equal(t, id.Tokens(100), program.Used, "a release follows the end of all calls")
+}
+
+func TestSecondClaimOnTheSameEpochIsVoid(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	for i, want := range []fold.Reason{fold.Valid, fold.NotOwner} {
+		rec := record.New(id.Host([]string{"host-2", "host-3"}[i]))
+		rec.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{
+			Slots: []uint32{uint32(slot)}, Epochs: []uint64{uint64(s.epochs[slot])}, Forced: true,
+		}}
+		require.Equal(t, want, s.append(rec))
+	}
+	require.Equal(t, id.Host("host-2"), s.folder.State.Slot(slot).Owner)
+}
+
+func TestOutcomeReplacesOnlyAnUnknownOne(t *testing.T) {
+	s := newStream(t)
+	slot := id.CallSlot("w", "k")
+	s.claim(slot)
+	outcome := func(unknown bool) *record.Record {
+		rec := s.fenced(slot)
+		rec.Body = &recordpb.Record_Outcome{Outcome: &recordpb.Outcome{Workspace: "w", Service: "s", Key: "k", Unknown: unknown}}
+
+		return rec
+	}
+	require.Equal(t, fold.NoSuchIntent, s.append(outcome(false)))
+	require.Equal(t, fold.Valid, s.append(s.intent()))
+	require.Equal(t, fold.Valid, s.append(outcome(true)))
+	require.Equal(t, fold.OutcomeExists, s.append(outcome(true)))
+	require.Equal(t, fold.Valid, s.append(outcome(false)))
+	require.Equal(t, fold.OutcomeExists, s.append(outcome(false)))
+	require.Equal(t, fold.OutcomeExists, s.append(outcome(true)))
+}
