--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -20,6 +20,8 @@
 	HostsAddress string
 	// AppendLinger is how long an append waits for more records.
 	AppendLinger time.Duration
+	// LogRetention is how long the log keeps records at least; snapshots are due before half of it has passed.
+	LogRetention time.Duration
 	// WhereLifetime is how long callers may keep the answer to where.
 	WhereLifetime time.Duration
 	// DrainTimeout bounds a graceful shutdown.
@@ -47,6 +49,7 @@
 	fallback(&c.OperatorAddress, loopback)
 	fallback(&c.PeerAddress, loopback)
 	fallback(&c.AppendLinger, defaults.AppendLinger)
+	fallback(&c.LogRetention, defaults.LogRetention)
 	fallback(&c.WhereLifetime, defaults.WhereLifetime)
 	fallback(&c.DrainTimeout, defaults.DrainTimeout)
 	fallback(&c.MaxBodyBytes, defaults.MaxBodyBytes)
