--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -32,6 +32,8 @@
 // not depend on the rest of the document can be made.
 func readDocument(r *report, source []byte) *ast.MappingNode {
 	source = bytes.TrimPrefix(source, []byte("\ufeff"))
+	// The parser counts both characters of a line break inside quotes as lines.
+	source = bytes.ReplaceAll(source, []byte("\r\n"), []byte("\n"))
 	if !checkSource(r, source) {
 		return nil
 	}
@@ -75,7 +77,7 @@
 	line := 0
 	for text := range strings.Lines(string(source)) {
 		line++
-		checkLine(r, line, strings.TrimRight(text, "\r\n"))
+		checkLine(r, line, strings.TrimSuffix(text, "\n"))
 	}
 
 	return len(r.findings) == before
--- a/core/settings/mapping.go
+++ b/core/settings/mapping.go
@@ -57,7 +57,7 @@
 
 // checkListeners reports addresses that are listened on twice; port 0 takes a free one each time.
 func checkListeners[T any](r *report, mapping *ast.MappingNode, keys []Key[T]) {
-	fields, _ := fieldsOf(&report{}, "", mapping)
+	fields, _ := fieldsOf(&report{partial: r.partial}, "", mapping)
 	first := make(map[string]field)
 	for _, f := range fields {
 		spec, ok := lookup(keys, f.name)
--- a/core/settings/parse.go
+++ b/core/settings/parse.go
@@ -56,7 +56,7 @@
 // read checks the top of the document.
 func (t *Tree) read(r *report, mapping *ast.MappingNode) {
 	*t.fleet = readMapping(r, "", documentStart, mapping, fleetKeys)
-	fields, _ := fieldsOf(&report{}, "", mapping)
+	fields, _ := fieldsOf(&report{partial: r.partial}, "", mapping)
 	for _, f := range fields {
 		if f.value == nil {
 			continue
