--- a/cmd/cardamomward/main_test.go
+++ b/cmd/cardamomward/main_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -46,9 +47,16 @@
 	require.NoError(t, err)
 	p.cmd.Stderr = p.cmd.Stdout
 	require.NoError(t, p.cmd.Start())
+	var printed printedLines
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("%v printed:\n%s", args, printed.tail())
+		}
+	})
 	go func() {
 		scanner := bufio.NewScanner(out)
 		for scanner.Scan() {
+			printed.add(scanner.Text())
 			select {
 			case p.lines <- scanner.Text():
 			default:
@@ -66,6 +74,32 @@
 	return p
 }
 
+// printedLines are the latest lines of a process, shown when its test fails.
+type printedLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// keptLines bounds the lines that are shown.
+const keptLines = 60
+
+func (p *printedLines) add(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if strings.Contains(line, "event=turn-kept") || strings.Contains(line, "event=program-") {
+		return
+	}
+	p.lines = append(p.lines, line)
+	p.lines = p.lines[max(0, len(p.lines)-keptLines):]
+}
+
+func (p *printedLines) tail() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return strings.Join(p.lines, "\n")
+}
+
 // await returns the first line that contains text.
 func (p *process) await(t *testing.T, text string) string {
 	t.Helper()
--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -64,6 +64,8 @@
 		live = append(live, h.config.Host)
 		slices.Sort(live)
 	}
+	engaged := h.owner.Engaged()
+	listed := h.members.Listed()
 	var decision slot.Decision
 	h.programs.View(func(state *fold.Programs) {
 		decision = h.decider.Decide(now, slot.View{
@@ -71,11 +73,11 @@
 			Run:     h.owner.Run,
 			Leaving: h.leaving.Load(),
 			Live:    live,
-			Listed:  h.members.Listed(),
+			Listed:  listed,
 			Silence: func(host id.Host) time.Duration { return h.members.Silence(host, now) },
 			Slots:   &state.Slots,
-			Busy:    h.owner.Busy,
-			Sealed:  h.owner.Sealed,
+			Busy:    in(engaged.Busy),
+			Sealed:  in(engaged.Sealed),
 		})
 	})
 	if decision.Empty() {
@@ -89,6 +91,15 @@
 	h.release(ctx, decision.Release)
 }
 
+// in reports whether a slot is in a set.
+func in(set map[id.Slot]struct{}) func(id.Slot) bool {
+	return func(number id.Slot) bool {
+		_, ok := set[number]
+
+		return ok
+	}
+}
+
 func (h *Host) claim(ctx context.Context, targets []slot.Target, forced bool) {
 	if len(targets) == 0 {
 		return
