--- a/core/fold/slots.go
+++ b/core/fold/slots.go
@@ -72,8 +72,12 @@
 	return state.State == SlotOwned && state.Owner == host && state.Epoch == epoch
 }
 
-// Heard returns the position of a host's latest record, valid or not.
-func (s *Slots) Heard(host id.Host) id.Position { return s.heard[host] }
+// Heard calls visit for each host with the position of its latest record, valid or not.
+func (s *Slots) Heard(visit func(id.Host, id.Position)) {
+	for host, pos := range s.heard {
+		visit(host, pos)
+	}
+}
 
 func (s *Slots) hear(pos id.Position, host id.Host) {
 	if s.heard == nil {
--- a/core/slot/decide.go
+++ b/core/slot/decide.go
@@ -87,6 +87,7 @@
 func (d *Decider) Decide(now time.Time, view View) Decision {
 	d.table.Update(view.Live)
 	d.wake(now)
+	d.listen(now, view.Slots)
 	d.observe(now, view)
 	var decision Decision
 	for number := range id.SlotCount {
@@ -124,22 +125,26 @@
 	d.last = now
 }
 
+// listen notes when the latest record of each host was read.
+func (d *Decider) listen(now time.Time, slots *fold.Slots) {
+	if d.heard == nil {
+		d.heard = make(map[id.Host]heardHost)
+	}
+	slots.Heard(func(host id.Host, pos id.Position) {
+		if d.heard[host].pos != pos {
+			d.heard[host] = heardHost{pos: pos, at: now}
+		}
+	})
+}
+
 // silent reports whether neither heartbeats nor records of a host came for the timeout.
 func (d *Decider) silent(now time.Time, view View, host id.Host) bool {
 	timeout := SilenceTimeout
 	if 2*len(view.Live) < view.Listed {
 		timeout = MinorityTimeout
 	}
-	if d.heard == nil {
-		d.heard = make(map[id.Host]heardHost)
-	}
-	heard, ok := d.heard[host]
-	if pos := view.Slots.Heard(host); !ok || pos != heard.pos {
-		heard = heardHost{pos: pos, at: now}
-		d.heard[host] = heard
-	}
 
-	return min(view.Silence(host), now.Sub(heard.at), now.Sub(d.awake)) >= timeout
+	return min(view.Silence(host), now.Sub(d.heard[host].at), now.Sub(d.awake)) >= timeout
 }
 
 // observe counts the slots that this host has forced and another host holds.
