--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/core/slot"
 	"cardamomward/io/caller"
 	"cardamomward/io/engine"
@@ -47,6 +48,8 @@
 	callers  *caller.Server
 	limits   *limiter.Limiter
 	pools    *limiter.Pools
+	relay    *platform.Relay
+	dial     DialFunc
 	decider  slot.Decider
 	pool     *ants.Pool
 
@@ -59,14 +62,28 @@
 	once    sync.Once
 }
 
+// DialFunc dials an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options are what a host needs of the world.
+type Options struct {
+	Logger logr.Logger
+	// Dial connects to peers, upstreams and the platform; nil stands for a plain dialer.
+	Dial DialFunc
+}
+
 // New binds the host's addresses and puts its parts together; Run starts it.
-func New(config Config, logger logr.Logger) (*Host, error) {
+func New(config Config, opts Options) (*Host, error) {
 	config = config.withDefaults()
 	h := &Host{
 		config:  config,
-		logger:  logger.WithValues("host", config.Host),
+		logger:  opts.Logger.WithValues("host", config.Host),
+		dial:    opts.Dial,
 		drained: make(chan struct{}),
 	}
+	if h.dial == nil {
+		h.dial = (&net.Dialer{}).DialContext
+	}
 	if err := h.bind(); err != nil {
 		return nil, err
 	}
@@ -90,18 +107,28 @@
 		return web
 	}
 	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
-	h.operatorWeb = open(h.config.OperatorAddress, defaultMaxBody)
+	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
 	return errors.Join(errsFound...)
 }
 
+// maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
+const maxOperatorBody = settings.MaxDocument + 1<<20
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
-func newHTTP(keepAlive bool) *http.Client {
+func (h *Host) newHTTP(keepAlive bool) *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+
+		return h.dial(ctx, network, address)
+	}
+
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
@@ -109,16 +136,19 @@
 }
 
 func (h *Host) wire() {
-	shared := newHTTP(true)
-	log := &platform.LogClient{Address: h.config.LogAddress, Client: newHTTP(true)}
+	shared := h.newHTTP(true)
+	log := &platform.LogClient{Address: h.config.LogAddress, Client: h.newHTTP(true)}
 	h.hosts = &platform.HostsClient{Address: h.config.HostsAddress, Client: shared}
-	options := platform.JournalOptions{Log: log, Linger: h.config.AppendLinger, Spacing: h.appendSpacing, Logger: h.logger}
+	h.relay = &platform.Relay{Log: log, Peers: h.readFromPeers}
+	options := platform.JournalOptions{
+		Log: h.relay, Linger: h.config.AppendLinger, Spacing: h.appendSpacing, Logger: h.logger,
+	}
 	options.Stream = platform.ControlStream
 	h.control = &platform.Control{Journal: platform.NewJournal(&fold.Control{}, options), Host: h.config.Host}
-	options.Stream = platform.ProgramsStream
+	options.Log, options.Stream = log, platform.ProgramsStream
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
-	h.engines = &engine.Pool{HTTP: newHTTP(true), Logger: h.logger}
+	h.engines = &engine.Pool{HTTP: h.newHTTP(true), Logger: h.logger}
 	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
 	h.engines.Changed = dispatcher.Pump
 	h.owner = &owner.Owner{
@@ -128,7 +158,7 @@
 		Control:     h.control,
 		Dispatcher:  dispatcher,
 		Pool:        h.pool,
-		ServiceHTTP: newHTTP(false),
+		ServiceHTTP: h.newHTTP(false),
 		Logger:      h.logger,
 	}
 	h.limits = &limiter.Limiter{MaxHosts: h.config.MaxHosts, Ask: h.askGrant}
@@ -182,9 +212,10 @@
 	}
 	select {
 	case <-ctx.Done():
+		h.abort()
 	case <-h.drained:
+		h.close()
 	}
-	h.close()
 	cancel()
 	group.Wait()
 	h.logger.Info("host-stopped")
@@ -195,16 +226,32 @@
 // closeTimeout bounds the closing of the listeners once the host is drained.
 const closeTimeout = 2 * time.Second
 
+// close ends the servers once the host is drained; only idle connections are left then.
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, web := range []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb} {
-		if err := web.Close(ctx); err != nil {
-			h.logger.V(1).Info("close-failed", "error", err)
-		}
+	var group sync.WaitGroup
+	for _, web := range h.servers() {
+		group.Go(func() {
+			if err := web.Close(ctx); err != nil {
+				h.logger.V(1).Info("close-failed", "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// abort ends the servers with all requests under way.
+func (h *Host) abort() {
+	for _, web := range h.servers() {
+		web.Abort()
 	}
 }
 
+func (h *Host) servers() []*httpx.Server {
+	return []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb}
+}
+
 func (h *Host) announceLoop(ctx context.Context) {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -159,7 +159,7 @@
 		page, err := j.log.Read(readCtx, j.stream, next, readWait)
 		cancel()
 		if err == nil {
-			next, err = j.apply(page, next, sent)
+			next, err = j.apply(page, next, sent.Add(-page.Age))
 		}
 		if err != nil {
 			j.logger.V(1).Info("log-read-failed", "stream", j.stream, "error", err)
@@ -191,7 +191,9 @@
 	news := len(page.Entries) > 0
 	if next >= page.Next && j.folder.State.Complete() {
 		news = news || !j.caughtUp
-		j.heard = sent
+		if sent.After(j.heard) {
+			j.heard = sent
+		}
 		j.caughtUp = true
 	}
 	if news {
--- a/io/platform/log.go
+++ b/io/platform/log.go
@@ -22,6 +22,8 @@
 	First   id.Offset `json:"first"`
 	Next    id.Offset `json:"next"`
 	Entries []Entry   `json:"entries"`
+	// Age is how old the page's knowledge is where it did not come from the log itself.
+	Age time.Duration `json:"-"`
 }
 
 // AppendResponse carries the offset of an append.
@@ -52,6 +54,7 @@
 	var resp AppendResponse
 	url := fmt.Sprintf("http://%s/v1/streams/%s", l.Address, stream)
 	err := httpx.DoRaw(ctx, l.client(), http.MethodPost, url, bytes.NewReader(data), &resp)
+	countAppend(stream, data)
 
 	return resp.Offset, err
 }
@@ -61,6 +64,7 @@
 	var page Page
 	url := fmt.Sprintf("http://%s/v1/streams/%s?from=%d&wait-ms=%d", l.Address, stream, from, wait.Milliseconds())
 	err := httpx.Do(ctx, l.client(), http.MethodGet, url, nil, &page)
+	countRead(stream, page)
 
 	return page, err
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -1,9 +1,9 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"fmt"
+	"regexp"
 	"sync"
 	"time"
 
@@ -14,6 +14,7 @@
 	"cardamomward/core/settings"
 	"cardamomward/io/daemon"
 	"cardamomward/io/operator"
+	"cardamomward/standin/cut"
 	"cardamomward/standin/engine"
 	"cardamomward/standin/hostlist"
 	"cardamomward/standin/logserver"
@@ -31,13 +32,23 @@
 	Document []byte
 	// Engine is the pattern for the engines.
 	Engine engine.Config
+	// FailureDomains are given to the hosts in turn; three stand in for none.
+	FailureDomains []id.FailureDomain
 	// WhereLifetime is how long the callers keep an answer.
 	WhereLifetime time.Duration
 	Logger        logr.Logger
+	// Network lets tests cut links; its ends are the hosts' and upstreams' names, log and hosts.
+	Network *cut.Network
 }
 
 const defaultHosts = 3
 
+// Names of the platform's services in the network.
+const (
+	LogName   = "log"
+	HostsName = "hosts"
+)
+
 // Fleet is a set of running stand-ins and hosts.
 type Fleet struct {
 	Log      *logserver.Server
@@ -50,7 +61,9 @@
 	// Settings is the parsed document.
 	Settings *settings.Fleet
 
+	network *cut.Network
 	cancels []context.CancelFunc
+	done    []chan struct{}
 	group   sync.WaitGroup
 }
 
@@ -67,6 +80,7 @@
 		Engines:  make(map[id.Upstream]*engine.Server),
 		Services: make(map[id.Upstream]*service.Server),
 		Document: opts.Document,
+		network:  opts.Network,
 	}
 	parsed, findings := settings.Parse("settings", opts.Document)
 	if len(findings) > 0 {
@@ -82,8 +96,12 @@
 	if opts.Hosts == 0 {
 		opts.Hosts = defaultHosts
 	}
+	if len(opts.FailureDomains) == 0 {
+		opts.FailureDomains = []id.FailureDomain{"domain-a", "domain-b", "domain-c"}
+	}
 	for i := range opts.Hosts {
-		if _, err := f.StartHost(ctx, fmt.Sprintf("host-%d", i+1), fmt.Sprintf("domain-%c", 'a'+i%3), opts); err != nil {
+		domain := opts.FailureDomains[i%len(opts.FailureDomains)]
+		if _, err := f.StartHost(ctx, fmt.Sprintf("host-%d", i+1), string(domain), opts); err != nil {
 			return nil, err
 		}
 	}
@@ -103,21 +121,26 @@
 	log.Start()
 	list.Start()
 	f.Log, f.List = log, list
+	f.name(log.Address(), LogName)
+	f.name(list.Address(), HostsName)
 
 	return nil
 }
 
 // startUpstreams starts a stand-in for each upstream and puts its address into the document.
 func (f *Fleet) startUpstreams(opts Options) error {
+	standins := make(map[string]string)
 	for _, svc := range f.Settings.SortedServices() {
 		for _, upstream := range svc.Upstreams {
 			address, err := f.startUpstream(svc, upstream, opts)
 			if err != nil {
 				return err
 			}
-			f.Document = bytes.ReplaceAll(f.Document, []byte(upstream.Address), []byte(address))
+			f.name(address, string(upstream.ID))
+			standins[upstream.Address] = address
 		}
 	}
+	f.Document = replaceAddresses(f.Document, standins)
 	parsed, findings := settings.Parse("settings", f.Document)
 	if len(findings) > 0 {
 		return ErrSettings.New("%v", findings)
@@ -127,6 +150,20 @@
 	return nil
 }
 
+// addressPattern matches runs of the characters that addresses consist of.
+var addressPattern = regexp.MustCompile(`[0-9A-Fa-f.:\[\]]+`)
+
+// replaceAddresses puts the stand-ins' addresses in the place of whole addresses in a document.
+func replaceAddresses(document []byte, standins map[string]string) []byte {
+	return addressPattern.ReplaceAllFunc(document, func(found []byte) []byte {
+		if address, ok := standins[string(found)]; ok {
+			return []byte(address)
+		}
+
+		return found
+	})
+}
+
 func (f *Fleet) startUpstream(svc *settings.Service, upstream settings.Upstream, opts Options) (string, error) {
 	if svc.Kind == settings.KindPlain {
 		server, err := service.New(service.Config{
@@ -160,22 +197,47 @@
 		LogAddress:    f.Log.Address(),
 		HostsAddress:  f.List.Address(),
 		WhereLifetime: opts.WhereLifetime,
-	}, opts.Logger)
+	}, daemon.Options{Logger: opts.Logger, Dial: f.dialer(name)})
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancels = append(f.cancels, cancel)
+	done := make(chan struct{})
+	f.done = append(f.done, done)
 	f.group.Go(func() {
+		defer close(done)
 		if err := host.Run(ctx); err != nil {
 			opts.Logger.Error(err, "host-failed")
 		}
 	})
 	f.Hosts = append(f.Hosts, host)
+	f.name(host.Entry().Peer, name)
 
 	return host, nil
 }
 
+// dialer returns the network's dial function for an end, or nil for the plain one.
+func (f *Fleet) dialer(name string) daemon.DialFunc {
+	if f.network == nil {
+		return nil
+	}
+
+	return daemon.DialFunc(f.network.Dialer(name))
+}
+
+func (f *Fleet) name(address, name string) {
+	if f.network != nil {
+		f.network.Name(address, name)
+	}
+}
+
+// Kill ends a host at once, without a drain.
+func (f *Fleet) Kill(index int) {
+	f.cancels[index]()
+	<-f.done[index]
+}
+
 // Operator returns a client for the operators' interface of a host.
 func (f *Fleet) Operator(index int) *operator.Client {
 	return &operator.Client{Address: f.Hosts[index].Entry().Operator}
@@ -225,14 +287,12 @@
 		cancel()
 	}
 	f.group.Wait()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
 	for _, server := range f.Engines {
-		server.Close(ctx) //nolint:errcheck // the process is about to end
+		server.Abort()
 	}
 	for _, server := range f.Services {
-		server.Close(ctx) //nolint:errcheck // the process is about to end
+		server.Abort()
 	}
-	f.List.Close(ctx) //nolint:errcheck // the process is about to end
-	f.Log.Close(ctx)  //nolint:errcheck // the process is about to end
+	f.List.Abort()
+	f.Log.Abort()
 }
