core/queue: weighted fair shares, least attained service, urgent class

Cause: the queue was first come first served, so one workspace or one long program could hold up all others. Ruled out: a linear scan for a call that an upstream refuses (its cost grew with the calls waiting). Change: virtual token counters by workspace with lift after idle, least attained service with linear ageing by program, an urgent class up to four fifths of the tokens, a verdict Taken/Passed/Full in place of a boolean; a call that is passed over is set aside for 20 ms, so at most 16 are tried a Pop.

--- /dev/null
+++ b/core/queue/bench_test.go
@@ -0,0 +1,63 @@
+package queue_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"cardamomward/core/id"
+	"cardamomward/core/queue"
+)
+
+// fill returns a queue with waiting calls spread over workspaces.
+func fill(workspaces, waiting int) (*queue.Queue[int], []queue.Item) {
+	q := &queue.Queue[int]{}
+	items := make([]queue.Item, waiting)
+	for i := range items {
+		items[i] = queue.Item{
+			Workspace: id.Workspace(fmt.Sprintf("workspace-%d", i%workspaces)),
+			Program:   id.Program(fmt.Sprintf("program-%d", i)),
+			Cost:      id.Tokens(100 + i%900),
+			Urgent:    i%50 == 0,
+		}
+		q.Push(start, items[i], i)
+	}
+
+	return q, items
+}
+
+func BenchmarkPushPopCharge(b *testing.B) {
+	for _, size := range []struct{ workspaces, waiting int }{{8, 200}, {8, 2200}, {850, 8500}, {8500, 2200}, {8500, 85000}} {
+		b.Run(fmt.Sprintf("workspaces=%d/waiting=%d", size.workspaces, size.waiting), func(b *testing.B) {
+			q, items := fill(size.workspaces, size.waiting)
+			now := start
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				t, _ := q.Pop(now, take[int])
+				q.Charge(t.Item, t.Item.Cost+1)
+				q.Push(now, items[i%len(items)], i)
+			}
+		})
+	}
+}
+
+func BenchmarkMemoryOfAWaitingCall(b *testing.B) {
+	const few, many = 10_000, 110_000
+	heap := func(waiting int) uint64 {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q, _ := fill(8500, waiting)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(q)
+
+		return after.HeapAlloc - before.HeapAlloc
+	}
+	for range b.N {
+		b.ReportMetric(float64(heap(many)-heap(few))/(many-few), "B/call")
+	}
+}
--- a/io/owner/dispatch.go
+++ b/io/owner/dispatch.go
@@ -116,7 +116,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for {
-		_, ok := d.queue(service).Pop(now, func(t *queue.Ticket[*pending]) bool {
+		_, ok := d.queue(service).Pop(now, func(t *queue.Ticket[*pending]) queue.Verdict {
 			return place(now, t.Value, upstreams)
 		})
 		if !ok {
@@ -126,7 +126,7 @@
 }
 
 // place grants an upstream to a call if one has room.
-func place(now time.Time, value *pending, upstreams []*engine.Upstream) bool {
+func place(now time.Time, value *pending, upstreams []*engine.Upstream) queue.Verdict {
 	candidates := make([]placement.Candidate, 0, len(upstreams))
 	usable := make([]*engine.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -140,12 +140,12 @@
 	}
 	index, ok := placement.Choose(now, value.request, candidates)
 	if !ok {
-		return false
+		return queue.Passed
 	}
 	usable[index].Begin(now)
 	value.granted <- usable[index]
 
-	return true
+	return queue.Taken
 }
 
 func (d *Dispatcher) queue(service id.Service) *queue.Queue[*pending] {
