Place calls from an index, admit by deadline, and replay both against baselines in virtual time

Cause: placement scanned every upstream for each call and knew only the host's own calls; nothing could show whether a decision helped. Ruled out: one score over all 10,000 candidates (linear); trusting a report's load for its whole age. Change: core/placement keeps an incremental index (holders by prefix, sets of upstreams with room, random draws), core/admission refuses at once what cannot end before its deadline, core/replay drives the pure decisions in virtual time beside four baselines, io/owner dispatches with them.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -65,6 +65,18 @@
 	return chain
 }
 
+// Lengths returns about how many tokens each prefix of the messages has, shortest first.
+func Lengths(messages []Message) []id.Tokens {
+	lengths := make([]id.Tokens, len(messages))
+	var total id.Tokens
+	for i, m := range messages {
+		total += Estimate(m)
+		lengths[i] = total
+	}
+
+	return lengths
+}
+
 // Fingerprint returns the hash that identifies a request's content.
 func Fingerprint(workspace id.Workspace, messages []Message) id.Fingerprint {
 	last := Prefix(xxhash.Sum64String(string(workspace)))
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -135,6 +135,9 @@
 	}}
 }
 
+// liveHosts returns how many hosts send calls to the same upstreams.
+func (h *Host) liveHosts() int { return len(h.members.Live(time.Now())) + 1 }
+
 func (h *Host) wire() {
 	shared := h.newHTTP(true)
 	log := &platform.LogClient{Address: h.config.LogAddress, Client: h.newHTTP(true)}
@@ -147,8 +150,8 @@
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
 	h.engines = &engine.Pool{HTTP: h.newHTTP(true), Logger: h.logger}
-	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
-	h.engines.Changed = dispatcher.Pump
+	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain, Hosts: h.liveHosts}
+	h.engines.Changed, h.engines.Watcher = dispatcher.Pump, dispatcher
 	h.owner = &owner.Owner{
 		Host:        h.config.Host,
 		Journal:     h.programs,
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -9,7 +10,6 @@
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/id"
-	"cardamomward/core/placement"
 	"cardamomward/core/prompt"
 	"cardamomward/core/settings"
 )
@@ -25,8 +25,10 @@
 type Upstream struct {
 	Client
 
-	id     id.Upstream
-	domain id.FailureDomain
+	id      id.Upstream
+	domain  id.FailureDomain
+	service id.Service
+	watcher Watcher
 
 	mu       sync.Mutex
 	leaving  bool
@@ -74,52 +76,44 @@
 
 // Stored notes that the upstream has cached the prefixes of a call that it has answered.
 func (u *Upstream) Stored(chain []prompt.Prefix, tokens []id.Tokens) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.cached == nil {
-		u.cached = make(map[prompt.Prefix]id.Tokens)
-	}
+	events := make([]CacheEvent, len(chain))
 	for i, prefix := range chain {
-		u.cached[prefix] = tokens[i]
+		events[i] = CacheEvent{Kind: EventStored, Prefix: prefix, Tokens: tokens[i]}
 	}
+	u.mu.Lock()
+	u.fold(events)
+	u.mu.Unlock()
+	u.watcher.CacheChanged(u, events, false)
 }
 
 // failedPause is how long an upstream is passed over after a failure.
 const failedPause = 500 * time.Millisecond
 
-// Candidate returns what placement needs to know, and false while the upstream takes no new calls.
-func (u *Upstream) Candidate(now time.Time, chain []prompt.Prefix) (placement.Candidate, bool) {
+// Available reports whether the upstream takes new calls.
+func (u *Upstream) Available(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.leaving || now.Sub(u.failed) < failedPause {
-		return placement.Candidate{}, false
-	}
-	since := 0
-	for _, sent := range u.sends {
-		if sent.After(u.reported) {
-			since++
-		}
-	}
-	c := placement.Candidate{
-		Upstream:         u.id,
-		FailureDomain:    u.domain,
-		Slots:            u.load.Slots,
-		Running:          u.load.Running,
-		Waiting:          u.load.Waiting,
-		Reported:         u.reported,
-		Own:              u.own,
-		OwnSince:         since,
-		PrefillPerSecond: u.load.PrefillPerSec,
-	}
-	for _, prefix := range chain {
-		tokens, ok := u.cached[prefix]
-		if !ok {
-			break
-		}
-		c.Cached += tokens
+		return false
 	}
 
-	return c, true
+	return true
+}
+
+// Service returns the service that the upstream belongs to.
+func (u *Upstream) Service() id.Service { return u.service }
+
+// Domain returns the upstream's failure domain.
+func (u *Upstream) Domain() id.FailureDomain { return u.domain }
+
+// Watcher hears of what the pool learns; its methods are called without any lock of the pool.
+type Watcher interface {
+	// Configured names all upstreams of a service.
+	Configured(service id.Service, upstreams []*Upstream)
+	// Reported tells of a load report that described the upstream at a time; restarted says that it is a new process.
+	Reported(u *Upstream, at time.Time, load Load, restarted bool)
+	// CacheChanged tells of cache events; gap says that others before them were lost.
+	CacheChanged(u *Upstream, events []CacheEvent, gap bool)
 }
 
 // Pool keeps the engines that the settings name and polls their load.
@@ -128,6 +122,8 @@
 	Logger logr.Logger
 	// Changed is called when an engine may have room for more calls.
 	Changed func()
+	// Watcher must be set.
+	Watcher Watcher
 
 	mu        sync.Mutex
 	upstreams map[id.Upstream]*Upstream
@@ -136,9 +132,20 @@
 
 // Configure takes over the engines of the settings in force.
 func (p *Pool) Configure(fleet *settings.Fleet) {
+	for service, upstreams := range p.configure(fleet) {
+		p.Watcher.Configured(service, upstreams)
+	}
+}
+
+// configure returns all services, those that lost their last engine too.
+func (p *Pool) configure(fleet *settings.Fleet) map[id.Service][]*Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.upstreams
+	services := make(map[id.Service][]*Upstream)
+	for service := range p.services {
+		services[service] = nil
+	}
 	p.upstreams = make(map[id.Upstream]*Upstream)
 	p.services = make(map[id.Service][]*Upstream)
 	for _, service := range fleet.SortedServices() {
@@ -151,6 +158,7 @@
 				u = &Upstream{Client: Client{Address: setting.Address, HTTP: p.HTTP}}
 			}
 			u.id, u.domain = setting.ID, setting.FailureDomain
+			u.service, u.watcher = service.ID, p.Watcher
 			u.Progress = service.Progress
 			u.mu.Lock()
 			u.leaving = setting.Leaving
@@ -159,6 +167,9 @@
 			p.services[service.ID] = append(p.services[service.ID], u)
 		}
 	}
+	maps.Copy(services, p.services)
+
+	return services
 }
 
 // Upstreams returns the engines of a service.
@@ -219,9 +230,15 @@
 }
 
 func (u *Upstream) report(load Load, now time.Time) {
+	at, restarted := u.keepReport(load, now)
+	u.watcher.Reported(u, at, load, restarted)
+}
+
+func (u *Upstream) keepReport(load Load, now time.Time) (at time.Time, restarted bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if load.Run != u.load.Run {
+	restarted = load.Run != u.load.Run
+	if restarted {
 		u.cached = nil
 		u.nextSeq = 0
 	}
@@ -234,6 +251,8 @@
 		}
 	}
 	u.sends = kept
+
+	return u.reported, restarted
 }
 
 func (u *Upstream) nextEvent() uint64 {
@@ -243,17 +262,37 @@
 	return u.nextSeq
 }
 
-// apply folds cache events; those of another run of the engine are dropped.
+// apply takes over cache events; those of another run of the engine are dropped.
 func (u *Upstream) apply(events CacheEvents) {
+	if gap, ok := u.applyLocked(events); ok {
+		u.watcher.CacheChanged(u, events.Events, gap)
+	}
+}
+
+// applyLocked reports whether events before these are missing, and false where these do not count.
+func (u *Upstream) applyLocked(events CacheEvents) (gap, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if events.Run != u.load.Run {
-		return
+		return false, false
+	}
+	next := max(1, u.nextSeq)
+	for _, event := range events.Events {
+		gap = gap || event.Seq > next
+		next = event.Seq + 1
 	}
+	gap = gap || events.Next > next
+	u.fold(events.Events)
+	u.nextSeq = events.Next
+
+	return gap, true
+}
+
+func (u *Upstream) fold(events []CacheEvent) {
 	if u.cached == nil {
 		u.cached = make(map[prompt.Prefix]id.Tokens)
 	}
-	for _, event := range events.Events {
+	for _, event := range events {
 		switch event.Kind {
 		case EventStored:
 			u.cached[event.Prefix] = event.Tokens
@@ -261,7 +300,6 @@
 			delete(u.cached, event.Prefix)
 		}
 	}
-	u.nextSeq = events.Next
 }
 
 // UpstreamStatus is an engine as this host sees it, for the dump.
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -55,6 +55,7 @@
 		Service:      t.service.ID,
 		Item:         t.item(promptTokens),
 		Chain:        prompt.Chain(t.messages),
+		Lengths:      prompt.Lengths(t.messages),
 		PromptTokens: promptTokens,
 		Exclude:      make(map[id.Upstream]bool),
 	}
--- a/io/owner/dispatch.go
+++ b/io/owner/dispatch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cardamomward/core/admission"
 	"cardamomward/core/id"
 	"cardamomward/core/placement"
 	"cardamomward/core/prompt"
@@ -17,24 +18,34 @@
 type Dispatcher struct {
 	Pool          *engine.Pool
 	FailureDomain id.FailureDomain
+	// Hosts returns how many hosts send calls to the same upstreams; nil stands for one.
+	Hosts func() int
 
-	mu     sync.Mutex
-	queues map[id.Service]*queue.Queue[*pending]
+	mu    sync.Mutex
+	lanes map[id.Service]*lane
 }
 
+var _ engine.Watcher = (*Dispatcher)(nil)
+
 // pending is a call that waits for an upstream.
 type pending struct {
 	request placement.Request
-	chain   []prompt.Prefix
-	exclude map[id.Upstream]bool
-	granted chan *engine.Upstream
+	granted chan grant
+}
+
+// grant is an upstream that a call may use from a time on.
+type grant struct {
+	upstream *engine.Upstream
+	at       time.Time
 }
 
 // Call describes a model call to dispatch.
 type Call struct {
 	Service id.Service
 	Item    queue.Item
+	// Chain are the prefixes of the prompt, shortest first, Lengths their lengths in tokens.
 	Chain   []prompt.Prefix
+	Lengths []id.Tokens
 	// PromptTokens estimates the length of the whole prompt.
 	PromptTokens id.Tokens
 	// Exclude are upstreams that have failed this call.
@@ -51,32 +62,63 @@
 			WithRetry(noUpstreamRetry)
 	}
 	value := &pending{
-		request: placement.Request{PromptTokens: call.PromptTokens, FailureDomain: d.FailureDomain},
-		chain:   call.Chain,
-		exclude: call.Exclude,
-		granted: make(chan *engine.Upstream, 1),
+		request: placement.Request{
+			PromptTokens: call.PromptTokens, FailureDomain: d.FailureDomain, Chain: call.Chain, Tokens: call.Lengths,
+			Exclude: call.Exclude, Urgent: call.Item.Urgent,
+		},
+		granted: make(chan grant, 1),
+	}
+	ticket, err := d.push(ctx, call, value)
+	if err != nil {
+		return nil, err
 	}
-	d.mu.Lock()
-	q := d.queue(call.Service)
-	ticket := q.Push(time.Now(), call.Item, value)
-	d.mu.Unlock()
 	d.pump(call.Service)
 
 	select {
-	case u := <-value.granted:
-		return u, nil
+	case g := <-value.granted:
+		return g.upstream, nil
 	case <-ctx.Done():
 	}
-	d.mu.Lock()
-	waiting := q.Remove(ticket)
-	d.mu.Unlock()
-	if !waiting {
-		d.Release(call, <-value.granted, 0)
+	if !d.remove(call, ticket) {
+		g := <-value.granted
+		d.Release(call, g.upstream, 0)
 	}
 
 	return nil, context.Cause(ctx)
 }
 
+// push lets a call wait, or refuses it at once if it would not be served before its deadline.
+func (d *Dispatcher) push(ctx context.Context, call Call, value *pending) (*queue.Ticket[*pending], error) {
+	now := time.Now()
+	want := admission.Call{Continues: call.Item.Attained > 0, Urgent: call.Item.Urgent}
+	if deadline, ok := ctx.Deadline(); ok {
+		want.Left = deadline.Sub(now)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lane(call.Service)
+	if after, ok := l.gate.Admit(now, want, l.backlog); !ok {
+		return nil, refusal.New(refusal.Overloaded,
+			"the calls that wait for service %s leave no time for this one before its deadline", call.Service).WithRetry(after)
+	}
+	l.count(call.Item, 1)
+
+	return l.queue.Push(now, call.Item, value), nil
+}
+
+// remove takes a call out of its queue and reports whether it was still waiting.
+func (d *Dispatcher) remove(call Call, ticket *queue.Ticket[*pending]) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lane(call.Service)
+	if !l.queue.Remove(ticket) {
+		return false
+	}
+	l.count(call.Item, -1)
+
+	return true
+}
+
 // unservable reports whether every upstream of the service is excluded.
 func (d *Dispatcher) unservable(call Call) bool {
 	for _, u := range d.Pool.Upstreams(call.Service) {
@@ -91,17 +133,23 @@
 // Release gives an upstream's room back and charges what the call took.
 func (d *Dispatcher) Release(call Call, u *engine.Upstream, served id.Tokens) {
 	u.End()
+	now := time.Now()
 	d.mu.Lock()
-	d.queue(call.Service).Charge(call.Item, served)
+	l := d.lane(call.Service)
+	l.index.End(u.ID(), now)
+	l.gate.Ended(l.index.CallLength())
+	l.queue.Charge(call.Item, served)
 	d.mu.Unlock()
 	d.pump(call.Service)
 }
 
-// Pump serves all queues as far as the upstreams have room.
+// Pump serves all queues as far as the upstreams have room, after taking over which take new calls.
 func (d *Dispatcher) Pump() {
+	now := time.Now()
 	d.mu.Lock()
-	services := make([]id.Service, 0, len(d.queues))
-	for service := range d.queues {
+	services := make([]id.Service, 0, len(d.lanes))
+	for service, l := range d.lanes {
+		l.refresh(now)
 		services = append(services, service)
 	}
 	d.mu.Unlock()
@@ -111,63 +159,83 @@
 }
 
 func (d *Dispatcher) pump(service id.Service) {
-	upstreams := d.Pool.Upstreams(service)
+	hosts := 1
+	if d.Hosts != nil {
+		hosts = d.Hosts()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	for {
-		_, ok := d.queue(service).Pop(now, func(t *queue.Ticket[*pending]) queue.Verdict {
-			return place(now, t.Value, upstreams)
-		})
-		if !ok {
-			return
-		}
+	l := d.lane(service)
+	l.index.Hosts = hosts
+	l.serve(now)
+	at, ok := l.queue.Retry()
+	if !ok || l.retryAt.After(now) {
+		return
 	}
+	l.retryAt = at
+	time.AfterFunc(at.Sub(now), func() { d.pump(service) })
 }
 
-// place grants an upstream to a call if one has room.
-func place(now time.Time, value *pending, upstreams []*engine.Upstream) queue.Verdict {
-	candidates := make([]placement.Candidate, 0, len(upstreams))
-	usable := make([]*engine.Upstream, 0, len(upstreams))
-	for _, u := range upstreams {
-		if value.exclude[u.ID()] {
-			continue
-		}
-		if c, ok := u.Candidate(now, value.chain); ok {
-			candidates = append(candidates, c)
-			usable = append(usable, u)
-		}
+func (d *Dispatcher) lane(service id.Service) *lane {
+	if d.lanes == nil {
+		d.lanes = make(map[id.Service]*lane)
 	}
-	index, ok := placement.Choose(now, value.request, candidates)
+	l, ok := d.lanes[service]
 	if !ok {
-		return queue.Passed
+		l = &lane{}
+		d.lanes[service] = l
 	}
-	usable[index].Begin(now)
-	value.granted <- usable[index]
 
-	return queue.Taken
+	return l
 }
 
-func (d *Dispatcher) queue(service id.Service) *queue.Queue[*pending] {
-	if d.queues == nil {
-		d.queues = make(map[id.Service]*queue.Queue[*pending])
-	}
-	q, ok := d.queues[service]
-	if !ok {
-		q = &queue.Queue[*pending]{}
-		d.queues[service] = q
+// Configured implements engine.Watcher.
+func (d *Dispatcher) Configured(service id.Service, upstreams []*engine.Upstream) {
+	d.mu.Lock()
+	d.lane(service).configure(time.Now(), upstreams)
+	d.mu.Unlock()
+	d.pump(service)
+}
+
+// Reported implements engine.Watcher.
+func (d *Dispatcher) Reported(u *engine.Upstream, at time.Time, load engine.Load, restarted bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	index := &d.lane(u.Service()).index
+	if restarted {
+		index.Clear(u.ID())
 	}
+	index.Report(u.ID(), at, placement.Load{
+		Slots: load.Slots, Running: load.Running, Waiting: load.Waiting, PrefillPerSecond: load.PrefillPerSec,
+	})
+}
 
-	return q
+// CacheChanged implements engine.Watcher.
+func (d *Dispatcher) CacheChanged(u *engine.Upstream, events []engine.CacheEvent, gap bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	index := &d.lane(u.Service()).index
+	if gap {
+		index.Gap(u.ID())
+	}
+	for _, event := range events {
+		switch event.Kind {
+		case engine.EventStored:
+			index.Stored(u.ID(), event.Prefix)
+		case engine.EventRemoved:
+			index.Removed(u.ID(), event.Prefix)
+		}
+	}
 }
 
 // Waiting returns how many calls wait for each service.
 func (d *Dispatcher) Waiting() map[id.Service]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	waiting := make(map[id.Service]int, len(d.queues))
-	for service, q := range d.queues {
-		waiting[service] = q.Len()
+	waiting := make(map[id.Service]int, len(d.lanes))
+	for service, l := range d.lanes {
+		waiting[service] = l.queue.Len()
 	}
 
 	return waiting
