core/placement: weigh the loss of a program's own prefix ten times its prefill

Cause: a call moved to another upstream as soon as the prefill cost less than a short wait; the new upstream's other calls waited for that prefill and lost their prefixes, and every later turn followed. Change: the weight and the patience hold for continuing programs only; a full batch adds one call length.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -18,6 +18,8 @@
 	Exclude map[id.Upstream]bool
 	// Urgent calls may wait at an upstream, which serves them first.
 	Urgent bool
+	// Continues says that earlier turns of the program have left a prefix of its own at some upstream.
+	Continues bool
 	// Waited is how long the call has waited for an upstream.
 	Waited time.Duration
 }
@@ -45,7 +47,10 @@
 	// otherDomain is what a call to another failure domain costs, in seconds.
 	otherDomain = 0.004
 	// sharing is the part of a call's length that a full batch adds.
-	sharing = 0.3
+	sharing = 1
+	// ownPrefix is how many times its prefill the loss of a program's own prefix costs: others wait for the
+	// prefill too, lose their prefixes to it, and the program's later turns follow it.
+	ownPrefix = 10
 	// spareFactor is how many times its slots an upstream takes from urgent calls and hosts below their part.
 	spareFactor = 2
 )
@@ -172,14 +177,14 @@
 		return
 	}
 	if holds && (s.held == nil || score < s.heldScore) {
-		s.held, s.heldScore, s.heldSaving = u, score, cached/u.prefill()
+		s.held, s.heldScore, s.heldSaving = u, score, s.worth()*cached/u.prefill()
 	}
 }
 
 // score returns the seconds until the upstream has computed the prompt, with the slowdown of its batch.
 func (s *search) score(u *state, calls, cached float64) float64 {
 	slots := float64(u.slots())
-	score := max(0, float64(s.req.PromptTokens)-cached) / u.prefill()
+	score := s.worth() * max(0, float64(s.req.PromptTokens)-cached) / u.prefill()
 	score += sharing * s.index.callSec * min(1, calls/slots)
 	if over := calls - slots + 1; over > 0 && !s.req.Urgent {
 		score += over * s.index.callSec / slots
@@ -191,6 +196,15 @@
 	return score
 }
 
+// worth returns how many times its prefill a cached token saves.
+func (s *search) worth() float64 {
+	if s.req.Continues {
+		return ownPrefix
+	}
+
+	return 1
+}
+
 // room reports whether this host may send one more call to the upstream. A host with less than its part of
 // all slots under way may go further, so that lagging reports do not shut it out.
 func (s *search) room(u *state, calls float64) bool {
--- a/core/replay/policy.go
+++ b/core/replay/policy.go
@@ -91,7 +91,7 @@
 		var outcome placement.Outcome
 		chosen, outcome = o.index.Choose(now, &placement.Request{
 			PromptTokens: c.promptTokens, FailureDomain: o.domain, Chain: c.prefixes, Tokens: c.lengths,
-			Urgent: c.item.Urgent, Waited: now.Sub(t.Enqueued),
+			Urgent: c.item.Urgent, Continues: c.turn > 0, Waited: now.Sub(t.Enqueued),
 		})
 		switch outcome {
 		case placement.Chosen:
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -56,6 +56,7 @@
 		Item:         t.item(promptTokens),
 		Chain:        prompt.Chain(t.messages),
 		Lengths:      prompt.Lengths(t.messages),
+		Continues:    len(t.state.Turns) > 0,
 		PromptTokens: promptTokens,
 		Exclude:      make(map[id.Upstream]bool),
 	}
--- a/io/owner/dispatch.go
+++ b/io/owner/dispatch.go
@@ -46,6 +46,8 @@
 	// Chain are the prefixes of the prompt, shortest first, Lengths their lengths in tokens.
 	Chain   []prompt.Prefix
 	Lengths []id.Tokens
+	// Continues says that the program has had turns.
+	Continues bool
 	// PromptTokens estimates the length of the whole prompt.
 	PromptTokens id.Tokens
 	// Exclude are upstreams that have failed this call.
@@ -64,7 +66,7 @@
 	value := &pending{
 		request: placement.Request{
 			PromptTokens: call.PromptTokens, FailureDomain: d.FailureDomain, Chain: call.Chain, Tokens: call.Lengths,
-			Exclude: call.Exclude, Urgent: call.Item.Urgent,
+			Exclude: call.Exclude, Urgent: call.Item.Urgent, Continues: call.Continues,
 		},
 		granted: make(chan grant, 1),
 	}
@@ -90,7 +92,7 @@
 // push lets a call wait, or refuses it at once if it would not be served before its deadline.
 func (d *Dispatcher) push(ctx context.Context, call Call, value *pending) (*queue.Ticket[*pending], error) {
 	now := time.Now()
-	want := admission.Call{Continues: call.Item.Attained > 0, Urgent: call.Item.Urgent}
+	want := admission.Call{Continues: call.Continues, Urgent: call.Item.Urgent}
 	if deadline, ok := ctx.Deadline(); ok {
 		want.Left = deadline.Sub(now)
 	}
