--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -234,7 +234,7 @@
 }
 
 // depth returns how many calls may wait at an upstream, so that it stays busy between reports.
-func (s *state) depth() int { return max(1, s.slots()/8) }
+func (s *state) depth() int { return max(1, s.slots()/2) }
 
 // Places of a state in the sets of upstreams with room.
 const (
