--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -9,6 +9,8 @@
 	continuing = 1.5
 	// minRetry is the shortest time to come back.
 	minRetry = time.Second
+	// margin is how much longer than expected a refused caller waits, so that it is not refused again.
+	margin = 1.1
 	// maxRetry is the longest time to come back.
 	maxRetry = 2 * time.Minute
 )
@@ -98,5 +100,5 @@
 		return 0, true
 	}
 
-	return min(maxRetry, max(minRetry, expected-left)), false
+	return min(maxRetry, max(minRetry, time.Duration(margin*float64(expected-left)))), false
 }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -186,7 +186,7 @@
 	slots := float64(u.slots())
 	score := s.worth() * max(0, float64(s.req.PromptTokens)-cached) / u.prefill()
 	score += sharing * s.index.callSec * min(1, calls/slots)
-	if over := calls - slots + 1; over > 0 && !s.req.Urgent {
+	if over := calls - slots + 1; over > 0 {
 		score += over * s.index.callSec / slots
 	}
 	if u.domain != s.req.FailureDomain {
--- a/core/placement/index.go
+++ b/core/placement/index.go
@@ -33,6 +33,8 @@
 	reported time.Time
 	own      int
 	changes  []change
+	// since is the sum of the changes.
+	since int
 	// known are the prefixes that the upstream is taken to hold.
 	known map[prompt.Prefix]*holding
 	// gaps counts the gaps in the upstream's cache events.
@@ -152,6 +154,8 @@
 	for _, c := range s.changes {
 		if c.at.After(at) {
 			kept = append(kept, c)
+		} else {
+			s.since -= c.delta
 		}
 	}
 	s.changes = kept
@@ -187,12 +191,30 @@
 	s.own += delta
 	x.own += delta
 	if !s.reported.IsZero() {
-		s.changes = append(s.changes, change{at: now, delta: delta})
+		s.changed(now, delta)
 	}
 	x.others += s.others()
 	x.refresh(s)
 }
 
+// maxChanges bounds the changes that are kept while no report comes.
+const maxChanges = 256
+
+// changed notes a change; where reports have stopped, the older half is kept as one.
+func (s *state) changed(now time.Time, delta int) {
+	s.since += delta
+	s.changes = append(s.changes, change{at: now, delta: delta})
+	if len(s.changes) <= maxChanges {
+		return
+	}
+	merged := change{at: s.changes[maxChanges/2].at}
+	for _, c := range s.changes[:maxChanges/2+1] {
+		merged.delta += c.delta
+	}
+	s.changes = append(s.changes[:0], s.changes[maxChanges/2:]...)
+	s.changes[0] = merged
+}
+
 func (s *state) slots() int {
 	if s.load.Slots == 0 {
 		return defaultSlots
@@ -211,12 +233,7 @@
 
 // others returns the calls at the upstream that are not this host's, by the last report.
 func (s *state) others() int {
-	before := s.own
-	for _, c := range s.changes {
-		before -= c.delta
-	}
-
-	return max(0, s.load.Running+s.load.Waiting-before)
+	return max(0, s.load.Running+s.load.Waiting-(s.own-s.since))
 }
 
 // reportTrust is the age after which a load report is worth 1/e of a fresh one.
--- a/core/replay/table.go
+++ b/core/replay/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // TableHeader is the head of a Markdown table of results.
@@ -19,6 +20,17 @@
 		r.Wait(true, 0.99).Seconds(), r.Wait(false, 0.99).Seconds(), r.Refused, r.Calls)
 }
 
+// AloneRow returns the latencies that the scenario's programs have when each runs alone.
+func AloneRow(s Scenario) string {
+	var alone []time.Duration
+	for _, p := range s.Programs() {
+		alone = append(alone, s.Config.Model.alone(p.Agent))
+	}
+
+	return fmt.Sprintf("| each program alone | %.1f | %.1f | %.1f | | | | | | |\n",
+		at(alone, 0.5).Seconds(), at(alone, 0.95).Seconds(), at(alone, 0.99).Seconds())
+}
+
 // Title describes the scenario in a line.
 func (s Scenario) Title() string {
 	var b strings.Builder
