--- a/io/platform/relay.go
+++ b/io/platform/relay.go
@@ -153,8 +153,8 @@
 	if len(r.entries) > 0 {
 		first = r.entries[0].Offset
 	}
-	if from < first {
-		return Page{}, refusal.New(refusal.NotFound, "entries from offset %d on are not kept here", from)
+	if from < first || from > r.next {
+		return Page{}, refusal.New(refusal.NotFound, "entries from offset %d on are not known here", from)
 	}
 	page := Page{First: first, Next: r.next, Age: now.Sub(r.heard)}
 	for _, entry := range r.entries {
