--- a/core/placement/capacity_test.go
+++ b/core/placement/capacity_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
-	"unsafe"
 
 	"cardamomward/core/id"
 	"cardamomward/core/placement"
@@ -12,23 +12,26 @@
 
 // BenchmarkChoose places one call among the engines of a model.
 func BenchmarkChoose(b *testing.B) {
-	for _, engines := range []int{2, 12, 52, 833} {
+	for _, engines := range []int{2, 12, 52, 833, 10_000} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			var before, after runtime.MemStats
 			now := time.Unix(1000, 0)
-			candidates := make([]placement.Candidate, engines)
-			for i := range candidates {
-				candidates[i] = placement.Candidate{
-					Upstream: id.Upstream(fmt.Sprintf("runner-%05d", i)), FailureDomain: "domain-01",
-					Slots: 64, Running: i % 64, Reported: now.Add(-time.Second), Own: i % 3,
-					PrefillPerSecond: 20_000,
-				}
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			x := &placement.Index{}
+			for i := range engines {
+				name := id.Upstream(fmt.Sprintf("runner-%05d", i))
+				x.Set(name, "domain-01")
+				x.Report(name, now.Add(-time.Second), placement.Load{Slots: 64, Running: i % 64, PrefillPerSecond: 20_000})
 			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
 			req := placement.Request{PromptTokens: 4000, FailureDomain: "domain-01"}
 			b.ReportAllocs()
 			for b.Loop() {
-				placement.Choose(now, req, candidates)
+				x.Choose(now, &req)
 			}
-			b.ReportMetric(float64(unsafe.Sizeof(placement.Candidate{})), "bytes/candidate")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(engines), "heap-bytes/engine")
 		})
 	}
 }
--- a/core/placement/index_test.go
+++ b/core/placement/index_test.go
@@ -140,7 +140,7 @@
 	require.Equal(t, placement.Chosen, outcome)
 }
 
-func BenchmarkChoose(b *testing.B) {
+func BenchmarkChooseContinuing(b *testing.B) {
 	for _, size := range []struct{ upstreams, turns int }{{12, 20}, {10_000, 20}, {10_000, 110}} {
 		b.Run(fmt.Sprintf("upstreams=%d/turns=%d", size.upstreams, size.turns), func(b *testing.B) {
 			x := fresh(size.upstreams, 16)
--- a/core/queue/capacity_test.go
+++ b/core/queue/capacity_test.go
@@ -42,10 +42,11 @@
 			runtime.ReadMemStats(&after)
 			b.ReportAllocs()
 			for b.Loop() {
-				ticket, ok := q.Pop(now, func(*queue.Ticket[int]) bool { return true })
+				ticket, ok := q.Pop(now, take[int])
 				if !ok {
 					b.Fatal("nothing waits")
 				}
+				q.Charge(ticket.Item, ticket.Item.Cost)
 				q.Push(now, ticket.Item, ticket.Value)
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(waiting), "heap-bytes/call")
