--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -118,6 +118,8 @@
 	hosts     []*process
 	operators []string
 	callers   []string
+
+	logAddress string
 }
 
 const hostSettings = `host: host-%03d
@@ -149,6 +151,7 @@
 	t.Helper()
 	f := &fleet{log: start(t, "standin", "log"), list: start(t, "standin", "hosts")}
 	logAddress, listAddress := f.log.address(t), f.list.address(t)
+	f.logAddress = logAddress
 	dir := t.TempDir()
 	for i := range hosts {
 		file := filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))
@@ -352,6 +355,8 @@
 			t.Logf("hosts %d engines %d: core %.2f%%, resident %.1f MB, %.0f bytes/s in %.0f calls/s, "+
 				"heartbeats %.1f/s, log reads %.2f/s, appends %.2f/s, appended so far %.0f bytes",
 				count, engines, r.cpu*100, r.resident/1e6, r.bytes, r.calls, r.heartbeats, r.logReads, r.appends, r.claimed)
+			settings, withdrawal := f.reach(t)
+			t.Logf("hosts %d: settings in force everywhere after %s, a withdrawal after %s", count, settings, withdrawal)
 			require.Positive(t, r.heartbeats)
 			require.Positive(t, r.bytes)
 			require.Positive(t, r.resident)
