--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/core/slot"
 	"cardamomward/io/caller"
 	"cardamomward/io/engine"
@@ -106,12 +107,15 @@
 		return web
 	}
 	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
-	h.operatorWeb = open(h.config.OperatorAddress, defaultMaxBody)
+	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
 	return errors.Join(errsFound...)
 }
 
+// maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
+const maxOperatorBody = settings.MaxDocument + 1<<20
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
@@ -197,9 +201,10 @@
 	}
 	select {
 	case <-ctx.Done():
+		h.abort()
 	case <-h.drained:
+		h.close()
 	}
-	h.close()
 	cancel()
 	group.Wait()
 	h.logger.Info("host-stopped")
@@ -210,14 +215,30 @@
 // closeTimeout bounds the closing of the listeners once the host is drained.
 const closeTimeout = 2 * time.Second
 
+// close ends the servers once the host is drained; only idle connections are left then.
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, web := range []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb} {
-		if err := web.Close(ctx); err != nil {
-			h.logger.V(1).Info("close-failed", "error", err)
-		}
+	var group sync.WaitGroup
+	for _, web := range h.servers() {
+		group.Go(func() {
+			if err := web.Close(ctx); err != nil {
+				h.logger.V(1).Info("close-failed", "error", err)
+			}
+		})
 	}
+	group.Wait()
+}
+
+// abort ends the servers with all requests under way.
+func (h *Host) abort() {
+	for _, web := range h.servers() {
+		web.Abort()
+	}
+}
+
+func (h *Host) servers() []*httpx.Server {
+	return []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb}
 }
 
 func (h *Host) announceLoop(ctx context.Context) {
