--- a/io/daemon/config_test.go
+++ b/io/daemon/config_test.go
@@ -26,7 +26,7 @@
 	require.Equal(t, 64<<10, config.MaxBodyBytes)
 	require.Equal(t, 30*time.Second, config.DrainTimeout)
 	require.Equal(t, Config{
-		CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback, AppendLinger: 5 * time.Millisecond,
+		CallerAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback, AppendLinger: 5 * time.Millisecond, LogRetention: time.Hour,
 		WhereLifetime: 10 * time.Second, DrainTimeout: 30 * time.Second, MaxBodyBytes: 4 << 20, MaxCalls: 4096, MaxHosts: 12,
 	}, Config{}.withDefaults())
 }
--- a/io/daemon/keys.go
+++ b/io/daemon/keys.go
@@ -36,6 +36,13 @@
 		},
 		Set: func(c *Config, v settings.Value) { c.AppendLinger = v.Duration() },
 	},
+	{
+		Spec: settings.Spec{
+			Name: "log-retention", Type: settings.TypeDuration, Default: "1h", Min: "10s", Max: "8760h",
+			Doc: "How long the log keeps records at least; snapshots are due before half of it has passed.",
+		},
+		Set: func(c *Config, v settings.Value) { c.LogRetention = v.Duration() },
+	},
 	{
 		Spec: settings.Spec{
 			Name: "where-lifetime", Type: settings.TypeDuration, Default: "10s", Min: "10ms", Max: "10m",
