--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -31,6 +31,9 @@
 	enginesVariable = "CARDAMOMWARD_CAPACITY_ENGINES"
 	// lingerVariable says how long the hosts' appends wait for more records.
 	lingerVariable = "CARDAMOMWARD_CAPACITY_LINGER"
+	// settleVariable says how many seconds a fleet is left alone before it is measured: each host first
+	// restates its slots, 32 a second.
+	settleVariable = "CARDAMOMWARD_CAPACITY_SETTLE"
 	// readyTimeout bounds the start of a fleet.
 	readyTimeout = 60 * time.Second
 	readyPoll    = 200 * time.Millisecond
@@ -168,6 +171,9 @@
 		f.publish(t, engines)
 	}
 	f.awaitReady(t)
+	if text := os.Getenv(settleVariable); text != "" {
+		time.Sleep(time.Duration(number(t, text)) * time.Second)
+	}
 
 	return f
 }
