--- a/io/platform/capacity_test.go
+++ b/io/platform/capacity_test.go
@@ -61,7 +61,7 @@
 
 // BenchmarkAppendAndRead appends one entry and reads it back.
 func BenchmarkAppendAndRead(b *testing.B) {
-	for _, size := range []int{100, 2559, 23_500, 570_657} {
+	for _, size := range []int{100, 2563, 23_500, 570_657} {
 		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
 			client, bytes := startLog(b)
 			data := make([]byte, size)
