--- a/command/demo/program.go
+++ b/command/demo/program.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"cardamomward/core/id"
-	"cardamomward/core/prompt"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
 	"cardamomward/io/caller"
@@ -184,7 +183,7 @@
 	svc := a.engines[engine]
 	for _, text := range texts {
 		chat := caller.ChatRequest{
-			Model: string(svc.Model), Messages: []prompt.Message{{Role: "user", Content: text}}, MaxTokens: min(turnTokens, svc.MaxTokens),
+			Model: string(svc.Model), Messages: []caller.ChatMessage{{Role: "user", Content: caller.Text(text)}}, MaxTokens: min(turnTokens, svc.MaxTokens),
 		}
 		err := a.retry(ctx, func() error {
 			answer, err := a.client.Turn(ctx, program, 0, chat)
@@ -265,11 +264,11 @@
 		return err
 	}
 	const bytesAToken = 8
-	long := prompt.Message{Role: "user", Content: strings.Repeat("r", int(tokens)*bytesAToken)}
+	long := caller.ChatMessage{Role: "user", Content: caller.Text(strings.Repeat("r", int(tokens)*bytesAToken))}
 
 	return a.expect(ctx, "a turn beyond the program's budget", refusal.BudgetExhausted, func() error {
 		_, err := a.client.Turn(ctx, program.Program, 0, caller.ChatRequest{
-			Model: string(a.engines[0].Model), Messages: []prompt.Message{long},
+			Model: string(a.engines[0].Model), Messages: []caller.ChatMessage{long},
 		})
 
 		return err
--- a/io/caller/chat.go
+++ b/io/caller/chat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -30,12 +31,13 @@
 
 func (s *Server) model(ctx context.Context, c *app.RequestContext, program id.Program, whole bool) {
 	chat, req, err := turnRequest(c, whole)
-	if err != nil {
-		httpx.Refuse(c, err)
-
-		return
+	if err == nil {
+		err = s.checkModel(c, id.Model(chat.Model))
+	}
+	if err == nil {
+		err = s.admit(ctx, c)
 	}
-	if err := s.admit(ctx, c); err != nil {
+	if err != nil {
 		httpx.Refuse(c, err)
 
 		return
@@ -52,14 +54,28 @@
 		defer s.endSingle(ctx, c, program)
 	}
 	req.Program = string(program)
-	answer := &chatAnswer{c: c, id: "chatcmpl-" + id.Random(), model: chat.Model, created: time.Now().Unix(), stream: chat.Stream}
+	answer := &chatAnswer{c: c, program: program, id: "chatcmpl-" + id.Random(), model: chat.Model, created: time.Now().Unix(), stream: chat.Stream}
 	outcome, err := s.runTurn(ctx, req, answer)
 	if err != nil {
 		answer.refuse(err)
 
 		return
 	}
-	answer.finish(program, outcome)
+	answer.finish(outcome)
+}
+
+// checkModel refuses a model that the workspace may not use before anything is opened for it.
+func (s *Server) checkModel(c *app.RequestContext, model id.Model) error {
+	fleet, _ := s.Control.Fleet()
+	workspace, ok := fleet.Workspaces[id.Workspace(caller(c).GetWorkspace())]
+	if !ok {
+		return nil
+	}
+	if _, ok := fleet.ServiceForModel(workspace, model); !ok {
+		return refusal.New(refusal.NotFound, "workspace %s has no model %q; see GET /v1/models", workspace.ID, model)
+	}
+
+	return nil
 }
 
 // runTurn runs a turn at its owner and, where its slot moved before any text came, again at the next one.
@@ -89,31 +105,74 @@
 	}
 }
 
-func turnRequest(c *app.RequestContext, whole bool) (*ChatRequest, *peerpb.TurnRequest, error) {
+// chatRequest reads and checks a chat-completions request.
+func chatRequest(c *app.RequestContext) (*ChatRequest, error) {
 	var chat ChatRequest
 	if err := httpx.Decode(c.Request.Body(), &chat); err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	if problem := chat.problem(); problem != "" {
+		return nil, refusal.New(refusal.InvalidRequest, "%s", problem)
+	}
+
+	return &chat, nil
+}
+
+// problem returns what is wrong with a request and what is allowed, or "".
+func (r *ChatRequest) problem() string {
+	switch {
+	case r.Model == "":
+		return "model is missing; name a model that the workspace may use"
+	case len(r.Messages) == 0:
+		return "messages is missing or empty; send at least one message"
+	case r.MaxTokens < 0 || r.MaxCompletionTokens < 0:
+		return "max_tokens is negative; send a positive number or leave it out"
+	case r.N > 1:
+		return "n is larger than 1; only one answer a turn is supported"
+	case r.Logprobs:
+		return "logprobs is not supported; leave it out"
+	case given(r.Tools), given(r.ToolChoice), given(r.Functions):
+		return "tools and functions are not supported; describe them in a message and leave the fields out"
+	}
+	for i, m := range r.Messages {
+		switch m.Role {
+		case "system", "developer", "user", "assistant", "tool":
+		default:
+			return fmt.Sprintf("messages[%d].role is %q, allowed are system, developer, user, assistant and tool", i, m.Role)
+		}
+		if given(m.ToolCalls) {
+			return fmt.Sprintf("messages[%d].tool_calls is not supported; leave it out", i)
+		}
 	}
-	if chat.Model == "" {
-		return nil, nil, refusal.New(refusal.InvalidRequest, "model is missing")
+
+	return ""
+}
+
+// given reports whether an optional field holds anything.
+func given(field json.RawMessage) bool {
+	text := string(field)
+
+	return text != "" && text != "null" && text != "[]" && text != `"none"` && text != `"auto"`
+}
+
+func turnRequest(c *app.RequestContext, whole bool) (*ChatRequest, *peerpb.TurnRequest, error) {
+	chat, err := chatRequest(c)
+	if err != nil {
+		return nil, nil, err
 	}
-	if len(chat.Messages) == 0 {
-		return nil, nil, refusal.New(refusal.InvalidRequest, "messages is missing or empty")
+	sampling, err := json.Marshal(chat.Sampling)
+	if err != nil {
+		return nil, nil, err
 	}
 	req := &peerpb.TurnRequest{
 		Caller:    caller(c),
 		Model:     chat.Model,
 		MaxTokens: int64(max(chat.MaxTokens, chat.MaxCompletionTokens)),
+		Sampling:  sampling,
 		Whole:     whole,
 	}
-	for i, m := range chat.Messages {
-		switch m.Role {
-		case "system", "developer", "user", "assistant", "tool":
-		default:
-			return nil, nil, refusal.New(refusal.InvalidRequest,
-				"messages[%d].role is %q, allowed are system, developer, user, assistant and tool", i, m.Role)
-		}
-		req.Messages = append(req.Messages, &peerpb.Message{Role: m.Role, Content: m.Content})
+	for _, m := range chat.Messages {
+		req.Messages = append(req.Messages, &peerpb.Message{Role: m.Role, Content: string(m.Content)})
 	}
 	if text := string(c.GetHeader(HeaderTurn)); text != "" {
 		number, err := strconv.ParseUint(text, 10, 32)
@@ -123,12 +182,13 @@
 		req.Number = uint32(number)
 	}
 
-	return &chat, req, nil
+	return chat, req, nil
 }
 
 // chatAnswer writes an answer in the chat-completions protocol, streamed or whole.
 type chatAnswer struct {
 	c       *app.RequestContext
+	program id.Program
 	id      string
 	model   string
 	created int64
@@ -144,6 +204,7 @@
 	}
 	if !a.begun {
 		a.begun = true
+		a.c.Response.Header.Set(HeaderProgram, string(a.program))
 		a.writer = sse.NewWriter(a.c)
 		if err := a.event(engine.Delta{Role: "assistant"}, nil, nil); err != nil {
 			return err
@@ -194,7 +255,7 @@
 }
 
 // finish sends what remains once the turn is kept.
-func (a *chatAnswer) finish(program id.Program, outcome *peerpb.TurnOutcome) {
+func (a *chatAnswer) finish(outcome *peerpb.TurnOutcome) {
 	reply := outcome.GetReply()
 	usage := engine.Usage{
 		PromptTokens:     id.Tokens(reply.GetPromptTokens()),
@@ -211,7 +272,7 @@
 		return
 	}
 	header := &a.c.Response.Header
-	header.Set(HeaderProgram, string(program))
+	header.Set(HeaderProgram, string(a.program))
 	header.Set(HeaderTurn, strconv.FormatUint(uint64(reply.GetNumber()), 10))
 	header.Set(HeaderHost, outcome.GetOwner())
 	header.Set(HeaderUpstream, reply.GetUpstream())
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -13,7 +13,6 @@
 	"github.com/joomcode/errorx"
 
 	"cardamomward/core/id"
-	"cardamomward/core/prompt"
 	"cardamomward/core/refusal"
 	"cardamomward/io/engine"
 )
@@ -99,7 +98,7 @@
 
 // Ask is Turn with one message of a user.
 func (c *Client) Ask(ctx context.Context, program id.Program, model, text string) (Answer, error) {
-	return c.Turn(ctx, program, 0, ChatRequest{Model: model, Messages: []prompt.Message{{Role: "user", Content: text}}})
+	return c.Turn(ctx, program, 0, ChatRequest{Model: model, Messages: []ChatMessage{{Role: "user", Content: Text(text)}}})
 }
 
 // Call sends a call to a plain service.
--- a/io/caller/programs.go
+++ b/io/caller/programs.go
@@ -8,6 +8,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
+	"cardamomward/core/settings"
 	"cardamomward/io/httpx"
 	"cardamomward/io/peer"
 	"cardamomward/io/peer/peerpb"
@@ -126,3 +127,18 @@
 
 	return rec
 }
+
+// models lists the models that the workspace may use.
+func (s *Server) models(_ context.Context, c *app.RequestContext) {
+	fleet, _ := s.Control.Fleet()
+	models := Models{Object: "list", Data: []Model{}}
+	workspace, ok := fleet.Workspaces[id.Workspace(caller(c).GetWorkspace())]
+	if ok {
+		for _, name := range workspace.Services {
+			if service := fleet.Services[name]; service != nil && service.Kind == settings.KindEngine {
+				models.Data = append(models.Data, Model{ID: service.Model, Object: "model", OwnedBy: service.ID})
+			}
+		}
+	}
+	httpx.JSON(c, 200, models)
+}
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -1,8 +1,14 @@
 package caller
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
+	"cardamomward/io/engine"
 )
 
 // Headers of the callers' interface.
@@ -63,10 +69,72 @@
 
 // ChatRequest is a chat-completions request as callers send it.
 type ChatRequest struct {
-	Model     string           `json:"model"`
-	Messages  []prompt.Message `json:"messages"`
-	Stream    bool             `json:"stream"`
-	MaxTokens id.Tokens        `json:"max_tokens"`
+	Model     string        `json:"model"`
+	Messages  []ChatMessage `json:"messages"`
+	Stream    bool          `json:"stream,omitempty"`
+	MaxTokens id.Tokens     `json:"max_tokens,omitempty"`
 	// MaxCompletionTokens is the newer name of MaxTokens.
-	MaxCompletionTokens id.Tokens `json:"max_completion_tokens"`
+	MaxCompletionTokens id.Tokens `json:"max_completion_tokens,omitempty"`
+
+	engine.Sampling
+
+	// The fields below are read to refuse what is not supported, never to pass it on.
+	N          int             `json:"n,omitempty"`
+	Tools      json.RawMessage `json:"tools,omitempty"`
+	ToolChoice json.RawMessage `json:"tool_choice,omitempty"`
+	Functions  json.RawMessage `json:"functions,omitempty"`
+	Logprobs   bool            `json:"logprobs,omitempty"`
+}
+
+// ChatMessage is one message of a chat-completions request.
+type ChatMessage struct {
+	Role      string          `json:"role"`
+	Content   Text            `json:"content"`
+	ToolCalls json.RawMessage `json:"tool_calls,omitempty"`
+}
+
+// Text is the content of a message, given as a string or as a list of text parts.
+type Text string
+
+// contentPart is one part of a message's content.
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// UnmarshalJSON reads a string, null or a list of text parts.
+func (t *Text) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err == nil {
+		*t = Text(text)
+
+		return nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("content is a string or a list of text parts")
+	}
+	var all strings.Builder
+	for i, part := range parts {
+		if part.Type != "text" {
+			return fmt.Errorf("content[%d] is of type %q, only text is supported", i, part.Type)
+		}
+		all.WriteString(part.Text)
+	}
+	*t = Text(all.String())
+
+	return nil
+}
+
+// Model is a model that a workspace may use.
+type Model struct {
+	ID      id.Model   `json:"id"`
+	Object  string     `json:"object"`
+	OwnedBy id.Service `json:"owned_by"`
+}
+
+// Models lists models in the shape of the chat-completions protocol.
+type Models struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -42,6 +42,8 @@
 	Locator Locator
 	Limiter Limiter
 	Logger  logr.Logger
+	// MaxBody bounds a request's body in bytes; zero sets no bound.
+	MaxBody int
 
 	inflight Inflight
 }
@@ -66,7 +68,11 @@
 	web.POST("/v1/programs/:program/end", s.end)
 	web.POST("/v1/programs/:program/turns", s.turn)
 	web.POST("/v1/chat/completions", s.chat)
+	web.GET("/v1/models", s.models)
 	web.POST("/v1/services/:service/*path", s.call)
+	web.NoMethod(func(_ context.Context, c *app.RequestContext) {
+		httpx.Refuse(c, refusal.New(refusal.MethodNotAllowed, "the route %s takes another method than %s", c.Path(), c.Method()))
+	})
 	web.NoRoute(func(_ context.Context, c *app.RequestContext) {
 		httpx.Refuse(c, refusal.New(refusal.NotFound, "there is no route %s %s", c.Method(), c.Path()))
 	})
@@ -105,6 +111,12 @@
 
 		return
 	}
+	if size := len(c.Request.Body()); s.MaxBody > 0 && size > s.MaxBody {
+		httpx.Refuse(c, refusal.New(refusal.TooLarge, "the body has %d bytes, allowed are %d", size, s.MaxBody))
+		c.Abort()
+
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ctx, done := s.inflight.Begin(ctx, key.Key)
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -106,7 +106,8 @@
 
 		return web
 	}
-	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
+	// A body somewhat above the bound is read, so that its refusal has the documented shape.
+	h.callerWeb = open(h.config.CallerAddress, readableBodies*h.config.MaxBodyBytes)
 	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
@@ -116,6 +117,9 @@
 // maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
 const maxOperatorBody = settings.MaxDocument + 1<<20
 
+// readableBodies is how many times the bound a caller's body may have before its connection is closed.
+const readableBodies = 4
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
@@ -166,7 +170,7 @@
 	}
 	h.limits = &limiter.Limiter{MaxHosts: h.config.MaxHosts, Ask: h.askGrant}
 	h.pools = &limiter.Pools{MaxHosts: h.config.MaxHosts}
-	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
+	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger, MaxBody: h.config.MaxBodyBytes}
 }
 
 // fleetAppends is how many appends a second all hosts together aim at, for each stream.
--- a/io/engine/protocol.go
+++ b/io/engine/protocol.go
@@ -1,10 +1,23 @@
 package engine
 
 import (
+	"encoding/json"
+
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
 )
 
+// Sampling are the options of a chat-completions request that callers may set and engines see.
+type Sampling struct {
+	Temperature      *float64        `json:"temperature,omitempty"`
+	TopP             *float64        `json:"top_p,omitempty"`
+	PresencePenalty  *float64        `json:"presence_penalty,omitempty"`
+	FrequencyPenalty *float64        `json:"frequency_penalty,omitempty"`
+	Seed             *int64          `json:"seed,omitempty"`
+	Stop             json.RawMessage `json:"stop,omitempty"`
+	ResponseFormat   json.RawMessage `json:"response_format,omitempty"`
+}
+
 // ChatRequest is a chat-completions request with the engines' published extensions.
 type ChatRequest struct {
 	Model     string           `json:"model"`
@@ -17,6 +30,8 @@
 	RequestID string `json:"request_id,omitempty"`
 	// CacheOwner names whose prefix the engine keeps, for its later release.
 	CacheOwner string `json:"cache_owner,omitempty"`
+
+	Sampling
 }
 
 // Usage counts the tokens of a request.
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -58,6 +58,7 @@
 		server.WithHostPorts(listener.Addr().String()),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
+		server.WithHandleMethodNotAllowed(true),
 		server.WithMaxRequestBodySize(max(opts.MaxBody, 1)),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -178,6 +178,7 @@
 		Priority:   priority,
 		RequestID:  requestID,
 		CacheOwner: string(t.state.ID),
+		Sampling:   t.sampling,
 	}
 }
 
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 	"strings"
@@ -14,6 +15,7 @@
 	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
+	"cardamomward/io/engine"
 	"cardamomward/io/peer/peerpb"
 )
 
@@ -27,6 +29,7 @@
 	messages  []prompt.Message
 	maxTokens id.Tokens
 	request   id.Fingerprint
+	sampling  engine.Sampling
 }
 
 // answer is what an engine made of a turn.
@@ -112,6 +115,9 @@
 	if o.Control.Quarantined(t.request) {
 		return refusal.New(refusal.Quarantined, "this request has crashed the upstreams that ran it and will not be run again")
 	}
+	if err := json.Unmarshal(t.req.GetSampling(), &t.sampling); len(t.req.GetSampling()) > 0 && err != nil {
+		return refusal.New(refusal.InvalidRequest, "the sampling options are not valid: %v", err)
+	}
 	t.maxTokens = service.MaxTokens
 	if asked := id.Tokens(t.req.GetMaxTokens()); asked > 0 {
 		t.maxTokens = min(t.maxTokens, asked)
--- a/test/capacity/load_test.go
+++ b/test/capacity/load_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"cardamomward/core/prompt"
 	"cardamomward/io/caller"
 	"cardamomward/io/operator"
 )
@@ -60,7 +59,7 @@
 	for range turnsPerProgram {
 		chat := caller.ChatRequest{
 			Model: "manual-7b", MaxTokens: turnTokens, Stream: false,
-			Messages: []prompt.Message{{Role: "user", Content: strings.Repeat("text", turnTokens)}},
+			Messages: []caller.ChatMessage{{Role: "user", Content: caller.Text(strings.Repeat("text", turnTokens))}},
 		}
 		if _, err := client.Turn(ctx, program.Program, 0, chat); err != nil {
 			return err
--- a/test/history/runner.go
+++ b/test/history/runner.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cardamomward/core/id"
-	"cardamomward/core/prompt"
 	"cardamomward/core/refusal"
 	"cardamomward/io/caller"
 )
@@ -139,7 +138,7 @@
 
 func (r *Runner) turn(ctx context.Context, random *rand.Rand, number int, program id.Program, turn id.Turn) error {
 	text := fmt.Sprintf("program %s turn %d", program, turn)
-	chat := caller.ChatRequest{Model: r.Model, Messages: []prompt.Message{{Role: "user", Content: text}}}
+	chat := caller.ChatRequest{Model: r.Model, Messages: []caller.ChatMessage{{Role: "user", Content: caller.Text(text)}}}
 	for {
 		var failed error
 		var pause time.Duration
