Bound the demo's waiting, not its calls

Cause: on a busy machine a call that was under way when a workspace's time ended would fail the demo.

--- a/command/demo/program.go
+++ b/command/demo/program.go
@@ -53,8 +53,7 @@
 
 // within runs the steps that a low rate may cut short.
 func (a *actor) within(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, workspaceTime)
-	defer cancel()
+	a.patience = time.Now().Add(workspacePatience)
 	for _, step := range []func(context.Context) error{a.known, a.where, a.program, a.budget} {
 		err := step(ctx)
 		if errorx.IsOfType(err, errTooSlow) {
--- a/command/demo/teller.go
+++ b/command/demo/teller.go
@@ -27,6 +27,8 @@
 	out   io.Writer
 	fleet *fleet.Fleet
 	err   error
+	// patience is until when refused steps may wait.
+	patience time.Time
 }
 
 func (t *teller) say(format string, args ...any) {
@@ -38,8 +40,8 @@
 const (
 	// demoWorkspaces is how many workspaces take part.
 	demoWorkspaces = 2
-	// workspaceTime bounds the part of each workspace.
-	workspaceTime = 4 * time.Second
+	// workspacePatience is how long the steps of one workspace may wait after refusals.
+	workspacePatience = 4 * time.Second
 )
 
 func (t *teller) tell(ctx context.Context) error {
@@ -71,7 +73,7 @@
 		if !errors.As(err, &refused) || !momentary(refused) {
 			return err
 		}
-		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < refused.RetryAfter || ctx.Err() != nil {
+		if time.Until(t.patience) < refused.RetryAfter || ctx.Err() != nil {
 			return errTooSlow.Wrap(err, "no time to wait %s", refused.RetryAfter)
 		}
 		t.say("  refused: %s, %s; waiting %s as it says", refused.Kind, refused.Ran, refused.RetryAfter.Round(time.Millisecond))
