--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -31,6 +31,9 @@
 	enginesVariable = "CARDAMOMWARD_CAPACITY_ENGINES"
 	// lingerVariable says how long the hosts' appends wait for more records.
 	lingerVariable = "CARDAMOMWARD_CAPACITY_LINGER"
+	// settleVariable says how many seconds a fleet is left alone before it is measured: each host first
+	// restates its slots, 32 a second.
+	settleVariable = "CARDAMOMWARD_CAPACITY_SETTLE"
 	// readyTimeout bounds the start of a fleet.
 	readyTimeout = 60 * time.Second
 	readyPoll    = 200 * time.Millisecond
@@ -118,6 +121,8 @@
 	hosts     []*process
 	operators []string
 	callers   []string
+
+	logAddress string
 }
 
 const hostSettings = `host: host-%03d
@@ -149,6 +154,7 @@
 	t.Helper()
 	f := &fleet{log: start(t, "standin", "log"), list: start(t, "standin", "hosts")}
 	logAddress, listAddress := f.log.address(t), f.list.address(t)
+	f.logAddress = logAddress
 	dir := t.TempDir()
 	for i := range hosts {
 		file := filepath.Join(dir, fmt.Sprintf("host-%d.yaml", i))
@@ -165,6 +171,9 @@
 		f.publish(t, engines)
 	}
 	f.awaitReady(t)
+	if text := os.Getenv(settleVariable); text != "" {
+		time.Sleep(time.Duration(number(t, text)) * time.Second)
+	}
 
 	return f
 }
@@ -352,6 +361,8 @@
 			t.Logf("hosts %d engines %d: core %.2f%%, resident %.1f MB, %.0f bytes/s in %.0f calls/s, "+
 				"heartbeats %.1f/s, log reads %.2f/s, appends %.2f/s, appended so far %.0f bytes",
 				count, engines, r.cpu*100, r.resident/1e6, r.bytes, r.calls, r.heartbeats, r.logReads, r.appends, r.claimed)
+			settings, withdrawal := f.reach(t)
+			t.Logf("hosts %d: settings in force everywhere after %s, a withdrawal after %s", count, settings, withdrawal)
 			require.Positive(t, r.heartbeats)
 			require.Positive(t, r.bytes)
 			require.Positive(t, r.resident)
