Give the open routes their default in the definitions

Cause: the reference and settings show said that no route is open by default, while hosts open /healthz and /v1/where.

--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -8,6 +8,7 @@
 
 // Names of keys that checks and resolution refer to.
 const (
+	keyOpenRoutes = "open-routes"
 	keyWorkspaces = "workspaces"
 	keyServices   = "services"
 	keyParent     = "parent"
@@ -27,8 +28,11 @@
 // fleetKeys are the keys at the top of a document.
 var fleetKeys = []Key[Fleet]{
 	{
-		Spec: Spec{Name: "open-routes", Type: TypeRoutes, Doc: "Routes of the callers' interface that need no key."},
-		Set:  func(f *Fleet, v Value) { f.OpenRoutes = v.Texts() },
+		Spec: Spec{
+			Name: keyOpenRoutes, Type: TypeRoutes, Default: "[/healthz, /v1/where]",
+			Doc: "Routes of the callers' interface that need no key; an empty list opens none.",
+		},
+		Set: func(f *Fleet, v Value) { f.OpenRoutes = v.Texts() },
 	},
 	{Spec: Spec{Name: keyWorkspaces, Type: TypeTree, Doc: "Workspaces by name."}},
 	{Spec: Spec{Name: keyServices, Type: TypeTree, Doc: "Services by name."}},
--- a/core/settings/mapping.go
+++ b/core/settings/mapping.go
@@ -40,7 +40,7 @@
 	values := make([]Value, len(keys))
 	for i := range keys {
 		if keys[i].Default != "" {
-			values[i], _ = keys[i].parse(keys[i].Default)
+			values[i] = keys[i].parseDefault()
 		}
 	}
 
@@ -51,8 +51,7 @@
 	if k.Default == "" || k.Set == nil {
 		return
 	}
-	value, _ := k.parse(k.Default)
-	k.Set(target, value)
+	k.Set(target, k.parseDefault())
 }
 
 // checkListeners reports addresses that are listened on twice; port 0 takes a free one each time.
--- a/core/settings/origin.go
+++ b/core/settings/origin.go
@@ -33,10 +33,11 @@
 func (t *Tree) Effective(path string) []Effective {
 	want := splitPath(path)
 	var all []Effective
-	if len(t.fleet.OpenRoutes) > 0 {
-		routes := Effective{Path: "open-routes", Value: "[" + strings.Join(t.fleet.OpenRoutes, ", ") + "]", From: "open-routes"}
-		all = appendMatching(all, want, routes)
+	routes := Effective{Path: keyOpenRoutes, Value: "[" + strings.Join(t.fleet.OpenRoutes, ", ") + "]", Line: t.openRoutes.line}
+	if routes.Line > 0 {
+		routes.From = keyOpenRoutes
 	}
+	all = appendMatching(all, want, routes)
 	all = effectiveOf(all, want, &t.workspaces)
 
 	return effectiveOf(all, want, &t.services)
--- a/core/settings/parse.go
+++ b/core/settings/parse.go
@@ -21,6 +21,8 @@
 	fleet      *Fleet
 	workspaces forest[Workspace]
 	services   forest[Service]
+	// openRoutes is where the open routes are set; its line is zero for the default.
+	openRoutes place
 }
 
 // Fleet returns the settings with all inheritance resolved.
@@ -62,6 +64,8 @@
 			continue
 		}
 		switch f.name {
+		case keyOpenRoutes:
+			t.openRoutes = placeOf(f.value)
 		case keyWorkspaces:
 			t.workspaces.collect(r, f.name, f.value, nil, 1)
 		case keyServices:
--- a/core/settings/value.go
+++ b/core/settings/value.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// parseDefault reads the default of a key, which may be a list.
+func (s Spec) parseDefault() Value {
+	if s.Type != TypeNames && s.Type != TypeRoutes {
+		value, _ := s.parse(s.Default)
+
+		return value
+	}
+	value := Value{Text: s.Default, Items: []Item{}}
+	for item := range strings.SplitSeq(strings.Trim(s.Default, "[]"), ", ") {
+		value.Items = append(value.Items, Item{Text: item})
+	}
+
+	return value
+}
+
 func mismatch(text string, pattern *regexp.Regexp) string {
 	return unless(pattern.MatchString(text), "%q is not allowed", text)
 }
