--- a/core/fold/retain_test.go
+++ b/core/fold/retain_test.go
@@ -271,3 +271,60 @@
 	require.Equal(t, fold.OutcomeExists, s.append(outcome(false)))
 	require.Equal(t, fold.OutcomeExists, s.append(outcome(true)))
 }
+
+// chunk returns a part of a snapshot of a slot that contains the appends before next.
+func (s *stream) chunk(slot id.Slot, name string, index, count uint32, next id.Offset, data []byte) *record.Record {
+	rec := record.New("host-1")
+	rec.Slot = uint32(slot)
+	rec.Body = &recordpb.Record_SnapshotChunk{SnapshotChunk: &recordpb.SnapshotChunk{
+		Snapshot: name, Index: index, Count: count, Next: uint64(next), Data: data,
+	}}
+
+	return rec
+}
+
+func TestCopyOfAVoidRecordStaysVoidForLateReaders(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	early := s.open("a.x", "a")
+	require.Equal(t, fold.NoSuchProgram, s.append(early), "its parent is not open yet")
+	require.Equal(t, fold.Valid, s.append(s.open("a", "")))
+	next := s.folder.Next()
+	data, err := proto.Marshal(s.folder.State.Snapshot(slot, next))
+	require.NoError(t, err)
+	late := newStream(t)
+	late.folder.Skip(next)
+	for _, reader := range []*stream{s, late} {
+		reader.append(s.chunk(slot, "s", 0, 1, next, data))
+		require.Equal(t, fold.Duplicate, reader.append(early))
+		_, ok := reader.folder.State.Program("a.x")
+		require.False(t, ok)
+	}
+}
+
+func TestSnapshotNeedsAllItsChunksInOrder(t *testing.T) {
+	s := newStream(t)
+	slot := id.ProgramSlot("a")
+	s.claim(slot)
+	next := s.folder.Next()
+	data, err := proto.Marshal(s.folder.State.Snapshot(slot, next))
+	require.NoError(t, err)
+	half := len(data) / 2
+	late := newStream(t)
+	late.folder.Skip(next)
+	require.Equal(t, fold.OutOfOrder, late.append(s.chunk(slot, "x", 1, 2, next, data[half:])))
+	require.Equal(t, fold.Valid, late.append(s.chunk(slot, "x", 0, 2, next, data[:half])))
+	require.True(t, late.folder.State.Wants(slot), "the writer died before the second chunk")
+	late.quiet(fold.DedupWindow + 1)
+	again := s.chunk(slot, "x", 1, 2, next, data[half:])
+	again.Born = uint64(late.folder.Next())
+	require.Equal(t, fold.OutOfOrder, late.append(again), "an incomplete snapshot is forgotten")
+	for index, part := range [][]byte{data[:half], data[half:]} {
+		rec := s.chunk(slot, "y", uint32(index), 2, next, part)
+		rec.Born = uint64(late.folder.Next())
+		require.True(t, late.folder.State.Wants(slot))
+		require.Equal(t, fold.Valid, late.append(rec))
+	}
+	require.Equal(t, s.folder.State.Slot(slot), late.folder.State.Slot(slot))
+}
--- a/core/slot/capacity_test.go
+++ b/core/slot/capacity_test.go
@@ -62,7 +62,6 @@
 			view := View{
 				Self: names[0], Live: names, Slots: &fold.Slots{},
 				Silence: func(id.Host) time.Duration { return 0 },
-				Busy:    func(id.Slot) bool { return false },
 			}
 			now := time.Unix(0, 0)
 			b.ReportAllocs()
--- a/core/slot/decide.go
+++ b/core/slot/decide.go
@@ -36,10 +36,10 @@
 	// Silence returns how long no heartbeat came from a host; hosts never heard count from the start.
 	Silence func(id.Host) time.Duration
 	Slots   *fold.Slots
-	// Busy reports whether calls of the slot are under way at this host.
-	Busy func(id.Slot) bool
-	// Sealed reports whether a release of the slot may still come into force.
-	Sealed func(id.Slot) bool
+	// Busy are the slots with calls under way at this host.
+	Busy map[id.Slot]bool
+	// Sealed are the slots of which a release may still come into force.
+	Sealed map[id.Slot]bool
 }
 
 // Target is a slot at the epoch on which a decision is based.
@@ -106,7 +106,7 @@
 			// An earlier process of this host: what it had reserved is settled by a new claim.
 			decision.Force = append(decision.Force, target)
 		case state.Owner == view.Self:
-			if view.Sealed(slot) || (!belongs && !view.Busy(slot)) {
+			if view.Sealed[slot] || (!belongs && !view.Busy[slot]) {
 				decision.Release = append(decision.Release, target)
 			}
 		case belongs && d.silent(now, view, state.Owner) && d.mayForce(now, target):
--- a/core/slot/decide_test.go
+++ b/core/slot/decide_test.go
@@ -113,8 +113,6 @@
 	return slot.View{
 		Self: h.name, Run: h.run, Leaving: h.leaving, Live: live, Listed: listed, Slots: &h.state.Slots,
 		Silence: func(name id.Host) time.Duration { return f.now.Sub(h.heard[name]) },
-		Busy:    func(id.Slot) bool { return false },
-		Sealed:  func(id.Slot) bool { return false },
 	}
 }
 
--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -64,6 +64,8 @@
 		live = append(live, h.config.Host)
 		slices.Sort(live)
 	}
+	// The owner looks into the journal with its own lock held, so it is asked before the journal is.
+	busy, sealed := h.owner.Occupied()
 	var decision slot.Decision
 	h.programs.View(func(state *fold.Programs) {
 		decision = h.decider.Decide(now, slot.View{
@@ -74,8 +76,8 @@
 			Listed:  h.members.Listed(),
 			Silence: func(host id.Host) time.Duration { return h.members.Silence(host, now) },
 			Slots:   &state.Slots,
-			Busy:    h.owner.Busy,
-			Sealed:  h.owner.Sealed,
+			Busy:    busy,
+			Sealed:  sealed,
 		})
 	})
 	if decision.Empty() {
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -96,14 +96,6 @@
 	return lease{slot: slot, epoch: state.Epoch}, leave, nil
 }
 
-// Busy reports whether calls of a slot are under way.
-func (o *Owner) Busy(slot id.Slot) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	return o.busy[slot] > 0
-}
-
 // Running returns how many calls are under way.
 func (o *Owner) Running() int {
 	o.mu.Lock()
--- a/io/owner/seal.go
+++ b/io/owner/seal.go
@@ -24,11 +24,18 @@
 	delete(o.sealed, slot)
 }
 
-// Sealed reports whether the fate of a slot's release is not known yet.
-func (o *Owner) Sealed(slot id.Slot) bool {
+// Occupied returns the slots with calls under way and those whose release has an unknown fate.
+func (o *Owner) Occupied() (busy, sealed map[id.Slot]bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	_, ok := o.sealed[slot]
+	busy = make(map[id.Slot]bool, len(o.busy))
+	for slot := range o.busy {
+		busy[slot] = true
+	}
+	sealed = make(map[id.Slot]bool, len(o.sealed))
+	for slot := range o.sealed {
+		sealed[slot] = true
+	}
 
-	return ok
+	return busy, sealed
 }
