--- a/core/fold/programs.go
+++ b/core/fold/programs.go
@@ -213,7 +213,11 @@
 
 // epochOf returns the epoch that stands beside a slot in a claim or release.
 func epochOf(slot id.Slot, slots []uint32, epochs []uint64) (id.Epoch, bool) {
-	i := slices.Index(slots, uint32(slot))
+	i, ok := slices.BinarySearch(slots, uint32(slot))
+	if !ok {
+		// Hosts list slots in order, but nothing depends on it.
+		i = slices.Index(slots, uint32(slot))
+	}
 	if i < 0 || len(slots) != len(epochs) {
 		return 0, false
 	}
