--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -61,7 +61,7 @@
 	return data, state
 }
 
-func BenchmarkSnapshot(b *testing.B) {
+func BenchmarkLongSnapshot(b *testing.B) {
 	data, state := benchSnapshot(b)
 	b.ReportAllocs()
 	b.SetBytes(int64(len(data)))
@@ -72,7 +72,7 @@
 	}
 }
 
-func BenchmarkRestore(b *testing.B) {
+func BenchmarkLongRestore(b *testing.B) {
 	data, _ := benchSnapshot(b)
 	b.ReportAllocs()
 	b.SetBytes(int64(len(data)))
