Measure what a workspace is refused within its rate against shares and a counter

Cause: the grants' bound was proved, what they refuse was not measured.

Change: a comparison in virtual time with the same seeded arrivals (seed 7, 2 minutes at 0.9 of the rate, 12 hosts), for static equal shares, one central counter, and grants with floors; all three stay within rate and burst in every window.

Conclusion: grants refuse nothing while hosts are healthy, wherever the demand arrives. An owner's loss costs its own workspaces 5.5 s of all but the floors.

--- /dev/null
+++ b/core/bucket/baseline_test.go
@@ -0,0 +1,163 @@
+package bucket_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/core/bucket"
+)
+
+// The comparison below runs in virtual time: the same arrivals reach each policy.
+const (
+	comparedHosts = 12
+	comparedRate  = 50.0
+	comparedBurst = 100.0
+	comparedFor   = 2 * time.Minute
+	// demandShare is the demand as a part of the rate, so that nearly all of it is within rate.
+	demandShare = 0.9
+	// takeover is how long a bucket has no owner after its owner died: the silence and the last grants.
+	takeover = 2*time.Second + 3500*time.Millisecond
+)
+
+// arrival is one request at a host.
+type arrival struct {
+	at   time.Time
+	host int
+}
+
+// arrivals draws a seeded Poisson process; crowd is the share of requests that reach host 0.
+func arrivals(seed uint64, crowd float64) []arrival {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var list []arrival
+	for at := start; at.Before(start.Add(comparedFor)); {
+		at = at.Add(time.Duration(random.ExpFloat64() / (demandShare * comparedRate) * float64(time.Second)))
+		host := random.IntN(comparedHosts)
+		if random.Float64() < crowd {
+			host = 0
+		}
+		list = append(list, arrival{at, host})
+	}
+
+	return list
+}
+
+// fault says when the bucket's owner is gone and when host 0 reaches no other host.
+type fault struct {
+	name    string
+	ownerAt time.Duration
+	cutFrom time.Duration
+	cutTo   time.Duration
+}
+
+func (f fault) ownerless(at time.Time) bool {
+	since := at.Sub(start) - f.ownerAt
+	return f.ownerAt > 0 && since >= 0 && since < takeover
+}
+
+func (f fault) cut(a arrival) bool {
+	since := a.at.Sub(start)
+	return a.host == 0 && since >= f.cutFrom && since < f.cutTo
+}
+
+// policy admits arrivals in order.
+type policy interface {
+	admit(a arrival, f fault) bool
+}
+
+// shares gives each host an equal part of rate and burst.
+type shares struct{ hosts [comparedHosts]bucket.Bucket }
+
+func (p *shares) admit(a arrival, _ fault) bool {
+	taken, _ := p.hosts[a.host].Take(a.at, comparedRate/comparedHosts, comparedBurst/comparedHosts, 1)
+	return taken == 1
+}
+
+// counter asks one central counter for each request; after a takeover it starts empty, as it must.
+type counter struct {
+	central bucket.Bucket
+	lost    bool
+}
+
+func (p *counter) admit(a arrival, f fault) bool {
+	if f.ownerless(a.at) || f.cut(a) {
+		p.lost = p.lost || f.ownerless(a.at)
+		return false
+	}
+	if p.lost {
+		p.lost, p.central = false, bucket.NewAt(a.at, 0)
+	}
+	taken, _ := p.central.Take(a.at, comparedRate, comparedBurst, 1)
+
+	return taken == 1
+}
+
+// grants are floors and a pool, as the hosts use them.
+type grants struct {
+	floors [comparedHosts]bucket.Bucket
+	pool   bucket.Pool
+}
+
+func (p *grants) admit(a arrival, f fault) bool {
+	split := bucket.NewSplit(comparedRate, comparedBurst, comparedHosts)
+	if taken, _ := p.floors[a.host].Take(a.at, split.FloorRate, split.FloorBurst, 1); taken == 1 {
+		return true
+	}
+	if f.ownerless(a.at) || f.cut(a) {
+		return false
+	}
+	handover := bucket.Handover{Epoch: 1, Since: start, Full: true}
+	if f.ownerAt > 0 && a.at.Sub(start) >= f.ownerAt {
+		handover = bucket.Handover{Epoch: 2, Since: start.Add(f.ownerAt + takeover)}
+	}
+
+	return p.pool.Grant(a.at, split, handover, 1).Requests == 1
+}
+
+// refusedWithinRate returns the share of requests that one ideal bucket admits and the policy refuses.
+func refusedWithinRate(t *testing.T, p policy, list []arrival, f fault) float64 {
+	t.Helper()
+	var ideal bucket.Bucket
+	var admitted []time.Time
+	within, refused := 0, 0
+	for _, a := range list {
+		taken, _ := ideal.Take(a.at, comparedRate, comparedBurst, 1)
+		ok := p.admit(a, f)
+		if ok {
+			admitted = append(admitted, a.at)
+		}
+		if taken == 1 {
+			within++
+			if !ok {
+				refused++
+			}
+		}
+	}
+	requireWithin(t, comparedRate, comparedBurst, admitted)
+
+	return float64(refused) / float64(within)
+}
+
+func TestRefusedWithinRateAgainstBaselines(t *testing.T) {
+	faults := []fault{
+		{name: "healthy"},
+		{name: "owner lost", ownerAt: 40 * time.Second},
+		{name: "host cut for 30 s", cutFrom: 60 * time.Second, cutTo: 90 * time.Second},
+	}
+	for _, crowd := range []float64{0, 0.5} {
+		for _, f := range faults {
+			list := arrivals(7, crowd)
+			static := refusedWithinRate(t, &shares{}, list, f)
+			central := refusedWithinRate(t, &counter{}, list, f)
+			ours := refusedWithinRate(t, &grants{}, list, f)
+			t.Logf("half of the demand at one host: %-5t %-18s static shares %.4f, central counter %.4f, grants with floors %.4f",
+				crowd > 0, f.name, static, central, ours)
+			require.LessOrEqual(t, ours, central)
+			if f.name == "healthy" {
+				require.Zero(t, ours)
+			}
+		}
+	}
+}
