Notice callers that have gone without the server's own detector, and wait for keys to be known

Cause: with the race detector, the server's detection of closed connections races with the release of the connection (DetectConnectionClose against Conn.Release). Besides: a settings document that a host can't read counted as in force there; a bucket too small for one request told callers to come back in 292 years; a key just issued was refused by hosts that had not read of it yet.

Ruled out: the server's other transport, which needs a listener of its own kind and would leave nothing to end all connections with.

Change: the listener looks at its sockets without taking data from them, four times a second, and the requests of closed ones are cancelled. A version that does not parse leaves the last one in force and says so. key issue and withdraw wait up to 7 s until all live hosts have read the record, and name those that have not.

--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -17,7 +17,7 @@
 // Level returns what the bucket held when it was last used.
 func (b *Bucket) Level() float64 { return b.level }
 
-// Take takes up to want requests that there is room for, or returns how long until there is room for one.
+// Take takes up to want requests that there is room for, or returns how long until there is room for one; zero where there never is.
 func (b *Bucket) Take(now time.Time, rate, burst float64, want int64) (taken int64, wait time.Duration) {
 	b.fill(now, rate, burst)
 	taken = min(want, int64(math.Floor(b.level)))
@@ -27,7 +27,7 @@
 		return taken, 0
 	}
 	if rate <= 0 || burst < 1 {
-		return 0, math.MaxInt64
+		return 0, 0
 	}
 
 	return 0, time.Duration(math.Ceil((1 - b.level) / rate * float64(time.Second)))
--- a/io/caller/inflight.go
+++ b/io/caller/inflight.go
@@ -2,54 +2,76 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 
 	"cardamomward/core/id"
 )
 
-// Inflight tracks the requests under way by key; its zero value is empty.
+// Inflight tracks the requests under way; its zero value is empty.
 type Inflight struct {
-	mu    sync.Mutex
-	next  uint64
-	calls map[id.Key]map[uint64]context.CancelCauseFunc
+	mu       sync.Mutex
+	next     uint64
+	requests map[uint64]request
 }
 
-// Begin tracks a request until the returned function is called.
-func (f *Inflight) Begin(ctx context.Context, key id.Key) (context.Context, func()) {
+// request is one request under way.
+type request struct {
+	key    id.Key
+	remote net.Addr
+	cancel context.CancelCauseFunc
+}
+
+// Begin tracks a request of a key from a remote address until the returned function is called.
+func (f *Inflight) Begin(ctx context.Context, key id.Key, remote net.Addr) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.calls == nil {
-		f.calls = make(map[id.Key]map[uint64]context.CancelCauseFunc)
-	}
-	if f.calls[key] == nil {
-		f.calls[key] = make(map[uint64]context.CancelCauseFunc)
+	if f.requests == nil {
+		f.requests = make(map[uint64]request)
 	}
 	f.next++
 	number := f.next
-	f.calls[key][number] = cancel
+	f.requests[number] = request{key: key, remote: remote, cancel: cancel}
 
 	return ctx, func() {
 		cancel(nil)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		delete(f.calls[key], number)
-		if len(f.calls[key]) == 0 {
-			delete(f.calls, key)
-		}
+		delete(f.requests, number)
 	}
 }
 
-// CancelIf cancels the requests of all keys for which withdrawn is true.
-func (f *Inflight) CancelIf(withdrawn func(id.Key) bool, cause error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for key, calls := range f.calls {
-		if !withdrawn(key) {
-			continue
+// CancelKeys cancels the requests of all keys for which withdrawn is true.
+func (f *Inflight) CancelKeys(withdrawn func(id.Key) bool, cause error) {
+	known := make(map[id.Key]bool)
+	f.cancelIf(cause, func(r request) bool {
+		answer, ok := known[r.key]
+		if !ok {
+			answer = withdrawn(r.key)
+			known[r.key] = answer
 		}
-		for _, cancel := range calls {
-			cancel(cause)
+
+		return answer
+	})
+}
+
+// CancelGone cancels the requests whose connections are gone.
+func (f *Inflight) CancelGone(gone func(net.Addr) bool, cause error) {
+	f.cancelIf(cause, func(r request) bool { return gone(r.remote) })
+}
+
+// cancelIf asks about a copy of the requests, so that the question may take other locks.
+func (f *Inflight) cancelIf(cause error, condition func(request) bool) {
+	f.mu.Lock()
+	requests := make([]request, 0, len(f.requests))
+	for _, r := range f.requests {
+		requests = append(requests, r)
+	}
+	f.mu.Unlock()
+	for _, r := range requests {
+		if condition(r) {
+			r.cancel(cause)
 		}
 	}
 }
@@ -58,10 +80,6 @@
 func (f *Inflight) Len() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	total := 0
-	for _, calls := range f.calls {
-		total += len(calls)
-	}
 
-	return total
+	return len(f.requests)
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"strings"
 	"time"
@@ -119,7 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	ctx, done := s.inflight.Begin(ctx, key.Key)
+	ctx, done := s.inflight.Begin(ctx, key.Key, c.RemoteAddr())
 	defer done()
 	c.Set(callerKey, key)
 	c.Next(ctx)
@@ -140,10 +141,15 @@
 
 // KeyChanged cancels the requests of keys that have been withdrawn.
 func (s *Server) KeyChanged() {
-	s.inflight.CancelIf(s.Control.KeyWithdrawn,
+	s.inflight.CancelKeys(s.Control.KeyWithdrawn,
 		refusal.New(refusal.Unauthenticated, "the key was withdrawn").WithRan(refusal.Unknown))
 }
 
+// CancelGone cancels the requests whose callers have closed their connections.
+func (s *Server) CancelGone(gone func(net.Addr) bool) {
+	s.inflight.CancelGone(gone, refusal.New(refusal.Cancelled, "the caller has gone").WithRan(refusal.Unknown))
+}
+
 func caller(c *app.RequestContext) *peerpb.Caller {
 	key, _ := c.Value(callerKey).(fold.KeyState)
 
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -31,6 +31,8 @@
 	dialTimeout = time.Second
 	// maxIdlePerHost bounds the idle connections to each address.
 	maxIdlePerHost = 64
+	// goneInterval is how often the host looks for callers that have gone.
+	goneInterval = 250 * time.Millisecond
 	// announceInterval is how often the host tells the platform that it is there.
 	announceInterval = 2 * time.Second
 )
@@ -213,7 +215,7 @@
 	var group sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
-		h.announceLoop, h.settingsLoop, h.slotLoop, h.snapshotLoop,
+		h.announceLoop, h.settingsLoop, h.slotLoop, h.goneLoop, h.snapshotLoop,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
@@ -280,6 +282,20 @@
 	}
 }
 
+// goneLoop cancels the requests of callers that have gone.
+func (h *Host) goneLoop(ctx context.Context) {
+	ticker := time.NewTicker(goneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.callers.CancelGone(h.callerWeb.Gone)
+		}
+	}
+}
+
 // settingsLoop takes over settings and withdrawn keys as the control stream brings them.
 func (h *Host) settingsLoop(ctx context.Context) {
 	var applied id.Position
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -144,7 +144,7 @@
 	self := h.Entry()
 	status.Hosts = append(status.Hosts, operator.HostStatus{
 		Host: self.Host, FailureDomain: self.FailureDomain, Caller: self.Caller, Operator: self.Operator,
-		Live: true, Leaving: self.Leaving, SettingsVersion: version,
+		Live: true, Leaving: self.Leaving, SettingsVersion: version, ControlNext: h.control.Journal.Status().Next,
 		Running: int64(h.owner.Running()), Slots: slots[self.Host],
 	})
 	for _, member := range h.members.All() {
@@ -154,7 +154,7 @@
 		status.Hosts = append(status.Hosts, operator.HostStatus{
 			Host: member.Host, FailureDomain: member.FailureDomain, Caller: member.Caller, Operator: member.Operator,
 			Live: slices.Contains(live, member.Host), Leaving: member.Leaving || member.SaysLeaving,
-			SettingsVersion: member.SettingsVersion, Running: member.Running, Slots: slots[member.Host],
+			SettingsVersion: member.SettingsVersion, ControlNext: member.ControlNext, Running: member.Running, Slots: slots[member.Host],
 		})
 	}
 	slices.SortFunc(status.Hosts, func(a, b operator.HostStatus) int { return cmp.Compare(a.Host, b.Host) })
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -1,22 +1,26 @@
 package httpx
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
-// listener keeps its connections, so that a server can end them all.
+// listener keeps its connections, so that a server can look at them and end them all.
 type listener struct {
 	net.Listener
 
 	mu    sync.Mutex
-	conns map[*conn]struct{}
+	conns map[string]*conn
 }
 
+// conn is a connection that its listener knows by the address of the other end.
 type conn struct {
 	net.Conn
 
 	listener *listener
+	remote   string
 }
 
 // Accept returns the next connection.
@@ -25,13 +29,13 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, listener: l}
+	c := &conn{Conn: inner, listener: l, remote: inner.RemoteAddr().String()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns == nil {
-		l.conns = make(map[*conn]struct{})
+		l.conns = make(map[string]*conn)
 	}
-	l.conns[c] = struct{}{}
+	l.conns[c.remote] = c
 
 	return c, nil
 }
@@ -40,7 +44,7 @@
 func (l *listener) abort() {
 	l.mu.Lock()
 	conns := make([]*conn, 0, len(l.conns))
-	for c := range l.conns {
+	for _, c := range l.conns {
 		conns = append(conns, c)
 	}
 	l.mu.Unlock()
@@ -49,10 +53,42 @@
 	}
 }
 
+// gone reports whether the other end has closed its connection, or is not known any more.
+func (l *listener) gone(remote string) bool {
+	l.mu.Lock()
+	c, ok := l.conns[remote]
+	l.mu.Unlock()
+
+	return !ok || c.closedByPeer()
+}
+
+// closedByPeer looks at what the connection holds without taking it from the reader.
+func (c *conn) closedByPeer() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = control.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		again := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+		closed = !again && (err != nil || n == 0)
+	})
+
+	return err != nil || closed
+}
+
 // Close ends the connection.
 func (c *conn) Close() error {
 	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
+	if c.listener.conns[c.remote] == c {
+		delete(c.listener.conns, c.remote)
+	}
 	c.listener.mu.Unlock()
 
 	return c.Conn.Close()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -63,7 +63,6 @@
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithExitWaitTime(opts.DrainTimeout),
-		server.WithSenseClientDisconnection(true),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
 
@@ -73,6 +72,9 @@
 // Address returns the bound address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Gone reports whether the other end of a connection has closed it, or is not known any more.
+func (s *Server) Gone(remote net.Addr) bool { return s.listener.gone(remote.String()) }
+
 // Start serves in the background.
 func (s *Server) Start() {
 	go func() { s.done <- s.Run() }()
--- a/io/operator/protocol.go
+++ b/io/operator/protocol.go
@@ -53,6 +53,8 @@
 	Key       id.Key       `json:"key"`
 	Workspace id.Workspace `json:"workspace"`
 	Withdrawn bool         `json:"withdrawn"`
+	// Waiting are the live hosts that did not know of a withdrawal when its answer was sent.
+	Waiting []id.Host `json:"waiting,omitempty"`
 }
 
 // Keys lists issued keys.
@@ -69,6 +71,8 @@
 type IssueResponse struct {
 	Key    id.Key `json:"key"`
 	Bearer string `json:"bearer"`
+	// Waiting are the live hosts that did not know the key when the answer was sent.
+	Waiting []id.Host `json:"waiting,omitempty"`
 }
 
 // Programs lists programs.
@@ -85,6 +89,7 @@
 	Live            bool             `json:"live"`
 	Leaving         bool             `json:"leaving"`
 	SettingsVersion id.Position      `json:"settings-version"`
+	ControlNext     id.Offset        `json:"control-next"`
 	Running         int64            `json:"running-calls"`
 	Slots           int              `json:"slots"`
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -113,6 +113,26 @@
 	}
 }
 
+// keyWait bounds the wait until all live hosts know of a key or its withdrawal.
+const keyWait = 7 * time.Second
+
+// awaitControl waits until every live host has folded the control stream beyond an offset, and returns those that have not.
+func (s *Server) awaitControl(ctx context.Context, offset id.Offset) []id.Host {
+	deadline := time.Now().Add(keyWait)
+	for {
+		var waiting []id.Host
+		for _, host := range s.Self.Status(time.Now()).Hosts {
+			if host.Live && host.ControlNext <= offset {
+				waiting = append(waiting, host.Host)
+			}
+		}
+		if len(waiting) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return waiting
+		}
+		time.Sleep(awaitPause)
+	}
+}
+
 func (s *Server) history(_ context.Context, c *app.RequestContext) {
 	history := History{Versions: []Version{}}
 	s.Control.Journal.View(func(state *fold.Control) {
@@ -143,21 +163,24 @@
 	if _, ok := fleet.Workspaces[req.Workspace]; !ok {
 		return nil, refusal.New(refusal.NotFound, "there is no workspace %q; see workspace list", req.Workspace)
 	}
-	key, bearer, err := s.Control.IssueKey(ctx, req.Workspace)
+	issued, err := s.Control.IssueKey(ctx, req.Workspace)
 	if err != nil {
 		return nil, err
 	}
+	waiting := s.awaitControl(ctx, issued.Offset)
 
-	return &IssueResponse{Key: key, Bearer: bearer}, nil
+	return &IssueResponse{Key: issued.Key, Bearer: issued.Bearer, Waiting: waiting}, nil
 }
 
 func (s *Server) withdraw(ctx context.Context, c *app.RequestContext) {
-	if err := s.Control.WithdrawKey(ctx, id.Key(c.Param("key"))); err != nil {
+	offset, err := s.Control.WithdrawKey(ctx, id.Key(c.Param("key")))
+	if err != nil {
 		httpx.Refuse(c, err)
 
 		return
 	}
-	httpx.JSON(c, 200, Key{Key: id.Key(c.Param("key")), Withdrawn: true})
+	waiting := s.awaitControl(ctx, offset)
+	httpx.JSON(c, 200, Key{Key: id.Key(c.Param("key")), Withdrawn: true, Waiting: waiting})
 }
 
 // maxPrograms bounds the programs of one listing.
--- a/io/platform/control.go
+++ b/io/platform/control.go
@@ -40,6 +40,9 @@
 	mu      sync.Mutex
 	version id.Position
 	fleet   *settings.Fleet
+	// rejected is a version that this build can't read; the one before it stays in force here.
+	rejected id.Position
+	findings []settings.Finding
 }
 
 // Fleet returns the settings in force and their version; before the first publish they are empty.
@@ -51,18 +54,29 @@
 	if c.fleet == nil {
 		c.fleet = &settings.Fleet{}
 	}
-	if current.Version <= c.version {
+	if current.Version <= max(c.version, c.rejected) {
 		return c.fleet, c.version
 	}
-	// Publish has checked the document; one that a later build wrote may still not parse here.
-	if fleet, findings := settings.Parse("settings", []byte(current.Document)); len(findings) == 0 {
-		c.fleet = fleet
+	// Publish has checked the document; one that a later build wrote may still not be readable here.
+	fleet, findings := settings.Parse("settings", []byte(current.Document))
+	if len(findings) > 0 {
+		c.rejected, c.findings = current.Version, findings
+
+		return c.fleet, c.version
 	}
-	c.version = current.Version
+	c.fleet, c.version, c.findings = fleet, current.Version, nil
 
 	return c.fleet, c.version
 }
 
+// Findings returns why the latest settings are not in force at this host, if they are not.
+func (c *Control) Findings() []settings.Finding {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.findings
+}
+
 // Authenticate returns the key that a bearer token proves.
 func (c *Control) Authenticate(bearer string, now time.Time) (fold.KeyState, error) {
 	if age := c.Age(now); age > staleAfter {
@@ -128,36 +142,49 @@
 	return verdict.Position, nil
 }
 
-// IssueKey creates a key for a workspace and returns what the caller presents, which is kept nowhere.
-func (c *Control) IssueKey(ctx context.Context, workspace id.Workspace) (key id.Key, bearer string, err error) {
+// IssuedKey is a new key with what its caller presents, which is kept nowhere.
+type IssuedKey struct {
+	Key    id.Key
+	Bearer string
+	// Offset is the place of the key's record in the control stream.
+	Offset id.Offset
+}
+
+// IssueKey creates a key for a workspace.
+func (c *Control) IssueKey(ctx context.Context, workspace id.Workspace) (IssuedKey, error) {
 	salt := make([]byte, saltBytes)
 	rand.Read(salt)
-	key = id.Key(id.Random())
+	key := id.Key(id.Random())
 	secret := id.Random() + id.Random()
 	rec := record.New(c.Host)
 	rec.Body = &recordpb.Record_KeyIssue{KeyIssue: &recordpb.KeyIssue{
 		Key: string(key), Workspace: string(workspace), Salt: salt, Hash: fold.HashSecret(salt, secret),
 	}}
-	if _, err := c.append(ctx, rec); err != nil {
-		return "", "", err
+	verdict, err := c.append(ctx, rec)
+	if err != nil {
+		return IssuedKey{}, err
 	}
 
-	return key, strings.Join([]string{keyPrefix, string(key), secret}, "_"), nil
+	return IssuedKey{
+		Key:    key,
+		Bearer: strings.Join([]string{keyPrefix, string(key), secret}, "_"),
+		Offset: verdict.Position.Offset(),
+	}, nil
 }
 
-// WithdrawKey withdraws a key for good.
-func (c *Control) WithdrawKey(ctx context.Context, key id.Key) error {
+// WithdrawKey withdraws a key for good and returns the place of its record in the control stream.
+func (c *Control) WithdrawKey(ctx context.Context, key id.Key) (id.Offset, error) {
 	rec := record.New(c.Host)
 	rec.Body = &recordpb.Record_KeyWithdraw{KeyWithdraw: &recordpb.KeyWithdraw{Key: string(key)}}
 	verdict, err := c.append(ctx, rec)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if !verdict.Valid() {
-		return refusal.New(refusal.NotFound, "there is no key %q; see key list", key)
+		return 0, refusal.New(refusal.NotFound, "there is no key %q; see key list", key)
 	}
 
-	return nil
+	return verdict.Position.Offset(), nil
 }
 
 // ReportCrash counts a crash of an upstream against the request that it ran.
--- a/test/promises/keys_test.go
+++ b/test/promises/keys_test.go
@@ -1,6 +1,7 @@
 package promises_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -29,16 +30,7 @@
 			return client.Ask(t.Context(), program.Program, model, "endless")
 		}))
 	}
-	w.eventually(func() bool {
-		running := 0
-		for i := range w.Hosts {
-			dump, err := w.Operator(i).Dump(t.Context())
-			require.NoError(t, err)
-			running += dump.Running
-		}
-
-		return running >= len(calls)
-	})
+	w.eventually(func() bool { return w.running() >= len(calls) })
 	_, err := w.Operator(1).WithdrawKey(t.Context(), issued.Key)
 	require.NoError(t, err)
 	for _, call := range calls {
@@ -151,3 +143,39 @@
 		require.NotContains(t, strings.ToLower(text), "bearer")
 	}
 }
+
+func TestCallOfACallerThatHasGoneIsCancelled(t *testing.T) {
+	w := start(t, engine.Config{Slots: 1, TokenInterval: time.Hour})
+	issued := w.key("clerks")
+	// One call runs and one waits at each engine; then their callers close their connections.
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var calls []<-chan result
+	for i := range 4 {
+		client := w.client(i%hosts, issued.Bearer)
+		program, err := client.Open(t.Context(), caller.OpenRequest{})
+		require.NoError(t, err)
+		calls = append(calls, background(func() (caller.Answer, error) {
+			return client.Ask(ctx, program.Program, model, "endless")
+		}))
+	}
+	w.eventually(func() bool { return w.running() == len(calls) })
+	cancel()
+	for _, call := range calls {
+		require.Error(t, w.await(call).err)
+	}
+	w.eventually(func() bool { return w.running() == 0 })
+}
+
+// running returns how many calls are under way at all hosts.
+func (w *world) running() int {
+	w.t.Helper()
+	total := 0
+	for i := range w.Hosts {
+		dump, err := w.Operator(i).Dump(w.t.Context())
+		require.NoError(w.t, err)
+		total += dump.Running
+	}
+
+	return total
+}
