Send calls that must not be repeated at most once through every failure

Cause: the send ran under the caller's context, so a caller that went away lost the outcome; an answer whose outcome append failed was forgotten; two callers under one key got a refusal that said not-run while the call ran; an owner that had lost its slot could not record the outcome it had; a connection that never came about counted as unknown; all calls went to the first upstream. Ruled out: a second intent per upstream (docs/decisions/at-most-once.md). Change: one flight per key, detached from callers; outcomes name their intent's position and count after a takeover; not-run outcomes free the key; core/balance and core/retry; the program named must be the workspace's and open.

--- /dev/null
+++ b/core/balance/doc.go
@@ -0,0 +1,2 @@
+// Package balance spreads calls over the upstreams of a plain service and passes over those that fail.
+package balance
--- a/core/fold/calls.go
+++ b/core/fold/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"cardamomward/core/id"
+	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
 )
 
@@ -48,6 +49,10 @@
 	if p.calls == nil {
 		p.calls = make(map[CallKey]*Call)
 	}
+	// A call counts as a sign of life of the program that made it.
+	if program, ok := p.programs[id.Program(body.GetProgram())]; ok && program.State == ProgramOpen {
+		program.LastRecord = pos
+	}
 	p.calls[key] = &Call{
 		CallKey:     key,
 		Program:     id.Program(body.GetProgram()),
@@ -60,20 +65,41 @@
 	return Valid
 }
 
-func (p *Programs) outcome(body *recordpb.Outcome) Reason {
+// applyOutcome keeps the first outcome of a call.
+//
+// One that names the call's intent counts even after the slot has moved: only the host that sent the call
+// knows the position, and what it learnt stays true. Any other needs the slot.
+func (p *Programs) applyOutcome(pos id.Position, rec *record.Record, body *recordpb.Outcome) Reason {
 	key := CallKey{
 		Workspace: id.Workspace(body.GetWorkspace()),
 		Service:   id.Service(body.GetService()),
 		Key:       body.GetKey(),
 	}
 	call, ok := p.calls[key]
+	named := body.GetIntent() != 0
+	if named && (!ok || call.Position != id.Position(body.GetIntent())) {
+		return NoSuchIntent
+	}
+	if !named {
+		if reason := p.fence(pos, rec); reason != Valid {
+			return reason
+		}
+	}
 	if !ok {
 		return NoSuchIntent
 	}
 	if call.Outcome != nil && !call.Outcome.GetUnknown() {
 		return OutcomeExists
 	}
-	call.Outcome = body
+	if !body.GetNotRun() {
+		call.Outcome = body
+
+		return Valid
+	}
+	if !named {
+		return NoSuchIntent
+	}
+	delete(p.calls, key)
 
 	return Valid
 }
--- a/core/fold/programs.go
+++ b/core/fold/programs.go
@@ -74,6 +74,8 @@
 		return p.applyClaim(pos, rec, body.Claim)
 	case *recordpb.Record_Release:
 		return p.applyRelease(rec, body.Release)
+	case *recordpb.Record_Outcome:
+		return p.applyOutcome(pos, rec, body.Outcome)
 	}
 	if reason := p.fence(pos, rec); reason != Valid {
 		return reason
@@ -95,8 +97,6 @@
 		return p.mark(pos, slot, body.BudgetMark)
 	case *recordpb.Record_Intent:
 		return p.intent(pos, slot, body.Intent)
-	case *recordpb.Record_Outcome:
-		return p.outcome(body.Outcome)
 	default:
 		return UnknownKind
 	}
--- a/io/owner/call.go
+++ b/io/owner/call.go
@@ -4,14 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
+	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
-	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
 	"cardamomward/io/peer/peerpb"
@@ -28,169 +28,44 @@
 	if !ok || svc.Kind != settings.KindPlain || !workspace.Allows(svc.ID) {
 		return nil, refusal.New(refusal.NotFound, "workspace %s has no service %q", workspace.ID, req.GetService())
 	}
-	ctx, cancel := context.WithTimeout(ctx, svc.Timeout)
-	defer cancel()
-	if svc.Idempotent {
-		return o.send(ctx, svc, req)
-	}
-
-	return o.callOnce(ctx, svc, req)
-}
-
-// callOnce makes the intent durable before the send; an earlier intent is never sent again.
-func (o *Owner) callOnce(
-	ctx context.Context, svc *settings.Service, req *peerpb.CallServiceRequest,
-) (*peerpb.CallServiceReply, error) {
-	if req.GetIdempotencyKey() == "" {
-		return nil, refusal.New(refusal.InvalidRequest, "service %s must not run a call twice: send an Idempotency-Key", svc.ID)
-	}
-	key := fold.CallKey{
-		Workspace: id.Workspace(req.GetCaller().GetWorkspace()),
-		Service:   svc.ID,
-		Key:       req.GetIdempotencyKey(),
-	}
-	l, leave, err := o.enter(id.CallSlot(key.Workspace, key.Key), time.Now())
-	if err != nil {
+	if err := o.checkProgram(ctx, req); err != nil {
 		return nil, err
 	}
-	defer leave()
-	if !o.beginCall(key) {
-		return nil, refusal.New(refusal.KeyReused, "a call with this idempotency key is under way").WithRetry(time.Second)
+	if !svc.Idempotent {
+		return o.callOnce(ctx, svc, req)
 	}
-	defer o.endCall(key)
-	var earlier fold.Call
-	var exists bool
-	o.Journal.View(func(p *fold.Programs) { earlier, exists = p.Call(key) })
-	if exists {
-		return o.repeat(ctx, l, svc, req, earlier)
-	}
-
-	return o.sendOnce(ctx, l, svc, req, key)
-}
-
-func (o *Owner) beginCall(key fold.CallKey) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.calls == nil {
-		o.calls = make(map[fold.CallKey]struct{})
-	}
-	if _, ok := o.calls[key]; ok {
-		return false
-	}
-	o.calls[key] = struct{}{}
-
-	return true
-}
+	ctx, cancel := context.WithTimeout(ctx, svc.Timeout)
+	defer cancel()
 
-func (o *Owner) endCall(key fold.CallKey) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.calls, key)
+	return o.send(ctx, svc, req)
 }
 
-func fingerprint(req *peerpb.CallServiceRequest) id.Fingerprint {
-	var digest xxhash.Digest
-	digest.Reset()
-	digest.WriteString(req.GetPath()) //nolint:errcheck // never fails
-	digest.Write([]byte{0})           //nolint:errcheck // never fails
-	digest.Write(req.GetBody())       //nolint:errcheck // never fails
-
-	return id.Fingerprint(digest.Sum64())
-}
+// programWait is how long a call waits for the fold to show the program that it names.
+const programWait = time.Second
 
-func (o *Owner) sendOnce(
-	ctx context.Context, l lease, svc *settings.Service, req *peerpb.CallServiceRequest, key fold.CallKey,
-) (*peerpb.CallServiceReply, error) {
-	upstream, ok := pick(svc)
-	if !ok {
-		return nil, refusal.New(refusal.NoUpstream, "service %s has no upstream", svc.ID).WithRetry(noUpstreamRetry)
+// checkProgram checks that the program named with a call is the workspace's and open.
+func (o *Owner) checkProgram(ctx context.Context, req *peerpb.CallServiceRequest) error {
+	if req.GetProgram() == "" {
+		return nil
 	}
-	intent := o.record(l)
-	intent.Body = &recordpb.Record_Intent{Intent: &recordpb.Intent{
-		Program:     req.GetProgram(),
-		Workspace:   string(key.Workspace),
-		Service:     string(key.Service),
-		Key:         key.Key,
-		Fingerprint: uint64(fingerprint(req)),
-		Upstream:    string(upstream.ID),
-	}}
-	if err := o.commit(ctx, intent); err != nil {
-		// Nothing was sent. An intent that may still become valid is never sent by anyone.
-		refused := refusal.From(err)
-		if refused.Ran == refusal.Unknown {
-			return nil, refusal.New(refusal.LogUnavailable,
-				"the log did not confirm the call's intent, so it was not sent; use a new idempotency key").WithRetry(logRetry)
+	ctx, cancel := context.WithTimeout(ctx, programWait)
+	defer cancel()
+	for {
+		changed := o.Journal.Changed()
+		state, err := o.lookup(req.GetCaller(), id.Program(req.GetProgram()))
+		if err == nil && (state.State != fold.ProgramOpen || state.root.State != fold.ProgramOpen) {
+			return refusal.New(refusal.ProgramEnded, "the program has ended: %s", state.EndReason)
 		}
-
-		return nil, refused
-	}
-	answer, err := o.client(upstream).Do(ctx, o.serviceCall(req))
-	reply := &peerpb.CallServiceReply{Upstream: string(upstream.ID), Owner: string(o.Host)}
-	outcome := outcomeOf(key, answer, err)
-	if commitErr := o.commitOutcome(ctx, l, outcome); commitErr != nil {
-		o.Logger.Error(commitErr, "outcome-not-kept", "service", svc.ID)
-	}
-	if err != nil {
-		return nil, outcomeUnknown(svc, err)
-	}
-	reply.Status, reply.ContentType, reply.Body = outcome.GetStatus(), outcome.GetContentType(), outcome.GetBody()
-
-	return reply, nil
-}
-
-func outcomeUnknown(svc *settings.Service, cause error) error {
-	return refusal.New(refusal.OutcomeUnknown,
-		"service %s may have run the call and did not answer (%v); it will not be sent again", svc.ID, cause).WithRan(refusal.Unknown)
-}
-
-func outcomeOf(key fold.CallKey, answer service.Answer, err error) *recordpb.Outcome {
-	outcome := &recordpb.Outcome{Workspace: string(key.Workspace), Service: string(key.Service), Key: key.Key}
-	if err != nil {
-		outcome.Unknown = true
-
-		return outcome
-	}
-	outcome.Status = int32(answer.Status)
-	outcome.ContentType = answer.ContentType
-	outcome.Body = answer.Body
-
-	return outcome
-}
-
-func (o *Owner) commitOutcome(ctx context.Context, l lease, outcome *recordpb.Outcome) error {
-	rec := o.record(l)
-	rec.Body = &recordpb.Record_Outcome{Outcome: outcome}
-
-	return o.commit(ctx, rec)
-}
-
-// repeat answers a call whose intent is already in the log, without sending it.
-func (o *Owner) repeat(
-	ctx context.Context, l lease, svc *settings.Service, req *peerpb.CallServiceRequest, earlier fold.Call,
-) (*peerpb.CallServiceReply, error) {
-	if earlier.Fingerprint != fingerprint(req) {
-		return nil, refusal.New(refusal.KeyReused, "the idempotency key was used for another request; use a new key")
-	}
-	outcome := earlier.Outcome
-	if outcome == nil || outcome.GetUnknown() {
-		answer, err := o.ask(ctx, svc, earlier)
-		if err != nil {
-			return nil, err
+		if err == nil {
+			return nil
 		}
-		outcome = outcomeOf(earlier.CallKey, answer, nil)
-		if err := o.commitOutcome(ctx, l, outcome); err != nil {
-			o.Logger.Error(err, "outcome-not-kept", "service", svc.ID)
+		// Another host may have opened the program a moment ago.
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return err
 		}
 	}
-
-	return &peerpb.CallServiceReply{
-		Status:      outcome.GetStatus(),
-		ContentType: outcome.GetContentType(),
-		Body:        outcome.GetBody(),
-		Replayed:    true,
-		Upstream:    string(earlier.Upstream),
-		Owner:       string(o.Host),
-	}, nil
 }
 
 // ask finds out from the upstream what became of an intent without an outcome.
@@ -218,17 +93,22 @@
 func (o *Owner) send(
 	ctx context.Context, svc *settings.Service, req *peerpb.CallServiceRequest,
 ) (*peerpb.CallServiceReply, error) {
-	var lastErr error = errorx.IllegalState.New("it has no upstream")
-	for i, upstream := range live(svc) {
-		if i >= maxSends || ctx.Err() != nil {
+	upstreams := o.ordered(svc)
+	if len(upstreams) == 0 {
+		return nil, noUpstream(svc)
+	}
+	var lastErr error
+	for i, upstream := range upstreams {
+		if i >= maxSends || ctx.Err() != nil || (i > 0 && !o.mayRetry()) {
 			break
 		}
-		answer, err := o.client(upstream).Do(ctx, o.serviceCall(req))
+		answer, err := o.do(ctx, upstream, req)
 		if err != nil {
 			lastErr = err
 
 			continue
 		}
+		o.succeeded()
 
 		return &peerpb.CallServiceReply{
 			Status:      int32(answer.Status),
@@ -239,10 +119,48 @@
 		}, nil
 	}
 
+	if ctx.Err() != nil {
+		return nil, gaveUp(ctx, refusal.Unknown)
+	}
+
 	return nil, refusal.New(refusal.UpstreamFailed, "service %s did not answer: %v", svc.ID, lastErr).
 		WithRan(refusal.Unknown).WithRetry(time.Second)
 }
 
+// mayRetry takes one retry out of the budget.
+func (o *Owner) mayRetry() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.retries.Take()
+}
+
+// succeeded pays into the budget of retries.
+func (o *Owner) succeeded() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.retries.Succeeded()
+}
+
+func noUpstream(svc *settings.Service) error {
+	return refusal.New(refusal.NoUpstream, "service %s has no upstream that takes calls", svc.ID).WithRetry(noUpstreamRetry)
+}
+
+// do sends a call to one upstream and notes whether it answered.
+func (o *Owner) do(ctx context.Context, upstream settings.Upstream, req *peerpb.CallServiceRequest) (service.Answer, error) {
+	o.mu.Lock()
+	o.balancer.Begin(upstream.ID)
+	o.mu.Unlock()
+	answer, err := o.client(upstream).Do(ctx, o.serviceCall(req))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A caller that went away says nothing about the upstream.
+	left := err != nil && errors.Is(ctx.Err(), context.Canceled)
+	o.balancer.End(time.Now(), upstream.ID, left || (err == nil && answer.Status != http.StatusServiceUnavailable))
+
+	return answer, err
+}
+
 func (o *Owner) serviceCall(req *peerpb.CallServiceRequest) service.Call {
 	return service.Call{
 		Path:        req.GetPath(),
@@ -266,23 +184,23 @@
 	return &service.Client{Address: upstream.Address, HTTP: o.ServiceHTTP}
 }
 
-// live returns the upstreams that take new calls.
-func live(svc *settings.Service) []settings.Upstream {
-	var upstreams []settings.Upstream
+// ordered returns the upstreams that take new calls, best first.
+func (o *Owner) ordered(svc *settings.Service) []settings.Upstream {
+	byID := make(map[id.Upstream]settings.Upstream, len(svc.Upstreams))
+	ids := make([]id.Upstream, 0, len(svc.Upstreams))
 	for _, u := range svc.Upstreams {
 		if !u.Leaving {
-			upstreams = append(upstreams, u)
+			byID[u.ID] = u
+			ids = append(ids, u.ID)
 		}
 	}
-
-	return upstreams
-}
-
-func pick(svc *settings.Service) (settings.Upstream, bool) {
-	upstreams := live(svc)
-	if len(upstreams) == 0 {
-		return settings.Upstream{}, false
+	o.mu.Lock()
+	ids = o.balancer.Order(time.Now(), ids)
+	o.mu.Unlock()
+	upstreams := make([]settings.Upstream, len(ids))
+	for i, name := range ids {
+		upstreams[i] = byID[name]
 	}
 
-	return upstreams[0], true
+	return upstreams
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -9,10 +9,12 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
+	"cardamomward/core/balance"
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
 	"cardamomward/core/record"
 	"cardamomward/core/refusal"
+	"cardamomward/core/retry"
 	"cardamomward/core/settings"
 	"cardamomward/io/peer"
 	"cardamomward/io/peer/peerpb"
@@ -45,7 +47,11 @@
 	mu       sync.Mutex
 	programs map[id.Program]*active
 	busy     map[id.Slot]int
-	calls    map[fold.CallKey]struct{}
+	flights  map[fold.CallKey]*flight
+	// unsent holds the epochs of intents under which this host has sent nothing yet.
+	unsent   map[fold.CallKey]id.Epoch
+	balancer balance.Balancer
+	retries  retry.Budget
 }
 
 var _ peer.Owner = (*Owner)(nil)
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 
 	"github.com/joomcode/errorx"
@@ -59,9 +61,9 @@
 	if call.Key != "" {
 		req.Header.Set("Idempotency-Key", call.Key)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := c.client().Do(req)
 	if err != nil {
-		return Answer{}, ErrUnknown.Wrap(err, "send")
+		return Answer{}, sendError(err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
@@ -72,6 +74,27 @@
 	return Answer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// client returns the client without redirects: following one would be a second request.
+func (c *Client) client() *http.Client {
+	client := *c.HTTP
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+	return &client
+}
+
+// sendError tells a call that surely reached nobody, because no connection came about, from one that may have run.
+func sendError(err error) error {
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return ErrNotSent.Wrap(err, "connect")
+	}
+
+	return ErrUnknown.Wrap(err, "send")
+}
+
+// NotSent reports whether a call surely never reached the service.
+func NotSent(err error) bool { return errorx.IsOfType(err, ErrNotSent) }
+
 // Outcome asks the service what became of an idempotency key; ok is false where it does not know the key.
 func (c *Client) Outcome(ctx context.Context, key string) (answer Answer, ok bool, err error) {
 	url := fmt.Sprintf("http://%s/outcomes/%s", c.Address, key)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -176,6 +176,9 @@
 	return host, nil
 }
 
+// StopHost ends a host at once, without a drain.
+func (f *Fleet) StopHost(index int) { f.cancels[index]() }
+
 // Operator returns a client for the operators' interface of a host.
 func (f *Fleet) Operator(index int) *operator.Client {
 	return &operator.Client{Address: f.Hosts[index].Entry().Operator}
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,8 +29,10 @@
 type Faults struct {
 	// SlowMillis delays each answer after the effect.
 	SlowMillis int64 `json:"slow-ms"`
-	// Hang runs calls and never answers them.
+	// Hang runs calls and does not answer them until the fault is switched off.
 	Hang bool `json:"hang"`
+	// Refuse answers new calls with 503 and without effect.
+	Refuse bool `json:"refuse"`
 	// LoseAnswers is how many of the next calls take effect without an answer.
 	LoseAnswers int `json:"lose-answers"`
 }
@@ -56,6 +59,7 @@
 	config   Config
 	mu       sync.Mutex
 	faults   Faults
+	changed  chan struct{}
 	effects  []Effect
 	outcomes map[string]Answer
 }
@@ -66,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{Server: web, config: config, outcomes: make(map[string]Answer)}
+	s := &Server{Server: web, config: config, changed: make(chan struct{}), outcomes: make(map[string]Answer)}
 	web.PUT("/faults", s.setFaults)
 	web.GET("/effects", s.listEffects)
 	web.GET("/outcomes/:key", s.outcome)
@@ -75,10 +79,18 @@
 	return s, nil
 }
 
+// hangLimit ends a hanging call at the latest.
+const hangLimit = time.Hour
+
 func (s *Server) call(_ context.Context, c *app.RequestContext) {
+	if s.Faults().Refuse {
+		httpx.Refuse(c, refusal.New(refusal.Overloaded, "the service takes no calls"))
+
+		return
+	}
 	answer, faults := s.perform(c)
 	if faults.Hang {
-		time.Sleep(time.Hour)
+		s.hang()
 	}
 	time.Sleep(time.Duration(faults.SlowMillis) * time.Millisecond)
 	if faults.LoseAnswers > 0 {
@@ -135,10 +147,44 @@
 
 		return
 	}
+	s.SetFaults(faults)
+	httpx.JSON(c, 200, faults)
+}
+
+// SetFaults replaces the faults; calls that hang are answered.
+func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.faults = faults
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
+// hang waits until the faults change.
+func (s *Server) hang() {
+	s.mu.Lock()
+	changed := s.changed
 	s.mu.Unlock()
-	httpx.JSON(c, 200, faults)
+	select {
+	case <-changed:
+	case <-time.After(hangLimit):
+	}
+}
+
+// Effects returns all that the service ran.
+func (s *Server) Effects() []Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.effects)
 }
 
 // EffectList is all that the service ran.
@@ -147,7 +193,5 @@
 }
 
 func (s *Server) listEffects(_ context.Context, c *app.RequestContext) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	httpx.JSON(c, 200, EffectList{Effects: s.effects})
+	httpx.JSON(c, 200, EffectList{Effects: s.Effects()})
 }
