--- a/io/owner/once_test.go
+++ b/io/owner/once_test.go
@@ -198,7 +198,7 @@
 	require.Eventually(t, func() bool {
 		return s.effects("bookings", body("orphan of bookings"))+s.effects("orders", body("orphan of orders")) == 2
 	}, awaitFor, time.Millisecond)
-	s.StopHost(dead)
+	s.Kill(dead)
 	group.Wait()
 	for _, name := range []id.Service{"bookings", "orders"} {
 		s.serviceFaults(name, service.Faults{})
