--- a/core/fold/control.go
+++ b/core/fold/control.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
 )
@@ -42,7 +43,7 @@
 type Control struct {
 	settings []SettingsVersion
 	keys     map[id.Key]*KeyState
-	crashes  map[id.Fingerprint]*crashes
+	crashes  quarantine.Book
 }
 
 // Settings returns the version in force, which is zero before the first publish.
--- a/core/fold/crash.go
+++ b/core/fold/crash.go
@@ -2,34 +2,32 @@
 
 import (
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record/recordpb"
 )
 
-// quarantineAfter is how many different upstream processes a request may crash before it is refused.
-const quarantineAfter = 2
-
-type crashes struct {
-	runs map[string]struct{}
-}
-
-// Quarantined reports whether a request has crashed as many upstream processes as is allowed.
+// Quarantined reports whether a request may not run any more.
 func (c *Control) Quarantined(request id.Fingerprint) bool {
-	state, ok := c.crashes[request]
+	return c.crashes.Standing(request) == quarantine.Convicted
+}
 
-	return ok && len(state.runs) >= quarantineAfter
+// Standing returns how far a request is under suspicion of crashing upstreams.
+func (c *Control) Standing(request id.Fingerprint) quarantine.Standing {
+	return c.crashes.Standing(request)
 }
 
 func (c *Control) crash(body *recordpb.Crash) Reason {
-	if c.crashes == nil {
-		c.crashes = make(map[id.Fingerprint]*crashes)
-	}
 	request := id.Fingerprint(body.GetFingerprint())
-	state, ok := c.crashes[request]
-	if !ok {
-		state = &crashes{runs: make(map[string]struct{})}
-		c.crashes[request] = state
+	if body.GetCleared() {
+		c.crashes.Clear(request)
+
+		return Valid
 	}
-	state.runs[body.GetUpstream()+"/"+body.GetRun()] = struct{}{}
+	c.crashes.Crash(quarantine.Crash{
+		Request: request,
+		Process: body.GetUpstream() + "/" + body.GetRun(),
+		Alone:   body.GetAlone(),
+	})
 
 	return Valid
 }
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -142,7 +142,7 @@
 	options.Log, options.Stream = log, platform.ProgramsStream
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
-	h.engines = &engine.Pool{HTTP: h.newHTTP(true), Logger: h.logger}
+	h.engines = &engine.Pool{NewHTTP: func() *http.Client { return h.newHTTP(true) }, Logger: h.logger}
 	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
 	h.engines.Changed = dispatcher.Pump
 	h.owner = &owner.Owner{
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -5,13 +5,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"cardamomward/core/progress"
 	"cardamomward/io/httpx"
 )
 
@@ -22,7 +27,9 @@
 	ErrNotStarted = errs.NewType("not-started")
 	// ErrCut marks a stream that ended before the answer was complete.
 	ErrCut = errs.NewType("cut")
-	// ErrStalled marks a stream without progress within the deadline.
+	// ErrSilent marks a connection on which nothing has come within the deadline.
+	ErrSilent = errs.NewType("silent")
+	// ErrStalled marks a stream that shows life without progress within the deadline.
 	ErrStalled = errs.NewType("stalled")
 	// ErrCrossed marks an event that belongs to another request.
 	ErrCrossed = errs.NewType("crossed")
@@ -39,39 +46,57 @@
 type Client struct {
 	// Address is the engine's IP number and port.
 	Address string
-	// HTTP sends the requests; it must have no overall timeout.
-	HTTP *http.Client
+	// Conns sends the requests and can replace connections that have gone silent.
+	Conns *Conns
 	// Progress is the longest silence that a stream may have.
 	Progress time.Duration
+
+	// keepalives is set once the engine has shown life on a stream that waited.
+	keepalives atomic.Bool
+}
+
+// Options tell how a stream is followed.
+type Options struct {
+	// Prefill is the expected time until the prompt is computed.
+	Prefill time.Duration
+	// Ran, if set, is called with the engine's process once it has taken the request.
+	Ran func(run string)
+	// Visit is called for each chunk, in order.
+	Visit func(*Chunk) error
 }
 
-// Chat runs a request and calls visit for each chunk until the answer is complete.
-func (c *Client) Chat(ctx context.Context, req *ChatRequest, visit func(*Chunk) error) error {
+// Chat runs a request until its answer is complete.
+func (c *Client) Chat(ctx context.Context, req *ChatRequest, opts Options) error {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return err
 	}
 	url := fmt.Sprintf("http://%s/v1/chat/completions", c.Address)
 
-	return c.stream(ctx, http.MethodPost, url, bytes.NewReader(body), req.RequestID, visit)
+	return c.stream(ctx, &call{
+		method: http.MethodPost, url: url, body: bytes.NewReader(body), requestID: req.RequestID,
+		prefill: opts.Prefill, ran: opts.Ran, visit: opts.Visit,
+	})
 }
 
 // Resume continues a cut stream from the chunk with index from.
-func (c *Client) Resume(ctx context.Context, requestID string, from int, visit func(*Chunk) error) error {
+func (c *Client) Resume(ctx context.Context, requestID string, from int, opts Options) error {
 	url := fmt.Sprintf("http://%s/v1/requests/%s?from=%d", c.Address, requestID, from)
 
-	return c.stream(ctx, http.MethodGet, url, nil, requestID, visit)
+	return c.stream(ctx, &call{
+		method: http.MethodGet, url: url, requestID: requestID, next: from, prefill: opts.Prefill, visit: opts.Visit,
+	})
 }
 
 // Cancel stops a request and frees what it holds.
 func (c *Client) Cancel(ctx context.Context, requestID string) error {
-	return httpx.Do(ctx, c.HTTP, http.MethodDelete, fmt.Sprintf("http://%s/v1/requests/%s", c.Address, requestID), nil, nil)
+	return httpx.Do(ctx, c.Conns.client(), http.MethodDelete, fmt.Sprintf("http://%s/v1/requests/%s", c.Address, requestID), nil, nil)
 }
 
 // Load returns the engine's report of its load.
 func (c *Client) Load(ctx context.Context) (Load, error) {
 	var load Load
-	err := httpx.Do(ctx, c.HTTP, http.MethodGet, fmt.Sprintf("http://%s/v1/load", c.Address), nil, &load)
+	err := httpx.Do(ctx, c.Conns.client(), http.MethodGet, fmt.Sprintf("http://%s/v1/load", c.Address), nil, &load)
 
 	return load, err
 }
@@ -79,7 +104,7 @@
 // Cache lists what the engine holds.
 func (c *Client) Cache(ctx context.Context) (CacheList, error) {
 	var list CacheList
-	err := httpx.Do(ctx, c.HTTP, http.MethodGet, fmt.Sprintf("http://%s/v1/cache", c.Address), nil, &list)
+	err := httpx.Do(ctx, c.Conns.client(), http.MethodGet, fmt.Sprintf("http://%s/v1/cache", c.Address), nil, &list)
 
 	return list, err
 }
@@ -87,31 +112,61 @@
 // Events returns cache events from a sequence number on.
 func (c *Client) Events(ctx context.Context, from uint64) (CacheEvents, error) {
 	var events CacheEvents
-	err := httpx.Do(ctx, c.HTTP, http.MethodGet, fmt.Sprintf("http://%s/v1/cache/events?from=%d", c.Address, from), nil, &events)
+	err := httpx.Do(ctx, c.Conns.client(), http.MethodGet, fmt.Sprintf("http://%s/v1/cache/events?from=%d", c.Address, from), nil, &events)
 
 	return events, err
 }
 
 // Release drops what the engine holds for owners.
 func (c *Client) Release(ctx context.Context, release CacheRelease) error {
-	return httpx.Do(ctx, c.HTTP, http.MethodPost, fmt.Sprintf("http://%s/v1/cache/release", c.Address), release, nil)
+	return httpx.Do(ctx, c.Conns.client(), http.MethodPost, fmt.Sprintf("http://%s/v1/cache/release", c.Address), release, nil)
 }
 
-func (c *Client) stream(
-	ctx context.Context, method, url string, body io.Reader, requestID string, visit func(*Chunk) error,
-) error {
+// call is a stream on one connection.
+type call struct {
+	method    string
+	url       string
+	body      io.Reader
+	requestID string
+	// next is the index of the chunk that is due.
+	next    int
+	prefill time.Duration
+	visit   func(*Chunk) error
+	// ran is called with the engine's process once it has taken the request.
+	ran func(run string)
+	// started is when the request went out.
+	started time.Time
+}
+
+func (c *Client) stream(ctx context.Context, call *call) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(c.Progress, func() { cancel(ErrStalled.New("no progress within %s", c.Progress)) })
-	defer watchdog.Stop()
+	call.started = time.Now()
+	limits := progress.LimitsFor(c.Progress, call.prefill, c.keepalives.Load())
+	guard := watchStream(progress.New(limits, call.started, call.next > 0), cancel)
+	defer guard.stop()
+
+	conns, generation := c.Conns.use()
+	err := c.exchange(ctx, conns, call, guard)
+	if errorx.IsOfType(err, ErrSilent) || errorx.IsOfType(err, ErrCrossed) || errorx.IsOfType(err, ErrCut) {
+		// What the pool still holds to this engine is as suspect as this connection.
+		c.Conns.renew(generation)
+	}
 
-	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, client *http.Client, call *call, guard *guard) error {
+	req, err := http.NewRequestWithContext(ctx, call.method, call.url, call.body)
 	if err != nil {
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	resp, err := c.HTTP.Do(req)
+	resp, err := client.Do(req)
+	if notSent(err) {
+		return ErrNotStarted.Wrap(err, "connect")
+	}
 	if err != nil {
 		return cutError(ctx, err)
 	}
@@ -121,11 +176,11 @@
 
 		return ErrNotStarted.New("status %d: %.200s", resp.StatusCode, data)
 	}
-	err = readEvents(resp.Body, requestID, func(chunk *Chunk) error {
-		watchdog.Reset(c.Progress)
-
-		return visit(chunk)
-	})
+	guard.alive()
+	if run := resp.Header.Get(HeaderRun); run != "" && call.ran != nil {
+		call.ran(run)
+	}
+	err = c.readEvents(resp.Body, call, guard)
 	if errorx.IsOfType(err, ErrCut) {
 		return cutError(ctx, err)
 	}
@@ -133,6 +188,29 @@
 	return err
 }
 
+// notSent reports whether no connection came about.
+func notSent(err error) bool {
+	var failed *net.OpError
+
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
+// Refused reports whether nothing listens at the engine's address.
+func Refused(err error) bool {
+	for err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		wrapped := errorx.Cast(err)
+		if wrapped == nil {
+			return false
+		}
+		err = wrapped.Cause()
+	}
+
+	return false
+}
+
 // cutError prefers the reason for which the stream was cancelled.
 func cutError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
@@ -143,11 +221,16 @@
 }
 
 // readEvents decodes server-sent events up to the marker that ends a complete answer.
-func readEvents(body io.Reader, requestID string, visit func(*Chunk) error) error {
+func (c *Client) readEvents(body io.Reader, call *call, guard *guard) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEvent)
 	for scanner.Scan() {
-		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
+		line := scanner.Bytes()
+		if bytes.HasPrefix(line, []byte(":")) {
+			c.keepalives.Store(true)
+			guard.alive()
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data:"))
 		if !ok {
 			continue
 		}
@@ -155,14 +238,7 @@
 		if string(data) == doneMarker {
 			return nil
 		}
-		var chunk Chunk
-		if err := json.Unmarshal(data, &chunk); err != nil {
-			return ErrCut.Wrap(err, "event is not a chunk")
-		}
-		if chunk.ID != requestID {
-			return ErrCrossed.New("chunk of request %s in the stream of %s", chunk.ID, requestID)
-		}
-		if err := visit(&chunk); err != nil {
+		if err := call.event(data, guard); err != nil {
 			return err
 		}
 	}
@@ -172,3 +248,24 @@
 
 	return ErrCut.New("no end marker")
 }
+
+// event passes a chunk on if it belongs to this request and is the one that is due.
+func (call *call) event(data []byte, guard *guard) error {
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return ErrCut.Wrap(err, "event is not a chunk")
+	}
+	switch {
+	case chunk.ID != call.requestID:
+		return ErrCrossed.New("chunk of request %s in the stream of %s", chunk.ID, call.requestID)
+	case chunk.Index < call.next:
+		// A late copy of what has been passed on already.
+		return nil
+	case chunk.Index > call.next:
+		return ErrCut.New("chunk %d came where %d was due", chunk.Index, call.next)
+	}
+	guard.token(call)
+	call.next++
+
+	return call.visit(&chunk)
+}
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -30,6 +30,7 @@
 
 	mu       sync.Mutex
 	leaving  bool
+	reserved bool
 	load     Load
 	reported time.Time
 	failed   time.Time
@@ -91,7 +92,7 @@
 func (u *Upstream) Candidate(now time.Time, chain []prompt.Prefix) (placement.Candidate, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.leaving || now.Sub(u.failed) < failedPause {
+	if u.leaving || u.reserved || now.Sub(u.failed) < failedPause {
 		return placement.Candidate{}, false
 	}
 	since := 0
@@ -124,8 +125,9 @@
 
 // Pool keeps the engines that the settings name and polls their load.
 type Pool struct {
-	HTTP   *http.Client
-	Logger logr.Logger
+	// NewHTTP returns a client with connections of its own for one engine; it must have no overall timeout.
+	NewHTTP func() *http.Client
+	Logger  logr.Logger
 	// Changed is called when an engine may have room for more calls.
 	Changed func()
 
@@ -148,7 +150,7 @@
 		for _, setting := range service.Upstreams {
 			u, ok := known[setting.ID]
 			if !ok || u.Address != setting.Address {
-				u = &Upstream{Client: Client{Address: setting.Address, HTTP: p.HTTP}}
+				u = &Upstream{Client: Client{Address: setting.Address, Conns: &Conns{New: p.NewHTTP}}}
 			}
 			u.id, u.domain = setting.ID, setting.FailureDomain
 			u.Progress = service.Progress
@@ -201,9 +203,7 @@
 }
 
 func (p *Pool) poll(ctx context.Context, u *Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	load, err := u.Load(ctx)
+	load, err := u.freshLoad(ctx)
 	now := time.Now()
 	if err != nil {
 		p.Logger.V(1).Info("load-report-failed", "upstream", u.id, "error", err)
@@ -212,12 +212,44 @@
 		return
 	}
 	u.report(load, now)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	events, err := u.Events(ctx, u.nextEvent())
 	if err == nil {
 		u.apply(events)
 	}
 }
 
+// freshLoad asks for the load, and again on a fresh connection before the engine counts as failed.
+func (u *Upstream) freshLoad(ctx context.Context) (Load, error) {
+	_, generation := u.Conns.use()
+	load, err := u.loadOnce(ctx)
+	if err == nil || ctx.Err() != nil {
+		return load, err
+	}
+	u.Conns.renew(generation)
+
+	return u.loadOnce(ctx)
+}
+
+func (u *Upstream) loadOnce(ctx context.Context) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+
+	return u.Load(ctx)
+}
+
+// Prefill estimates how long the engine computes a prompt of which some tokens are cached.
+func (u *Upstream) Prefill(tokens id.Tokens) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.load.PrefillPerSec <= 0 {
+		return 0
+	}
+
+	return time.Duration(float64(tokens) / u.load.PrefillPerSec * float64(time.Second))
+}
+
 func (u *Upstream) report(load Load, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/io/engine/protocol.go
+++ b/io/engine/protocol.go
@@ -5,6 +5,9 @@
 	"cardamomward/core/prompt"
 )
 
+// HeaderRun carries the engine's process on answers that stream.
+const HeaderRun = "Engine-Run"
+
 // ChatRequest is a chat-completions request with the engines' published extensions.
 type ChatRequest struct {
 	Model     string           `json:"model"`
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -10,6 +10,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
 	"cardamomward/io/engine"
@@ -20,7 +21,7 @@
 	maxAttempts = 3
 	// overloadRetry is when to come back while all workers are busy.
 	overloadRetry = time.Second
-	// maxResumes bounds how often one stream is resumed.
+	// maxResumes bounds how often in a row a stream is resumed without a new chunk.
 	maxResumes = 2
 	// cancelTimeout bounds the cancellation of a request at an engine.
 	cancelTimeout = time.Second
@@ -58,79 +59,107 @@
 		PromptTokens: promptTokens,
 		Exclude:      make(map[id.Upstream]bool),
 	}
-	for range maxAttempts {
-		u, err := o.Dispatcher.Acquire(ctx, call)
+	ran := refusal.NotRun
+	for n := range maxAttempts {
+		p, err := o.place(ctx, t, call, n > 0)
 		if err != nil {
-			if ctx.Err() != nil {
-				return nil, gaveUp(ctx, refusal.NotRun)
-			}
-
-			return nil, err
+			return nil, whyNotPlaced(ctx, err, ran)
 		}
-		runID := u.Run()
-		got, begun, err := o.attempt(ctx, t, u, visit)
-		o.Dispatcher.Release(call, u, got.prompt-got.cached+got.completion)
+		got, err := o.attempt(ctx, t, p.upstream, visit)
+		p.release(got.prompt - got.cached + got.completion)
 		if err == nil {
-			o.stored(u, t, call.Chain, got)
+			o.succeeded()
+			o.completed(ctx, t, p.standing)
+			o.stored(p.upstream, t, call.Chain, got)
 
 			return got, nil
 		}
 		if ctx.Err() != nil {
 			return nil, gaveUp(ctx, refusal.Unknown)
 		}
-		u.Failed(time.Now())
-		o.Logger.Info("upstream-failed", "upstream", u.ID(), "program", t.state.ID, "error", err)
-		o.blame(ctx, t, u, runID)
-		if begun {
+		if !errorx.IsOfType(err, engine.ErrNotStarted) {
+			ran = refusal.Unknown
+		}
+		engine.CountFailure(err)
+		p.upstream.Failed(time.Now())
+		o.Logger.Info("upstream-failed", "upstream", p.upstream.ID(), "program", t.state.ID, "error", err)
+		o.blame(ctx, t, p, got, err)
+		if got.begun {
 			return nil, refusal.New(refusal.UpstreamFailed, "the answer was cut off and could not be resumed: %v", err).
 				WithRan(refusal.Unknown).WithRetry(time.Second)
 		}
-		if o.Control.Quarantined(t.request) {
-			return nil, refusal.New(refusal.Quarantined, "this request has crashed the upstreams that ran it").WithRan(refusal.Unknown)
-		}
-		call.Exclude[u.ID()] = true
+		call.Exclude[p.upstream.ID()] = true
 	}
 
 	return nil, refusal.New(refusal.UpstreamFailed, "%d upstreams of service %s have failed", maxAttempts, t.service.ID).
-		WithRan(refusal.Unknown).WithRetry(time.Second)
+		WithRan(ran).WithRetry(time.Second)
+}
+
+// placed is an upstream that runs a call until release.
+type placed struct {
+	upstream *engine.Upstream
+	standing quarantine.Standing
+	release  func(served id.Tokens)
+}
+
+// place finds an upstream for a call; a suspect gets one of its own, and a request that kills upstreams none.
+func (o *Owner) place(ctx context.Context, t *turn, call Call, again bool) (*placed, error) {
+	standing := o.standing(t.request)
+	if standing == quarantine.Convicted {
+		return nil, quarantined()
+	}
+	if again && !o.mayRetry() {
+		return nil, refusal.New(refusal.UpstreamFailed, "too many calls fail for this one to be tried again").WithRetry(time.Second)
+	}
+	if standing == quarantine.Suspect {
+		u, release, err := o.isolate(ctx, call)
+
+		return &placed{upstream: u, standing: standing, release: func(id.Tokens) { release() }}, err
+	}
+	u, err := o.Dispatcher.Acquire(ctx, call)
+
+	return &placed{
+		upstream: u, standing: standing, release: func(served id.Tokens) { o.Dispatcher.Release(call, u, served) },
+	}, err
+}
+
+// whyNotPlaced says what became of a call that got no upstream; one that was tried before may have run there.
+func whyNotPlaced(ctx context.Context, err error, ran refusal.Ran) error {
+	if ctx.Err() != nil {
+		return gaveUp(ctx, ran)
+	}
+	refused := refusal.From(err)
+	if refused.Kind == refusal.Quarantined {
+		return refused
+	}
+
+	return refused.WithRan(ran)
 }
 
-// attempt runs a turn at one upstream; begun says that a part of the answer has reached the caller.
-func (o *Owner) attempt(
-	ctx context.Context, t *turn, u *engine.Upstream, visit func(string) error,
-) (got *answer, begun bool, err error) {
-	got = &answer{upstream: u.ID()}
+// attempt runs a turn at one upstream.
+func (o *Owner) attempt(ctx context.Context, t *turn, u *engine.Upstream, visit func(string) error) (*answer, error) {
+	got := &answer{upstream: u.ID(), run: u.Run()}
 	requestID := id.Random()
 	next := 0
-	onChunk := func(chunk *engine.Chunk) error {
-		next = chunk.Index + 1
-		for _, choice := range chunk.Choices {
-			if choice.FinishReason != nil {
-				got.finishReason = *choice.FinishReason
-			}
-			if choice.Delta.Content == "" {
-				continue
-			}
-			got.text.WriteString(choice.Delta.Content)
-			begun = true
-			if err := visit(choice.Delta.Content); err != nil {
-				return err
-			}
-		}
-		if chunk.Usage != nil {
-			got.prompt = chunk.Usage.PromptTokens
-			got.cached = chunk.Usage.Details.CachedTokens
-			got.completion = chunk.Usage.CompletionTokens
-		}
-
-		return nil
+	opts := engine.Options{
+		Prefill: u.Prefill(prompt.EstimateAll(t.messages)),
+		Ran:     func(run string) { got.run = run },
+		Visit: func(chunk *engine.Chunk) error {
+			next = chunk.Index + 1
+
+			return got.add(chunk, visit)
+		},
 	}
-	err = u.Chat(ctx, t.chat(requestID), onChunk)
-	for range maxResumes {
-		if !resumable(err) || ctx.Err() != nil {
-			break
+	err := u.Chat(ctx, t.chat(requestID), opts)
+	idle := 0
+	for resumable(err) && idle < maxResumes && ctx.Err() == nil {
+		engine.CountFailure(err)
+		before := next
+		err = u.Resume(ctx, requestID, next, opts)
+		idle++
+		if next > before {
+			idle = 0
 		}
-		err = u.Resume(ctx, requestID, next, onChunk)
 	}
 	if err == nil && got.finishReason == "" {
 		err = engine.ErrCut.New("the answer has no finish reason")
@@ -139,11 +168,37 @@
 		o.cancel(ctx, u, requestID)
 	}
 
-	return got, begun, err
+	return got, err
 }
 
+// add takes a chunk into the answer and passes its text on.
+func (a *answer) add(chunk *engine.Chunk, visit func(string) error) error {
+	if chunk.Usage != nil {
+		a.prompt = chunk.Usage.PromptTokens
+		a.cached = chunk.Usage.Details.CachedTokens
+		a.completion = chunk.Usage.CompletionTokens
+	}
+	for _, choice := range chunk.Choices {
+		if choice.FinishReason != nil {
+			a.finishReason = *choice.FinishReason
+		}
+		if choice.Delta.Content == "" {
+			continue
+		}
+		a.text.WriteString(choice.Delta.Content)
+		a.begun = true
+		if err := visit(choice.Delta.Content); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// resumable reports whether the engine may still have the rest of the answer. A stream that only stalled is not
+// resumed: its connection works, and the engine makes no progress.
 func resumable(err error) bool {
-	return errorx.IsOfType(err, engine.ErrCut) || errorx.IsOfType(err, engine.ErrStalled) || errorx.IsOfType(err, engine.ErrCrossed)
+	return errorx.IsOfType(err, engine.ErrCut) || errorx.IsOfType(err, engine.ErrSilent) || errorx.IsOfType(err, engine.ErrCrossed)
 }
 
 // cancel frees what an engine still does for a request that has failed or was given up on.
@@ -192,16 +247,3 @@
 	}
 	u.Stored(append(chain, last.Extend(full)), append(tokens, prompt.Estimate(full)))
 }
-
-// blame counts a crash against the request if the engine's process is gone.
-func (o *Owner) blame(ctx context.Context, t *turn, u *engine.Upstream, runID string) {
-	loadCtx, cancel := context.WithTimeout(ctx, cancelTimeout)
-	defer cancel()
-	load, err := u.Load(loadCtx)
-	if err == nil && load.Run == runID {
-		return
-	}
-	if err := o.Control.ReportCrash(ctx, t.request, u.ID(), runID); err != nil {
-		o.Logger.Error(err, "crash-report-failed", "upstream", u.ID())
-	}
-}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -12,6 +12,7 @@
 	"cardamomward/core/balance"
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/refusal"
 	"cardamomward/core/retry"
@@ -52,6 +53,9 @@
 	unsent   map[fold.CallKey]id.Epoch
 	balancer balance.Balancer
 	retries  retry.Budget
+	// unreported holds crashes that the log may not have taken.
+	unreported quarantine.Book
+	isolations map[id.Service]*isolation
 }
 
 var _ peer.Owner = (*Owner)(nil)
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -10,6 +10,7 @@
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/queue"
 	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
@@ -34,9 +35,13 @@
 	text         strings.Builder
 	finishReason string
 	upstream     id.Upstream
-	prompt       id.Tokens
-	cached       id.Tokens
-	completion   id.Tokens
+	// run is the upstream's process that took the request.
+	run string
+	// begun says that a part of the text has been passed on.
+	begun      bool
+	prompt     id.Tokens
+	cached     id.Tokens
+	completion id.Tokens
 }
 
 // Turn runs a program's next turn, or repeats the answer of one that is already in its history.
@@ -109,8 +114,8 @@
 	}
 	t.messages = slices.Concat(history, t.input)
 	t.request = prompt.Fingerprint(workspace.ID, t.messages)
-	if o.Control.Quarantined(t.request) {
-		return refusal.New(refusal.Quarantined, "this request has crashed the upstreams that ran it and will not be run again")
+	if o.standing(t.request) == quarantine.Convicted {
+		return quarantined()
 	}
 	t.maxTokens = service.MaxTokens
 	if asked := id.Tokens(t.req.GetMaxTokens()); asked > 0 {
--- a/io/platform/control.go
+++ b/io/platform/control.go
@@ -9,6 +9,7 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
@@ -108,6 +109,14 @@
 	return quarantined
 }
 
+// Standing returns how far a request is under suspicion of crashing upstreams.
+func (c *Control) Standing(request id.Fingerprint) quarantine.Standing {
+	standing := quarantine.Clean
+	c.Journal.View(func(state *fold.Control) { standing = state.Standing(request) })
+
+	return standing
+}
+
 // Publish replaces the settings if base is still the version in force.
 func (c *Control) Publish(ctx context.Context, base id.Position, document, author string) (id.Position, error) {
 	rec := record.New(c.Host)
@@ -161,11 +170,9 @@
 }
 
 // ReportCrash counts a crash of an upstream against the request that it ran.
-func (c *Control) ReportCrash(ctx context.Context, request id.Fingerprint, upstream id.Upstream, run string) error {
+func (c *Control) ReportCrash(ctx context.Context, crash *recordpb.Crash) error {
 	rec := record.New(c.Host)
-	rec.Body = &recordpb.Record_Crash{Crash: &recordpb.Crash{
-		Fingerprint: uint64(request), Upstream: string(upstream), Run: run,
-	}}
+	rec.Body = &recordpb.Record_Crash{Crash: crash}
 	_, err := c.append(ctx, rec)
 
 	return err
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -5,6 +5,7 @@
 	"container/list"
 	"slices"
 	"sync"
+	"time"
 
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
@@ -27,8 +28,11 @@
 	used     id.Tokens
 	order    list.List
 	entries  map[prompt.Prefix]*list.Element
-	events   []protocol.CacheEvent
+	events   []timedEvent
 	seq      uint64
+	// lag is how late events appear; every gap-th one never does.
+	lag time.Duration
+	gap uint64
 }
 
 // lookup returns how many tokens of the messages are cached from their start.
@@ -93,9 +97,12 @@
 
 func (c *cache) event(kind string, entry *cached, owner string) {
 	c.seq++
-	c.events = append(c.events, protocol.CacheEvent{
+	if c.gap > 0 && c.seq%c.gap == 0 {
+		return
+	}
+	c.events = append(c.events, timedEvent{at: time.Now(), CacheEvent: protocol.CacheEvent{
 		Seq: c.seq, Kind: kind, Prefix: entry.prefix, Tokens: entry.tokens, Owner: owner,
-	})
+	}})
 	if len(c.events) > maxEvents {
 		c.events = c.events[len(c.events)-maxEvents:]
 	}
@@ -145,14 +152,24 @@
 	return owners
 }
 
-// since returns the events from a sequence number on.
-func (c *cache) since(from uint64) ([]protocol.CacheEvent, uint64) {
+// timedEvent is a cache event and when it happened.
+type timedEvent struct {
+	protocol.CacheEvent
+
+	at time.Time
+}
+
+// since returns the events from a sequence number on that have appeared, and the next number to ask for.
+func (c *cache) since(from uint64, now time.Time) ([]protocol.CacheEvent, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	events := make([]protocol.CacheEvent, 0)
 	for _, event := range c.events {
+		if event.at.Add(c.lag).After(now) {
+			return events, event.Seq
+		}
 		if event.Seq >= from {
-			events = append(events, event)
+			events = append(events, event.CacheEvent)
 		}
 	}
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -27,6 +27,16 @@
 	CacheTokens id.Tokens
 	// LoadLag is how old a load report is.
 	LoadLag time.Duration
+	// BatchSlowdown is by how much of itself the token interval grows with each further running request.
+	BatchSlowdown float64
+	// Keepalive is how often a quiet stream shows life; a negative one switches it off.
+	Keepalive time.Duration
+	// EventLag is how late cache events appear.
+	EventLag time.Duration
+	// EventGap drops every so many-th cache event; zero drops none.
+	EventGap uint64
+	// CrashExits makes a crash end the process with CrashCode.
+	CrashExits bool
 	// IgnoreFence makes the engine take orders with an old fencing number.
 	IgnoreFence bool
 }
@@ -37,8 +47,13 @@
 	defaultPrefill       = 20000
 	defaultTokenInterval = 2 * time.Millisecond
 	defaultCacheTokens   = 200_000
+	defaultSlowdown      = 0.02
+	defaultKeepalive     = 250 * time.Millisecond
 )
 
+// CrashCode is the exit code of an engine that crashes for real.
+const CrashCode = 3
+
 func (c Config) withDefaults() Config {
 	if c.Model == "" {
 		c.Model = defaultModel
@@ -55,6 +70,12 @@
 	if c.CacheTokens == 0 {
 		c.CacheTokens = defaultCacheTokens
 	}
+	if c.BatchSlowdown == 0 {
+		c.BatchSlowdown = defaultSlowdown
+	}
+	if c.Keepalive == 0 {
+		c.Keepalive = defaultKeepalive
+	}
 
 	return c
 }
@@ -63,25 +84,35 @@
 type Faults struct {
 	// CrashOn ends the process's run when a prompt contains it.
 	CrashOn string `json:"crash-on"`
-	// Silent makes streams that are open go silent; new connections work.
+	// CrashAfterMillis is how long a request runs before it crashes the engine.
+	CrashAfterMillis int64 `json:"crash-after-ms"`
+	// Silent makes all connections that are open now go silent for good; new ones work.
 	Silent bool `json:"silent"`
+	// Stalled makes requests show life without producing tokens.
+	Stalled bool `json:"stalled"`
 	// CutAfter ends streams after so many chunks without the end marker.
 	CutAfter int `json:"cut-after"`
-	// Crossed sends chunks under another request's id.
-	Crossed bool `json:"crossed"`
+	// Crossed sends this many of the next chunks under another request's id.
+	Crossed int `json:"crossed"`
+	// Repeated sends every chunk twice.
+	Repeated bool `json:"repeated"`
 	// Refuse answers all new requests with 503.
 	Refuse bool `json:"refuse"`
 }
 
 // run is one request in the engine.
 type run struct {
-	id       string
+	id string
+	// process is the engine's process that took the request.
+	process  string
 	owner    string
 	cancel   context.CancelFunc
 	mu       sync.Mutex
 	chunks   []protocol.Chunk
 	finished bool
 	changed  chan struct{}
+	// crashed is closed when the engine crashes while it runs the request.
+	crashed chan struct{}
 }
 
 func (r *run) add(chunk protocol.Chunk, last bool) {
@@ -151,9 +182,14 @@
 	answer := answerWords(req.Messages, req.MaxTokens)
 	r.add(s.chunk(r.id, protocol.Delta{Role: "assistant"}, nil, nil), false)
 	for i, word := range answer {
-		if !pause(ctx, s.config.TokenInterval) {
+		if !pause(ctx, s.interval()) {
 			return
 		}
+		for s.currentFaults().Stalled {
+			if !pause(ctx, s.config.TokenInterval) {
+				return
+			}
+		}
 		if i > 0 {
 			word = " " + word
 		}
@@ -172,6 +208,14 @@
 	r.add(s.chunk(r.id, protocol.Delta{}, &reason, &usage), true)
 }
 
+// interval returns the time to the next token, which grows with the batch.
+func (s *Server) interval() time.Duration {
+	running, _ := s.batch.counts()
+	factor := 1 + s.config.BatchSlowdown*float64(max(0, running-1))
+
+	return time.Duration(float64(s.config.TokenInterval) * factor)
+}
+
 func (s *Server) chunk(requestID string, delta protocol.Delta, reason *string, usage *protocol.Usage) protocol.Chunk {
 	return protocol.Chunk{
 		ID:      requestID,
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,6 +39,7 @@
 	run    string
 	runs   map[string]*run
 	load   []loadSample
+	conns  map[string]bool
 	fence  uint64
 	seen   []SeenRequest
 }
@@ -67,7 +70,8 @@
 		Server: web,
 		config: config,
 		batch:  batch{slots: config.Slots},
-		cache:  cache{capacity: config.CacheTokens},
+		cache:  cache{capacity: config.CacheTokens, lag: config.EventLag, gap: config.EventGap},
+		conns:  make(map[string]bool),
 		run:    id.Random(),
 		runs:   make(map[string]*run),
 	}
@@ -94,9 +98,38 @@
 		s.seen = append(s.seen, seen)
 	}
 	s.mu.Unlock()
+	if s.silent(c) {
+		hush(ctx)
+
+		return
+	}
 	c.Next(ctx)
 }
 
+// silent reports whether the request's connection has gone silent, and otherwise notes that it is open.
+func (s *Server) silent(c *app.RequestContext) bool {
+	address := c.RemoteAddr().String()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns[address] {
+		return true
+	}
+	s.conns[address] = false
+
+	return false
+}
+
+// hushLimit ends a silent connection at the latest.
+const hushLimit = time.Hour
+
+// hush keeps a connection open without a word.
+func hush(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(hushLimit):
+	}
+}
+
 func (s *Server) currentFaults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +137,7 @@
 	return s.faults
 }
 
-func (s *Server) chat(_ context.Context, c *app.RequestContext) {
+func (s *Server) chat(ctx context.Context, c *app.RequestContext) {
 	var req protocol.ChatRequest
 	if err := httpx.Decode(c.Request.Body(), &req); err != nil {
 		httpx.Refuse(c, err)
@@ -117,16 +150,14 @@
 
 		return
 	}
-	if faults.CrashOn != "" && contains(&req, faults.CrashOn) {
-		s.crash()
-		c.GetConn().Close()
-
-		return
-	}
 	if req.RequestID == "" {
 		req.RequestID = id.Random()
 	}
-	s.stream(c, s.begin(&req), 0)
+	r := s.begin(&req)
+	if faults.CrashOn != "" && contains(&req, faults.CrashOn) {
+		time.AfterFunc(time.Duration(faults.CrashAfterMillis)*time.Millisecond, s.Crash)
+	}
+	s.stream(ctx, c, r, 0)
 }
 
 func contains(req *protocol.ChatRequest, marker string) bool {
@@ -139,12 +170,16 @@
 	return false
 }
 
-// crash ends all requests and empties the cache, as a new process would find it.
-func (s *Server) crash() {
+// Crash ends all requests and empties the cache, as a new process would find it.
+func (s *Server) Crash() {
+	if s.config.CrashExits {
+		os.Exit(CrashCode)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range s.runs {
 		r.cancel()
+		close(r.crashed)
 	}
 	s.runs = make(map[string]*run)
 	s.run = id.Random()
@@ -154,7 +189,7 @@
 // begin starts a request in the background; a cut stream leaves it running.
 func (s *Server) begin(req *protocol.ChatRequest) *run {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &run{id: req.RequestID, owner: req.CacheOwner, cancel: cancel, changed: make(chan struct{})}
+	r := &run{process: s.RunID(), id: req.RequestID, owner: req.CacheOwner, cancel: cancel, changed: make(chan struct{}), crashed: make(chan struct{})}
 	s.mu.Lock()
 	s.runs[r.id] = r
 	s.mu.Unlock()
@@ -173,39 +208,106 @@
 	delete(s.runs, requestID)
 }
 
-// stream writes a run's chunks from an index on.
-func (s *Server) stream(c *app.RequestContext, r *run, index int) {
-	writer := sse.NewWriter(c)
-	sent := 0
+// stream writes a run's chunks from an index on, and signs of life while there are none.
+func (s *Server) stream(ctx context.Context, c *app.RequestContext, r *run, index int) {
+	c.Response.Header.Set(protocol.HeaderRun, r.process)
+	out := &output{server: s, c: c, writer: sse.NewWriter(c)}
+	keepalive := s.config.Keepalive
+	if keepalive <= 0 {
+		keepalive = hushLimit
+	} else if out.comment() != nil {
+		return
+	}
+	ticker := time.NewTicker(keepalive)
+	defer ticker.Stop()
 	for {
 		chunks, finished, changed := r.from(index)
-		for i := range chunks {
-			faults := s.currentFaults()
-			if faults.CutAfter > 0 && sent >= faults.CutAfter {
-				c.GetConn().Close()
-
-				return
-			}
-			if faults.Silent {
-				time.Sleep(time.Hour)
-			}
-			if faults.Crossed {
-				chunks[i].ID = "crossed"
-			}
-			data, err := json.Marshal(chunks[i])
-			if err != nil || writer.WriteEvent("", "", data) != nil {
+		for _, chunk := range chunks {
+			if !out.write(ctx, chunk) {
 				return
 			}
-			sent++
 			index++
 		}
 		if finished {
-			writer.WriteEvent("", "", []byte("[DONE]")) //nolint:errcheck // the reader may be gone
+			out.writer.WriteEvent("", "", []byte("[DONE]")) //nolint:errcheck // the reader may be gone
 
 			return
 		}
-		<-changed
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		case <-r.crashed:
+			c.GetConn().Close()
+
+			return
+		case <-ticker.C:
+			if s.silent(c) {
+				hush(ctx)
+
+				return
+			}
+			if out.comment() != nil {
+				return
+			}
+		}
+	}
+}
+
+// output is one connection on which a run's chunks go out.
+type output struct {
+	server *Server
+	c      *app.RequestContext
+	writer *sse.Writer
+	sent   int
+}
+
+func (o *output) comment() error { return o.writer.WriteComment("keepalive") }
+
+// write sends a chunk with the faults in force and reports whether the stream goes on.
+func (o *output) write(ctx context.Context, chunk protocol.Chunk) bool {
+	faults := o.server.currentFaults()
+	if faults.CutAfter > 0 && o.sent >= faults.CutAfter {
+		o.c.GetConn().Close()
+
+		return false
+	}
+	if o.server.silent(o.c) {
+		hush(ctx)
+
+		return false
+	}
+	if o.server.cross() {
+		chunk.ID = "crossed"
+	}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return false
+	}
+	copies := 1
+	if faults.Repeated {
+		copies++
+	}
+	for range copies {
+		if o.writer.WriteEvent("", "", data) != nil {
+			return false
+		}
+	}
+	o.sent++
+
+	return true
+}
+
+// cross reports whether the next chunk goes out under another request's id.
+func (s *Server) cross() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Crossed == 0 {
+		return false
 	}
+	s.faults.Crossed--
+
+	return true
 }
 
 func (s *Server) lookup(requestID string) (*run, bool) {
@@ -216,7 +318,7 @@
 	return r, ok
 }
 
-func (s *Server) resume(_ context.Context, c *app.RequestContext) {
+func (s *Server) resume(ctx context.Context, c *app.RequestContext) {
 	r, ok := s.lookup(c.Param("id"))
 	if !ok {
 		httpx.Refuse(c, refusal.New(refusal.NotFound, "no request %q", c.Param("id")))
@@ -229,7 +331,7 @@
 
 		return
 	}
-	s.stream(c, r, from)
+	s.stream(ctx, c, r, from)
 }
 
 func (s *Server) cancel(_ context.Context, c *app.RequestContext) {
@@ -285,7 +387,7 @@
 
 		return
 	}
-	events, next := s.cache.since(from)
+	events, next := s.cache.since(from, time.Now())
 	s.mu.Lock()
 	runID := s.run
 	s.mu.Unlock()
@@ -310,10 +412,39 @@
 
 		return
 	}
+	s.SetFaults(faults)
+	httpx.JSON(c, 200, faults)
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(faults Faults) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.faults = faults
-	s.mu.Unlock()
-	httpx.JSON(c, 200, faults)
+	if faults.Silent {
+		for address := range s.conns {
+			s.conns[address] = true
+		}
+	}
+}
+
+// Held returns what the engine holds for each owner.
+func (s *Server) Held() []protocol.CacheOwner { return s.cache.list() }
+
+// RunID identifies the engine's process; it changes with each crash.
+func (s *Server) RunID() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.run
+}
+
+// Seen returns what reached the engine.
+func (s *Server) Seen() []SeenRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.seen)
 }
 
 // SeenList is what reached an upstream.
