--- a/core/fold/control.go
+++ b/core/fold/control.go
@@ -44,6 +44,8 @@
 	settings []SettingsVersion
 	keys     map[id.Key]*KeyState
 	crashes  quarantine.Book
+	// reservations are kept by upstream.
+	reservations map[id.Upstream]Reservation
 }
 
 // Settings returns the version in force, which is zero before the first publish.
@@ -106,6 +108,8 @@
 		return c.restateKeys(pos, body.KeySnapshot)
 	case *recordpb.Record_Crash:
 		return c.crash(body.Crash)
+	case *recordpb.Record_Reservation:
+		return c.reserve(pos, rec, body.Reservation)
 	default:
 		return UnknownKind
 	}
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -29,6 +29,8 @@
 	NotOwner        Reason = "not-owner"
 	KeyExists       Reason = "key-exists"
 	NoSuchKey       Reason = "no-such-key"
+	AlreadyReserved Reason = "already-reserved"
+	NoReservation   Reason = "no-such-reservation"
 	AlreadyIncluded Reason = "already-included"
 )
 
--- /dev/null
+++ b/core/fold/reserve.go
@@ -0,0 +1,53 @@
+package fold
+
+import (
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+)
+
+// Reservation keeps an upstream for one host's suspect requests.
+type Reservation struct {
+	Upstream id.Upstream
+	Service  id.Service
+	Host     id.Host
+	Position id.Position
+}
+
+// Reservations returns the upstreams that are reserved.
+func (c *Control) Reservations() []Reservation {
+	reservations := make([]Reservation, 0, len(c.reservations))
+	for _, r := range c.reservations {
+		reservations = append(reservations, r)
+	}
+
+	return reservations
+}
+
+func (c *Control) reserve(pos id.Position, rec *record.Record, body *recordpb.Reservation) Reason {
+	upstream, service := id.Upstream(body.GetUpstream()), id.Service(body.GetService())
+	current, reserved := c.reservations[upstream]
+	if ends := id.Position(body.GetEnds()); ends != 0 {
+		if !reserved || current.Position != ends {
+			return NoReservation
+		}
+		delete(c.reservations, upstream)
+
+		return Valid
+	}
+	count := 0
+	for _, r := range c.reservations {
+		if r.Service == service {
+			count++
+		}
+	}
+	if reserved || count >= int(body.GetMost()) {
+		return AlreadyReserved
+	}
+	if c.reservations == nil {
+		c.reservations = make(map[id.Upstream]Reservation)
+	}
+	c.reservations[upstream] = Reservation{Upstream: upstream, Service: service, Host: id.Host(rec.GetHost()), Position: pos}
+
+	return Valid
+}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -27,6 +27,8 @@
 	ErrNotStarted = errs.NewType("not-started")
 	// ErrCut marks a stream that ended before the answer was complete.
 	ErrCut = errs.NewType("cut")
+	// ErrLost marks a stream that was cut and whose request the engine does not know any more.
+	ErrLost = errs.NewType("lost")
 	// ErrSilent marks a connection on which nothing has come within the deadline.
 	ErrSilent = errs.NewType("silent")
 	// ErrStalled marks a stream that shows life without progress within the deadline.
@@ -83,9 +85,15 @@
 func (c *Client) Resume(ctx context.Context, requestID string, from int, opts Options) error {
 	url := fmt.Sprintf("http://%s/v1/requests/%s?from=%d", c.Address, requestID, from)
 
-	return c.stream(ctx, &call{
+	err := c.stream(ctx, &call{
 		method: http.MethodGet, url: url, requestID: requestID, next: from, prefill: opts.Prefill, visit: opts.Visit,
 	})
+	if errorx.IsOfType(err, ErrNotStarted) {
+		// The request did start: it is the resumption that the engine refused.
+		return ErrLost.Wrap(err, "resume from chunk %d", from)
+	}
+
+	return err
 }
 
 // Cancel stops a request and frees what it holds.
--- a/io/engine/guard.go
+++ b/io/engine/guard.go
@@ -58,6 +58,9 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.watch.Token(now)
+	if _, next := g.watch.Check(now); !g.done {
+		g.timer.Reset(next)
+	}
 	switch {
 	case call.next == 0:
 		firstToken.observe(now.Sub(call.started))
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -31,13 +31,15 @@
 	mu       sync.Mutex
 	leaving  bool
 	reserved bool
-	load     Load
-	reported time.Time
-	failed   time.Time
-	own      int
-	sends    []time.Time
-	cached   map[prompt.Prefix]id.Tokens
-	nextSeq  uint64
+	// elsewhere is set while another host has reserved the upstream.
+	elsewhere bool
+	load      Load
+	reported  time.Time
+	failed    time.Time
+	own       int
+	sends     []time.Time
+	cached    map[prompt.Prefix]id.Tokens
+	nextSeq   uint64
 }
 
 // ID returns the upstream's name.
@@ -92,7 +94,7 @@
 func (u *Upstream) Candidate(now time.Time, chain []prompt.Prefix) (placement.Candidate, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.leaving || u.reserved || now.Sub(u.failed) < failedPause {
+	if u.leaving || u.reserved || u.elsewhere || now.Sub(u.failed) < failedPause {
 		return placement.Candidate{}, false
 	}
 	since := 0
--- a/io/owner/fleet_test.go
+++ b/io/owner/fleet_test.go
@@ -77,7 +77,7 @@
 	keys map[id.Workspace]string
 }
 
-func startSystem(t *testing.T, config engine.Config) *system { //nolint:unparam // streams need other engines
+func startSystem(t *testing.T, config engine.Config) *system {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), awaitFor)
 	defer cancel()
--- a/io/platform/control.go
+++ b/io/platform/control.go
@@ -117,6 +117,22 @@
 	return standing
 }
 
+// Reservations returns the upstreams that are reserved for suspect requests.
+func (c *Control) Reservations() []fold.Reservation {
+	var reservations []fold.Reservation
+	c.Journal.View(func(state *fold.Control) { reservations = state.Reservations() })
+
+	return reservations
+}
+
+// Reserve begins or ends a reservation; its verdict says whether it counts.
+func (c *Control) Reserve(ctx context.Context, reservation *recordpb.Reservation) (fold.Verdict, error) {
+	rec := record.New(c.Host)
+	rec.Body = &recordpb.Record_Reservation{Reservation: reservation}
+
+	return c.append(ctx, rec)
+}
+
 // Publish replaces the settings if base is still the version in force.
 func (c *Control) Publish(ctx context.Context, base id.Position, document, author string) (id.Position, error) {
 	rec := record.New(c.Host)
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -42,6 +42,8 @@
 	conns  map[string]bool
 	fence  uint64
 	seen   []SeenRequest
+	// crashes counts the processes that have ended.
+	crashes int
 }
 
 type loadSample struct {
@@ -183,6 +185,7 @@
 	}
 	s.runs = make(map[string]*run)
 	s.run = id.Random()
+	s.crashes++
 	s.cache.clear()
 }
 
@@ -439,6 +442,14 @@
 	return s.run
 }
 
+// Crashes returns how often the engine has crashed.
+func (s *Server) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.crashes
+}
+
 // Seen returns what reached the engine.
 func (s *Server) Seen() []SeenRequest {
 	s.mu.Lock()
