--- /dev/null
+++ b/core/expiry/doc.go
@@ -0,0 +1,2 @@
+// Package expiry decides which programs have had no call for the length of their lease.
+package expiry
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -89,6 +89,11 @@
 	return Slot(xxhash.Sum64String("workspace/"+string(w)) % SlotCount)
 }
 
+// UpstreamSlot returns the slot whose owner looks after an upstream.
+func UpstreamSlot(u Upstream) Slot {
+	return Slot(xxhash.Sum64String("upstream/"+string(u)) % SlotCount)
+}
+
 // CallSlot returns the slot of a service call outside any program.
 func CallSlot(w Workspace, key string) Slot {
 	return Slot(xxhash.Sum64String("call/"+string(w)+"/"+key) % SlotCount)
--- /dev/null
+++ b/core/reconcile/doc.go
@@ -0,0 +1,2 @@
+// Package reconcile decides which owners' memory an engine should release, because their programs are gone.
+package reconcile
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -191,7 +191,7 @@
 	var group sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
-		h.owner.WatchReservations, h.announceLoop, h.settingsLoop, h.slotLoop,
+		h.owner.WatchReservations, h.owner.RunExpiry, h.owner.RunReconcile, h.announceLoop, h.settingsLoop, h.slotLoop,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -88,6 +88,7 @@
 		first  *errorx.Type
 	}{
 		{"cut", standin.Faults{CutAfter: 3}, engine.ErrCut},
+		{"ended early", standin.Faults{EndAfter: 3}, engine.ErrCut},
 		{"crossed", standin.Faults{Crossed: 2}, engine.ErrCrossed},
 		{"repeated", standin.Faults{Repeated: true}, nil},
 	}
@@ -98,7 +99,7 @@
 			server.SetFaults(test.faults)
 			client := connect(server, time.Minute)
 			var a answer
-			err := client.Chat(t.Context(), request("request-"+test.name), a.options())
+			err := client.Chat(t.Context(), request("request-"+strings.ReplaceAll(test.name, " ", "-")), a.options())
 			if test.first == nil {
 				require.NoError(t, err)
 			} else {
@@ -109,7 +110,7 @@
 				if err == nil {
 					break
 				}
-				err = client.Resume(t.Context(), "request-"+test.name, a.next, a.options())
+				err = client.Resume(t.Context(), "request-"+strings.ReplaceAll(test.name, " ", "-"), a.next, a.options())
 			}
 			require.NoError(t, err)
 			require.Equal(t, want, a.text.String())
@@ -166,12 +167,18 @@
 	}{{"with keepalives", 20 * time.Millisecond}, {"without keepalives", -1}} {
 		t.Run(test.name, func(t *testing.T) {
 			server := start(t, standin.Config{PrefillPerSecond: 5, Keepalive: test.keepalive})
-			var a answer
 			client := connect(server, time.Second)
-			opts := a.options()
-			opts.Prefill = 2 * time.Second
-			require.NoError(t, client.Chat(t.Context(), request("long"), opts))
-			require.Equal(t, want, a.text.String())
+			// By the second request the client has learnt whether the engine shows life.
+			for _, name := range []string{"first", "second"} {
+				var a answer
+				opts := a.options()
+				opts.Prefill = 2 * time.Second
+				req := request(name)
+				req.CacheOwner = name
+				require.NoError(t, client.Chat(t.Context(), req, opts))
+				require.Equal(t, want, a.text.String())
+				require.NoError(t, client.Release(t.Context(), engine.CacheRelease{Owners: []string{name}}))
+			}
 		})
 	}
 }
--- /dev/null
+++ b/io/owner/memory.go
@@ -0,0 +1,201 @@
+package owner
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cardamomward/core/expiry"
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/reconcile"
+	"cardamomward/io/engine"
+)
+
+const (
+	// expiryInterval is how often the owner looks for programs whose lease has passed.
+	expiryInterval = time.Second
+	// reconcileInterval is how often the memory of an engine is compared with the live programs.
+	reconcileInterval = 2 * time.Second
+	// releaseTimeout bounds one listing or release at an engine.
+	releaseTimeout = 2 * time.Second
+)
+
+// every calls do at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func(context.Context, time.Time)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			do(ctx, now)
+		}
+	}
+}
+
+// RunExpiry ends the programs of this host's slots whose lease has passed, until ctx ends.
+func (o *Owner) RunExpiry(ctx context.Context) {
+	var tracker expiry.Tracker
+	every(ctx, expiryInterval, func(ctx context.Context, now time.Time) {
+		if now.Sub(o.Journal.Status().Heard) > staleAfter {
+			return
+		}
+		for _, program := range tracker.Sweep(now, o.openPrograms()) {
+			o.expire(ctx, program)
+		}
+	})
+}
+
+// openPrograms returns the open programs of the slots that this host owns.
+func (o *Owner) openPrograms() []expiry.Program {
+	o.mu.Lock()
+	busy := make(map[id.Program]bool, len(o.programs))
+	for program := range o.programs {
+		busy[program] = true
+	}
+	o.mu.Unlock()
+	var open []expiry.Program
+	o.Journal.View(func(p *fold.Programs) {
+		for number := range id.SlotCount {
+			slot := id.Slot(number)
+			if state := p.Slot(slot); state.State != fold.SlotOwned || state.Owner != o.Host {
+				continue
+			}
+			for _, name := range p.SlotPrograms(slot) {
+				program, ok := p.Program(name)
+				if !ok || program.State != fold.ProgramOpen {
+					continue
+				}
+				open = append(open, expiry.Program{
+					ID:    name,
+					Lease: time.Duration(program.LeaseMillis) * time.Millisecond,
+					Last:  program.LastRecord,
+					Busy:  busy[name],
+				})
+			}
+		}
+	})
+
+	return open
+}
+
+// expire ends a program unless a call of it has begun meanwhile.
+func (o *Owner) expire(ctx context.Context, program id.Program) {
+	a, done := o.use(program)
+	defer done()
+	select {
+	case a.turn <- struct{}{}:
+		defer func() { <-a.turn }()
+	default:
+		return
+	}
+	if err := o.end(ctx, program, EndedByLease); err != nil {
+		o.Logger.Info("program-not-expired", "program", program, "error", err)
+	}
+}
+
+// releaseEnded drops at once what upstreams hold for a program that has ended; reconciliation finds what is missed.
+func (o *Owner) releaseEnded(ctx context.Context, program id.Program) {
+	upstreams := make(map[id.Upstream][]string)
+	o.Journal.View(func(p *fold.Programs) {
+		for _, name := range p.SlotPrograms(id.ProgramSlot(program)) {
+			state, ok := p.Program(name)
+			if !ok || name.Root() != program.Root() || state.State == fold.ProgramOpen {
+				continue
+			}
+			for _, turn := range state.Turns {
+				upstream := id.Upstream(turn.GetUpstream())
+				if owners := upstreams[upstream]; !slices.Contains(owners, string(name)) {
+					upstreams[upstream] = append(owners, string(name))
+				}
+			}
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	for _, u := range o.Dispatcher.Pool.All() {
+		if owners := upstreams[u.ID()]; len(owners) > 0 {
+			o.releaseAt(ctx, u, engine.CacheRelease{Owners: owners})
+		}
+	}
+}
+
+func (o *Owner) releaseAt(ctx context.Context, u *engine.Upstream, release engine.CacheRelease) {
+	if err := u.Release(ctx, release); err != nil {
+		o.Logger.Info("release-failed", "upstream", u.ID(), "owners", len(release.Owners), "error", err)
+
+		return
+	}
+	o.Logger.Info("memory-released", "upstream", u.ID(), "owners", len(release.Owners))
+}
+
+// RunReconcile compares what the engines hold with the live programs, until ctx ends. The owner of an engine's slot
+// alone does so for it.
+func (o *Owner) RunReconcile(ctx context.Context) {
+	ledgers := make(map[id.Upstream]*reconcile.Ledger)
+	every(ctx, reconcileInterval, func(ctx context.Context, _ time.Time) {
+		var group sync.WaitGroup
+		kept := make(map[id.Upstream]*reconcile.Ledger)
+		for _, u := range o.Dispatcher.Pool.All() {
+			epoch, ok := o.engineEpoch(u.ID())
+			if !ok {
+				continue
+			}
+			ledger := ledgers[u.ID()]
+			if ledger == nil {
+				ledger = &reconcile.Ledger{}
+			}
+			kept[u.ID()] = ledger
+			group.Go(func() { o.reconcile(ctx, u, ledger, epoch) })
+		}
+		group.Wait()
+		ledgers = maps.Clone(kept)
+	})
+}
+
+// engineEpoch returns the epoch at which this host owns an engine's slot.
+func (o *Owner) engineEpoch(upstream id.Upstream) (id.Epoch, bool) {
+	var state fold.SlotState
+	o.Journal.View(func(p *fold.Programs) { state = p.Slot(id.UpstreamSlot(upstream)) })
+
+	return state.Epoch, state.State == fold.SlotOwned && state.Owner == o.Host
+}
+
+func (o *Owner) reconcile(ctx context.Context, u *engine.Upstream, ledger *reconcile.Ledger, epoch id.Epoch) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	list, err := u.Cache(ctx)
+	if err != nil {
+		o.Logger.V(1).Info("cache-list-failed", "upstream", u.ID(), "error", err)
+
+		return
+	}
+	look := reconcile.Look{Run: list.Run, Heard: o.Journal.Status().Heard, Live: o.live}
+	for _, owner := range list.Owners {
+		look.Held = append(look.Held, id.Program(owner.Owner))
+	}
+	gone := ledger.Release(time.Now(), look)
+	if len(gone) == 0 {
+		return
+	}
+	release := engine.CacheRelease{Fence: uint64(epoch)}
+	for _, program := range gone {
+		release.Owners = append(release.Owners, string(program))
+	}
+	o.releaseAt(ctx, u, release)
+}
+
+// live reports whether a program is open by the log.
+func (o *Owner) live(program id.Program) bool {
+	open := false
+	o.Journal.View(func(p *fold.Programs) {
+		state, ok := p.Program(program)
+		open = ok && state.State == fold.ProgramOpen
+	})
+
+	return open
+}
--- a/io/owner/program.go
+++ b/io/owner/program.go
@@ -123,6 +123,10 @@
 		return err
 	}
 	o.Logger.Info("program-ended", "program", program, "reason", reason)
+	// Nobody waits for the release; a host without a free worker leaves it to reconciliation.
+	if err := o.Pool.Submit(func() { o.releaseEnded(ctx, program) }); err != nil {
+		o.Logger.V(1).Info("release-left", "program", program, "error", err)
+	}
 
 	return nil
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -92,10 +92,14 @@
 	Stalled bool `json:"stalled"`
 	// CutAfter ends streams after so many chunks without the end marker.
 	CutAfter int `json:"cut-after"`
+	// EndAfter ends streams after so many chunks as if they were complete, but without the end marker.
+	EndAfter int `json:"end-after"`
 	// Crossed sends this many of the next chunks under another request's id.
 	Crossed int `json:"crossed"`
 	// Repeated sends every chunk twice.
 	Repeated bool `json:"repeated"`
+	// RefuseRelease answers all releases of memory with 503.
+	RefuseRelease bool `json:"refuse-release"`
 	// Refuse answers all new requests with 503.
 	Refuse bool `json:"refuse"`
 }
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -14,6 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 
 	"cardamomward/core/id"
+	"cardamomward/core/prompt"
 	"cardamomward/core/refusal"
 	protocol "cardamomward/io/engine"
 	"cardamomward/io/httpx"
@@ -44,6 +45,8 @@
 	seen   []SeenRequest
 	// crashes counts the processes that have ended.
 	crashes int
+	// canceled counts the requests that were cancelled while they ran.
+	canceled int
 }
 
 type loadSample struct {
@@ -275,6 +278,9 @@
 
 		return false
 	}
+	if faults.EndAfter > 0 && o.sent >= faults.EndAfter {
+		return false
+	}
 	if o.server.silent(o.c) {
 		hush(ctx)
 
@@ -342,6 +348,11 @@
 	if ok {
 		r.cancel()
 		s.forget(r.id)
+		if _, finished, _ := r.from(0); !finished {
+			s.mu.Lock()
+			s.canceled++
+			s.mu.Unlock()
+		}
 	}
 	httpx.JSON(c, 200, struct{}{})
 }
@@ -404,10 +415,32 @@
 
 		return
 	}
+	if s.currentFaults().RefuseRelease {
+		httpx.Refuse(c, refusal.New(refusal.Overloaded, "the engine takes no releases"))
+
+		return
+	}
+	if err := s.checkFence(req.Fence); err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
 	s.cache.release(req.Owners)
 	httpx.JSON(c, 200, struct{}{})
 }
 
+// checkFence refuses a fencing number that is older than the latest one; zero stands for a request without one.
+func (s *Server) checkFence(fence uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fence != 0 && fence < s.fence && !s.config.IgnoreFence {
+		return refusal.New(refusal.SettingsConflict, "the fencing number %d is older than %d", fence, s.fence)
+	}
+	s.fence = max(s.fence, fence)
+
+	return nil
+}
+
 func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
 	var faults Faults
 	if err := httpx.Decode(c.Request.Body(), &faults); err != nil {
@@ -431,8 +464,16 @@
 	}
 }
 
+// Holding is what the engine holds for an owner.
+type Holding = protocol.CacheOwner
+
 // Held returns what the engine holds for each owner.
-func (s *Server) Held() []protocol.CacheOwner { return s.cache.list() }
+func (s *Server) Held() []Holding { return s.cache.list() }
+
+// Hold makes the engine hold something for an owner that never called.
+func (s *Server) Hold(owner string) {
+	s.cache.store([]prompt.Message{{Role: "user", Content: owner}}, owner)
+}
 
 // RunID identifies the engine's process; it changes with each crash.
 func (s *Server) RunID() string {
@@ -450,6 +491,14 @@
 	return s.crashes
 }
 
+// Canceled returns how many requests were cancelled while they ran.
+func (s *Server) Canceled() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.canceled
+}
+
 // Seen returns what reached the engine.
 func (s *Server) Seen() []SeenRequest {
 	s.mu.Lock()
