Take an engine's settings over without a race

Cause: Pool.Configure wrote a known upstream's name, failure domain and progress deadline without its lock while placement read them; the race detector saw it in the leaving test. Change: the name is set once, the domain under the lock, the deadline is atomic. Measured: go test -race -count=2 -run TestLeaving ./io/owner: pass; before: data race in 1 of 2 runs.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -50,13 +50,15 @@
 	Address string
 	// Conns sends the requests and can replace connections that have gone silent.
 	Conns *Conns
-	// Progress is the longest silence that a stream may have.
-	Progress time.Duration
-
+	// progress is the longest silence that a stream may have, in nanoseconds.
+	progress atomic.Int64
 	// keepalives is set once the engine has shown life on a stream that waited.
 	keepalives atomic.Bool
 }
 
+// SetProgress sets the longest silence that streams may have from now on.
+func (c *Client) SetProgress(silence time.Duration) { c.progress.Store(int64(silence)) }
+
 // Options tell how a stream is followed.
 type Options struct {
 	// Prefill is the expected time until the prompt is computed.
@@ -150,7 +152,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	call.started = time.Now()
-	limits := progress.LimitsFor(c.Progress, call.prefill, c.keepalives.Load())
+	limits := progress.LimitsFor(time.Duration(c.progress.Load()), call.prefill, c.keepalives.Load())
 	guard := watchStream(progress.New(limits, call.started, call.next > 0), cancel)
 	defer guard.stop()
 
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -34,10 +34,13 @@
 }
 
 func connect(server *standin.Server, progress time.Duration) *engine.Client {
-	return &engine.Client{
-		Address: server.Address(), Progress: progress,
-		Conns: &engine.Conns{New: func() *http.Client { return &http.Client{Transport: &http.Transport{}} }},
+	client := &engine.Client{
+		Address: server.Address(),
+		Conns:   &engine.Conns{New: func() *http.Client { return &http.Client{Transport: &http.Transport{}} }},
 	}
+	client.SetProgress(progress)
+
+	return client
 }
 
 // answer is what a caller would have been shown.
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -152,12 +152,11 @@
 		for _, setting := range service.Upstreams {
 			u, ok := known[setting.ID]
 			if !ok || u.Address != setting.Address {
-				u = &Upstream{Client: Client{Address: setting.Address, Conns: &Conns{New: p.NewHTTP}}}
+				u = &Upstream{id: setting.ID, Client: Client{Address: setting.Address, Conns: &Conns{New: p.NewHTTP}}}
 			}
-			u.id, u.domain = setting.ID, setting.FailureDomain
-			u.Progress = service.Progress
+			u.SetProgress(service.Progress)
 			u.mu.Lock()
-			u.leaving = setting.Leaving
+			u.domain, u.leaving = setting.FailureDomain, setting.Leaving
 			u.mu.Unlock()
 			p.upstreams[setting.ID] = u
 			p.services[service.ID] = append(p.services[service.ID], u)
