--- a/core/fold/calls.go
+++ b/core/fold/calls.go
@@ -1,8 +1,9 @@
 package fold
 
 import (
+	"slices"
+
 	"cardamomward/core/id"
-	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
 )
 
@@ -40,55 +41,72 @@
 		Service:   id.Service(body.GetService()),
 		Key:       body.GetKey(),
 	}
-	if _, ok := p.calls[key]; ok {
-		return IntentExists
-	}
 	if id.CallSlot(key.Workspace, key.Key) != slot {
 		return WrongSlot
 	}
-	if p.calls == nil {
-		p.calls = make(map[CallKey]*Call)
-	}
-	// A call counts as a sign of life of the program that made it.
-	if program, ok := p.programs[id.Program(body.GetProgram())]; ok && program.State == ProgramOpen {
-		program.LastRecord = pos
+	if _, ok := p.calls[key]; ok {
+		return IntentExists
 	}
-	p.calls[key] = &Call{
+	p.addCall(slot, &Call{
 		CallKey:     key,
 		Program:     id.Program(body.GetProgram()),
 		Fingerprint: id.Fingerprint(body.GetFingerprint()),
 		Upstream:    id.Upstream(body.GetUpstream()),
 		Position:    pos,
 		Epoch:       p.Slot(slot).Epoch,
-	}
+	})
 
 	return Valid
 }
 
-// applyOutcome keeps the first outcome of a call.
-//
-// One that names the call's intent counts even after the slot has moved: only the host that sent the call
-// knows the position, and what it learnt stays true. Any other needs the slot.
-func (p *Programs) applyOutcome(pos id.Position, rec *record.Record, body *recordpb.Outcome) Reason {
+func (p *Programs) addCall(slot id.Slot, call *Call) {
+	if p.calls == nil {
+		p.calls = make(map[CallKey]*Call)
+	}
+	p.calls[call.CallKey] = call
+	p.content(slot).calls = append(p.content(slot).calls, call)
+	if call.Program == "" {
+		return
+	}
+	if p.called == nil {
+		p.called = make(map[id.Program]id.Position)
+	}
+	p.called[call.Program] = max(p.called[call.Program], call.Position)
+}
+
+func (p *Programs) dropCall(slot id.Slot, call *Call) {
+	c := p.content(slot)
+	c.calls = slices.DeleteFunc(c.calls, func(other *Call) bool { return other == call })
+	p.uncall(call)
+}
+
+// uncall removes a call from all but the list of its slot.
+func (p *Programs) uncall(call *Call) {
+	delete(p.calls, call.CallKey)
+	if p.called[call.Program] == call.Position {
+		delete(p.called, call.Program)
+	}
+}
+
+// LastCall returns the position of a program's latest call that must not be repeated, or zero.
+func (p *Programs) LastCall(program id.Program) id.Position { return p.called[program] }
+
+// outcome keeps the first known outcome of a call; one that says "not run" frees its key.
+func (p *Programs) outcome(slot id.Slot, body *recordpb.Outcome) Reason {
 	key := CallKey{
 		Workspace: id.Workspace(body.GetWorkspace()),
 		Service:   id.Service(body.GetService()),
 		Key:       body.GetKey(),
 	}
+	if id.CallSlot(key.Workspace, key.Key) != slot {
+		return WrongSlot
+	}
 	call, ok := p.calls[key]
 	named := body.GetIntent() != 0
-	if named && (!ok || call.Position != id.Position(body.GetIntent())) {
-		return NoSuchIntent
-	}
-	if !named {
-		if reason := p.fence(pos, rec); reason != Valid {
-			return reason
-		}
-	}
-	if !ok {
+	if !ok || (named && call.Position != id.Position(body.GetIntent())) {
 		return NoSuchIntent
 	}
-	if call.Outcome != nil && !call.Outcome.GetUnknown() {
+	if call.Outcome != nil && (body.GetUnknown() || !call.Outcome.GetUnknown()) {
 		return OutcomeExists
 	}
 	if !body.GetNotRun() {
@@ -99,7 +117,7 @@
 	if !named {
 		return NoSuchIntent
 	}
-	delete(p.calls, key)
+	p.dropCall(slot, call)
 
 	return Valid
 }
--- a/core/fold/reserve.go
+++ b/core/fold/reserve.go
@@ -1,6 +1,9 @@
 package fold
 
 import (
+	"maps"
+	"slices"
+
 	"cardamomward/core/id"
 	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
@@ -51,3 +54,26 @@
 
 	return Valid
 }
+
+func (c *Control) reservationSnapshots() []*recordpb.ReservationSnapshot {
+	var snapshots []*recordpb.ReservationSnapshot
+	for _, name := range slices.Sorted(maps.Keys(c.reservations)) {
+		r := c.reservations[name]
+		snapshots = append(snapshots, &recordpb.ReservationSnapshot{
+			Upstream: string(r.Upstream), Service: string(r.Service), Host: string(r.Host), Position: uint64(r.Position),
+		})
+	}
+
+	return snapshots
+}
+
+func (c *Control) takeReservations(snapshots []*recordpb.ReservationSnapshot) {
+	c.reservations = make(map[id.Upstream]Reservation, len(snapshots))
+	for _, s := range snapshots {
+		upstream := id.Upstream(s.GetUpstream())
+		c.reservations[upstream] = Reservation{
+			Upstream: upstream, Service: id.Service(s.GetService()),
+			Host: id.Host(s.GetHost()), Position: id.Position(s.GetPosition()),
+		}
+	}
+}
--- a/core/quarantine/book.go
+++ b/core/quarantine/book.go
@@ -1,6 +1,11 @@
 package quarantine
 
-import "cardamomward/core/id"
+import (
+	"maps"
+	"slices"
+
+	"cardamomward/core/id"
+)
 
 // Standing says how far a request is under suspicion.
 type Standing int
@@ -38,8 +43,11 @@
 	order     []id.Fingerprint
 }
 
-// Crash counts a crash; several requests may be named for the same process.
-func (b *Book) Crash(crash Crash) {
+// Crash counts a crash, and reports false if it is known; several requests may be named for the same process.
+func (b *Book) Crash(crash Crash) bool {
+	if _, ok := b.requests[crash.Request][crash.Process]; ok {
+		return false
+	}
 	if b.requests == nil {
 		b.requests = make(map[id.Fingerprint]map[string]bool)
 		b.processes = make(map[string]map[id.Fingerprint]struct{})
@@ -56,6 +64,22 @@
 	for len(b.requests) > maxRequests {
 		b.Clear(b.order[0])
 	}
+
+	return true
+}
+
+// Requests returns the requests under suspicion, the longest known first.
+func (b *Book) Requests() []id.Fingerprint { return b.order }
+
+// Crashes returns what stands against a request, sorted by process.
+func (b *Book) Crashes(request id.Fingerprint) []Crash {
+	processes := b.requests[request]
+	crashes := make([]Crash, 0, len(processes))
+	for _, process := range slices.Sorted(maps.Keys(processes)) {
+		crashes = append(crashes, Crash{Request: request, Process: process, Alone: processes[process]})
+	}
+
+	return crashes
 }
 
 // Clear drops what stands against a request, because it has completed.
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -1,2 +1,3 @@
-// Package retry bounds how often calls are tried again, so that retries never multiply a failure.
+// Package retry decides whether and when a failed call is sent again: a budget as a part of the successes,
+// full jitter, and no retry past the deadline.
 package retry
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/core/slot"
 	"cardamomward/io/caller"
 	"cardamomward/io/engine"
@@ -106,12 +107,15 @@
 		return web
 	}
 	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
-	h.operatorWeb = open(h.config.OperatorAddress, defaultMaxBody)
+	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
 	return errors.Join(errsFound...)
 }
 
+// maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
+const maxOperatorBody = settings.MaxDocument + 1<<20
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
@@ -136,7 +140,9 @@
 	log := &platform.LogClient{Address: h.config.LogAddress, Client: h.newHTTP(true)}
 	h.hosts = &platform.HostsClient{Address: h.config.HostsAddress, Client: shared}
 	h.relay = &platform.Relay{Log: log, Peers: h.readFromPeers}
-	options := platform.JournalOptions{Log: h.relay, Linger: h.config.AppendLinger, Logger: h.logger}
+	options := platform.JournalOptions{
+		Log: h.relay, Linger: h.config.AppendLinger, Spacing: h.appendSpacing, Logger: h.logger,
+	}
 	options.Stream = platform.ControlStream
 	h.control = &platform.Control{Journal: platform.NewJournal(&fold.Control{}, options), Host: h.config.Host}
 	options.Log, options.Stream = log, platform.ProgramsStream
@@ -147,6 +153,7 @@
 	h.engines.Changed = dispatcher.Pump
 	h.owner = &owner.Owner{
 		Host:        h.config.Host,
+		Run:         id.Run(id.Random()),
 		Journal:     h.programs,
 		Control:     h.control,
 		Dispatcher:  dispatcher,
@@ -159,6 +166,14 @@
 	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
 }
 
+// fleetAppends is how many appends a second all hosts together aim at, for each stream.
+const fleetAppends = 250
+
+// appendSpacing is this host's part of the fleet's appends.
+func (h *Host) appendSpacing() time.Duration {
+	return time.Duration(len(h.members.Live(time.Now()))+1) * time.Second / fleetAppends
+}
+
 func (h *Host) register() {
 	h.callers.Register(h.callerWeb)
 	(&operator.Server{Control: h.control, Programs: h.programs, Locator: h, Self: h}).Register(h.operatorWeb)
@@ -191,15 +206,17 @@
 	var group sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
-		h.owner.WatchReservations, h.owner.RunExpiry, h.owner.RunReconcile, h.announceLoop, h.settingsLoop, h.slotLoop,
+		h.owner.WatchReservations, h.owner.RunExpiry, h.owner.RunReconcile,
+		h.announceLoop, h.settingsLoop, h.slotLoop, h.snapshotLoop,
 	} {
 		group.Go(func() { loop(ctx) })
 	}
 	select {
 	case <-ctx.Done():
+		h.abort()
 	case <-h.drained:
+		h.close()
 	}
-	h.close()
 	cancel()
 	group.Wait()
 	h.logger.Info("host-stopped")
@@ -210,14 +227,30 @@
 // closeTimeout bounds the closing of the listeners once the host is drained.
 const closeTimeout = 2 * time.Second
 
+// close ends the servers once the host is drained; only idle connections are left then.
 func (h *Host) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, web := range []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb} {
-		if err := web.Close(ctx); err != nil {
-			h.logger.V(1).Info("close-failed", "error", err)
-		}
+	var group sync.WaitGroup
+	for _, web := range h.servers() {
+		group.Go(func() {
+			if err := web.Close(ctx); err != nil {
+				h.logger.V(1).Info("close-failed", "error", err)
+			}
+		})
 	}
+	group.Wait()
+}
+
+// abort ends the servers with all requests under way.
+func (h *Host) abort() {
+	for _, web := range h.servers() {
+		web.Abort()
+	}
+}
+
+func (h *Host) servers() []*httpx.Server {
+	return []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb}
 }
 
 func (h *Host) announceLoop(ctx context.Context) {
--- a/io/owner/call.go
+++ b/io/owner/call.go
@@ -99,7 +99,7 @@
 	}
 	var lastErr error
 	for i, upstream := range upstreams {
-		if i >= maxSends || ctx.Err() != nil || (i > 0 && !o.mayRetry()) {
+		if i >= maxSends || ctx.Err() != nil || (i > 0 && !o.mayRetry(ctx, i-1)) {
 			break
 		}
 		answer, err := o.do(ctx, upstream, req)
@@ -127,12 +127,20 @@
 		WithRan(refusal.Unknown).WithRetry(time.Second)
 }
 
-// mayRetry takes one retry out of the budget.
-func (o *Owner) mayRetry() bool {
+// mayRetry takes one retry out of the budget and waits before it; attempt counts the retries of the call from zero.
+func (o *Owner) mayRetry(ctx context.Context, attempt int) bool {
+	var left time.Duration
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline)
+	}
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	wait, ok := o.retries.Take(attempt, left)
+	o.mu.Unlock()
+	if ok {
+		pause(ctx, wait)
+	}
 
-	return o.retries.Take()
+	return ok && ctx.Err() == nil
 }
 
 // succeeded pays into the budget of retries.
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -61,7 +61,7 @@
 	}
 	ran := refusal.NotRun
 	for n := range maxAttempts {
-		p, err := o.place(ctx, t, call, n > 0)
+		p, err := o.place(ctx, t, call, n)
 		if err != nil {
 			return nil, whyNotPlaced(ctx, err, ran)
 		}
@@ -103,12 +103,12 @@
 }
 
 // place finds an upstream for a call; a suspect gets one of its own, and a request that kills upstreams none.
-func (o *Owner) place(ctx context.Context, t *turn, call Call, again bool) (*placed, error) {
+func (o *Owner) place(ctx context.Context, t *turn, call Call, attempt int) (*placed, error) {
 	standing := o.standing(t.request)
 	if standing == quarantine.Convicted {
 		return nil, quarantined()
 	}
-	if again && !o.mayRetry() {
+	if attempt > 0 && !o.mayRetry(ctx, attempt-1) {
 		return nil, refusal.New(refusal.UpstreamFailed, "too many calls fail for this one to be tried again").WithRetry(time.Second)
 	}
 	if standing == quarantine.Suspect {
--- a/io/owner/memory.go
+++ b/io/owner/memory.go
@@ -73,7 +73,7 @@
 				open = append(open, expiry.Program{
 					ID:    name,
 					Lease: time.Duration(program.LeaseMillis) * time.Millisecond,
-					Last:  program.LastRecord,
+					Last:  max(program.LastRecord, p.LastCall(name)),
 					Busy:  busy[name],
 				})
 			}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -35,7 +35,9 @@
 
 // Owner runs the programs and calls of the slots that its host owns.
 type Owner struct {
-	Host       id.Host
+	Host id.Host
+	// Run identifies this process in its claims.
+	Run        id.Run
 	Journal    *platform.Journal[*fold.Programs]
 	Control    *platform.Control
 	Dispatcher *Dispatcher
@@ -56,6 +58,7 @@
 	// unreported holds crashes that the log may not have taken.
 	unreported quarantine.Book
 	isolations map[id.Service]*isolation
+	sealed     map[id.Slot]struct{}
 }
 
 var _ peer.Owner = (*Owner)(nil)
@@ -84,7 +87,8 @@
 	defer o.mu.Unlock()
 	var state fold.SlotState
 	o.Journal.View(func(p *fold.Programs) { state = p.Slot(slot) })
-	if state.State != fold.SlotOwned || state.Owner != o.Host {
+	_, sealed := o.sealed[slot]
+	if state.State != fold.SlotOwned || state.Owner != o.Host || state.Run != o.Run || sealed {
 		return lease{}, nil, refusal.New(refusal.OwnerChanged, "slot %d is not owned by host %s", slot, o.Host).WithRetry(movedRetry)
 	}
 	if o.busy == nil {
--- a/io/peer/members.go
+++ b/io/peer/members.go
@@ -122,8 +122,11 @@
 func (m *Members) beat(ctx context.Context, member Member, self *peerpb.HeartbeatRequest) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
+	traffic.Add(metricHeartbeatsSent, 1)
 	resp, err := m.Remote(member.Peer).Peer.Heartbeat(ctx, self)
 	if err != nil || resp.GetHost() != string(member.Host) {
+		traffic.Add(metricHeartbeatsUnheard, 1)
+
 		return
 	}
 	m.Heard(&peerpb.HeartbeatRequest{
@@ -137,6 +140,7 @@
 
 // Heard notes a heartbeat of another host.
 func (m *Members) Heard(beat *peerpb.HeartbeatRequest, now time.Time) {
+	traffic.Add(metricHeartbeatsReceived, 1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	member, ok := m.members[id.Host(beat.GetHost())]
@@ -175,6 +179,18 @@
 	return live
 }
 
+// Listed returns how many hosts the platform's list shows that are not leaving, this host among them.
+func (m *Members) Listed() int {
+	listed := 0
+	for _, member := range m.All() {
+		if !member.Leaving && !member.SaysLeaving {
+			listed++
+		}
+	}
+
+	return listed
+}
+
 // Silence returns how long nothing was heard from a host.
 func (m *Members) Silence(host id.Host, now time.Time) time.Duration {
 	m.mu.Lock()
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -513,7 +513,5 @@
 }
 
 func (s *Server) listSeen(_ context.Context, c *app.RequestContext) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	httpx.JSON(c, 200, SeenList{Requests: s.seen})
+	httpx.JSON(c, 200, SeenList{Requests: s.Seen()})
 }
