--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -111,7 +111,14 @@
 			&cli.DurationFlag{Name: "token-interval", Usage: "time between two tokens", Destination: &config.TokenInterval},
 			&cli.DurationFlag{Name: "load-lag", Usage: "age of load reports", Destination: &config.LoadLag},
 			&cli.Int64Flag{Name: "cache-tokens", Usage: "capacity of the prefix cache", Destination: &cacheTokens},
-			&cli.BoolFlag{Name: "ignore-fence", Usage: "take orders with an old fencing number", Destination: &config.IgnoreFence},
+			&cli.BoolFlag{Name: "ignore-fence", Usage: "take requests with an old fencing number", Destination: &config.IgnoreFence},
+			&cli.Float64Flag{
+				Name: "batch-slowdown", Usage: "growth of the token interval with each further request", Destination: &config.BatchSlowdown,
+			},
+			&cli.DurationFlag{Name: "keepalive", Usage: "time between signs of life; negative for none", Destination: &config.Keepalive},
+			&cli.DurationFlag{Name: "event-lag", Usage: "how late cache events appear", Destination: &config.EventLag},
+			&cli.Uint64Flag{Name: "event-gap", Usage: "lose every so many-th cache event", Destination: &config.EventGap},
+			&cli.BoolFlag{Name: "crash-exits", Usage: "end the process when a request crashes it", Destination: &config.CrashExits},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			config.CacheTokens = id.Tokens(cacheTokens)
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -106,7 +106,8 @@
 
 		return web
 	}
-	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
+	// A body somewhat above the bound is read, so that its refusal has the documented shape.
+	h.callerWeb = open(h.config.CallerAddress, readableBodies*h.config.MaxBodyBytes)
 	h.operatorWeb = open(h.config.OperatorAddress, maxOperatorBody)
 	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
 
@@ -116,6 +117,9 @@
 // maxOperatorBody bounds an operator's request in bytes, which may carry a whole settings document.
 const maxOperatorBody = settings.MaxDocument + 1<<20
 
+// readableBodies is how many times the bound a caller's body may have before its connection is closed.
+const readableBodies = 4
+
 // maxPeerBody bounds a request between hosts in bytes.
 const maxPeerBody = 32 << 20
 
@@ -135,6 +139,9 @@
 	}}
 }
 
+// liveHosts returns how many hosts send calls to the same upstreams.
+func (h *Host) liveHosts() int { return len(h.members.Live(time.Now())) + 1 }
+
 func (h *Host) wire() {
 	shared := h.newHTTP(true)
 	log := &platform.LogClient{Address: h.config.LogAddress, Client: h.newHTTP(true)}
@@ -149,8 +156,8 @@
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
 	h.engines = &engine.Pool{NewHTTP: func() *http.Client { return h.newHTTP(true) }, Logger: h.logger}
-	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
-	h.engines.Changed = dispatcher.Pump
+	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain, Hosts: h.liveHosts}
+	h.engines.Changed, h.engines.Watcher = dispatcher.Pump, dispatcher
 	h.owner = &owner.Owner{
 		Host:        h.config.Host,
 		Run:         id.Run(id.Random()),
@@ -163,7 +170,7 @@
 	}
 	h.limits = &limiter.Limiter{MaxHosts: h.config.MaxHosts, Ask: h.askGrant}
 	h.pools = &limiter.Pools{MaxHosts: h.config.MaxHosts}
-	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
+	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger, MaxBody: h.config.MaxBodyBytes}
 }
 
 // fleetAppends is how many appends a second all hosts together aim at, for each stream.
--- a/io/owner/complete.go
+++ b/io/owner/complete.go
@@ -56,6 +56,8 @@
 		Service:      t.service.ID,
 		Item:         t.item(promptTokens),
 		Chain:        prompt.Chain(t.messages),
+		Lengths:      prompt.Lengths(t.messages),
+		Continues:    len(t.state.Turns) > 0,
 		PromptTokens: promptTokens,
 		Exclude:      make(map[id.Upstream]bool),
 	}
@@ -231,6 +233,7 @@
 		Priority:   priority,
 		RequestID:  requestID,
 		CacheOwner: string(t.state.ID),
+		Sampling:   t.sampling,
 	}
 }
 
--- a/io/owner/memory.go
+++ b/io/owner/memory.go
@@ -189,12 +189,12 @@
 	o.releaseAt(ctx, u, release)
 }
 
-// live reports whether a program is open by the log.
+// live reports whether a program is open by the log; one of which nothing is known counts as open.
 func (o *Owner) live(program id.Program) bool {
 	open := false
 	o.Journal.View(func(p *fold.Programs) {
 		state, ok := p.Program(program)
-		open = ok && state.State == fold.ProgramOpen
+		open = p.Wants(id.ProgramSlot(program)) || (ok && state.State == fold.ProgramOpen)
 	})
 
 	return open
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"slices"
 	"strings"
@@ -15,6 +16,7 @@
 	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
 	"cardamomward/core/settings"
+	"cardamomward/io/engine"
 	"cardamomward/io/peer/peerpb"
 )
 
@@ -28,6 +30,7 @@
 	messages  []prompt.Message
 	maxTokens id.Tokens
 	request   id.Fingerprint
+	sampling  engine.Sampling
 }
 
 // answer is what an engine made of a turn.
@@ -117,6 +120,9 @@
 	if o.standing(t.request) == quarantine.Convicted {
 		return quarantined()
 	}
+	if err := json.Unmarshal(t.req.GetSampling(), &t.sampling); len(t.req.GetSampling()) > 0 && err != nil {
+		return refusal.New(refusal.InvalidRequest, "the sampling options are not valid: %v", err)
+	}
 	t.maxTokens = service.MaxTokens
 	if asked := id.Tokens(t.req.GetMaxTokens()); asked > 0 {
 		t.maxTokens = min(t.maxTokens, asked)
