--- a/core/fold/control.go
+++ b/core/fold/control.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/record/recordpb"
 )
@@ -47,7 +48,11 @@
 type Control struct {
 	settings []SettingsVersion
 	keys     map[id.Key]*KeyState
-	crashes  map[id.Fingerprint]*crashes
+	crashes  quarantine.Book
+	// reservations are kept by upstream.
+	reservations map[id.Upstream]Reservation
+	// crashed are the positions of the latest crashes of requests.
+	crashed  map[id.Fingerprint]id.Position
 	now      id.Offset
 	snapshot SnapshotMark
 	// voids are the records that were void: a second copy might be valid by then.
@@ -138,6 +143,8 @@
 		return c.withdraw(body.KeyWithdraw)
 	case *recordpb.Record_Crash:
 		return c.crash(pos, body.Crash)
+	case *recordpb.Record_Reservation:
+		return c.reserve(pos, rec, body.Reservation)
 	default:
 		return UnknownKind
 	}
--- a/core/fold/programs.go
+++ b/core/fold/programs.go
@@ -48,6 +48,8 @@
 
 	programs map[id.Program]*Program
 	calls    map[CallKey]*Call
+	// called are the positions of programs' latest calls.
+	called   map[id.Program]id.Position
 	contents map[id.Slot]*content
 	swept    id.Offset
 }
@@ -142,6 +144,12 @@
 		return p.applyClaim(pos, slot, rec, body.Claim)
 	case *recordpb.Record_Release:
 		return p.applyRelease(pos, slot, rec, body.Release)
+	case *recordpb.Record_Outcome:
+		// An outcome that names its intent counts even after the slot has moved: only the host that sent the call
+		// knows the position, and what it learnt stays true.
+		if body.Outcome.GetIntent() != 0 {
+			return p.outcome(slot, body.Outcome)
+		}
 	}
 	if reason := p.fence(slot, rec); reason != Valid {
 		return reason
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -157,7 +157,7 @@
 	options.Log, options.Stream = log, platform.ProgramsStream
 	h.programs = platform.NewJournal(&fold.Programs{}, options)
 	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
-	h.engines = &engine.Pool{HTTP: h.newHTTP(true), Logger: h.logger}
+	h.engines = &engine.Pool{NewHTTP: func() *http.Client { return h.newHTTP(true) }, Logger: h.logger}
 	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain, Hosts: h.liveHosts}
 	h.engines.Changed, h.engines.Watcher = dispatcher.Pump, dispatcher
 	h.owner = &owner.Owner{
@@ -215,6 +215,7 @@
 	var group sync.WaitGroup
 	for _, loop := range []func(context.Context){
 		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
+		h.owner.WatchReservations, h.owner.RunExpiry, h.owner.RunReconcile,
 		h.announceLoop, h.settingsLoop, h.slotLoop, h.goneLoop, h.snapshotLoop,
 	} {
 		group.Go(func() { loop(ctx) })
--- a/io/engine/capacity_test.go
+++ b/io/engine/capacity_test.go
@@ -25,7 +25,7 @@
 	server.Start()
 	defer func() { require.NoError(b, server.Close(context.Background())) }()
 	var bytes meter.Meter
-	client := engine.Client{Address: server.Address(), HTTP: bytes.Client()}
+	client := engine.Client{Address: server.Address(), Conns: &engine.Conns{New: bytes.Client}}
 	require.Eventually(b, func() bool {
 		_, err := client.Load(b.Context())
 
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -32,13 +32,16 @@
 
 	mu       sync.Mutex
 	leaving  bool
-	load     Load
-	reported time.Time
-	failed   time.Time
-	own      int
-	sends    []time.Time
-	cached   map[prompt.Prefix]id.Tokens
-	nextSeq  uint64
+	reserved bool
+	// elsewhere is set while another host has reserved the upstream.
+	elsewhere bool
+	load      Load
+	reported  time.Time
+	failed    time.Time
+	own       int
+	sends     []time.Time
+	cached    map[prompt.Prefix]id.Tokens
+	nextSeq   uint64
 }
 
 // ID returns the upstream's name.
@@ -93,7 +96,7 @@
 func (u *Upstream) Available(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.leaving || now.Sub(u.failed) < failedPause {
+	if u.leaving || u.reserved || u.elsewhere || now.Sub(u.failed) < failedPause {
 		return false
 	}
 
@@ -104,7 +107,12 @@
 func (u *Upstream) Service() id.Service { return u.service }
 
 // Domain returns the upstream's failure domain.
-func (u *Upstream) Domain() id.FailureDomain { return u.domain }
+func (u *Upstream) Domain() id.FailureDomain {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.domain
+}
 
 // Watcher hears of what the pool learns; its methods are called without any lock of the pool.
 type Watcher interface {
@@ -118,8 +126,9 @@
 
 // Pool keeps the engines that the settings name and polls their load.
 type Pool struct {
-	HTTP   *http.Client
-	Logger logr.Logger
+	// NewHTTP returns a client with connections of its own for one engine; it must have no overall timeout.
+	NewHTTP func() *http.Client
+	Logger  logr.Logger
 	// Changed is called when an engine may have room for more calls.
 	Changed func()
 	// Watcher must be set.
@@ -154,14 +163,15 @@
 		}
 		for _, setting := range service.Upstreams {
 			u, ok := known[setting.ID]
-			if !ok || u.Address != setting.Address {
-				u = &Upstream{Client: Client{Address: setting.Address, HTTP: p.HTTP}}
+			if !ok || u.Address != setting.Address || u.service != service.ID {
+				u = &Upstream{
+					id: setting.ID, service: service.ID, watcher: p.Watcher,
+					Client: Client{Address: setting.Address, Conns: &Conns{New: p.NewHTTP}},
+				}
 			}
-			u.id, u.domain = setting.ID, setting.FailureDomain
-			u.service, u.watcher = service.ID, p.Watcher
-			u.Progress = service.Progress
+			u.SetProgress(service.Progress)
 			u.mu.Lock()
-			u.leaving = setting.Leaving
+			u.domain, u.leaving = setting.FailureDomain, setting.Leaving
 			u.mu.Unlock()
 			p.upstreams[setting.ID] = u
 			p.services[service.ID] = append(p.services[service.ID], u)
@@ -212,9 +222,7 @@
 }
 
 func (p *Pool) poll(ctx context.Context, u *Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	load, err := u.Load(ctx)
+	load, err := u.freshLoad(ctx)
 	now := time.Now()
 	if err != nil {
 		p.Logger.V(1).Info("load-report-failed", "upstream", u.id, "error", err)
@@ -223,12 +231,44 @@
 		return
 	}
 	u.report(load, now)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
 	events, err := u.Events(ctx, u.nextEvent())
 	if err == nil {
 		u.apply(events)
 	}
 }
 
+// freshLoad asks for the load, and again on a fresh connection before the engine counts as failed.
+func (u *Upstream) freshLoad(ctx context.Context) (Load, error) {
+	_, generation := u.Conns.use()
+	load, err := u.loadOnce(ctx)
+	if err == nil || ctx.Err() != nil {
+		return load, err
+	}
+	u.Conns.renew(generation)
+
+	return u.loadOnce(ctx)
+}
+
+func (u *Upstream) loadOnce(ctx context.Context) (Load, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+
+	return u.Load(ctx)
+}
+
+// Prefill estimates how long the engine computes a prompt of which some tokens are cached.
+func (u *Upstream) Prefill(tokens id.Tokens) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.load.PrefillPerSec <= 0 {
+		return 0
+	}
+
+	return time.Duration(float64(tokens) / u.load.PrefillPerSec * float64(time.Second))
+}
+
 func (u *Upstream) report(load Load, now time.Time) {
 	at, restarted := u.keepReport(load, now)
 	u.watcher.Reported(u, at, load, restarted)
