Take an intent back that became valid after its call was refused

Cause: when the log's answer came after the owner had given up, the caller was told that its call did not run, yet the key was taken for good: a repeat could only answer that the outcome is unknown. Also tests that a host that writes is not silent, and that one that hears few others waits longer.

--- a/core/fold/calls.go
+++ b/core/fold/calls.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"slices"
+
 	"cardamomward/core/id"
 	"cardamomward/core/record/recordpb"
 )
@@ -78,6 +80,9 @@
 	if !ok {
 		return NoSuchIntent
 	}
+	if body.GetNeverSent() != 0 {
+		return p.freeCall(slot, call, id.Position(body.GetNeverSent()))
+	}
 	if call.Outcome != nil && (body.GetUnknown() || !call.Outcome.GetUnknown()) {
 		return OutcomeExists
 	}
@@ -85,3 +90,15 @@
 
 	return Valid
 }
+
+// freeCall drops an intent that nobody acted on. It names the intent, so that a late copy frees no later one.
+func (p *Programs) freeCall(slot id.Slot, call *Call, intent id.Position) Reason {
+	if call.Position != intent || call.Outcome != nil {
+		return OutcomeExists
+	}
+	delete(p.calls, call.CallKey)
+	c := p.content(slot)
+	c.calls = slices.DeleteFunc(c.calls, func(other *Call) bool { return other == call })
+
+	return Valid
+}
--- a/core/fold/property_test.go
+++ b/core/fold/property_test.go
@@ -141,6 +141,10 @@
 				require.False(t, intents[intent.GetKey()], "a second valid intent for %s", intent.GetKey())
 				intents[intent.GetKey()] = true
 			}
+			if outcome := rec.GetOutcome(); outcome.GetNeverSent() != 0 {
+				require.True(t, intents[outcome.GetKey()], "an intent was freed that was not there")
+				intents[outcome.GetKey()] = false
+			}
 		}
 	})
 	require.Positive(t, valid)
--- a/core/fold/retain_test.go
+++ b/core/fold/retain_test.go
@@ -328,3 +328,23 @@
 	}
 	require.Equal(t, s.folder.State.Slot(slot), late.folder.State.Slot(slot))
 }
+
+func TestFreedIntentMakesRoomOnce(t *testing.T) {
+	s := newStream(t)
+	slot := id.CallSlot("w", "k")
+	s.claim(slot)
+	free := func(position id.Position) *record.Record {
+		rec := s.fenced(slot)
+		rec.Body = &recordpb.Record_Outcome{Outcome: &recordpb.Outcome{
+			Workspace: "w", Service: "s", Key: "k", NeverSent: uint64(position),
+		}}
+
+		return rec
+	}
+	first := id.NewPosition(s.folder.Next(), 0)
+	require.Equal(t, fold.Valid, s.append(s.intent()))
+	require.Equal(t, fold.OutcomeExists, s.append(free(first+1)))
+	require.Equal(t, fold.Valid, s.append(free(first)))
+	require.Equal(t, fold.Valid, s.append(s.intent()))
+	require.Equal(t, fold.OutcomeExists, s.append(free(first)), "a copy frees no later intent")
+}
--- a/core/fold/script_test.go
+++ b/core/fold/script_test.go
@@ -107,6 +107,10 @@
 		body.Claim.Epochs = epochs
 	case *recordpb.Record_Release:
 		body.Release.Epochs = epochs
+	case *recordpb.Record_Outcome:
+		if freed := body.Outcome.GetNeverSent(); freed != 0 {
+			body.Outcome.NeverSent = uint64(position(int(id.Position(freed).Offset())))
+		}
 	}
 
 	return rec
@@ -115,7 +119,7 @@
 func (s *script) draw() step {
 	kind := rapid.SampledFrom([]string{
 		"claim", "claim", "release", "open", "open", "turn", "turn", "turn", "mark", "end",
-		"intent", "outcome", "copy", "copy", "garbage", "newer",
+		"intent", "outcome", "free", "copy", "copy", "garbage", "newer",
 	}).Draw(s.t, "kind")
 	switch kind {
 	case "claim", "release":
@@ -203,6 +207,15 @@
 		next.rec.Body = &recordpb.Record_Outcome{Outcome: &recordpb.Outcome{
 			Workspace: "w", Service: "s", Key: key, Status: 200, Unknown: rapid.Bool().Draw(s.t, "unknown"),
 		}}
+	case "free":
+		next = s.fenced(id.CallSlot("w", key))
+		position := single(rapid.IntRange(0, len(s.steps)).Draw(s.t, "freed"))
+		if call, ok := s.folder.State.Call(fold.CallKey{Workspace: "w", Service: "s", Key: key}); ok {
+			position = call.Position
+		}
+		next.rec.Body = &recordpb.Record_Outcome{Outcome: &recordpb.Outcome{
+			Workspace: "w", Service: "s", Key: key, NeverSent: uint64(position),
+		}}
 	case "turn":
 		number := uint32(1)
 		if state, ok := s.folder.State.Program(id.Program(program)); ok {
--- a/core/slot/decide_test.go
+++ b/core/slot/decide_test.go
@@ -237,10 +237,7 @@
 			f := newFleet(c.hosts)
 			f.pass(settleTime)
 			f.reset()
-			lone := f.hosts[0]
-			for _, h := range f.hosts[1:] {
-				h.deaf[lone.name], lone.deaf[h.name] = true, true
-			}
+			f.split(f.hosts[0])
 			f.pass(c.time)
 			t.Logf("%d hosts, one cut from the others but not from the log, %s: %d forced claims of slots (%.1f a slot) in %d appends",
 				c.hosts, c.time, f.forced, float64(f.forced)/id.SlotCount, f.appends)
@@ -369,3 +366,38 @@
 	ahead := func(id.Slot) fold.SnapshotMark { return fold.SnapshotMark{AtMillis: now.Add(time.Hour).UnixMilli()} }
 	require.Equal(t, slots, slot.Due(now, retention, slots, ahead), "a clock that ran ahead does not put the next one off")
 }
+
+// split makes a host and all others deaf to each other.
+func (f *fleet) split(lone *host) {
+	for _, h := range f.hosts {
+		if h != lone {
+			h.deaf[lone.name], lone.deaf[h.name] = true, true
+		}
+	}
+}
+
+func TestHostThatWritesToTheLogIsNotSilent(t *testing.T) {
+	f := newFleet(2)
+	f.pass(settleTime)
+	f.reset()
+	f.split(f.hosts[0])
+	for range 20 {
+		for _, h := range f.hosts {
+			f.append(h, &recordpb.Record{Body: &recordpb.Record_Release{Release: &recordpb.Release{}}})
+		}
+		f.pass(time.Second)
+	}
+	require.Zero(t, f.forced, "records are heard where heartbeats are not")
+}
+
+func TestHostThatHearsFewWaitsLonger(t *testing.T) {
+	f := newFleet(12)
+	f.pass(settleTime)
+	f.reset()
+	lone := f.hosts[0]
+	share := f.owners()[lone.name]
+	f.split(lone)
+	f.pass(settleTime)
+	require.Equal(t, share, f.forced, "the others take the lone host's slots, and it takes none of theirs")
+	require.Zero(t, f.owners()[lone.name])
+}
--- a/io/owner/call.go
+++ b/io/owner/call.go
@@ -114,8 +114,8 @@
 		Fingerprint: uint64(fingerprint(req)),
 		Upstream:    string(upstream.ID),
 	}}
-	if err := o.commit(ctx, intent); err != nil {
-		// Nothing was sent. An intent that may still become valid is never sent by anyone.
+	if err := o.commitOr(ctx, intent, func(v fold.Verdict) { o.freeIntent(l, key, v) }); err != nil {
+		// Nothing was sent. An intent that still becomes valid is never sent by anyone, and then taken back.
 		refused := refusal.From(err)
 		if refused.Ran == refusal.Unknown {
 			return nil, refusal.New(refusal.LogUnavailable,
@@ -138,6 +138,22 @@
 	return reply, nil
 }
 
+// freeIntent takes an intent back that became valid after this host had refused its call.
+func (o *Owner) freeIntent(l lease, key fold.CallKey, verdict fold.Verdict) {
+	if !verdict.Valid() {
+		return
+	}
+	err := o.commitOutcome(context.Background(), l, &recordpb.Outcome{
+		Workspace: string(key.Workspace),
+		Service:   string(key.Service),
+		Key:       key.Key,
+		NeverSent: uint64(verdict.Position),
+	})
+	if err != nil {
+		o.Logger.Error(err, "intent-not-taken-back", "service", key.Service)
+	}
+}
+
 func outcomeUnknown(svc *settings.Service, cause error) error {
 	return refusal.New(refusal.OutcomeUnknown,
 		"service %s may have run the call and did not answer (%v); it will not be sent again", svc.ID, cause).WithRan(refusal.Unknown)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -110,10 +110,15 @@
 
 // commit appends a record for a slot and returns an error unless it counts.
 func (o *Owner) commit(ctx context.Context, rec *record.Record) error {
+	return o.commitOr(ctx, rec, nil)
+}
+
+// commitOr is commit; late is called with a verdict that comes after the record was given up on.
+func (o *Owner) commitOr(ctx context.Context, rec *record.Record, late func(fold.Verdict)) error {
 	// The record may be in the log already: its fate is awaited even if the caller has gone.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitWait)
 	defer cancel()
-	verdict, err := o.Journal.Append(ctx, rec)
+	verdict, err := o.Journal.AppendOr(ctx, rec, late)
 	if err != nil {
 		return refusal.New(refusal.LogUnavailable, "the log did not confirm the record in time: %v", err).
 			WithRan(refusal.Unknown).WithRetry(logRetry)
--- a/io/platform/append.go
+++ b/io/platform/append.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 
 	"cardamomward/core/fold"
+	"cardamomward/core/id"
 	"cardamomward/core/record"
 	"cardamomward/core/refusal"
 )
@@ -22,6 +24,8 @@
 	maxBatchBytes = 4 << 20
 	// maxRecordBytes bounds one record.
 	maxRecordBytes = maxBatchBytes
+	// maxLate bounds the records in doubt whose late verdict somebody wants to know.
+	maxLate = 4096
 	// minRetryPause and maxRetryPause bound the pause after a failed read or append.
 	minRetryPause = 50 * time.Millisecond
 	maxRetryPause = 2 * time.Second
@@ -38,6 +42,9 @@
 	done chan result
 	// inDoubt is set while the record may be in the log.
 	inDoubt bool
+	// late takes a verdict that comes after the caller has given up; born bounds how long it may come.
+	late func(fold.Verdict)
+	born id.Offset
 }
 
 // queued is an encoded record on its way to the log.
@@ -49,11 +56,16 @@
 // Append adds a record and waits until it has been folded. When ctx ends first, a record that was never sent
 // is taken back and the error is a refusal that says not-run; one that may be in the log gives ErrOutage.
 func (j *Journal[S]) Append(ctx context.Context, rec *record.Record) (fold.Verdict, error) {
+	return j.AppendOr(ctx, rec, nil)
+}
+
+// AppendOr is Append; late, if not nil, is called in a goroutine of its own with a verdict that comes after ErrOutage.
+func (j *Journal[S]) AppendOr(ctx context.Context, rec *record.Record, late func(fold.Verdict)) (fold.Verdict, error) {
 	q, err := j.encode(rec)
 	if err != nil {
 		return fold.Verdict{}, err
 	}
-	w := &waiter{done: make(chan result, 1)}
+	w := &waiter{done: make(chan result, 1), late: late, born: id.Offset(rec.GetBorn())}
 	j.mu.Lock()
 	if j.halted != "" {
 		j.mu.Unlock()
@@ -104,9 +116,22 @@
 		return fold.Verdict{}, refusal.New(refusal.LogUnavailable, "the log does not take records now").WithRetry(time.Second)
 	}
 
+	j.keepLate(recordID, w)
+
 	return fold.Verdict{}, ErrOutage.New("record %s is not known to be in the log: %v", recordID, context.Cause(ctx))
 }
 
+// keepLate remembers whom to tell of a late verdict, until the record can no longer become valid.
+func (j *Journal[S]) keepLate(recordID string, w *waiter) {
+	if w.late == nil {
+		return
+	}
+	maps.DeleteFunc(j.late, func(_ string, other *waiter) bool { return other.born+fold.DedupWindow < j.folder.Next() })
+	if len(j.late) < maxLate {
+		j.late[recordID] = w
+	}
+}
+
 func (j *Journal[S]) appendLoop(ctx context.Context) {
 	for {
 		batch := j.collect(ctx)
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -43,6 +43,7 @@
 	mu       sync.RWMutex
 	folder   fold.Folder[S]
 	waiting  map[string]*waiter
+	late     map[string]*waiter
 	heard    time.Time
 	caughtUp bool
 	changed  chan struct{}
@@ -80,6 +81,7 @@
 		logger:  opts.Logger,
 		folder:  fold.Folder[S]{State: state},
 		waiting: make(map[string]*waiter),
+		late:    make(map[string]*waiter),
 		changed: make(chan struct{}),
 		queue:   make(chan *queued, queueLength),
 	}
@@ -238,6 +240,10 @@
 		j.resolve(verdict.ID, result{err: ErrRetentionGap.New("the state of record %s is unknown", verdict.ID)})
 	default:
 		j.resolve(verdict.ID, result{verdict: verdict})
+		if w, ok := j.late[verdict.ID]; ok {
+			delete(j.late, verdict.ID)
+			go w.late(verdict)
+		}
 	}
 }
 
--- a/io/platform/journal_test.go
+++ b/io/platform/journal_test.go
@@ -109,6 +109,30 @@
 	})
 }
 
+func TestLateVerdictIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		line := &link{log: log}
+		j := run(t, line, 0)
+		time.Sleep(1500 * time.Millisecond)
+		log.set(func(l *fakeLog) { l.slow = 100 * time.Millisecond })
+		var told []fold.Verdict
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, err := j.AppendOr(within(t, time.Second), claimOf("host-1", false, 0, 1), func(v fold.Verdict) { told = append(told, v) })
+			require.True(t, errorx.IsOfType(err, platform.ErrOutage))
+		})
+		// The append takes effect, but neither its answer nor the next page comes in time.
+		time.Sleep(50 * time.Millisecond)
+		line.hold(4 * time.Second)
+		group.Wait()
+		time.Sleep(10 * time.Second)
+		require.Len(t, told, 1)
+		require.True(t, told[0].Valid())
+		require.Equal(t, told[0].Position, slotOf(j, 1).Epoch)
+	})
+}
+
 func TestRefusedAppendDidNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newFakeLog()
