--- a/io/platform/journal_test.go
+++ b/io/platform/journal_test.go
@@ -116,10 +116,10 @@
 		j := run(t, line, 0)
 		time.Sleep(1500 * time.Millisecond)
 		log.set(func(l *fakeLog) { l.slow = 100 * time.Millisecond })
-		var told []fold.Verdict
+		told := make(chan fold.Verdict, 2)
 		var group sync.WaitGroup
 		group.Go(func() {
-			_, err := j.AppendOr(within(t, time.Second), claimOf("host-1", false, 0, 1), func(v fold.Verdict) { told = append(told, v) })
+			_, err := j.AppendOr(within(t, time.Second), claimOf("host-1", false, 0, 1), func(v fold.Verdict) { told <- v })
 			require.True(t, errorx.IsOfType(err, platform.ErrOutage))
 		})
 		// The append takes effect, but neither its answer nor the next page comes in time.
@@ -128,8 +128,9 @@
 		group.Wait()
 		time.Sleep(10 * time.Second)
 		require.Len(t, told, 1)
-		require.True(t, told[0].Valid())
-		require.Equal(t, told[0].Position, slotOf(j, 1).Epoch)
+		verdict := <-told
+		require.True(t, verdict.Valid())
+		require.Equal(t, verdict.Position, slotOf(j, 1).Epoch)
 	})
 }
 
