--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -36,7 +36,9 @@
 	FailureDomains []id.FailureDomain
 	// WhereLifetime is how long the callers keep an answer.
 	WhereLifetime time.Duration
-	Logger        logr.Logger
+	// LogRetention is what the hosts take the log's retention for.
+	LogRetention time.Duration
+	Logger       logr.Logger
 	// Network lets tests cut links; its ends are the hosts' and upstreams' names, log and hosts.
 	Network *cut.Network
 }
@@ -197,6 +199,7 @@
 		LogAddress:    f.Log.Address(),
 		HostsAddress:  f.List.Address(),
 		WhereLifetime: opts.WhereLifetime,
+		LogRetention:  opts.LogRetention,
 	}, daemon.Options{Logger: opts.Logger, Dial: f.dialer(name)})
 	if err != nil {
 		return nil, err
