--- a/io/platform/journal_test.go
+++ b/io/platform/journal_test.go
@@ -109,6 +109,31 @@
 	})
 }
 
+func TestLateVerdictIsToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newFakeLog()
+		line := &link{log: log}
+		j := run(t, line, 0)
+		time.Sleep(1500 * time.Millisecond)
+		log.set(func(l *fakeLog) { l.slow = 100 * time.Millisecond })
+		told := make(chan fold.Verdict, 2)
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, err := j.AppendOr(within(t, time.Second), claimOf("host-1", false, 0, 1), func(v fold.Verdict) { told <- v })
+			require.True(t, errorx.IsOfType(err, platform.ErrOutage))
+		})
+		// The append takes effect, but neither its answer nor the next page comes in time.
+		time.Sleep(50 * time.Millisecond)
+		line.hold(4 * time.Second)
+		group.Wait()
+		time.Sleep(10 * time.Second)
+		require.Len(t, told, 1)
+		verdict := <-told
+		require.True(t, verdict.Valid())
+		require.Equal(t, verdict.Position, slotOf(j, 1).Epoch)
+	})
+}
+
 func TestRefusedAppendDidNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := newFakeLog()
