--- a/command/load/program.go
+++ b/command/load/program.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"cardamomward/core/id"
-	"cardamomward/core/prompt"
 	"cardamomward/core/refusal"
 	"cardamomward/core/replay"
 	"cardamomward/io/caller"
@@ -116,7 +115,7 @@
 	chat := caller.ChatRequest{
 		Model:     string(r.tenant.model),
 		MaxTokens: id.Tokens(size(turn.Output)),
-		Messages:  []prompt.Message{{Role: "user", Content: strings.Repeat(tokenText, size(turn.Input))}},
+		Messages:  []caller.ChatMessage{{Role: "user", Content: caller.Text(strings.Repeat(tokenText, size(turn.Input)))}},
 	}
 	r.mu.Lock()
 	r.calls++
