io/engine: set an upstream's fixed fields once, before any call reads them

Ruled out: a lock around each read, since all but Progress never change in a run. Change: an engine whose fixed fields change is taken as a new one; the dispatcher ignores what an earlier one tells.

--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -154,12 +154,11 @@
 		}
 		for _, setting := range service.Upstreams {
 			u, ok := known[setting.ID]
-			if !ok || u.Address != setting.Address {
+			if !ok || !u.fits(service, &setting) {
 				u = &Upstream{Client: Client{Address: setting.Address, HTTP: p.HTTP}}
+				u.id, u.domain, u.service, u.watcher = setting.ID, setting.FailureDomain, service.ID, p.Watcher
+				u.Progress = service.Progress
 			}
-			u.id, u.domain = setting.ID, setting.FailureDomain
-			u.service, u.watcher = service.ID, p.Watcher
-			u.Progress = service.Progress
 			u.mu.Lock()
 			u.leaving = setting.Leaving
 			u.mu.Unlock()
@@ -172,6 +171,12 @@
 	return services
 }
 
+// fits reports whether the upstream is as the settings say; its calls read these fields without a lock.
+func (u *Upstream) fits(service *settings.Service, setting *settings.Upstream) bool {
+	return u.Address == setting.Address && u.domain == setting.FailureDomain &&
+		u.service == service.ID && u.Progress == service.Progress
+}
+
 // Upstreams returns the engines of a service.
 func (p *Pool) Upstreams(service id.Service) []*Upstream {
 	p.mu.Lock()
--- a/io/owner/dispatch.go
+++ b/io/owner/dispatch.go
@@ -138,7 +138,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	l := d.lane(call.Service)
-	l.index.End(u.ID(), now)
+	if l.knows(u) {
+		l.index.End(u.ID(), now)
+	}
 	l.gate.Ended(l.index.CallLength())
 	l.queue.Charge(call.Item, served)
 	d.mu.Unlock()
@@ -204,7 +206,11 @@
 func (d *Dispatcher) Reported(u *engine.Upstream, at time.Time, load engine.Load, restarted bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	index := &d.lane(u.Service()).index
+	l := d.lane(u.Service())
+	if !l.knows(u) {
+		return
+	}
+	index := &l.index
 	if restarted {
 		index.Clear(u.ID())
 	}
@@ -217,7 +223,11 @@
 func (d *Dispatcher) CacheChanged(u *engine.Upstream, events []engine.CacheEvent, gap bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	index := &d.lane(u.Service()).index
+	l := d.lane(u.Service())
+	if !l.knows(u) {
+		return
+	}
+	index := &l.index
 	if gap {
 		index.Gap(u.ID())
 	}
--- a/io/owner/lane.go
+++ b/io/owner/lane.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// knows reports whether the settings in force still have the upstream as it is.
+func (l *lane) knows(u *engine.Upstream) bool { return l.upstreams[u.ID()] == u }
+
 // configure takes over the upstreams of the service.
 func (l *lane) configure(now time.Time, upstreams []*engine.Upstream) {
 	known := l.upstreams
