--- a/core/fold/calls.go
+++ b/core/fold/calls.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"slices"
+
 	"cardamomward/core/id"
 	"cardamomward/core/record/recordpb"
 )
@@ -63,8 +65,33 @@
 	}
 	p.calls[call.CallKey] = call
 	p.content(slot).calls = append(p.content(slot).calls, call)
+	if call.Program == "" {
+		return
+	}
+	if p.called == nil {
+		p.called = make(map[id.Program]id.Position)
+	}
+	p.called[call.Program] = max(p.called[call.Program], call.Position)
+}
+
+func (p *Programs) dropCall(slot id.Slot, call *Call) {
+	c := p.content(slot)
+	c.calls = slices.DeleteFunc(c.calls, func(other *Call) bool { return other == call })
+	p.uncall(call)
+}
+
+// uncall removes a call from all but the list of its slot.
+func (p *Programs) uncall(call *Call) {
+	delete(p.calls, call.CallKey)
+	if p.called[call.Program] == call.Position {
+		delete(p.called, call.Program)
+	}
 }
 
+// LastCall returns the position of a program's latest call that must not be repeated, or zero.
+func (p *Programs) LastCall(program id.Program) id.Position { return p.called[program] }
+
+// outcome keeps the first known outcome of a call; one that says "not run" frees its key.
 func (p *Programs) outcome(slot id.Slot, body *recordpb.Outcome) Reason {
 	key := CallKey{
 		Workspace: id.Workspace(body.GetWorkspace()),
@@ -75,13 +102,22 @@
 		return WrongSlot
 	}
 	call, ok := p.calls[key]
-	if !ok {
+	named := body.GetIntent() != 0
+	if !ok || (named && call.Position != id.Position(body.GetIntent())) {
 		return NoSuchIntent
 	}
 	if call.Outcome != nil && (body.GetUnknown() || !call.Outcome.GetUnknown()) {
 		return OutcomeExists
 	}
-	call.Outcome = body
+	if !body.GetNotRun() {
+		call.Outcome = body
+
+		return Valid
+	}
+	if !named {
+		return NoSuchIntent
+	}
+	p.dropCall(slot, call)
 
 	return Valid
 }
--- a/core/fold/control_snapshot.go
+++ b/core/fold/control_snapshot.go
@@ -1,7 +1,6 @@
 package fold
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -29,19 +28,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.keys)) {
 		snapshot.Keys = append(snapshot.Keys, c.keys[name].snapshot())
 	}
-	for request, state := range c.crashes {
-		if expired(state.last, CrashWindow, next) {
-			continue
-		}
-		snapshot.Crashes = append(snapshot.Crashes, &recordpb.CrashSnapshot{
-			Fingerprint: uint64(request),
-			Runs:        slices.Sorted(maps.Keys(state.runs)),
-			LastRecord:  uint64(state.last),
-		})
-	}
-	slices.SortFunc(snapshot.Crashes, func(a, b *recordpb.CrashSnapshot) int {
-		return cmp.Compare(a.GetFingerprint(), b.GetFingerprint())
-	})
+	snapshot.Crashes = c.crashSnapshots(next)
+	snapshot.Reservations = c.reservationSnapshots()
 
 	return snapshot
 }
@@ -108,12 +96,6 @@
 		c.issue(id.Position(key.GetIssued()), key.GetIssue())
 		c.keys[id.Key(key.GetIssue().GetKey())].Withdrawn = key.GetWithdrawn()
 	}
-	c.crashes = make(map[id.Fingerprint]*crashes, len(snapshot.GetCrashes()))
-	for _, crash := range snapshot.GetCrashes() {
-		state := &crashes{runs: make(map[string]struct{}), last: id.Position(crash.GetLastRecord())}
-		for _, run := range crash.GetRuns() {
-			state.runs[run] = struct{}{}
-		}
-		c.crashes[id.Fingerprint(crash.GetFingerprint())] = state
-	}
+	c.takeCrashes(snapshot.GetCrashes())
+	c.takeReservations(snapshot.GetReservations())
 }
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -9,10 +9,13 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
+	"cardamomward/core/balance"
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/refusal"
+	"cardamomward/core/retry"
 	"cardamomward/core/settings"
 	"cardamomward/io/peer"
 	"cardamomward/io/peer/peerpb"
@@ -47,8 +50,15 @@
 	mu       sync.Mutex
 	programs map[id.Program]*active
 	busy     map[id.Slot]int
-	sealed   map[id.Slot]struct{}
-	calls    map[fold.CallKey]struct{}
+	flights  map[fold.CallKey]*flight
+	// unsent holds the epochs of intents under which this host has sent nothing yet.
+	unsent   map[fold.CallKey]id.Epoch
+	balancer balance.Balancer
+	retries  retry.Budget
+	// unreported holds crashes that the log may not have taken.
+	unreported quarantine.Book
+	isolations map[id.Service]*isolation
+	sealed     map[id.Slot]struct{}
 }
 
 var _ peer.Owner = (*Owner)(nil)
