--- /dev/null
+++ b/test/pages/doc.go
@@ -0,0 +1,2 @@
+// Package pages checks that the operators' pages name what the code has.
+package pages
