--- a/io/owner/once.go
+++ b/io/owner/once.go
@@ -134,7 +134,11 @@
 	select {
 	case <-f.answered:
 	case <-ctx.Done():
-		return nil, gaveUp(ctx, refusal.Unknown)
+		select {
+		case <-f.answered:
+		default:
+			return nil, gaveUp(ctx, refusal.Unknown)
+		}
 	}
 	if f.err != nil || !replayed {
 		return f.reply, f.err
@@ -147,6 +151,11 @@
 	return reply, nil
 }
 
+// givenUp refuses a call whose first caller went away before it was sent; others under its key may come back.
+func givenUp() error {
+	return refusal.New(refusal.Cancelled, "the call was given up before it was sent").WithRetry(time.Second)
+}
+
 func keyReused() error {
 	return refusal.New(refusal.KeyReused, "the idempotency key was used for another request; use a new key")
 }
@@ -199,7 +208,7 @@
 	ctx context.Context, l lease, svc *settings.Service, req *peerpb.CallServiceRequest, key fold.CallKey,
 ) error {
 	if ctx.Err() != nil {
-		return gaveUp(ctx, refusal.NotRun)
+		return givenUp()
 	}
 	upstreams := o.ordered(svc)
 	if len(upstreams) == 0 {
@@ -273,7 +282,7 @@
 	ctx context.Context, l lease, svc *settings.Service, req *peerpb.CallServiceRequest, call fold.Call, f *flight,
 ) {
 	if ctx.Err() != nil {
-		f.land(nil, gaveUp(ctx, refusal.NotRun))
+		f.land(nil, givenUp())
 		o.keepOutcome(l, call, &recordpb.Outcome{NotRun: true}, nil)
 
 		return
