--- a/io/engine/protocol.go
+++ b/io/engine/protocol.go
@@ -7,6 +7,9 @@
 	"cardamomward/core/prompt"
 )
 
+// HeaderRun carries the engine's process on answers that stream.
+const HeaderRun = "Engine-Run"
+
 // Sampling are the options of a chat-completions request that callers may set and engines see.
 type Sampling struct {
 	Temperature      *float64        `json:"temperature,omitempty"`
