--- a/core/fold/crash.go
+++ b/core/fold/crash.go
@@ -2,57 +2,95 @@
 
 import (
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record/recordpb"
 )
 
-const (
-	// quarantineAfter is how many different upstream processes a request may crash before it is refused.
-	quarantineAfter = 2
-	// crashSweep is how many appends pass between two searches for crashes to forget.
-	crashSweep = 1 << 10
-)
+// crashSweep is how many appends pass between two searches for crashes to forget.
+const crashSweep = 1 << 10
+
+// Standing returns how far a request is under suspicion of crashing upstreams.
+func (c *Control) Standing(request id.Fingerprint) quarantine.Standing {
+	if expired(c.crashed[request], CrashWindow, c.now) {
+		return quarantine.Clean
+	}
 
-type crashes struct {
-	runs map[string]struct{}
-	last id.Position
+	return c.crashes.Standing(request)
 }
 
-// Quarantined reports whether a request has crashed as many upstream processes as is allowed.
+// Quarantined reports whether a request may not run any more.
 func (c *Control) Quarantined(request id.Fingerprint) bool {
-	state, ok := c.crashes[request]
-
-	return ok && !expired(state.last, CrashWindow, c.now) && len(state.runs) >= quarantineAfter
+	return c.Standing(request) == quarantine.Convicted
 }
 
 func (c *Control) crash(pos id.Position, body *recordpb.Crash) Reason {
-	if c.crashes == nil {
-		c.crashes = make(map[id.Fingerprint]*crashes)
-	}
 	request := id.Fingerprint(body.GetFingerprint())
-	state, ok := c.crashes[request]
-	if !ok || expired(state.last, CrashWindow, c.now) {
-		state = &crashes{runs: make(map[string]struct{})}
-		c.crashes[request] = state
+	if body.GetCleared() || expired(c.crashed[request], CrashWindow, c.now) {
+		c.forgive(request)
 	}
-	run := body.GetUpstream() + "/" + body.GetRun()
-	if _, ok := state.runs[run]; ok {
+	if body.GetCleared() {
+		return Valid
+	}
+	if !c.crashes.Crash(quarantine.Crash{
+		Request: request,
+		Process: body.GetUpstream() + "/" + body.GetRun(),
+		Alone:   body.GetAlone(),
+	}) {
 		return AlreadyIncluded
 	}
-	state.runs[run] = struct{}{}
-	state.last = pos
+	if c.crashed == nil {
+		c.crashed = make(map[id.Fingerprint]id.Position)
+	}
+	c.crashed[request] = pos
 
 	return Valid
 }
 
+func (c *Control) forgive(request id.Fingerprint) {
+	c.crashes.Clear(request)
+	delete(c.crashed, request)
+}
+
 // sweep forgets the crashes that have left their window.
 func (c *Control) sweep() {
 	c.voids.forget(c.now)
 	if c.now%crashSweep != 0 {
 		return
 	}
-	for request, state := range c.crashes {
-		if expired(state.last, CrashWindow, c.now) {
-			delete(c.crashes, request)
+	for request, last := range c.crashed {
+		if expired(last, CrashWindow, c.now) {
+			c.forgive(request)
+		}
+	}
+}
+
+// crashSnapshots restates the crashes that are still in their window, the longest known request first.
+func (c *Control) crashSnapshots(next id.Offset) []*recordpb.CrashSnapshot {
+	var snapshots []*recordpb.CrashSnapshot
+	for _, request := range c.crashes.Requests() {
+		if expired(c.crashed[request], CrashWindow, next) {
+			continue
+		}
+		snapshot := &recordpb.CrashSnapshot{Fingerprint: uint64(request), LastRecord: uint64(c.crashed[request])}
+		for _, crash := range c.crashes.Crashes(request) {
+			snapshot.Runs = append(snapshot.Runs, crash.Process)
+			snapshot.Alone = append(snapshot.Alone, crash.Alone)
+		}
+		snapshots = append(snapshots, snapshot)
+	}
+
+	return snapshots
+}
+
+func (c *Control) takeCrashes(snapshots []*recordpb.CrashSnapshot) {
+	c.crashes = quarantine.Book{}
+	c.crashed = make(map[id.Fingerprint]id.Position, len(snapshots))
+	for _, snapshot := range snapshots {
+		request := id.Fingerprint(snapshot.GetFingerprint())
+		for i, process := range snapshot.GetRuns() {
+			alone := i < len(snapshot.GetAlone()) && snapshot.GetAlone()[i]
+			c.crashes.Crash(quarantine.Crash{Request: request, Process: process, Alone: alone})
 		}
+		c.crashed[request] = id.Position(snapshot.GetLastRecord())
 	}
 }
--- a/core/fold/retain.go
+++ b/core/fold/retain.go
@@ -65,7 +65,7 @@
 	c.ended = slices.Delete(c.ended, 0, drop)
 	drop = 0
 	for drop < len(c.calls) && expired(c.calls[drop].Position, CallWindow, now) {
-		delete(p.calls, c.calls[drop].CallKey)
+		p.uncall(c.calls[drop])
 		drop++
 	}
 	c.calls = slices.Delete(c.calls, 0, drop)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -9,10 +9,13 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
+	"cardamomward/core/balance"
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/record"
 	"cardamomward/core/refusal"
+	"cardamomward/core/retry"
 	"cardamomward/core/settings"
 	"cardamomward/io/peer"
 	"cardamomward/io/peer/peerpb"
@@ -47,8 +50,15 @@
 	mu       sync.Mutex
 	programs map[id.Program]*active
 	busy     map[id.Slot]int
-	sealed   map[id.Slot]struct{}
-	calls    map[fold.CallKey]struct{}
+	flights  map[fold.CallKey]*flight
+	// unsent holds the epochs of intents under which this host has sent nothing yet.
+	unsent   map[fold.CallKey]id.Epoch
+	balancer balance.Balancer
+	retries  retry.Budget
+	// unreported holds crashes that the log may not have taken.
+	unreported quarantine.Book
+	isolations map[id.Service]*isolation
+	sealed     map[id.Slot]struct{}
 }
 
 var _ peer.Owner = (*Owner)(nil)
@@ -110,15 +120,10 @@
 
 // commit appends a record for a slot and returns an error unless it counts.
 func (o *Owner) commit(ctx context.Context, rec *record.Record) error {
-	return o.commitOr(ctx, rec, nil)
-}
-
-// commitOr is commit; late is called with a verdict that comes after the record was given up on.
-func (o *Owner) commitOr(ctx context.Context, rec *record.Record, late func(fold.Verdict)) error {
 	// The record may be in the log already: its fate is awaited even if the caller has gone.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitWait)
 	defer cancel()
-	verdict, err := o.Journal.AppendOr(ctx, rec, late)
+	verdict, err := o.Journal.Append(ctx, rec)
 	if err != nil {
 		return refusal.New(refusal.LogUnavailable, "the log did not confirm the record in time: %v", err).
 			WithRan(refusal.Unknown).WithRetry(logRetry)
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -11,6 +11,7 @@
 	"cardamomward/core/fold"
 	"cardamomward/core/id"
 	"cardamomward/core/prompt"
+	"cardamomward/core/quarantine"
 	"cardamomward/core/queue"
 	"cardamomward/core/record/recordpb"
 	"cardamomward/core/refusal"
@@ -37,9 +38,13 @@
 	text         strings.Builder
 	finishReason string
 	upstream     id.Upstream
-	prompt       id.Tokens
-	cached       id.Tokens
-	completion   id.Tokens
+	// run is the upstream's process that took the request.
+	run string
+	// begun says that a part of the text has been passed on.
+	begun      bool
+	prompt     id.Tokens
+	cached     id.Tokens
+	completion id.Tokens
 }
 
 // Turn runs a program's next turn, or repeats the answer of one that is already in its history.
@@ -112,8 +117,8 @@
 	}
 	t.messages = slices.Concat(history, t.input)
 	t.request = prompt.Fingerprint(workspace.ID, t.messages)
-	if o.Control.Quarantined(t.request) {
-		return refusal.New(refusal.Quarantined, "this request has crashed the upstreams that ran it and will not be run again")
+	if o.standing(t.request) == quarantine.Convicted {
+		return quarantined()
 	}
 	if err := json.Unmarshal(t.req.GetSampling(), &t.sampling); len(t.req.GetSampling()) > 0 && err != nil {
 		return refusal.New(refusal.InvalidRequest, "the sampling options are not valid: %v", err)
