--- a/core/fold/retain_test.go
+++ b/core/fold/retain_test.go
@@ -343,6 +343,7 @@
 	}
 	first := id.NewPosition(s.folder.Next(), 0)
 	require.Equal(t, fold.Valid, s.append(s.intent()))
+	require.Equal(t, fold.NoSuchIntent, s.append(free(0)), "a freed intent is named")
 	require.Equal(t, fold.NoSuchIntent, s.append(free(first+1)))
 	require.Equal(t, fold.Valid, s.append(free(first)))
 	require.Equal(t, fold.Valid, s.append(s.intent()))
--- a/core/slot/decide.go
+++ b/core/slot/decide.go
@@ -72,7 +72,9 @@
 // forcedSlot is what became of a slot that this host has forced.
 type forcedSlot struct {
 	// base is the epoch on which the latest attempt was based.
-	base    id.Epoch
+	base id.Epoch
+	// tried is the epoch of the latest attempt; a repeated one counts once, as at most one of them is valid.
+	tried   id.Epoch
 	lost    int
 	retryAt time.Time
 	since   time.Time
@@ -179,10 +181,16 @@
 		d.windowCount = 0
 	}
 	f := d.forced[target.Slot]
-	if now.Before(f.retryAt) || d.windowCount >= forcedPerMinute {
+	if now.Before(f.retryAt) {
 		return false
 	}
-	d.windowCount++
+	if f.tried != target.Epoch {
+		if d.windowCount >= forcedPerMinute {
+			return false
+		}
+		d.windowCount++
+	}
+	f.tried = target.Epoch
 	if d.forced == nil {
 		d.forced = make(map[id.Slot]forcedSlot)
 	}
--- a/core/slot/decide_test.go
+++ b/core/slot/decide_test.go
@@ -232,7 +232,7 @@
 		time  time.Duration
 		// most bounds the claims of each slot.
 		most int
-	}{{"two hosts", 2, 10 * time.Minute, 20}, {"one of twelve", 12, 2 * time.Minute, 10}} {
+	}{{"two hosts", 2, 10 * time.Minute, 15}, {"one of twelve", 12, time.Minute, 5}} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(c.hosts)
 			f.pass(settleTime)
@@ -401,3 +401,18 @@
 	require.Equal(t, share, f.forced, "the others take the lone host's slots, and it takes none of theirs")
 	require.Zero(t, f.owners()[lone.name])
 }
+
+func TestClaimsInDoubtDoNotUseUpTheCap(t *testing.T) {
+	f := newFleet(2)
+	f.pass(settleTime)
+	lost := f.owners()[f.hosts[1].name]
+	f.hosts[1].dead = true
+	h := f.hosts[0]
+	forced := 0
+	for range 50 {
+		// The log takes none of the claims.
+		f.now = f.now.Add(tick)
+		forced = len(h.decider.Decide(f.now, f.view(h)).Force)
+	}
+	require.Equal(t, lost, forced, "each attempt asks for all of the lost host's slots")
+}
