Keep hosts that miss the log from taking each other's old news for new

Cause: a host that misses the log reads the control stream from peers. A peer's age went over the wire rounded down to whole milliseconds and was taken as of its arrival, so of hosts that all miss the log each lost up to a millisecond of age at every question, and they asked without a pause: the age stood still and a withdrawn key could stay in force. A peer's page without news also beat the log's long poll, so the log was not read for 10 s after an outage. A host that had heard nothing told an age since the zero time, which overflows at the receiver. Change: ages are rounded up and count from the question; a peer's page counts only if it holds entries or is fresher by an interval; a host that has heard nothing says so.

--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := &peerpb.ReadControlResponse{Next: uint64(page.Next), AgeMillis: page.Age.Milliseconds()}
+	resp := &peerpb.ReadControlResponse{Next: uint64(page.Next), AgeMillis: platform.WholeMillis(page.Age).Milliseconds()}
 	for _, entry := range page.Entries {
 		resp.Records = append(resp.Records, &peerpb.ControlRecord{Offset: uint64(entry.Offset), Data: entry.Data})
 	}
--- a/io/platform/relay.go
+++ b/io/platform/relay.go
@@ -42,7 +42,7 @@
 	return r.Log.Append(ctx, stream, data)
 }
 
-// Read returns the first answer, from the log or from a peer.
+// Read returns the first answer that brings news, from the log or from a peer.
 func (r *Relay) Read(ctx context.Context, stream id.Stream, from id.Offset, wait time.Duration) (Page, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -56,14 +56,13 @@
 
 			return
 		}
+		r.keep(page, time.Now())
 		pages <- page
 	}()
-	go r.askPeers(ctx, from, r.patience(asked, wait), pages)
+	go r.askPeers(ctx, from, asked, r.patience(asked, wait), pages)
 
 	select {
 	case page := <-pages:
-		r.keep(page, time.Now())
-
 		return page, nil
 	case err := <-failed:
 		r.note(time.Now())
@@ -82,8 +81,6 @@
 	defer timer.Stop()
 	select {
 	case page := <-pages:
-		r.keep(page, time.Now())
-
 		return page, nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -109,14 +106,19 @@
 	r.failed = now
 }
 
-func (r *Relay) askPeers(ctx context.Context, from id.Offset, patience time.Duration, pages chan<- Page) {
+// askPeers asks until a peer brings news; the page's age counts from the start of the read.
+func (r *Relay) askPeers(ctx context.Context, from id.Offset, start time.Time, patience time.Duration, pages chan<- Page) {
 	sleep(ctx, patience)
 	for ctx.Err() == nil {
+		asked := time.Now()
 		page, err := r.Peers(ctx, from)
-		if err == nil {
+		// A peer tells what was true before it answered, so the age is taken from the question.
+		page.Age -= asked.Sub(start)
+		if err == nil && r.news(page, from, start) {
 			if patience > 0 {
 				r.note(time.Now())
 			}
+			r.keep(page, start)
 			pages <- page
 
 			return
@@ -125,11 +127,20 @@
 	}
 }
 
-// keep remembers a page for peers that can't reach the log.
-func (r *Relay) keep(page Page, now time.Time) {
+// news reports whether a peer's page holds entries or is fresher than what this host has heard. Without this, hosts
+// that all miss the log would take each other's pages in place of its answers once it is back.
+func (r *Relay) news(page Page, from id.Offset, start time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if heard := now.Add(-page.Age); heard.After(r.heard) {
+
+	return page.Next > from || start.Add(-page.Age).Sub(r.heard) >= relayInterval
+}
+
+// keep remembers a page for peers that can't reach the log; the page's age counts from the given time.
+func (r *Relay) keep(page Page, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if heard := at.Add(-page.Age); heard.After(r.heard) {
 		r.heard = heard
 	}
 	for _, entry := range page.Entries {
@@ -149,6 +160,9 @@
 func (r *Relay) Recent(from id.Offset, now time.Time) (Page, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.heard.IsZero() {
+		return Page{}, refusal.New(refusal.NotFound, "this host has heard nothing of the log yet")
+	}
 	first := r.next
 	if len(r.entries) > 0 {
 		first = r.entries[0].Offset
@@ -165,3 +179,9 @@
 
 	return page, nil
 }
+
+// WholeMillis returns an age in whole milliseconds as hosts tell it to each other: rounded up, because an age that
+// each of them rounds down never grows.
+func WholeMillis(age time.Duration) time.Duration {
+	return (age + time.Millisecond - 1).Truncate(time.Millisecond)
+}
