--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -92,6 +92,12 @@
 	require.LessOrEqual(t, p95(results[replay.Cardamomward]), best(results, p95))
 }
 
+func TestSurgeLatencyTarget(t *testing.T) {
+	const target = 0.7
+	results := surge()
+	require.LessOrEqual(t, p95(results[replay.Cardamomward]), target*best(results, p95))
+}
+
 func TestWastedCacheTarget(t *testing.T) {
 	const target = 0.5
 	results := surge()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -202,11 +202,12 @@
 	return call(ctx, owner)
 }
 
-// moved reports whether a call did not run because its slot has changed hands.
+// moved reports whether a call left no trace because its slot has changed hands: it did not run, or it ran
+// and its record was void.
 func moved(err error) bool {
 	var refused *refusal.Error
 
-	return errors.As(err, &refused) && refused.Kind == refusal.OwnerChanged && refused.Ran == refusal.NotRun
+	return errors.As(err, &refused) && refused.Kind == refusal.OwnerChanged && refused.Ran != refusal.Unknown
 }
 
 // Requests returns how many requests are under way.
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -187,7 +187,7 @@
 	rec := o.record(l)
 	rec.Body = &recordpb.Record_Turn{Turn: body}
 	if err := o.commit(ctx, rec); err != nil {
-		return nil, err
+		return nil, notKept(err)
 	}
 	o.Logger.Info("turn-kept", "program", t.state.ID, "workspace", t.workspace.ID, "turn", body.GetNumber(),
 		"upstream", got.upstream, "prompt-tokens", got.prompt, "cached-tokens", got.cached,
@@ -196,6 +196,16 @@
 	return o.outcome(t, body, false)
 }
 
+// notKept says of a turn whose record is void that an engine ran it, though nothing of it is kept.
+func notKept(err error) error {
+	refused := refusal.From(err)
+	if refused.Ran == refusal.NotRun {
+		return refused.WithRan(refusal.DidRun)
+	}
+
+	return refused
+}
+
 func (t *turn) body(got *answer) *recordpb.Turn {
 	body := &recordpb.Turn{
 		Program:          string(t.state.ID),
