Keep reads down while an append is in doubt in its test

Whether a read was under way depended on the jitter of the readers' pause.

Change: the fake log refuses reads alone for that step.

--- a/io/platform/fakelog_test.go
+++ b/io/platform/fakelog_test.go
@@ -25,6 +25,8 @@
 	appends, attempts int
 	// down refuses everything without effect; unreachable answers nothing.
 	down, unreachable bool
+	// readsDown refuses reads alone.
+	readsDown bool
 	// loseAnswers is how many of the next appends take effect without an answer.
 	loseAnswers int
 	// slow delays each answer.
@@ -141,6 +143,12 @@
 	if err := l.wait(ctx); err != nil {
 		return platform.Page{}, err
 	}
+	l.mu.Lock()
+	readsDown := l.readsDown
+	l.mu.Unlock()
+	if readsDown {
+		return platform.Page{}, refusal.New(refusal.LogUnavailable, "the log takes no reads")
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/io/platform/journal_test.go
+++ b/io/platform/journal_test.go
@@ -118,7 +118,8 @@
 		require.Equal(t, refusal.NotRun, refusal.From(err).Ran)
 		// An attempt whose answer was lost stays in doubt, whatever the log says to later ones.
 		time.Sleep(time.Minute)
-		log.set(func(l *fakeLog) { l.down, l.loseAnswers, l.slow = false, 1, 100*time.Millisecond })
+		// Whether a read shows the record before the log is down again would depend on the readers' jitter.
+		log.set(func(l *fakeLog) { l.down, l.readsDown, l.loseAnswers, l.slow = false, true, 1, 100*time.Millisecond })
 		go func() {
 			time.Sleep(110 * time.Millisecond)
 			log.set(func(l *fakeLog) { l.down = true })
