--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -41,18 +41,7 @@
 	}
 }
 
-func (h *Host) slotLoop(ctx context.Context) {
-	ticker := time.NewTicker(slotInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			h.settleSlots(ctx, time.Now())
-		}
-	}
-}
+func (h *Host) slotLoop(ctx context.Context) { every(ctx, slotInterval, h.settleSlots) }
 
 // settleSlots claims and releases what the decider says.
 func (h *Host) settleSlots(ctx context.Context, now time.Time) {
--- a/io/daemon/snapshots.go
+++ b/io/daemon/snapshots.go
@@ -24,18 +24,7 @@
 )
 
 // snapshotLoop restates the slots of this host before their records expire.
-func (h *Host) snapshotLoop(ctx context.Context) {
-	ticker := time.NewTicker(snapshotInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			h.snapshot(ctx, time.Now())
-		}
-	}
-}
+func (h *Host) snapshotLoop(ctx context.Context) { every(ctx, snapshotInterval, h.snapshot) }
 
 func (h *Host) snapshot(ctx context.Context, now time.Time) {
 	if !h.programs.Status().CaughtUp || !h.control.Journal.Status().CaughtUp {
