Refuse turns at once while no engine can run them, and repeated turns with other messages

Cause: a read-through of what operators and callers see. A turn waited out its whole timeout while every engine was down; a turn number that was used again with other messages got the first answer as if it were its own; an engine's error body, which can repeat a prompt, went into errors and logs; a host paused between an answer of the log and its use took old news for fresh.

Change: a waiting call is refused as no-upstream, with when to come back, once every upstream is leaving or has only failed for 3 s; a repeated turn with other messages is a turn-conflict; errors of engines carry the status alone; a page counts as old as its question. A refusal kind that no route used is gone.

After: the dispatcher's test in virtual time is refused within 5 s. The test of whole hosts whose engines are all silent passes with and without the check and proves only the kind of refusal.

--- a/core/refusal/refusal.go
+++ b/core/refusal/refusal.go
@@ -21,32 +21,31 @@
 
 // Kinds of refusals.
 const (
-	Unauthenticated    Kind = "unauthenticated"
-	Forbidden          Kind = "forbidden"
-	InvalidRequest     Kind = "invalid-request"
-	TooLarge           Kind = "too-large"
-	NotFound           Kind = "not-found"
-	RateLimited        Kind = "rate-limited"
-	BudgetExhausted    Kind = "budget-exhausted"
-	HistoryMismatch    Kind = "history-mismatch"
-	TurnConflict       Kind = "turn-conflict"
-	ProgramEnded       Kind = "program-ended"
-	KeyReused          Kind = "idempotency-key-reused"
-	OutcomeUnknown     Kind = "outcome-unknown"
-	Overloaded         Kind = "overloaded"
-	NoUpstream         Kind = "no-upstream"
-	UpstreamFailed     Kind = "upstream-failed"
-	Quarantined        Kind = "quarantined"
-	LogUnavailable     Kind = "log-unavailable"
-	OwnerChanged       Kind = "owner-changed"
-	Leaving            Kind = "leaving"
-	DeadlineExceeded   Kind = "deadline-exceeded"
-	Cancelled          Kind = "cancelled"
-	SettingsConflict   Kind = "settings-conflict"
-	SettingsInvalid    Kind = "settings-invalid"
-	Internal           Kind = "internal"
-	MethodNotAllowed   Kind = "method-not-allowed"
-	UnsupportedContent Kind = "unsupported-content"
+	Unauthenticated  Kind = "unauthenticated"
+	Forbidden        Kind = "forbidden"
+	InvalidRequest   Kind = "invalid-request"
+	TooLarge         Kind = "too-large"
+	NotFound         Kind = "not-found"
+	RateLimited      Kind = "rate-limited"
+	BudgetExhausted  Kind = "budget-exhausted"
+	HistoryMismatch  Kind = "history-mismatch"
+	TurnConflict     Kind = "turn-conflict"
+	ProgramEnded     Kind = "program-ended"
+	KeyReused        Kind = "idempotency-key-reused"
+	OutcomeUnknown   Kind = "outcome-unknown"
+	Overloaded       Kind = "overloaded"
+	NoUpstream       Kind = "no-upstream"
+	UpstreamFailed   Kind = "upstream-failed"
+	Quarantined      Kind = "quarantined"
+	LogUnavailable   Kind = "log-unavailable"
+	OwnerChanged     Kind = "owner-changed"
+	Leaving          Kind = "leaving"
+	DeadlineExceeded Kind = "deadline-exceeded"
+	Cancelled        Kind = "cancelled"
+	SettingsConflict Kind = "settings-conflict"
+	SettingsInvalid  Kind = "settings-invalid"
+	Internal         Kind = "internal"
+	MethodNotAllowed Kind = "method-not-allowed"
 )
 
 // Error is a refusal of a caller's request.
@@ -93,32 +92,31 @@
 
 // statuses maps each kind to its HTTP status.
 var statuses = map[Kind]int{
-	Unauthenticated:    401,
-	Forbidden:          403,
-	InvalidRequest:     400,
-	TooLarge:           413,
-	NotFound:           404,
-	RateLimited:        429,
-	BudgetExhausted:    402,
-	HistoryMismatch:    409,
-	TurnConflict:       409,
-	ProgramEnded:       410,
-	KeyReused:          422,
-	OutcomeUnknown:     502,
-	Overloaded:         503,
-	NoUpstream:         503,
-	UpstreamFailed:     502,
-	Quarantined:        422,
-	LogUnavailable:     503,
-	OwnerChanged:       503,
-	Leaving:            503,
-	DeadlineExceeded:   504,
-	Cancelled:          499,
-	SettingsConflict:   409,
-	SettingsInvalid:    422,
-	Internal:           500,
-	MethodNotAllowed:   405,
-	UnsupportedContent: 415,
+	Unauthenticated:  401,
+	Forbidden:        403,
+	InvalidRequest:   400,
+	TooLarge:         413,
+	NotFound:         404,
+	RateLimited:      429,
+	BudgetExhausted:  402,
+	HistoryMismatch:  409,
+	TurnConflict:     409,
+	ProgramEnded:     410,
+	KeyReused:        422,
+	OutcomeUnknown:   502,
+	Overloaded:       503,
+	NoUpstream:       503,
+	UpstreamFailed:   502,
+	Quarantined:      422,
+	LogUnavailable:   503,
+	OwnerChanged:     503,
+	Leaving:          503,
+	DeadlineExceeded: 504,
+	Cancelled:        499,
+	SettingsConflict: 409,
+	SettingsInvalid:  422,
+	Internal:         500,
+	MethodNotAllowed: 405,
 }
 
 // Status returns the HTTP status of the refusal.
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -182,9 +182,8 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxEvent))
-
-		return ErrNotStarted.New("status %d: %.200s", resp.StatusCode, data)
+		// The body may repeat the prompt, which belongs in no error or log.
+		return ErrNotStarted.New("status %d", resp.StatusCode)
 	}
 	guard.alive()
 	if run := resp.Header.Get(HeaderRun); run != "" && call.ran != nil {
--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -42,6 +42,8 @@
 	sends     []time.Time
 	cached    map[prompt.Prefix]id.Tokens
 	nextSeq   uint64
+	// heard is when the engine last reported, or when the settings first named it.
+	heard time.Time
 }
 
 // ID returns the upstream's name.
@@ -103,6 +105,17 @@
 	return true
 }
 
+// deadAfter is how long an engine may fail before calls no longer wait for it.
+const deadAfter = 3 * time.Second
+
+// Hopeless reports whether waiting for the upstream has no point: it is leaving, or has only failed for a while.
+func (u *Upstream) Hopeless(now time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.leaving || (u.failed.After(u.heard) && now.Sub(u.heard) > deadAfter)
+}
+
 // Service returns the service that the upstream belongs to.
 func (u *Upstream) Service() id.Service { return u.service }
 
@@ -167,6 +180,7 @@
 				u = &Upstream{
 					id: setting.ID, service: service.ID, watcher: p.Watcher,
 					Client: Client{Address: setting.Address, Conns: &Conns{New: p.NewHTTP}},
+					heard:  time.Now(),
 				}
 			}
 			u.SetProgress(service.Progress)
@@ -283,6 +297,7 @@
 		u.nextSeq = 0
 	}
 	u.load = load
+	u.heard = now
 	u.reported = now.Add(-time.Duration(load.ReportAgeMilli) * time.Millisecond)
 	kept := u.sends[:0]
 	for _, sent := range u.sends {
--- a/io/owner/dispatch.go
+++ b/io/owner/dispatch.go
@@ -57,11 +57,13 @@
 // noUpstreamRetry is when to come back while a service has no upstream.
 const noUpstreamRetry = 2 * time.Second
 
+// hopeInterval is how often a waiting call looks whether an upstream is left to wait for.
+const hopeInterval = 500 * time.Millisecond
+
 // Acquire waits for an upstream with room and counts the call there; Release must follow.
 func (d *Dispatcher) Acquire(ctx context.Context, call Call) (*engine.Upstream, error) {
-	if d.unservable(call) {
-		return nil, refusal.New(refusal.NoUpstream, "service %s has no upstream that can run this call", call.Service).
-			WithRetry(noUpstreamRetry)
+	if d.unservable(call, time.Now()) {
+		return nil, noUpstreamFor(call)
 	}
 	value := &pending{
 		request: placement.Request{
@@ -76,17 +78,41 @@
 	}
 	d.pump(call.Service)
 
-	select {
-	case g := <-value.granted:
-		return g.upstream, nil
-	case <-ctx.Done():
+	err = d.await(ctx, call, value)
+	if err == nil {
+		return (<-value.granted).upstream, nil
 	}
 	if !d.remove(call, ticket) {
 		g := <-value.granted
 		d.Release(call, g.upstream, 0)
 	}
 
-	return nil, context.Cause(ctx)
+	return nil, err
+}
+
+// await waits until a call has a grant to take, or returns why it need not wait any longer.
+func (d *Dispatcher) await(ctx context.Context, call Call, value *pending) error {
+	ticker := time.NewTicker(hopeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case g := <-value.granted:
+			value.granted <- g
+
+			return nil
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case now := <-ticker.C:
+			if d.unservable(call, now) {
+				return noUpstreamFor(call)
+			}
+		}
+	}
+}
+
+func noUpstreamFor(call Call) error {
+	return refusal.New(refusal.NoUpstream, "service %s has no upstream that can run this call", call.Service).
+		WithRetry(noUpstreamRetry)
 }
 
 // push lets a call wait, or refuses it at once if it would not be served before its deadline.
@@ -121,10 +147,10 @@
 	return true
 }
 
-// unservable reports whether every upstream of the service is excluded.
-func (d *Dispatcher) unservable(call Call) bool {
+// unservable reports whether every upstream of the service is excluded, leaving or silent.
+func (d *Dispatcher) unservable(call Call, now time.Time) bool {
 	for _, u := range d.Pool.Upstreams(call.Service) {
-		if !call.Exclude[u.ID()] {
+		if !call.Exclude[u.ID()] && !u.Hopeless(now) {
 			return false
 		}
 	}
--- a/io/owner/dispatch_test.go
+++ b/io/owner/dispatch_test.go
@@ -136,3 +136,27 @@
 		synctest.Wait()
 	})
 }
+
+func TestACallDoesNotWaitForUpstreamsThatOnlyFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher("draft-1")
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				d.Pool.Upstreams("drafting")[0].Failed(time.Now())
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		synctest.Wait()
+		began := time.Now()
+		_, err := d.Acquire(t.Context(), callOf("patient", false))
+		cancel()
+		time.Sleep(time.Second)
+		refused := refusal.From(err)
+		require.Equal(t, refusal.NoUpstream, refused.Kind)
+		require.Equal(t, refusal.NotRun, refused.Ran)
+		require.Positive(t, refused.RetryAfter)
+		require.LessOrEqual(t, time.Since(began), 5*time.Second)
+		require.Zero(t, d.Waiting()["drafting"])
+	})
+}
--- a/io/owner/turn.go
+++ b/io/owner/turn.go
@@ -85,7 +85,7 @@
 	t := &turn{req: req, state: state}
 	next := uint32(len(state.Turns)) + 1
 	if n := req.GetNumber(); n > 0 && n < next {
-		return t, state.Turns[n-1], nil
+		return t, state.Turns[n-1], sameTurn(req, state.Turns[:n])
 	} else if n > next {
 		return nil, nil, refusal.New(refusal.TurnConflict, "turn %d cannot run before turn %d", n, next)
 	}
@@ -99,6 +99,23 @@
 	return t, nil, nil
 }
 
+// sameTurn refuses a repeated turn whose messages differ from those that were kept.
+func sameTurn(req *peerpb.TurnRequest, turns []*recordpb.Turn) error {
+	kept := turns[len(turns)-1]
+	messages, err := newMessages(req, historyOf(turns[:len(turns)-1]))
+	if err != nil {
+		return err
+	}
+	same := slices.EqualFunc(messages, kept.GetInput(), func(m prompt.Message, k *recordpb.Message) bool {
+		return m.Role == k.GetRole() && m.Content == k.GetContent()
+	})
+	if !same {
+		return refusal.New(refusal.TurnConflict, "turn %d was kept with other messages; read the history", kept.GetNumber())
+	}
+
+	return nil
+}
+
 // resolve finds the service and builds the prompt.
 func (o *Owner) resolve(t *turn) error {
 	fleet, workspace, err := o.workspace(t.state.Workspace)
--- a/io/platform/relay.go
+++ b/io/platform/relay.go
@@ -56,7 +56,7 @@
 
 			return
 		}
-		r.keep(page, time.Now())
+		r.keep(page, asked)
 		pages <- page
 	}()
 	go r.askPeers(ctx, from, asked, r.patience(asked, wait), pages)
--- a/test/promises/workspace_test.go
+++ b/test/promises/workspace_test.go
@@ -237,3 +237,39 @@
 		require.Equal(t, resp.Version, status.SettingsVersion)
 	}
 }
+
+func TestARepeatedTurnWithOtherMessagesIsRefused(t *testing.T) {
+	w := start(t, engine.Config{})
+	client := w.client(0, w.key("clerks").Bearer)
+	program, err := client.Open(t.Context(), caller.OpenRequest{})
+	require.NoError(t, err)
+	ask := func(text string) (caller.Answer, error) {
+		chat := caller.ChatRequest{Model: model, Messages: []caller.ChatMessage{{Role: "user", Content: caller.Text(text)}}}
+
+		return client.Turn(t.Context(), program.Program, 1, chat)
+	}
+	first, err := ask("first")
+	require.NoError(t, err)
+	again, err := ask("first")
+	require.NoError(t, err)
+	require.True(t, again.Replayed)
+	require.Equal(t, first.Text, again.Text)
+	_, err = ask("other")
+	require.Equal(t, refusal.TurnConflict, kindOf(err))
+}
+
+func TestTurnsAreRefusedWhileAllEnginesAreSilent(t *testing.T) {
+	w := start(t, engine.Config{})
+	client := w.client(0, w.key("clerks").Bearer)
+	program, err := client.Open(t.Context(), caller.OpenRequest{})
+	require.NoError(t, err)
+	for _, server := range w.Engines {
+		server.Abort()
+	}
+	// Some of these find an engine that has just been given up; without an end to their wait they would time out.
+	for range 20 {
+		_, err := client.Ask(t.Context(), program.Program, model, "anyone")
+		require.Equal(t, refusal.NoUpstream, kindOf(err), "%v", err)
+		require.Positive(t, refusal.From(err).RetryAfter)
+	}
+}
