Wait for live hosts in one function, and drop a list that nothing read

Publish and key changes waited for the live hosts in two copies of one loop; each engine kept the times of this host's sends, appended on every call and pruned on every report, though placement reads them from its index since that took them over.

Change: one wait takes what a host must have reached; the list and its upkeep are gone. Behaviour and tests are as they were.

--- a/io/engine/pool.go
+++ b/io/engine/pool.go
@@ -39,7 +39,6 @@
 	reported  time.Time
 	failed    time.Time
 	own       int
-	sends     []time.Time
 	cached    map[prompt.Prefix]id.Tokens
 	nextSeq   uint64
 	// heard is when the engine last reported, or when the settings first named it.
@@ -58,11 +57,10 @@
 }
 
 // Begin counts a call of this host at the upstream.
-func (u *Upstream) Begin(now time.Time) {
+func (u *Upstream) Begin() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.own++
-	u.sends = append(u.sends, now)
 }
 
 // End takes a call of this host off the count.
@@ -299,13 +297,6 @@
 	u.load = load
 	u.heard = now
 	u.reported = now.Add(-time.Duration(load.ReportAgeMilli) * time.Millisecond)
-	kept := u.sends[:0]
-	for _, sent := range u.sends {
-		if sent.After(u.reported) {
-			kept = append(kept, sent)
-		}
-	}
-	u.sends = kept
 
 	return u.reported, restarted
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -75,9 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	resp := s.await(ctx, version, time.Duration(req.WaitMillis)*time.Millisecond)
+	wait := time.Duration(req.WaitMillis) * time.Millisecond
+	inForce, waiting := s.await(ctx, wait, func(host HostStatus) bool { return host.SettingsVersion >= version })
 
-	return resp, nil
+	return &PublishResponse{Version: version, InForce: inForce, Waiting: waiting}, nil
 }
 
 func invalid(findings []settings.Finding) error {
@@ -92,22 +93,25 @@
 // awaitPause is how often the hosts' versions are looked at.
 const awaitPause = 50 * time.Millisecond
 
-// await waits until every live host has a version in force.
-func (s *Server) await(ctx context.Context, version id.Position, wait time.Duration) *PublishResponse {
+// reached says of a live host whether it has what is waited for.
+type reached func(HostStatus) bool
+
+// await waits until every live host has reached something, and returns those that have and those that have not.
+func (s *Server) await(ctx context.Context, wait time.Duration, there reached) (done, waiting []id.Host) {
 	deadline := time.Now().Add(wait)
 	for {
-		resp := &PublishResponse{Version: version, InForce: []id.Host{}, Waiting: []id.Host{}}
+		done, waiting = []id.Host{}, []id.Host{}
 		for _, host := range s.Self.Status(time.Now()).Hosts {
 			switch {
 			case !host.Live:
-			case host.SettingsVersion >= version:
-				resp.InForce = append(resp.InForce, host.Host)
+			case there(host):
+				done = append(done, host.Host)
 			default:
-				resp.Waiting = append(resp.Waiting, host.Host)
+				waiting = append(waiting, host.Host)
 			}
 		}
-		if len(resp.Waiting) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
-			return resp
+		if len(waiting) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return done, waiting
 		}
 		time.Sleep(awaitPause)
 	}
@@ -118,19 +122,9 @@
 
 // awaitControl waits until every live host has folded the control stream beyond an offset, and returns those that have not.
 func (s *Server) awaitControl(ctx context.Context, offset id.Offset) []id.Host {
-	deadline := time.Now().Add(keyWait)
-	for {
-		var waiting []id.Host
-		for _, host := range s.Self.Status(time.Now()).Hosts {
-			if host.Live && host.ControlNext <= offset {
-				waiting = append(waiting, host.Host)
-			}
-		}
-		if len(waiting) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
-			return waiting
-		}
-		time.Sleep(awaitPause)
-	}
+	_, waiting := s.await(ctx, keyWait, func(host HostStatus) bool { return host.ControlNext > offset })
+
+	return waiting
 }
 
 func (s *Server) history(_ context.Context, c *app.RequestContext) {
--- a/io/owner/isolate.go
+++ b/io/owner/isolate.go
@@ -91,7 +91,7 @@
 		if i.held == nil {
 			i.held = o.setAside(ctx, call.Service)
 		} else if u := i.held.upstream; u.AwaitIdle(ctx, i.held.since) == nil {
-			u.Begin(time.Now())
+			u.Begin()
 
 			return u, func() {
 				u.End()
--- a/io/owner/lane.go
+++ b/io/owner/lane.go
@@ -78,7 +78,7 @@
 
 			continue
 		}
-		u.Begin(now)
+		u.Begin()
 		l.index.Begin(name, now)
 		l.gate.Served(now)
 		value.granted <- grant{upstream: u, at: now}
