--- /dev/null
+++ b/command/demo/doc.go
@@ -0,0 +1,2 @@
+// Package demo starts stand-ins and hosts on loopback and runs programs through the whole path.
+package demo
--- /dev/null
+++ b/command/key/doc.go
@@ -0,0 +1,2 @@
+// Package key issues, withdraws and lists callers' keys.
+package key
--- /dev/null
+++ b/command/key/key.go
@@ -0,0 +1,16 @@
+package key
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+)
+
+// NewCmdKey returns the command with a subcommand for each verb.
+func NewCmdKey(f *cmdutil.Factory) *cli.Command {
+	return &cli.Command{
+		Name:     "key",
+		Usage:    "issue, withdraw and list callers' keys",
+		Commands: []*cli.Command{NewCmdIssue(f, nil)},
+	}
+}
--- /dev/null
+++ b/command/root/doc.go
@@ -0,0 +1,2 @@
+// Package root assembles the command line.
+package root
--- /dev/null
+++ b/command/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve runs a host.
+package serve
--- /dev/null
+++ b/command/serve/serve.go
@@ -0,0 +1,64 @@
+package serve
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+	"cardamomward/io/daemon"
+)
+
+// ServeOptions are the options of serve.
+type ServeOptions struct {
+	Factory   *cmdutil.Factory
+	Settings  string
+	Verbosity int
+}
+
+// NewCmdServe returns the command that runs a host.
+func NewCmdServe(f *cmdutil.Factory, runF func(context.Context, *ServeOptions) error) *cli.Command {
+	opts := &ServeOptions{Factory: f}
+
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run a host",
+		Description: cmdutil.Example("cardamomward serve --settings host.yaml"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "file with the host's own settings", Required: true, Destination: &opts.Settings},
+			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Destination: &opts.Verbosity},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+
+			return serveRun(ctx, opts)
+		},
+	}
+}
+
+func serveRun(ctx context.Context, opts *ServeOptions) error {
+	source, err := opts.Factory.ReadFile(opts.Settings)
+	if err != nil {
+		return cmdutil.Usage("read %s: %v", opts.Settings, err)
+	}
+	config, err := daemon.LoadConfig(source)
+	if err != nil {
+		return cmdutil.Usage("%s: %v", opts.Settings, err)
+	}
+	host, err := daemon.New(config, opts.Factory.Logger(opts.Verbosity))
+	if err != nil {
+		return err
+	}
+	terminated, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+	defer stop()
+	go func() {
+		<-terminated.Done()
+		host.Drain()
+	}()
+
+	return host.Run(ctx)
+}
--- /dev/null
+++ b/command/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings checks, publishes and shows the fleet's settings.
+package settings
--- /dev/null
+++ b/command/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin runs stand-ins of the platform's services and of upstreams.
+package standin
--- /dev/null
+++ b/core/bucket/doc.go
@@ -0,0 +1,2 @@
+// Package bucket keeps each workspace within its rate and burst over all hosts together.
+package bucket
--- /dev/null
+++ b/core/chart/chart.go
@@ -0,0 +1,92 @@
+package chart
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/joomcode/errorx"
+)
+
+var (
+	errs = errorx.NewNamespace("chart")
+
+	// ErrInvalid marks a chart file that does not describe a chart.
+	ErrInvalid = errs.NewType("invalid")
+	// ErrNoTransition marks an event that the present state does not accept.
+	ErrNoTransition = errs.NewType("no-transition")
+)
+
+// State names a state of a chart.
+type State string
+
+// Event names what moves a chart from state to state.
+type Event string
+
+// Chart is a checked state chart.
+type Chart struct {
+	Name    string                    `yaml:"chart"`
+	Initial State                     `yaml:"initial"`
+	States  map[State]map[Event]State `yaml:"states"`
+}
+
+// Load parses and checks a chart, or returns ErrInvalid with all findings.
+func Load(source []byte) (*Chart, error) {
+	var c Chart
+	decoder := yaml.NewDecoder(bytes.NewReader(source), yaml.Strict())
+	if err := decoder.Decode(&c); err != nil {
+		return nil, ErrInvalid.Wrap(err, "parse chart")
+	}
+	if findings := c.check(); len(findings) > 0 {
+		return nil, ErrInvalid.New("chart %s: %s", c.Name, strings.Join(findings, "; "))
+	}
+
+	return &c, nil
+}
+
+// MustLoad is Load for charts that are embedded in the program.
+func MustLoad(source []byte) *Chart {
+	c, err := Load(source)
+	if err != nil {
+		panic(err)
+	}
+
+	return c
+}
+
+// Next returns the state after an event, or ErrNoTransition.
+func (c *Chart) Next(state State, event Event) (State, error) {
+	next, ok := c.States[state][event]
+	if !ok {
+		return state, ErrNoTransition.New("chart %s: %s does not accept %s", c.Name, state, event)
+	}
+
+	return next, nil
+}
+
+func (c *Chart) check() []string {
+	var findings []string
+	if _, ok := c.States[c.Initial]; !ok {
+		findings = append(findings, fmt.Sprintf("initial state %q is not among the states", c.Initial))
+	}
+	reached := map[State]bool{c.Initial: true}
+	for _, state := range slices.Sorted(maps.Keys(c.States)) {
+		for _, event := range slices.Sorted(maps.Keys(c.States[state])) {
+			target := c.States[state][event]
+			reached[target] = true
+			if _, ok := c.States[target]; !ok {
+				findings = append(findings, fmt.Sprintf("%s on %s leads to %q, which is not a state", state, event, target))
+			}
+		}
+	}
+	for _, state := range slices.Sorted(maps.Keys(c.States)) {
+		if !reached[state] {
+			findings = append(findings, fmt.Sprintf("state %q is never reached", state))
+		}
+	}
+
+	return findings
+}
--- /dev/null
+++ b/core/chart/doc.go
@@ -0,0 +1,2 @@
+// Package chart interprets state charts that are written in YAML files.
+package chart
--- /dev/null
+++ b/core/id/doc.go
@@ -0,0 +1,2 @@
+// Package id holds the named types for identifiers and units that all packages share.
+package id
--- /dev/null
+++ b/core/placement/doc.go
@@ -0,0 +1,2 @@
+// Package placement decides which upstream runs a call.
+package placement
--- /dev/null
+++ b/core/prompt/doc.go
@@ -0,0 +1,2 @@
+// Package prompt measures and hashes the messages of a model call.
+package prompt
--- /dev/null
+++ b/core/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue decides which waiting call is served next.
+package queue
--- /dev/null
+++ b/core/record/record.go
@@ -0,0 +1,51 @@
+package record
+
+import (
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/id"
+	"cardamomward/core/record/recordpb"
+)
+
+// Version is the newest record version that this build folds.
+const Version = 1
+
+// Record aliases the generated message so that callers need one import.
+type Record = recordpb.Record
+
+var (
+	errs = errorx.NewNamespace("record")
+
+	// ErrCorrupt marks a payload that is not a batch of records.
+	ErrCorrupt = errs.NewType("corrupt")
+)
+
+// New returns an unfenced record from host with a fresh id.
+func New(host id.Host) *Record {
+	return &Record{Version: Version, Id: id.Random(), Host: string(host)}
+}
+
+// NewFenced returns a record from host that counts only while epoch is the slot's epoch.
+func NewFenced(host id.Host, slot id.Slot, epoch id.Epoch) *Record {
+	rec := New(host)
+	rec.Slot = uint32(slot)
+	rec.Epoch = uint64(epoch)
+
+	return rec
+}
+
+// Encode returns the payload of one append.
+func Encode(records []*Record) ([]byte, error) {
+	return proto.Marshal(&recordpb.Batch{Records: records})
+}
+
+// Decode returns the records of one append, or ErrCorrupt.
+func Decode(data []byte) ([]*Record, error) {
+	var batch recordpb.Batch
+	if err := proto.Unmarshal(data, &batch); err != nil {
+		return nil, ErrCorrupt.Wrap(err, "decode batch of %d bytes", len(data))
+	}
+
+	return batch.Records, nil
+}
--- /dev/null
+++ b/core/slot/doc.go
@@ -0,0 +1,2 @@
+// Package slot decides which slots a host should claim and release.
+package slot
--- /dev/null
+++ b/io/caller/chat.go
@@ -0,0 +1,233 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"cardamomward/core/id"
+	"cardamomward/core/prompt"
+	"cardamomward/core/refusal"
+	"cardamomward/io/engine"
+	"cardamomward/io/httpx"
+	"cardamomward/io/peer"
+	"cardamomward/io/peer/peerpb"
+)
+
+// chat runs a turn of the program named in the header; without one the call is a program of its own.
+func (s *Server) chat(ctx context.Context, c *app.RequestContext) {
+	s.model(ctx, c, id.Program(c.GetHeader(HeaderProgram)), true)
+}
+
+// turn runs a turn whose messages are only the new ones.
+func (s *Server) turn(ctx context.Context, c *app.RequestContext) {
+	s.model(ctx, c, id.Program(c.Param("program")), false)
+}
+
+func (s *Server) model(ctx context.Context, c *app.RequestContext, program id.Program, whole bool) {
+	chat, req, err := turnRequest(c, whole)
+	if err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	if err := s.admit(ctx, c); err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	single := program == ""
+	if single {
+		opened, err := s.openAt(ctx, &peerpb.OpenProgramRequest{Caller: caller(c), Name: "single call"})
+		if err != nil {
+			httpx.Refuse(c, err)
+
+			return
+		}
+		program = id.Program(opened.GetProgram())
+		defer s.endSingle(ctx, c, program)
+	}
+	req.Program = string(program)
+	answer := &chatAnswer{c: c, id: "chatcmpl-" + id.Random(), model: chat.Model, created: time.Now().Unix(), stream: chat.Stream}
+	outcome, err := s.runTurn(ctx, req, answer)
+	if err != nil {
+		answer.refuse(err)
+
+		return
+	}
+	answer.finish(program, outcome)
+}
+
+// runTurn runs a turn at its owner and, where its slot moved before any text came, again at the next one.
+func (s *Server) runTurn(ctx context.Context, req *peerpb.TurnRequest, answer *chatAnswer) (*peerpb.TurnOutcome, error) {
+	slot := id.ProgramSlot(id.Program(req.GetProgram()))
+
+	return atOwner(ctx, s.Locator, slot, func(ctx context.Context, owner peer.Owner) (*peerpb.TurnOutcome, error) {
+		outcome, err := owner.Turn(ctx, req, answer.delta)
+		if err != nil && answer.begun {
+			// Some text is out already, so the turn must not be tried again behind the caller's back.
+			return nil, refusal.From(err).WithRan(refusal.Unknown)
+		}
+
+		return outcome, err
+	})
+}
+
+// endSingle ends the program of a call that came without one.
+func (s *Server) endSingle(ctx context.Context, c *app.RequestContext, program id.Program) {
+	req := &peerpb.EndProgramRequest{Caller: caller(c), Program: string(program)}
+	_, err := atOwner(context.WithoutCancel(ctx), s.Locator, id.ProgramSlot(program),
+		func(ctx context.Context, owner peer.Owner) (*peerpb.ProgramReply, error) {
+			return owner.EndProgram(ctx, req)
+		})
+	if err != nil {
+		s.Logger.Error(err, "single-call-not-ended", "program", program)
+	}
+}
+
+func turnRequest(c *app.RequestContext, whole bool) (*ChatRequest, *peerpb.TurnRequest, error) {
+	var chat ChatRequest
+	if err := httpx.Decode(c.Request.Body(), &chat); err != nil {
+		return nil, nil, err
+	}
+	if chat.Model == "" {
+		return nil, nil, refusal.New(refusal.InvalidRequest, "model is missing")
+	}
+	if len(chat.Messages) == 0 {
+		return nil, nil, refusal.New(refusal.InvalidRequest, "messages is missing or empty")
+	}
+	req := &peerpb.TurnRequest{
+		Caller:    caller(c),
+		Model:     chat.Model,
+		MaxTokens: int64(max(chat.MaxTokens, chat.MaxCompletionTokens)),
+		Whole:     whole,
+	}
+	for i, m := range chat.Messages {
+		switch m.Role {
+		case "system", "developer", "user", "assistant", "tool":
+		default:
+			return nil, nil, refusal.New(refusal.InvalidRequest,
+				"messages[%d].role is %q, allowed are system, developer, user, assistant and tool", i, m.Role)
+		}
+		req.Messages = append(req.Messages, &peerpb.Message{Role: m.Role, Content: m.Content})
+	}
+	if text := string(c.GetHeader(HeaderTurn)); text != "" {
+		number, err := strconv.ParseUint(text, 10, 32)
+		if err != nil || number == 0 {
+			return nil, nil, refusal.New(refusal.InvalidRequest, "%s is a turn's number from 1 on, not %q", HeaderTurn, text)
+		}
+		req.Number = uint32(number)
+	}
+
+	return &chat, req, nil
+}
+
+// chatAnswer writes an answer in the chat-completions protocol, streamed or whole.
+type chatAnswer struct {
+	c       *app.RequestContext
+	id      string
+	model   string
+	created int64
+	stream  bool
+	writer  *sse.Writer
+	begun   bool
+}
+
+// delta passes a piece of a streamed answer on; a whole answer is sent once it is kept.
+func (a *chatAnswer) delta(text string) error {
+	if !a.stream {
+		return nil
+	}
+	if !a.begun {
+		a.begun = true
+		a.writer = sse.NewWriter(a.c)
+		if err := a.event(engine.Delta{Role: "assistant"}, nil, nil); err != nil {
+			return err
+		}
+	}
+
+	return a.event(engine.Delta{Content: text}, nil, nil)
+}
+
+func (a *chatAnswer) event(delta engine.Delta, reason *string, usage *engine.Usage) error {
+	data, err := json.Marshal(chunk{
+		ID:      a.id,
+		Object:  "chat.completion.chunk",
+		Created: a.created,
+		Model:   a.model,
+		Choices: []engine.ChunkChoice{{Delta: delta, FinishReason: reason}},
+		Usage:   usage,
+	})
+	if err != nil {
+		return err
+	}
+
+	return a.writer.WriteEvent("", "", data)
+}
+
+// chunk is a streamed piece as callers see it.
+type chunk struct {
+	ID      string               `json:"id"`
+	Object  string               `json:"object"`
+	Created int64                `json:"created"`
+	Model   string               `json:"model"`
+	Choices []engine.ChunkChoice `json:"choices"`
+	Usage   *engine.Usage        `json:"usage,omitempty"`
+}
+
+// refuse answers with an error; a stream that has begun ends with it and without the end marker.
+func (a *chatAnswer) refuse(err error) {
+	if !a.begun {
+		httpx.Refuse(a.c, err)
+
+		return
+	}
+	data, marshalErr := json.Marshal(refusal.From(err).Body())
+	if marshalErr != nil {
+		return
+	}
+	a.writer.WriteEvent("", "error", data) //nolint:errcheck // the caller may be gone
+}
+
+// finish sends what remains once the turn is kept.
+func (a *chatAnswer) finish(program id.Program, outcome *peerpb.TurnOutcome) {
+	reply := outcome.GetReply()
+	usage := engine.Usage{
+		PromptTokens:     id.Tokens(reply.GetPromptTokens()),
+		CompletionTokens: id.Tokens(reply.GetCompletionTokens()),
+		TotalTokens:      id.Tokens(reply.GetPromptTokens() + reply.GetCompletionTokens()),
+		Details:          engine.UsageDetails{CachedTokens: id.Tokens(reply.GetCachedTokens())},
+	}
+	reason := reply.GetFinishReason()
+	if a.begun {
+		if a.event(engine.Delta{}, &reason, &usage) == nil {
+			a.writer.WriteEvent("", "", []byte("[DONE]")) //nolint:errcheck // the caller may be gone
+		}
+
+		return
+	}
+	header := &a.c.Response.Header
+	header.Set(HeaderProgram, string(program))
+	header.Set(HeaderTurn, strconv.FormatUint(uint64(reply.GetNumber()), 10))
+	header.Set(HeaderHost, outcome.GetOwner())
+	header.Set(HeaderUpstream, reply.GetUpstream())
+	header.Set(HeaderBudgetLeft, strconv.FormatInt(outcome.GetBudgetLeft(), 10))
+	if outcome.GetReplayed() {
+		header.Set(HeaderReplayed, "true")
+	}
+	httpx.JSON(a.c, 200, engine.Completion{
+		ID:      a.id,
+		Object:  "chat.completion",
+		Created: a.created,
+		Model:   a.model,
+		Choices: []engine.Choice{{
+			Message:      prompt.Message{Role: "assistant", Content: reply.GetAnswer().GetContent()},
+			FinishReason: reason,
+		}},
+		Usage: usage,
+	})
+}
--- /dev/null
+++ b/io/daemon/host.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/slot"
+	"cardamomward/io/caller"
+	"cardamomward/io/engine"
+	"cardamomward/io/httpx"
+	"cardamomward/io/operator"
+	"cardamomward/io/owner"
+	"cardamomward/io/peer"
+	"cardamomward/io/platform"
+)
+
+const (
+	// dialTimeout bounds the connection to a peer, upstream or platform service.
+	dialTimeout = time.Second
+	// maxIdlePerHost bounds the idle connections to each address.
+	maxIdlePerHost = 64
+	// announceInterval is how often the host tells the platform that it is there.
+	announceInterval = 2 * time.Second
+)
+
+// Host is one entry host of the system.
+type Host struct {
+	config   Config
+	logger   logr.Logger
+	control  *platform.Control
+	programs *platform.Journal[*fold.Programs]
+	members  *peer.Members
+	hosts    *platform.HostsClient
+	owner    *owner.Owner
+	engines  *engine.Pool
+	callers  *caller.Server
+	limits   *limits
+	decider  slot.Decider
+	pool     *ants.Pool
+
+	callerWeb   *httpx.Server
+	operatorWeb *httpx.Server
+	peerWeb     *httpx.Server
+
+	leaving atomic.Bool
+	drained chan struct{}
+	once    sync.Once
+}
+
+// New binds the host's addresses and puts its parts together; Run starts it.
+func New(config Config, logger logr.Logger) (*Host, error) {
+	config = config.withDefaults()
+	h := &Host{
+		config:  config,
+		logger:  logger.WithValues("host", config.Host),
+		drained: make(chan struct{}),
+	}
+	if err := h.bind(); err != nil {
+		return nil, err
+	}
+	pool, err := ants.NewPool(config.MaxCalls, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, err
+	}
+	h.pool = pool
+	h.wire()
+	h.register()
+
+	return h, nil
+}
+
+func (h *Host) bind() error {
+	var errsFound []error
+	open := func(address string, maxBody int) *httpx.Server {
+		web, err := httpx.NewServer(httpx.Options{Address: address, MaxBody: maxBody, DrainTimeout: h.config.DrainTimeout})
+		errsFound = append(errsFound, err)
+
+		return web
+	}
+	h.callerWeb = open(h.config.CallerAddress, h.config.MaxBodyBytes)
+	h.operatorWeb = open(h.config.OperatorAddress, defaultMaxBody)
+	h.peerWeb = open(h.config.PeerAddress, maxPeerBody)
+
+	return errors.Join(errsFound...)
+}
+
+// maxPeerBody bounds a request between hosts in bytes.
+const maxPeerBody = 32 << 20
+
+func newHTTP(keepAlive bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		DisableKeepAlives:   !keepAlive,
+		DisableCompression:  true,
+	}}
+}
+
+func (h *Host) wire() {
+	shared := newHTTP(true)
+	log := &platform.LogClient{Address: h.config.LogAddress, Client: newHTTP(true)}
+	h.hosts = &platform.HostsClient{Address: h.config.HostsAddress, Client: shared}
+	options := platform.JournalOptions{Log: log, Linger: h.config.AppendLinger, Logger: h.logger}
+	options.Stream = platform.ControlStream
+	h.control = &platform.Control{Journal: platform.NewJournal(&fold.Control{}, options), Host: h.config.Host}
+	options.Stream = platform.ProgramsStream
+	h.programs = platform.NewJournal(&fold.Programs{}, options)
+	h.members = &peer.Members{Self: h.heartbeat, Hosts: h.hosts, HTTP: shared, Logger: h.logger}
+	h.engines = &engine.Pool{HTTP: newHTTP(true), Logger: h.logger}
+	dispatcher := &owner.Dispatcher{Pool: h.engines, FailureDomain: h.config.FailureDomain}
+	h.engines.Changed = dispatcher.Pump
+	h.owner = &owner.Owner{
+		Host:        h.config.Host,
+		Journal:     h.programs,
+		Control:     h.control,
+		Dispatcher:  dispatcher,
+		Pool:        h.pool,
+		ServiceHTTP: newHTTP(false),
+		Logger:      h.logger,
+	}
+	h.limits = &limits{hosts: func(now time.Time) int { return len(h.members.Live(now)) + 1 }}
+	h.callers = &caller.Server{Control: h.control, Locator: h, Limiter: h.limits, Logger: h.logger}
+}
+
+func (h *Host) register() {
+	h.callers.Register(h.callerWeb)
+	(&operator.Server{Control: h.control, Programs: h.programs, Locator: h, Self: h}).Register(h.operatorWeb)
+	peer.Register(h.peerWeb, h.owner, h)
+}
+
+// Entry returns the host as the platform's list shows it.
+func (h *Host) Entry() platform.HostEntry {
+	return platform.HostEntry{
+		Host:          h.config.Host,
+		FailureDomain: h.config.FailureDomain,
+		Caller:        h.callerWeb.Address(),
+		Operator:      h.operatorWeb.Address(),
+		Peer:          h.peerWeb.Address(),
+		Leaving:       h.leaving.Load(),
+	}
+}
+
+// Run serves until ctx ends or the host has been drained.
+func (h *Host) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer h.pool.Release()
+	h.peerWeb.Start()
+	h.operatorWeb.Start()
+	h.callerWeb.Start()
+	h.logger.Info("host-started", "caller-address", h.callerWeb.Address(),
+		"operator-address", h.operatorWeb.Address(), "peer-address", h.peerWeb.Address())
+
+	var group sync.WaitGroup
+	for _, loop := range []func(context.Context){
+		h.control.Journal.Run, h.programs.Run, h.members.Run, h.engines.Run,
+		h.announceLoop, h.settingsLoop, h.slotLoop,
+	} {
+		group.Go(func() { loop(ctx) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-h.drained:
+	}
+	h.close()
+	cancel()
+	group.Wait()
+	h.logger.Info("host-stopped")
+
+	return nil
+}
+
+// closeTimeout bounds the closing of the listeners once the host is drained.
+const closeTimeout = 2 * time.Second
+
+func (h *Host) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, web := range []*httpx.Server{h.callerWeb, h.peerWeb, h.operatorWeb} {
+		if err := web.Close(ctx); err != nil {
+			h.logger.V(1).Info("close-failed", "error", err)
+		}
+	}
+}
+
+func (h *Host) announceLoop(ctx context.Context) {
+	ticker := time.NewTicker(announceInterval)
+	defer ticker.Stop()
+	for {
+		h.announce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (h *Host) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if err := h.hosts.Announce(ctx, h.Entry()); err != nil {
+		h.logger.V(1).Info("announce-failed", "error", err)
+	}
+}
+
+// settingsLoop takes over settings and withdrawn keys as the control stream brings them.
+func (h *Host) settingsLoop(ctx context.Context) {
+	var applied id.Position
+	for {
+		changed := h.control.Journal.Changed()
+		if fleet, version := h.control.Fleet(); version > applied {
+			applied = version
+			h.engines.Configure(fleet)
+			h.logger.Info("settings-in-force", "version", version)
+		}
+		h.callers.KeyChanged()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/io/daemon/peers.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/refusal"
+	"cardamomward/io/caller"
+	"cardamomward/io/operator"
+	"cardamomward/io/peer/peerpb"
+	"cardamomward/io/platform"
+)
+
+// Heartbeat answers another host's heartbeat with this host's own.
+func (h *Host) Heartbeat(_ context.Context, req *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	h.members.Heard(req, time.Now())
+	self := h.heartbeat()
+
+	return &peerpb.HeartbeatResponse{
+		Host:            self.GetHost(),
+		Leaving:         self.GetLeaving(),
+		SettingsVersion: self.GetSettingsVersion(),
+		ControlNext:     self.GetControlNext(),
+		Running:         self.GetRunning(),
+		FailureDomain:   self.GetFailureDomain(),
+	}, nil
+}
+
+// Grant refuses: this host gives no grants yet.
+func (h *Host) Grant(context.Context, *peerpb.GrantRequest) (*peerpb.GrantResponse, error) {
+	return nil, refusal.New(refusal.NotFound, "grants are not served")
+}
+
+// ReadControl refuses: this host relays no control records yet.
+func (h *Host) ReadControl(context.Context, *peerpb.ReadControlRequest) (*peerpb.ReadControlResponse, error) {
+	return nil, refusal.New(refusal.NotFound, "control records are not relayed")
+}
+
+// maxDumpedPrograms bounds the programs in a dump.
+const maxDumpedPrograms = 1000
+
+// Dump returns the host's whole state.
+func (h *Host) Dump(now time.Time) operator.Dump {
+	_, version := h.control.Fleet()
+	dump := operator.Dump{
+		Host:            h.config.Host,
+		FailureDomain:   h.config.FailureDomain,
+		Now:             now,
+		Leaving:         h.leaving.Load(),
+		SettingsVersion: version,
+		Journals:        []platform.Status{h.control.Journal.Status(), h.programs.Status()},
+		Slots:           h.ownedSlots(),
+		Running:         h.owner.Running(),
+		Requests:        h.callers.Requests(),
+		Members:         h.members.All(),
+	}
+	for service, calls := range h.owner.Dispatcher.Waiting() {
+		dump.Waiting = append(dump.Waiting, operator.Waiting{Service: service, Calls: calls})
+	}
+	slices.SortFunc(dump.Waiting, func(a, b operator.Waiting) int { return cmp.Compare(a.Service, b.Service) })
+	for _, u := range h.engines.All() {
+		dump.Upstreams = append(dump.Upstreams, u.Status())
+	}
+	h.programs.View(func(state *fold.Programs) {
+		state.All(func(p *fold.Program) bool {
+			dump.Programs = append(dump.Programs, operator.Summary(state, p))
+
+			return len(dump.Programs) < maxDumpedPrograms
+		})
+	})
+	slices.SortFunc(dump.Programs, func(a, b caller.Program) int { return cmp.Compare(a.Program, b.Program) })
+
+	return dump
+}
+
+// Status returns all hosts as this one sees them.
+func (h *Host) Status(now time.Time) operator.Status {
+	_, version := h.control.Fleet()
+	status := operator.Status{SettingsVersion: version}
+	slots := make(map[id.Host]int)
+	h.programs.View(func(p *fold.Programs) {
+		for number := range id.SlotCount {
+			if state := p.Slot(id.Slot(number)); state.State == fold.SlotOwned {
+				slots[state.Owner]++
+			}
+		}
+	})
+	live := h.members.Live(now)
+	self := h.Entry()
+	status.Hosts = append(status.Hosts, operator.HostStatus{
+		Host: self.Host, FailureDomain: self.FailureDomain, Caller: self.Caller, Operator: self.Operator,
+		Live: true, Leaving: self.Leaving, SettingsVersion: version,
+		Running: int64(h.owner.Running()), Slots: slots[self.Host],
+	})
+	for _, member := range h.members.All() {
+		if member.Host == self.Host {
+			continue
+		}
+		status.Hosts = append(status.Hosts, operator.HostStatus{
+			Host: member.Host, FailureDomain: member.FailureDomain, Caller: member.Caller, Operator: member.Operator,
+			Live: slices.Contains(live, member.Host), Leaving: member.Leaving || member.SaysLeaving,
+			SettingsVersion: member.SettingsVersion, Running: member.Running, Slots: slots[member.Host],
+		})
+	}
+	slices.SortFunc(status.Hosts, func(a, b operator.HostStatus) int { return cmp.Compare(a.Host, b.Host) })
+
+	return status
+}
--- /dev/null
+++ b/io/daemon/slots.go
@@ -0,0 +1,206 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+	"cardamomward/core/refusal"
+	"cardamomward/core/slot"
+	"cardamomward/io/caller"
+	"cardamomward/io/peer"
+	"cardamomward/io/peer/peerpb"
+)
+
+const (
+	// slotInterval is how often the host looks at which slots are its own.
+	slotInterval = 200 * time.Millisecond
+	// claimWait bounds one claim or release.
+	claimWait = 3 * time.Second
+	// noOwnerRetry is when to come back while a slot has no owner.
+	noOwnerRetry = 200 * time.Millisecond
+	// leaveDelay is how long a drained host serves after its slots are gone, beyond the lifetime of where.
+	leaveDelay = time.Second
+)
+
+// heartbeat is what this host tells the others.
+func (h *Host) heartbeat() *peerpb.HeartbeatRequest {
+	_, version := h.control.Fleet()
+
+	return &peerpb.HeartbeatRequest{
+		Host:            string(h.config.Host),
+		Leaving:         h.leaving.Load(),
+		SettingsVersion: uint64(version),
+		ControlNext:     uint64(h.control.Journal.Status().Next),
+		Running:         int64(h.owner.Running()),
+		FailureDomain:   string(h.config.FailureDomain),
+	}
+}
+
+func (h *Host) slotLoop(ctx context.Context) {
+	ticker := time.NewTicker(slotInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.settleSlots(ctx, time.Now())
+		}
+	}
+}
+
+// settleSlots claims and releases what the decider says.
+func (h *Host) settleSlots(ctx context.Context, now time.Time) {
+	if !h.programs.Status().CaughtUp {
+		return
+	}
+	live := h.members.Live(now)
+	if !h.leaving.Load() {
+		live = append(live, h.config.Host)
+		slices.Sort(live)
+	}
+	var decision slot.Decision
+	h.programs.View(func(state *fold.Programs) {
+		decision = h.decider.Decide(now, slot.View{
+			Self:    h.config.Host,
+			Leaving: h.leaving.Load(),
+			Live:    live,
+			Silence: func(host id.Host) time.Duration { return h.members.Silence(host, now) },
+			Slots:   &state.Slots,
+			Busy:    h.owner.Busy,
+		})
+	})
+	if decision.Empty() {
+		return
+	}
+	h.logger.Info("slots", "claim", len(decision.Claim), "force", len(decision.Force), "release", len(decision.Release))
+	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	defer cancel()
+	h.claim(ctx, decision.Claim, false)
+	h.claim(ctx, decision.Force, true)
+	h.release(ctx, decision.Release)
+}
+
+func (h *Host) claim(ctx context.Context, slots []id.Slot, forced bool) {
+	if len(slots) == 0 {
+		return
+	}
+	rec := record.New(h.config.Host)
+	rec.Body = &recordpb.Record_Claim{Claim: &recordpb.Claim{Slots: numbers(slots), Forced: forced}}
+	if _, err := h.programs.Append(ctx, rec); err != nil {
+		h.logger.Error(err, "claim-failed", "slots", len(slots))
+	}
+}
+
+func (h *Host) release(ctx context.Context, slots []id.Slot) {
+	if len(slots) == 0 {
+		return
+	}
+	rec := record.New(h.config.Host)
+	rec.Body = &recordpb.Record_Release{Release: &recordpb.Release{Slots: numbers(slots)}}
+	if _, err := h.programs.Append(ctx, rec); err != nil {
+		h.logger.Error(err, "release-failed", "slots", len(slots))
+	}
+}
+
+func numbers(slots []id.Slot) []uint32 {
+	out := make([]uint32, len(slots))
+	for i, s := range slots {
+		out[i] = uint32(s)
+	}
+
+	return out
+}
+
+// Local returns the owner at this host.
+func (h *Host) Local() peer.Owner { return h.owner }
+
+// Owner returns the owner of a slot, here or at another host.
+func (h *Host) Owner(number id.Slot) (peer.Owner, error) {
+	var state fold.SlotState
+	h.programs.View(func(p *fold.Programs) { state = p.Slot(number) })
+	if state.State == fold.SlotOwned && state.Owner == h.config.Host {
+		return h.owner, nil
+	}
+	member, ok := h.members.Get(state.Owner)
+	if state.State != fold.SlotOwned || !ok {
+		return nil, refusal.New(refusal.OwnerChanged, "slot %d has no owner at the moment", number).WithRetry(noOwnerRetry)
+	}
+
+	return h.members.Remote(member.Peer), nil
+}
+
+// Where returns the address that a caller should use for a program, or for a new one.
+func (h *Host) Where(program id.Program, now time.Time) (caller.WhereResponse, error) {
+	resp := caller.WhereResponse{ForMillis: h.config.WhereLifetime.Milliseconds()}
+	if program != "" {
+		var state fold.SlotState
+		h.programs.View(func(p *fold.Programs) { state = p.Slot(id.ProgramSlot(program)) })
+		if member, ok := h.members.Get(state.Owner); ok && !member.Leaving && !member.SaysLeaving {
+			resp.Host, resp.Address = member.Host, member.Caller
+
+			return resp, nil
+		}
+	}
+
+	return h.leastBusy(resp, now)
+}
+
+// leastBusy prefers a live host of this failure domain with few calls under way.
+func (h *Host) leastBusy(resp caller.WhereResponse, now time.Time) (caller.WhereResponse, error) {
+	best := h.Entry()
+	bestRunning := int64(h.owner.Running())
+	found := !h.leaving.Load()
+	for _, name := range h.members.Live(now) {
+		member, ok := h.members.Get(name)
+		if ok && (!found || member.Running < bestRunning) {
+			best, bestRunning, found = member.HostEntry, member.Running, true
+		}
+	}
+	if !found {
+		return resp, refusal.New(refusal.Leaving, "this host is leaving and knows no other").WithRetry(noOwnerRetry)
+	}
+	resp.Host, resp.Address = best.Host, best.Caller
+
+	return resp, nil
+}
+
+// Drain makes the host leave: it says so, hands its slots over, goes on serving and then stops.
+func (h *Host) Drain() {
+	h.once.Do(func() {
+		h.leaving.Store(true)
+		h.logger.Info("host-leaving")
+		go h.drain()
+	})
+}
+
+func (h *Host) drain() {
+	h.announce(context.Background())
+	deadline := time.Now().Add(h.config.DrainTimeout)
+	expired := time.Now().Add(h.config.WhereLifetime + leaveDelay)
+	for time.Now().Before(deadline) {
+		if time.Now().After(expired) && h.ownedSlots() == 0 && h.owner.Running() == 0 && h.callers.Requests() == 0 {
+			break
+		}
+		time.Sleep(slotInterval)
+	}
+	close(h.drained)
+}
+
+func (h *Host) ownedSlots() int {
+	count := 0
+	h.programs.View(func(p *fold.Programs) {
+		for number := range id.SlotCount {
+			if state := p.Slot(id.Slot(number)); state.State == fold.SlotOwned && state.Owner == h.config.Host {
+				count++
+			}
+		}
+	})
+
+	return count
+}
--- /dev/null
+++ b/io/engine/pool.go
@@ -0,0 +1,294 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cardamomward/core/id"
+	"cardamomward/core/placement"
+	"cardamomward/core/prompt"
+	"cardamomward/core/settings"
+)
+
+const (
+	// loadInterval is how often each engine is asked for its load.
+	loadInterval = 500 * time.Millisecond
+	// loadTimeout bounds one load report.
+	loadTimeout = time.Second
+)
+
+// Upstream is one engine as this host sees it.
+type Upstream struct {
+	Client
+
+	id     id.Upstream
+	domain id.FailureDomain
+
+	mu       sync.Mutex
+	leaving  bool
+	load     Load
+	reported time.Time
+	failed   time.Time
+	own      int
+	sends    []time.Time
+	cached   map[prompt.Prefix]id.Tokens
+	nextSeq  uint64
+}
+
+// ID returns the upstream's name.
+func (u *Upstream) ID() id.Upstream { return u.id }
+
+// Run returns the engine process that last reported.
+func (u *Upstream) Run() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.load.Run
+}
+
+// Begin counts a call of this host at the upstream.
+func (u *Upstream) Begin(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.own++
+	u.sends = append(u.sends, now)
+}
+
+// End takes a call of this host off the count.
+func (u *Upstream) End() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.own--
+}
+
+// Failed notes that the upstream did not serve a call; it is passed over for a moment.
+func (u *Upstream) Failed(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failed = now
+}
+
+// Stored notes that the upstream has cached the prefixes of a call that it has answered.
+func (u *Upstream) Stored(chain []prompt.Prefix, tokens []id.Tokens) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.cached == nil {
+		u.cached = make(map[prompt.Prefix]id.Tokens)
+	}
+	for i, prefix := range chain {
+		u.cached[prefix] = tokens[i]
+	}
+}
+
+// failedPause is how long an upstream is passed over after a failure.
+const failedPause = 500 * time.Millisecond
+
+// Candidate returns what placement needs to know, and false while the upstream takes no new calls.
+func (u *Upstream) Candidate(now time.Time, chain []prompt.Prefix) (placement.Candidate, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.leaving || now.Sub(u.failed) < failedPause {
+		return placement.Candidate{}, false
+	}
+	since := 0
+	for _, sent := range u.sends {
+		if sent.After(u.reported) {
+			since++
+		}
+	}
+	c := placement.Candidate{
+		Upstream:         u.id,
+		FailureDomain:    u.domain,
+		Slots:            u.load.Slots,
+		Running:          u.load.Running,
+		Waiting:          u.load.Waiting,
+		Reported:         u.reported,
+		Own:              u.own,
+		OwnSince:         since,
+		PrefillPerSecond: u.load.PrefillPerSec,
+	}
+	for _, prefix := range chain {
+		tokens, ok := u.cached[prefix]
+		if !ok {
+			break
+		}
+		c.Cached += tokens
+	}
+
+	return c, true
+}
+
+// Pool keeps the engines that the settings name and polls their load.
+type Pool struct {
+	HTTP   *http.Client
+	Logger logr.Logger
+	// Changed is called when an engine may have room for more calls.
+	Changed func()
+
+	mu        sync.Mutex
+	upstreams map[id.Upstream]*Upstream
+	services  map[id.Service][]*Upstream
+}
+
+// Configure takes over the engines of the settings in force.
+func (p *Pool) Configure(fleet *settings.Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.upstreams
+	p.upstreams = make(map[id.Upstream]*Upstream)
+	p.services = make(map[id.Service][]*Upstream)
+	for _, service := range fleet.SortedServices() {
+		if service.Kind != settings.KindEngine {
+			continue
+		}
+		for _, setting := range service.Upstreams {
+			u, ok := known[setting.ID]
+			if !ok || u.Address != setting.Address {
+				u = &Upstream{Client: Client{Address: setting.Address, HTTP: p.HTTP}}
+			}
+			u.id, u.domain = setting.ID, setting.FailureDomain
+			u.Progress = service.Progress
+			u.mu.Lock()
+			u.leaving = setting.Leaving
+			u.mu.Unlock()
+			p.upstreams[setting.ID] = u
+			p.services[service.ID] = append(p.services[service.ID], u)
+		}
+	}
+}
+
+// Upstreams returns the engines of a service.
+func (p *Pool) Upstreams(service id.Service) []*Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.services[service]
+}
+
+// All returns every engine.
+func (p *Pool) All() []*Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*Upstream, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		all = append(all, u)
+	}
+
+	return all
+}
+
+// Run polls the engines until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		var group sync.WaitGroup
+		for _, u := range p.All() {
+			group.Go(func() { p.poll(ctx, u) })
+		}
+		group.Wait()
+		p.Changed()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Pool) poll(ctx context.Context, u *Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	load, err := u.Load(ctx)
+	now := time.Now()
+	if err != nil {
+		p.Logger.V(1).Info("load-report-failed", "upstream", u.id, "error", err)
+		u.Failed(now)
+
+		return
+	}
+	u.report(load, now)
+	events, err := u.Events(ctx, u.nextEvent())
+	if err == nil {
+		u.apply(events)
+	}
+}
+
+func (u *Upstream) report(load Load, now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if load.Run != u.load.Run {
+		u.cached = nil
+		u.nextSeq = 0
+	}
+	u.load = load
+	u.reported = now.Add(-time.Duration(load.ReportAgeMilli) * time.Millisecond)
+	kept := u.sends[:0]
+	for _, sent := range u.sends {
+		if sent.After(u.reported) {
+			kept = append(kept, sent)
+		}
+	}
+	u.sends = kept
+}
+
+func (u *Upstream) nextEvent() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return u.nextSeq
+}
+
+// apply folds cache events; those of another run of the engine are dropped.
+func (u *Upstream) apply(events CacheEvents) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if events.Run != u.load.Run {
+		return
+	}
+	if u.cached == nil {
+		u.cached = make(map[prompt.Prefix]id.Tokens)
+	}
+	for _, event := range events.Events {
+		switch event.Kind {
+		case EventStored:
+			u.cached[event.Prefix] = event.Tokens
+		case EventRemoved:
+			delete(u.cached, event.Prefix)
+		}
+	}
+	u.nextSeq = events.Next
+}
+
+// UpstreamStatus is an engine as this host sees it, for the dump.
+type UpstreamStatus struct {
+	Upstream id.Upstream      `json:"upstream"`
+	Domain   id.FailureDomain `json:"failure-domain"`
+	Address  string           `json:"address"`
+	Leaving  bool             `json:"leaving"`
+	Own      int              `json:"own-calls"`
+	Load     Load             `json:"load"`
+	Reported time.Time        `json:"reported"`
+	Prefixes int              `json:"known-prefixes"`
+}
+
+// Status returns the engine as this host sees it.
+func (u *Upstream) Status() UpstreamStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+
+	return UpstreamStatus{
+		Upstream: u.id,
+		Domain:   u.domain,
+		Address:  u.Address,
+		Leaving:  u.leaving,
+		Own:      u.own,
+		Load:     u.load,
+		Reported: u.reported,
+		Prefixes: len(u.cached),
+	}
+}
--- /dev/null
+++ b/io/httpx/server.go
@@ -0,0 +1,137 @@
+package httpx
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+
+	"cardamomward/core/refusal"
+)
+
+const (
+	// readTimeout bounds how long a request may take to arrive.
+	readTimeout = 20 * time.Second
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 2 * time.Minute
+)
+
+func init() {
+	hlog.SetOutput(io.Discard)
+}
+
+// Server is an HTTP server on one address.
+type Server struct {
+	*server.Hertz
+
+	listener net.Listener
+	done     chan error
+}
+
+// Options tell how a server listens.
+type Options struct {
+	// Address is an IP number and port; port 0 takes a free one.
+	Address string
+	// MaxBody bounds a request body in bytes.
+	MaxBody int
+	// DrainTimeout is how long Close waits for requests under way.
+	DrainTimeout time.Duration
+}
+
+// NewServer binds the address and returns a server that does not accept requests yet.
+func NewServer(opts Options) (*Server, error) {
+	listener, err := net.Listen("tcp", opts.Address)
+	if err != nil {
+		return nil, err
+	}
+	h := server.New(
+		server.WithListener(listener),
+		server.WithHostPorts(listener.Addr().String()),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(max(opts.MaxBody, 1)),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithExitWaitTime(opts.DrainTimeout),
+		server.WithSenseClientDisconnection(true),
+		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	)
+
+	return &Server{Hertz: h, listener: listener, done: make(chan error, 1)}, nil
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Start serves in the background.
+func (s *Server) Start() {
+	go func() { s.done <- s.Run() }()
+}
+
+// Close stops accepting, waits for requests under way up to the drain timeout and returns.
+func (s *Server) Close(ctx context.Context) error {
+	return s.Shutdown(ctx)
+}
+
+// JSON answers with a JSON body.
+func JSON(c *app.RequestContext, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		Refuse(c, err)
+
+		return
+	}
+	c.Data(status, "application/json", append(data, '\n'))
+}
+
+// Refuse answers with the documented error shape.
+func Refuse(c *app.RequestContext, err error) {
+	refused := refusal.From(err)
+	if refused.RetryAfter > 0 {
+		seconds := (refused.RetryAfter + time.Second - 1) / time.Second
+		c.Response.Header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	JSON(c, refused.Status(), refused.Body())
+}
+
+// Handler answers a typed request with a typed response.
+type Handler[Req, Resp any] func(ctx context.Context, c *app.RequestContext, req *Req) (Resp, error)
+
+// Handle decodes the JSON body, calls the handler and encodes its answer.
+func Handle[Req, Resp any](handler Handler[Req, Resp]) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		var req Req
+		if err := Decode(c.Request.Body(), &req); err != nil {
+			Refuse(c, err)
+
+			return
+		}
+		resp, err := handler(ctx, c, &req)
+		if err != nil {
+			Refuse(c, err)
+
+			return
+		}
+		JSON(c, 200, resp)
+	}
+}
+
+// Decode parses a JSON body; an empty one leaves req as it is.
+func Decode(body []byte, req any) error {
+	if len(body) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(body, req); err != nil {
+		return refusal.New(refusal.InvalidRequest, "the body is not valid JSON for this route: %v", err)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/io/logline/doc.go
@@ -0,0 +1,2 @@
+// Package logline writes one key=value line for each event, as a sink for logr.
+package logline
--- /dev/null
+++ b/io/logline/sink.go
@@ -0,0 +1,102 @@
+package logline
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Sink writes events to a writer.
+type Sink struct {
+	out       *lockedWriter
+	now       func() time.Time
+	verbosity int
+	name      string
+	values    string
+}
+
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+var _ logr.LogSink = (*Sink)(nil)
+
+// New returns a logger that writes events up to a verbosity.
+func New(out io.Writer, now func() time.Time, verbosity int) logr.Logger {
+	return logr.New(&Sink{out: &lockedWriter{w: out}, now: now, verbosity: verbosity})
+}
+
+// Init does nothing: events carry no call site.
+func (s *Sink) Init(logr.RuntimeInfo) {}
+
+// Enabled reports whether events of a level are written.
+func (s *Sink) Enabled(level int) bool { return level <= s.verbosity }
+
+// Info writes an event.
+func (s *Sink) Info(level int, event string, pairs ...any) {
+	name := "info"
+	if level > 0 {
+		name = "debug"
+	}
+	s.write(name, event, pairs)
+}
+
+// Error writes an event with its error.
+func (s *Sink) Error(err error, event string, pairs ...any) {
+	s.write("error", event, append([]any{"error", err}, pairs...))
+}
+
+// WithValues returns a sink that adds pairs to each event.
+func (s *Sink) WithValues(pairs ...any) logr.LogSink {
+	clone := *s
+	clone.values += format(pairs)
+
+	return &clone
+}
+
+// WithName returns a sink that names its events' origin.
+func (s *Sink) WithName(name string) logr.LogSink {
+	clone := *s
+	clone.name = name
+
+	return &clone
+}
+
+func (s *Sink) write(level, event string, pairs []any) {
+	var line strings.Builder
+	line.WriteString("time=" + s.now().UTC().Format("2006-01-02T15:04:05.000Z"))
+	line.WriteString(" level=" + level + " event=" + quote(event))
+	if s.name != "" {
+		line.WriteString(" from=" + quote(s.name))
+	}
+	line.WriteString(s.values)
+	line.WriteString(format(pairs))
+	line.WriteByte('\n')
+	s.out.mu.Lock()
+	defer s.out.mu.Unlock()
+	io.WriteString(s.out.w, line.String()) //nolint:errcheck // there is nowhere to report it
+}
+
+func format(pairs []any) string {
+	var out strings.Builder
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fmt.Fprintf(&out, " %v=%s", pairs[i], quote(fmt.Sprint(pairs[i+1])))
+	}
+
+	return out.String()
+}
+
+// quote quotes a value that would not read back as one.
+func quote(value string) string {
+	if value == "" || strings.ContainsAny(value, " \"=\n\r\t") {
+		return strconv.Quote(value)
+	}
+
+	return value
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"expvar"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/refusal"
+	"cardamomward/core/settings"
+	"cardamomward/io/caller"
+	"cardamomward/io/httpx"
+	"cardamomward/io/peer/peerpb"
+	"cardamomward/io/platform"
+)
+
+// Self is what the operators' interface needs of its host.
+type Self interface {
+	// Dump returns the host's whole state.
+	Dump(now time.Time) Dump
+	// Status returns all hosts as this one sees them.
+	Status(now time.Time) Status
+	// Drain makes the host leave.
+	Drain()
+}
+
+// Server answers operators.
+type Server struct {
+	Control  *platform.Control
+	Programs *platform.Journal[*fold.Programs]
+	Locator  caller.Locator
+	Self     Self
+}
+
+// Register adds the operators' routes to a web server.
+func (s *Server) Register(web *httpx.Server) {
+	web.GET("/v1/settings", s.settings)
+	web.POST("/v1/settings", httpx.Handle(s.publish))
+	web.GET("/v1/settings/history", s.history)
+	web.GET("/v1/keys", s.keys)
+	web.POST("/v1/keys", httpx.Handle(s.issue))
+	web.DELETE("/v1/keys/:key", s.withdraw)
+	web.GET("/v1/programs", s.programs)
+	web.GET("/v1/programs/:program", s.program)
+	web.POST("/v1/programs/:program/end", s.endProgram)
+	web.GET("/v1/status", func(_ context.Context, c *app.RequestContext) { httpx.JSON(c, 200, s.Self.Status(time.Now())) })
+	web.GET("/v1/dump", func(_ context.Context, c *app.RequestContext) { httpx.JSON(c, 200, s.Self.Dump(time.Now())) })
+	web.POST("/v1/drain", s.drain)
+	web.GET("/debug/vars", adaptor.HertzHandler(expvar.Handler()))
+}
+
+func (s *Server) drain(_ context.Context, c *app.RequestContext) {
+	s.Self.Drain()
+	httpx.JSON(c, 200, struct{}{})
+}
+
+func (s *Server) settings(_ context.Context, c *app.RequestContext) {
+	var current fold.SettingsVersion
+	s.Control.Journal.View(func(state *fold.Control) { current = state.Settings() })
+	httpx.JSON(c, 200, Settings{Version: current.Version, Author: current.Author, Document: current.Document})
+}
+
+func (s *Server) publish(ctx context.Context, _ *app.RequestContext, req *PublishRequest) (*PublishResponse, error) {
+	if _, findings := settings.Parse("settings", []byte(req.Document)); len(findings) > 0 {
+		return nil, invalid(findings)
+	}
+	version, err := s.Control.Publish(ctx, req.Base, req.Document, req.Author)
+	if err != nil {
+		return nil, err
+	}
+	resp := s.await(ctx, version, time.Duration(req.WaitMillis)*time.Millisecond)
+
+	return resp, nil
+}
+
+func invalid(findings []settings.Finding) error {
+	lines := make([]string, 0, len(findings))
+	for _, finding := range findings {
+		lines = append(lines, finding.String())
+	}
+
+	return refusal.New(refusal.SettingsInvalid, "the settings have %d findings:\n%s", len(findings), strings.Join(lines, "\n"))
+}
+
+// awaitPause is how often the hosts' versions are looked at.
+const awaitPause = 50 * time.Millisecond
+
+// await waits until every live host has a version in force.
+func (s *Server) await(ctx context.Context, version id.Position, wait time.Duration) *PublishResponse {
+	deadline := time.Now().Add(wait)
+	for {
+		resp := &PublishResponse{Version: version, InForce: []id.Host{}, Waiting: []id.Host{}}
+		for _, host := range s.Self.Status(time.Now()).Hosts {
+			switch {
+			case !host.Live:
+			case host.SettingsVersion >= version:
+				resp.InForce = append(resp.InForce, host.Host)
+			default:
+				resp.Waiting = append(resp.Waiting, host.Host)
+			}
+		}
+		if len(resp.Waiting) == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+			return resp
+		}
+		time.Sleep(awaitPause)
+	}
+}
+
+func (s *Server) history(_ context.Context, c *app.RequestContext) {
+	history := History{Versions: []Version{}}
+	s.Control.Journal.View(func(state *fold.Control) {
+		for _, v := range state.History() {
+			history.Versions = append(history.Versions, Version{
+				Version: v.Version, Base: v.Base, Author: v.Author, Bytes: len(v.Document),
+			})
+		}
+	})
+	httpx.JSON(c, 200, history)
+}
+
+func (s *Server) keys(_ context.Context, c *app.RequestContext) {
+	keys := Keys{Keys: []Key{}}
+	s.Control.Journal.View(func(state *fold.Control) {
+		for _, key := range state.Keys() {
+			keys.Keys = append(keys.Keys, Key{Key: key.Key, Workspace: key.Workspace, Withdrawn: key.Withdrawn})
+		}
+	})
+	slices.SortFunc(keys.Keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Key, b.Key))
+	})
+	httpx.JSON(c, 200, keys)
+}
+
+func (s *Server) issue(ctx context.Context, _ *app.RequestContext, req *IssueRequest) (*IssueResponse, error) {
+	fleet, _ := s.Control.Fleet()
+	if _, ok := fleet.Workspaces[req.Workspace]; !ok {
+		return nil, refusal.New(refusal.NotFound, "there is no workspace %q; see workspace list", req.Workspace)
+	}
+	key, bearer, err := s.Control.IssueKey(ctx, req.Workspace)
+	if err != nil {
+		return nil, err
+	}
+
+	return &IssueResponse{Key: key, Bearer: bearer}, nil
+}
+
+func (s *Server) withdraw(ctx context.Context, c *app.RequestContext) {
+	if err := s.Control.WithdrawKey(ctx, id.Key(c.Param("key"))); err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	httpx.JSON(c, 200, Key{Key: id.Key(c.Param("key")), Withdrawn: true})
+}
+
+// maxPrograms bounds the programs of one listing.
+const maxPrograms = 1000
+
+func (s *Server) programs(_ context.Context, c *app.RequestContext) {
+	workspace := id.Workspace(c.Query("workspace"))
+	programs := Programs{Programs: []caller.Program{}}
+	s.Programs.View(func(state *fold.Programs) {
+		state.All(func(p *fold.Program) bool {
+			if workspace == "" || p.Workspace == workspace {
+				programs.Programs = append(programs.Programs, Summary(state, p))
+			}
+
+			return len(programs.Programs) < maxPrograms
+		})
+	})
+	slices.SortFunc(programs.Programs, func(a, b caller.Program) int { return cmp.Compare(a.Program, b.Program) })
+	httpx.JSON(c, 200, programs)
+}
+
+// Summary returns a program without its history.
+func Summary(state *fold.Programs, p *fold.Program) caller.Program {
+	return caller.Program{
+		Program: p.ID,
+		Parent:  p.Parent,
+		Name:    p.Name,
+		State:   string(p.State),
+		Reason:  p.EndReason,
+		Turns:   id.Turn(len(p.Turns)),
+		Budget:  p.Budget,
+		Used:    p.Used,
+		Host:    state.Slot(id.ProgramSlot(p.ID)).Owner,
+	}
+}
+
+func (s *Server) program(ctx context.Context, c *app.RequestContext) {
+	program := id.Program(c.Param("program"))
+	owner, err := s.Locator.Owner(id.ProgramSlot(program))
+	if err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	reply, err := owner.GetProgram(ctx, &peerpb.GetProgramRequest{
+		Caller: &peerpb.Caller{Operator: true}, Program: string(program), History: c.Query("history") == "true",
+	})
+	answer(c, reply, err)
+}
+
+func (s *Server) endProgram(ctx context.Context, c *app.RequestContext) {
+	program := id.Program(c.Param("program"))
+	owner, err := s.Locator.Owner(id.ProgramSlot(program))
+	if err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	reply, err := owner.EndProgram(ctx, &peerpb.EndProgramRequest{
+		Caller: &peerpb.Caller{Operator: true}, Program: string(program),
+	})
+	answer(c, reply, err)
+}
+
+func answer(c *app.RequestContext, reply *peerpb.ProgramReply, err error) {
+	if err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	httpx.JSON(c, 200, caller.ProgramOf(reply))
+}
--- /dev/null
+++ b/io/owner/owner.go
@@ -0,0 +1,199 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/refusal"
+	"cardamomward/core/settings"
+	"cardamomward/io/peer"
+	"cardamomward/io/peer/peerpb"
+	"cardamomward/io/platform"
+)
+
+const (
+	// staleAfter is how long a host that hears nothing from the log goes on taking work.
+	staleAfter = 4 * time.Second
+	// commitWait bounds how long an answer waits for its record.
+	commitWait = 5 * time.Second
+	// movedRetry is when to come back while a slot changes hands.
+	movedRetry = 200 * time.Millisecond
+	// logRetry is when to come back while the log is out of reach.
+	logRetry = 2 * time.Second
+)
+
+// Owner runs the programs and calls of the slots that its host owns.
+type Owner struct {
+	Host       id.Host
+	Journal    *platform.Journal[*fold.Programs]
+	Control    *platform.Control
+	Dispatcher *Dispatcher
+	// Pool bounds the upstream calls under way.
+	Pool *ants.Pool
+	// ServiceHTTP sends calls that must not be repeated: it keeps no connections.
+	ServiceHTTP *http.Client
+	Logger      logr.Logger
+
+	mu       sync.Mutex
+	programs map[id.Program]*active
+	busy     map[id.Slot]int
+	calls    map[fold.CallKey]struct{}
+}
+
+var _ peer.Owner = (*Owner)(nil)
+
+// active is what the owner keeps of a program while calls of it are under way.
+type active struct {
+	// turn is held by the turn that runs.
+	turn     chan struct{}
+	users    int
+	reserved id.Tokens
+}
+
+// lease is the right to write for a slot.
+type lease struct {
+	slot  id.Slot
+	epoch id.Epoch
+}
+
+// enter checks that this host owns the slot and keeps it from being released until leave is called.
+func (o *Owner) enter(slot id.Slot, now time.Time) (lease, func(), error) {
+	if now.Sub(o.Journal.Status().Heard) > staleAfter {
+		return lease{}, nil, refusal.New(refusal.LogUnavailable,
+			"this host does not reach the log, so it can keep no turn").WithRetry(logRetry)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var state fold.SlotState
+	o.Journal.View(func(p *fold.Programs) { state = p.Slot(slot) })
+	if state.State != fold.SlotOwned || state.Owner != o.Host {
+		return lease{}, nil, refusal.New(refusal.OwnerChanged, "slot %d is not owned by host %s", slot, o.Host).WithRetry(movedRetry)
+	}
+	if o.busy == nil {
+		o.busy = make(map[id.Slot]int)
+	}
+	o.busy[slot]++
+	leave := func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.busy[slot]--; o.busy[slot] == 0 {
+			delete(o.busy, slot)
+		}
+	}
+
+	return lease{slot: slot, epoch: state.Epoch}, leave, nil
+}
+
+// Busy reports whether calls of a slot are under way.
+func (o *Owner) Busy(slot id.Slot) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.busy[slot] > 0
+}
+
+// Running returns how many calls are under way.
+func (o *Owner) Running() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	total := 0
+	for _, n := range o.busy {
+		total += n
+	}
+
+	return total
+}
+
+// commit appends a record for a slot and returns an error unless it counts.
+func (o *Owner) commit(ctx context.Context, rec *record.Record) error {
+	// The record may be in the log already: its fate is awaited even if the caller has gone.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitWait)
+	defer cancel()
+	verdict, err := o.Journal.Append(ctx, rec)
+	if err != nil {
+		return refusal.New(refusal.LogUnavailable, "the log did not confirm the record in time: %v", err).
+			WithRan(refusal.Unknown).WithRetry(logRetry)
+	}
+	switch verdict.Reason {
+	case fold.Valid:
+		return nil
+	case fold.StaleEpoch:
+		return refusal.New(refusal.OwnerChanged, "another host has taken the slot").WithRetry(movedRetry)
+	case fold.ProgramNotOpen:
+		return refusal.New(refusal.ProgramEnded, "the program has ended")
+	case fold.NoSuchProgram:
+		return refusal.New(refusal.NotFound, "there is no such program")
+	case fold.IntentExists:
+		return refusal.New(refusal.KeyReused, "a call with this idempotency key is under way").WithRetry(time.Second)
+	default:
+		return refusal.New(refusal.TurnConflict, "the record is void: %s", verdict.Reason)
+	}
+}
+
+func (o *Owner) record(l lease) *record.Record { return record.NewFenced(o.Host, l.slot, l.epoch) }
+
+// use returns the program's active state until the returned function is called.
+func (o *Owner) use(program id.Program) (*active, func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.programs == nil {
+		o.programs = make(map[id.Program]*active)
+	}
+	a, ok := o.programs[program]
+	if !ok {
+		a = &active{turn: make(chan struct{}, 1)}
+		o.programs[program] = a
+	}
+	a.users++
+
+	return a, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if a.users--; a.users == 0 && a.reserved == 0 {
+			delete(o.programs, program)
+		}
+	}
+}
+
+// view is a copy of what the fold knows of a program and its root.
+type view struct {
+	fold.Program
+
+	root fold.Program
+}
+
+// lookup returns a program that the caller may see.
+func (o *Owner) lookup(caller *peerpb.Caller, program id.Program) (view, error) {
+	var v view
+	ok := false
+	o.Journal.View(func(p *fold.Programs) {
+		found, exists := p.Program(program)
+		root, rootExists := p.Program(program.Root())
+		if exists && rootExists {
+			v, ok = view{Program: *found, root: *root}, true
+		}
+	})
+	if !ok || (!caller.GetOperator() && string(v.Workspace) != caller.GetWorkspace()) {
+		return view{}, refusal.New(refusal.NotFound, "there is no program %q in this workspace", program)
+	}
+
+	return v, nil
+}
+
+func (o *Owner) workspace(name id.Workspace) (*settings.Fleet, *settings.Workspace, error) {
+	fleet, _ := o.Control.Fleet()
+	workspace, ok := fleet.Workspaces[name]
+	if !ok {
+		return nil, nil, refusal.New(refusal.Forbidden, "workspace %q is not in the settings", name)
+	}
+
+	return fleet, workspace, nil
+}
--- /dev/null
+++ b/io/platform/control.go
@@ -0,0 +1,185 @@
+package platform
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"sync"
+	"time"
+
+	"cardamomward/core/fold"
+	"cardamomward/core/id"
+	"cardamomward/core/record"
+	"cardamomward/core/record/recordpb"
+	"cardamomward/core/refusal"
+	"cardamomward/core/settings"
+)
+
+// Streams that the system keeps in the log.
+const (
+	ControlStream  id.Stream = "control"
+	ProgramsStream id.Stream = "programs"
+)
+
+const (
+	// keyPrefix starts each key that callers present.
+	keyPrefix = "cwk"
+	// saltBytes is the length of a key's salt.
+	saltBytes = 16
+	// staleAfter is how long a host admits callers without news of withdrawn keys.
+	staleAfter = 4 * time.Second
+	// appendWait bounds how long an operator's change may take.
+	appendWait = 10 * time.Second
+)
+
+// Control is the operators' side of the log: settings in force and keys.
+type Control struct {
+	Journal *Journal[*fold.Control]
+	Host    id.Host
+
+	mu      sync.Mutex
+	version id.Position
+	fleet   *settings.Fleet
+}
+
+// Fleet returns the settings in force and their version; before the first publish they are empty.
+func (c *Control) Fleet() (*settings.Fleet, id.Position) {
+	var current fold.SettingsVersion
+	c.Journal.View(func(state *fold.Control) { current = state.Settings() })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fleet == nil {
+		c.fleet = &settings.Fleet{}
+	}
+	if current.Version <= c.version {
+		return c.fleet, c.version
+	}
+	// Publish has checked the document; one that a later build wrote may still not parse here.
+	if fleet, findings := settings.Parse("settings", []byte(current.Document)); len(findings) == 0 {
+		c.fleet = fleet
+	}
+	c.version = current.Version
+
+	return c.fleet, c.version
+}
+
+// Authenticate returns the key that a bearer token proves.
+func (c *Control) Authenticate(bearer string, now time.Time) (fold.KeyState, error) {
+	if age := c.Age(now); age > staleAfter {
+		return fold.KeyState{}, refusal.New(refusal.LogUnavailable,
+			"this host has had no news of withdrawn keys for %s; ask another host", age.Round(time.Second)).WithRetry(time.Second)
+	}
+	parts := strings.Split(bearer, "_")
+	if len(parts) != 3 || parts[0] != keyPrefix {
+		return fold.KeyState{}, refusal.New(refusal.Unauthenticated, "send a key as Authorization: Bearer cwk_…")
+	}
+	var key fold.KeyState
+	var ok bool
+	c.Journal.View(func(state *fold.Control) { key, ok = state.Authenticate(id.Key(parts[1]), parts[2]) })
+	if !ok {
+		return fold.KeyState{}, refusal.New(refusal.Unauthenticated, "the key is unknown or was withdrawn; ask an operator for a new one")
+	}
+
+	return key, nil
+}
+
+// Age returns how old this host's knowledge of the control stream is.
+func (c *Control) Age(now time.Time) time.Duration {
+	return now.Sub(c.Journal.Status().Heard)
+}
+
+// KeyWithdrawn reports whether a key has been withdrawn.
+func (c *Control) KeyWithdrawn(key id.Key) bool {
+	withdrawn := true
+	c.Journal.View(func(state *fold.Control) {
+		if found, ok := state.Key(key); ok {
+			withdrawn = found.Withdrawn
+		}
+	})
+
+	return withdrawn
+}
+
+// Quarantined reports whether a request may not run any more.
+func (c *Control) Quarantined(request id.Fingerprint) bool {
+	quarantined := false
+	c.Journal.View(func(state *fold.Control) { quarantined = state.Quarantined(request) })
+
+	return quarantined
+}
+
+// Publish replaces the settings if base is still the version in force.
+func (c *Control) Publish(ctx context.Context, base id.Position, document, author string) (id.Position, error) {
+	rec := record.New(c.Host)
+	rec.Body = &recordpb.Record_SettingsPublish{SettingsPublish: &recordpb.SettingsPublish{
+		Base: uint64(base), Document: document, Author: author,
+	}}
+	verdict, err := c.append(ctx, rec)
+	if err != nil {
+		return 0, err
+	}
+	if !verdict.Valid() {
+		_, current := c.Fleet()
+
+		return 0, refusal.New(refusal.SettingsConflict,
+			"the settings have changed: base your change on version %d, not %d", current, base)
+	}
+
+	return verdict.Position, nil
+}
+
+// IssueKey creates a key for a workspace and returns what the caller presents, which is kept nowhere.
+func (c *Control) IssueKey(ctx context.Context, workspace id.Workspace) (key id.Key, bearer string, err error) {
+	salt := make([]byte, saltBytes)
+	rand.Read(salt)
+	key = id.Key(id.Random())
+	secret := id.Random() + id.Random()
+	rec := record.New(c.Host)
+	rec.Body = &recordpb.Record_KeyIssue{KeyIssue: &recordpb.KeyIssue{
+		Key: string(key), Workspace: string(workspace), Salt: salt, Hash: fold.HashSecret(salt, secret),
+	}}
+	if _, err := c.append(ctx, rec); err != nil {
+		return "", "", err
+	}
+
+	return key, strings.Join([]string{keyPrefix, string(key), secret}, "_"), nil
+}
+
+// WithdrawKey withdraws a key for good.
+func (c *Control) WithdrawKey(ctx context.Context, key id.Key) error {
+	rec := record.New(c.Host)
+	rec.Body = &recordpb.Record_KeyWithdraw{KeyWithdraw: &recordpb.KeyWithdraw{Key: string(key)}}
+	verdict, err := c.append(ctx, rec)
+	if err != nil {
+		return err
+	}
+	if !verdict.Valid() {
+		return refusal.New(refusal.NotFound, "there is no key %q; see key list", key)
+	}
+
+	return nil
+}
+
+// ReportCrash counts a crash of an upstream against the request that it ran.
+func (c *Control) ReportCrash(ctx context.Context, request id.Fingerprint, upstream id.Upstream, run string) error {
+	rec := record.New(c.Host)
+	rec.Body = &recordpb.Record_Crash{Crash: &recordpb.Crash{
+		Fingerprint: uint64(request), Upstream: string(upstream), Run: run,
+	}}
+	_, err := c.append(ctx, rec)
+
+	return err
+}
+
+func (c *Control) append(ctx context.Context, rec *record.Record) (fold.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendWait)
+	defer cancel()
+	verdict, err := c.Journal.Append(ctx, rec)
+	if err != nil {
+		return fold.Verdict{}, refusal.New(refusal.LogUnavailable,
+			"the log did not confirm the change, which may still come into force: %v", err).
+			WithRan(refusal.Unknown).WithRetry(time.Second)
+	}
+
+	return verdict, nil
+}
--- /dev/null
+++ b/io/service/doc.go
@@ -0,0 +1,2 @@
+// Package service speaks to plain services beside the model engines.
+package service
--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,178 @@
+package engine
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"sync"
+
+	"cardamomward/core/id"
+	"cardamomward/core/prompt"
+	protocol "cardamomward/io/engine"
+)
+
+type cached struct {
+	prefix prompt.Prefix
+	tokens id.Tokens
+	owners map[string]struct{}
+}
+
+// maxEvents bounds the cache events that are kept for readers.
+const maxEvents = 4096
+
+// cache is a prefix cache that evicts the least recently used prefix beyond its capacity.
+type cache struct {
+	mu       sync.Mutex
+	capacity id.Tokens
+	used     id.Tokens
+	order    list.List
+	entries  map[prompt.Prefix]*list.Element
+	events   []protocol.CacheEvent
+	seq      uint64
+}
+
+// lookup returns how many tokens of the messages are cached from their start.
+func (c *cache) lookup(messages []prompt.Message) id.Tokens {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var tokens id.Tokens
+	for i, prefix := range prompt.Chain(messages) {
+		element, ok := c.entries[prefix]
+		if !ok {
+			break
+		}
+		c.order.MoveToFront(element)
+		tokens += prompt.Estimate(messages[i])
+	}
+
+	return tokens
+}
+
+// store keeps all prefixes of the messages for an owner.
+func (c *cache) store(messages []prompt.Message, owner string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.entries == nil {
+		c.entries = make(map[prompt.Prefix]*list.Element)
+	}
+	chain := prompt.Chain(messages)
+	// Longest first, so that the shortest prefix is the most recently used.
+	for i := len(chain) - 1; i >= 0; i-- {
+		c.storeOne(chain[i], prompt.Estimate(messages[i]), owner)
+	}
+	for c.used > c.capacity && c.order.Len() > 0 {
+		c.drop(c.order.Back())
+	}
+}
+
+func (c *cache) storeOne(prefix prompt.Prefix, tokens id.Tokens, owner string) {
+	element, ok := c.entries[prefix]
+	if !ok {
+		entry := &cached{prefix: prefix, tokens: tokens, owners: make(map[string]struct{})}
+		element = c.order.PushFront(entry)
+		c.entries[prefix] = element
+		c.used += tokens
+		c.event(protocol.EventStored, entry, owner)
+	}
+	c.order.MoveToFront(element)
+	if entry, ok := element.Value.(*cached); ok && owner != "" {
+		entry.owners[owner] = struct{}{}
+	}
+}
+
+func (c *cache) drop(element *list.Element) {
+	entry, ok := element.Value.(*cached)
+	if !ok {
+		return
+	}
+	c.order.Remove(element)
+	delete(c.entries, entry.prefix)
+	c.used -= entry.tokens
+	c.event(protocol.EventRemoved, entry, "")
+}
+
+func (c *cache) event(kind string, entry *cached, owner string) {
+	c.seq++
+	c.events = append(c.events, protocol.CacheEvent{
+		Seq: c.seq, Kind: kind, Prefix: entry.prefix, Tokens: entry.tokens, Owner: owner,
+	})
+	if len(c.events) > maxEvents {
+		c.events = c.events[len(c.events)-maxEvents:]
+	}
+}
+
+// release forgets owners and drops what none holds any more.
+func (c *cache) release(owners []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var next *list.Element
+	for element := c.order.Front(); element != nil; element = next {
+		next = element.Next()
+		entry, ok := element.Value.(*cached)
+		if !ok {
+			continue
+		}
+		held := len(entry.owners) > 0
+		for _, owner := range owners {
+			delete(entry.owners, owner)
+		}
+		if held && len(entry.owners) == 0 {
+			c.drop(element)
+		}
+	}
+}
+
+// list returns what is held for each owner.
+func (c *cache) list() []protocol.CacheOwner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := make(map[string]id.Tokens)
+	for element := c.order.Front(); element != nil; element = element.Next() {
+		entry, ok := element.Value.(*cached)
+		if !ok {
+			continue
+		}
+		for owner := range entry.owners {
+			held[owner] += entry.tokens
+		}
+	}
+	owners := make([]protocol.CacheOwner, 0, len(held))
+	for owner, tokens := range held {
+		owners = append(owners, protocol.CacheOwner{Owner: owner, Tokens: tokens})
+	}
+	slices.SortFunc(owners, func(a, b protocol.CacheOwner) int { return cmp.Compare(a.Owner, b.Owner) })
+
+	return owners
+}
+
+// since returns the events from a sequence number on.
+func (c *cache) since(from uint64) ([]protocol.CacheEvent, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := make([]protocol.CacheEvent, 0)
+	for _, event := range c.events {
+		if event.Seq >= from {
+			events = append(events, event)
+		}
+	}
+
+	return events, c.seq + 1
+}
+
+func (c *cache) size() id.Tokens {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.used
+}
+
+// clear empties the cache without events, as a restart does.
+func (c *cache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.Init()
+	c.entries = nil
+	c.events = nil
+	c.used = 0
+	c.seq = 0
+}
--- /dev/null
+++ b/standin/hostlist/server.go
@@ -0,0 +1,103 @@
+package hostlist
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"cardamomward/core/id"
+	"cardamomward/io/httpx"
+	"cardamomward/io/platform"
+)
+
+// maxBody bounds a request in bytes.
+const maxBody = 1 << 16
+
+// change is an announcement that becomes visible after the lag.
+type change struct {
+	visible time.Time
+	entry   platform.HostEntry
+	removed bool
+}
+
+// Server serves the list over HTTP.
+type Server struct {
+	*httpx.Server
+
+	lag     time.Duration
+	mu      sync.Mutex
+	changes []change
+	hosts   map[id.Host]platform.HostEntry
+}
+
+// New binds the address and returns a list whose changes show after lag.
+func New(address string, lag time.Duration) (*Server, error) {
+	web, err := httpx.NewServer(httpx.Options{Address: address, MaxBody: maxBody})
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Server: web, lag: lag, hosts: make(map[id.Host]platform.HostEntry)}
+	web.GET("/v1/hosts", s.list)
+	web.PUT("/v1/hosts/:host", s.announce)
+	web.DELETE("/v1/hosts/:host", s.remove)
+
+	return s, nil
+}
+
+func (s *Server) list(_ context.Context, c *app.RequestContext) {
+	httpx.JSON(c, 200, platform.HostList{Hosts: s.visible(time.Now())})
+}
+
+// visible returns the hosts as the list shows them at now.
+func (s *Server) visible(now time.Time) []platform.HostEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending := s.changes[:0]
+	for _, ch := range s.changes {
+		switch {
+		case ch.visible.After(now):
+			pending = append(pending, ch)
+		case ch.removed:
+			delete(s.hosts, ch.entry.Host)
+		default:
+			s.hosts[ch.entry.Host] = ch.entry
+		}
+	}
+	s.changes = pending
+	hosts := make([]platform.HostEntry, 0, len(s.hosts))
+	for _, entry := range s.hosts {
+		hosts = append(hosts, entry)
+	}
+	slices.SortFunc(hosts, func(a, b platform.HostEntry) int { return cmp.Compare(a.Host, b.Host) })
+
+	return hosts
+}
+
+func (s *Server) announce(_ context.Context, c *app.RequestContext) {
+	var entry platform.HostEntry
+	if err := httpx.Decode(c.Request.Body(), &entry); err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	entry.Host = id.Host(c.Param("host"))
+	s.record(change{entry: entry}, time.Now())
+	httpx.JSON(c, 200, entry)
+}
+
+func (s *Server) remove(_ context.Context, c *app.RequestContext) {
+	entry := platform.HostEntry{Host: id.Host(c.Param("host"))}
+	s.record(change{entry: entry, removed: true}, time.Now())
+	httpx.JSON(c, 200, entry)
+}
+
+func (s *Server) record(ch change, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ch.visible = now.Add(s.lag)
+	s.changes = append(s.changes, ch)
+}
--- /dev/null
+++ b/standin/logserver/server.go
@@ -0,0 +1,127 @@
+package logserver
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"cardamomward/core/id"
+	"cardamomward/core/refusal"
+	"cardamomward/io/httpx"
+	"cardamomward/io/platform"
+)
+
+// maxEntry bounds one append in bytes.
+const maxEntry = 8 << 20
+
+// Server serves a store over HTTP.
+type Server struct {
+	Store Store
+
+	*httpx.Server
+}
+
+// New binds the address and returns a server that Start runs.
+func New(address string) (*Server, error) {
+	web, err := httpx.NewServer(httpx.Options{Address: address, MaxBody: maxEntry})
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Server: web}
+	web.POST("/v1/streams/:stream", s.append)
+	web.GET("/v1/streams/:stream", s.read)
+	web.PUT("/v1/faults", s.setFaults)
+	web.GET("/v1/counts", s.counts)
+
+	return s, nil
+}
+
+func (s *Server) append(_ context.Context, c *app.RequestContext) {
+	if !s.enter(c) {
+		return
+	}
+	data := append([]byte(nil), c.Request.Body()...)
+	offset, ok := s.Store.Append(id.Stream(c.Param("stream")), data, time.Now())
+	if !ok {
+		httpx.Refuse(c, refusal.New(refusal.RateLimited, "too many appends a second").WithRetry(time.Second))
+
+		return
+	}
+	if s.Store.loseAnswer() {
+		c.GetConn().Close()
+
+		return
+	}
+	httpx.JSON(c, 200, platform.AppendResponse{Offset: offset})
+}
+
+func (s *Server) read(ctx context.Context, c *app.RequestContext) {
+	if !s.enter(c) {
+		return
+	}
+	from, err := strconv.ParseUint(c.Query("from"), 10, 64)
+	if err != nil {
+		httpx.Refuse(c, refusal.New(refusal.InvalidRequest, "from is not an offset: %q", c.Query("from")))
+
+		return
+	}
+	wait, _ := strconv.ParseInt(c.Query("wait-ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		page, changed := s.Store.Read(id.Stream(c.Param("stream")), id.Offset(from), time.Now())
+		if len(page.Entries) > 0 {
+			httpx.JSON(c, 200, page)
+
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			httpx.JSON(c, 200, page)
+
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// enter applies the faults that concern every request and reports whether to go on.
+func (s *Server) enter(c *app.RequestContext) bool {
+	faults := s.Store.Faults()
+	if faults.SlowMillis > 0 {
+		time.Sleep(time.Duration(faults.SlowMillis) * time.Millisecond)
+	}
+	if faults.Down {
+		httpx.Refuse(c, refusal.New(refusal.LogUnavailable, "the log is down").WithRetry(time.Second))
+
+		return false
+	}
+
+	return true
+}
+
+func (s *Server) setFaults(_ context.Context, c *app.RequestContext) {
+	var faults Faults
+	if err := httpx.Decode(c.Request.Body(), &faults); err != nil {
+		httpx.Refuse(c, err)
+
+		return
+	}
+	s.Store.SetFaults(faults)
+	httpx.JSON(c, 200, faults)
+}
+
+// CountsResponse says how much was appended.
+type CountsResponse struct {
+	Appends int64 `json:"appends"`
+	Bytes   int64 `json:"bytes"`
+}
+
+func (s *Server) counts(_ context.Context, c *app.RequestContext) {
+	appends, bytes := s.Store.Counts()
+	httpx.JSON(c, 200, CountsResponse{Appends: appends, Bytes: bytes})
+}
--- /dev/null
+++ b/standin/logserver/store.go
@@ -0,0 +1,165 @@
+package logserver
+
+import (
+	"sync"
+	"time"
+
+	"cardamomward/core/id"
+	"cardamomward/io/platform"
+)
+
+// Faults switch the log's failures on.
+type Faults struct {
+	// Down refuses all requests without effect.
+	Down bool `json:"down"`
+	// Slow delays each answer, in milliseconds.
+	SlowMillis int64 `json:"slow-ms"`
+	// LoseAnswers is how many of the next appends take effect without an answer.
+	LoseAnswers int `json:"lose-answers"`
+	// Keep bounds the entries that a stream keeps; zero keeps all.
+	Keep int `json:"keep"`
+	// KeepMillis bounds how long an entry is kept; zero keeps it for ever.
+	KeepMillis int64 `json:"keep-ms"`
+	// AppendsPerSecond bounds the appends that are accepted; zero sets no bound.
+	AppendsPerSecond int `json:"appends-per-second"`
+}
+
+type entry struct {
+	offset id.Offset
+	data   []byte
+	at     time.Time
+}
+
+type stream struct {
+	first   id.Offset
+	next    id.Offset
+	entries []entry
+	changed chan struct{}
+}
+
+// Store keeps the streams in memory; its zero value is empty.
+type Store struct {
+	mu      sync.Mutex
+	streams map[id.Stream]*stream
+	faults  Faults
+	window  time.Time
+	inRate  int
+	appends int64
+	bytes   int64
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(faults Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.faults
+}
+
+// Counts returns how many appends and bytes were taken.
+func (s *Store) Counts() (appends, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.appends, s.bytes
+}
+
+// loseAnswer reports whether the answer to this append is to be lost.
+func (s *Store) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LoseAnswers == 0 {
+		return false
+	}
+	s.faults.LoseAnswers--
+
+	return true
+}
+
+// Append adds an entry and reports whether the rate allowed it.
+func (s *Store) Append(name id.Stream, data []byte, now time.Time) (id.Offset, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.allow(now) {
+		return 0, false
+	}
+	st := s.stream(name)
+	offset := st.next
+	st.next++
+	st.entries = append(st.entries, entry{offset: offset, data: data, at: now})
+	s.expire(st, now)
+	close(st.changed)
+	st.changed = make(chan struct{})
+	s.appends++
+	s.bytes += int64(len(data))
+
+	return offset, true
+}
+
+func (s *Store) allow(now time.Time) bool {
+	if s.faults.AppendsPerSecond == 0 {
+		return true
+	}
+	if now.Sub(s.window) >= time.Second {
+		s.window = now
+		s.inRate = 0
+	}
+	s.inRate++
+
+	return s.inRate <= s.faults.AppendsPerSecond
+}
+
+// maxPageBytes bounds the data of one page.
+const maxPageBytes = 4 << 20
+
+// Read returns the entries from an offset on and a channel that is closed by the next append.
+func (s *Store) Read(name id.Stream, from id.Offset, now time.Time) (platform.Page, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stream(name)
+	s.expire(st, now)
+	page := platform.Page{First: st.first, Next: st.next, Entries: []platform.Entry{}}
+	if from < st.first {
+		from = st.first
+	}
+	size := 0
+	for i := int(from - st.first); i < len(st.entries) && size < maxPageBytes; i++ {
+		page.Entries = append(page.Entries, platform.Entry{Offset: st.entries[i].offset, Data: st.entries[i].data})
+		size += len(st.entries[i].data)
+	}
+
+	return page, st.changed
+}
+
+func (s *Store) stream(name id.Stream) *stream {
+	if s.streams == nil {
+		s.streams = make(map[id.Stream]*stream)
+	}
+	st, ok := s.streams[name]
+	if !ok {
+		st = &stream{changed: make(chan struct{})}
+		s.streams[name] = st
+	}
+
+	return st
+}
+
+func (s *Store) expire(st *stream, now time.Time) {
+	drop := 0
+	if s.faults.Keep > 0 {
+		drop = max(0, len(st.entries)-s.faults.Keep)
+	}
+	keep := time.Duration(s.faults.KeepMillis) * time.Millisecond
+	for keep > 0 && drop < len(st.entries) && now.Sub(st.entries[drop].at) > keep {
+		drop++
+	}
+	st.entries = st.entries[drop:]
+	st.first = st.next - id.Offset(len(st.entries))
+}
