--- a/command/cmdutil/findings.go
+++ b/command/cmdutil/findings.go
@@ -9,15 +9,21 @@
 
 // Findings prints findings one a line and returns a usage error that counts them, nil for none.
 func Findings(w io.Writer, findings []settings.Finding) error {
-	if len(findings) == 0 {
-		return nil
-	}
 	for _, finding := range findings {
 		fmt.Fprintln(w, finding)
 	}
-	if len(findings) == 1 {
+
+	return CountFindings(findings)
+}
+
+// CountFindings returns a usage error that counts findings, nil for none.
+func CountFindings(findings []settings.Finding) error {
+	switch len(findings) {
+	case 0:
+		return nil
+	case 1:
 		return Usage("there is 1 finding; nothing was applied")
+	default:
+		return Usage("there are %d findings; nothing was applied", len(findings))
 	}
-
-	return Usage("there are %d findings; nothing was applied", len(findings))
 }
--- a/command/cmdutil/flags.go
+++ b/command/cmdutil/flags.go
@@ -13,12 +13,17 @@
 const OperatorVariable = "CARDAMOMWARD_OPERATOR"
 
 // OperatorFlag returns the flag for a host's operator address.
-func OperatorFlag(target *string) cli.Flag {
+func OperatorFlag(target *string) cli.Flag { return operatorFlag(target, true) }
+
+// OptionalOperatorFlag is OperatorFlag for commands that can do without.
+func OptionalOperatorFlag(target *string) cli.Flag { return operatorFlag(target, false) }
+
+func operatorFlag(target *string, required bool) cli.Flag {
 	return &cli.StringFlag{
 		Name:        "operator",
 		Usage:       "operator address of any host, an IP number and port",
 		Sources:     cli.EnvVars(OperatorVariable),
-		Required:    true,
+		Required:    required,
 		Destination: target,
 	}
 }
--- /dev/null
+++ b/command/dump/doc.go
@@ -0,0 +1,2 @@
+// Package dump shows the whole state of a host.
+package dump
--- /dev/null
+++ b/command/host/doc.go
@@ -0,0 +1,2 @@
+// Package host lists hosts and makes them leave.
+package host
--- a/command/key/key.go
+++ b/command/key/key.go
@@ -11,6 +11,6 @@
 	return &cli.Command{
 		Name:     "key",
 		Usage:    "issue, withdraw and list callers' keys",
-		Commands: []*cli.Command{NewCmdIssue(f, nil)},
+		Commands: []*cli.Command{NewCmdIssue(f, nil), NewCmdWithdraw(f, nil), NewCmdList(f, nil)},
 	}
 }
--- /dev/null
+++ b/command/key/withdraw.go
@@ -0,0 +1,54 @@
+package key
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+	"cardamomward/core/id"
+)
+
+// WithdrawOptions are the options of key withdraw.
+type WithdrawOptions struct {
+	cmdutil.OperatorOptions
+	Key string
+}
+
+// NewCmdWithdraw returns the command that withdraws a key.
+func NewCmdWithdraw(f *cmdutil.Factory, runF func(context.Context, *WithdrawOptions) error) *cli.Command {
+	opts := &WithdrawOptions{OperatorOptions: cmdutil.OperatorOptions{Factory: f}}
+
+	return &cli.Command{
+		Name:        "withdraw",
+		Usage:       "withdraw a key for good; its calls end within seconds",
+		ArgsUsage:   "KEY",
+		Description: cmdutil.Example("cardamomward key withdraw --operator 127.0.0.1:7002 4f1c0e5d9a7b2c3d4e5f"),
+		Flags:       opts.Flags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			opts.Key = cmd.Args().First()
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+
+			return withdrawRun(ctx, opts)
+		},
+	}
+}
+
+func withdrawRun(ctx context.Context, opts *WithdrawOptions) error {
+	if opts.Key == "" {
+		return cmdutil.Usage("name the key to withdraw; see key list")
+	}
+	key, err := opts.Client().WithdrawKey(ctx, id.Key(opts.Key))
+	if err != nil {
+		return err
+	}
+	if opts.JSON {
+		return cmdutil.PrintJSON(opts.Factory.IOStreams, key)
+	}
+	_, err = fmt.Fprintf(opts.Factory.IOStreams.Out, "key %s is withdrawn\n", key.Key)
+
+	return err
+}
--- /dev/null
+++ b/command/program/doc.go
@@ -0,0 +1,2 @@
+// Package program lists, shows and ends programs.
+package program
--- /dev/null
+++ b/command/program/list.go
@@ -0,0 +1,53 @@
+package program
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+	"cardamomward/core/id"
+	"cardamomward/io/operator"
+)
+
+// ListOptions are the options of program list.
+type ListOptions struct {
+	cmdutil.OperatorOptions
+	Workspace string
+}
+
+// NewCmdList returns the command that lists programs.
+func NewCmdList(f *cmdutil.Factory, runF func(context.Context, *ListOptions) error) *cli.Command {
+	opts := &ListOptions{OperatorOptions: cmdutil.OperatorOptions{Factory: f}}
+
+	return &cli.Command{
+		Name:        "list",
+		Usage:       "list programs, up to 1000",
+		Description: cmdutil.Example("cardamomward program list --operator 127.0.0.1:7002 --workspace clerks"),
+		Flags: append(opts.Flags(),
+			&cli.StringFlag{Name: "workspace", Usage: "only programs of this workspace", Destination: &opts.Workspace}),
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+
+			return listRun(ctx, opts)
+		},
+	}
+}
+
+func listRun(ctx context.Context, opts *ListOptions) error {
+	programs, err := opts.Client().Programs(ctx, id.Workspace(opts.Workspace))
+	if err != nil {
+		return err
+	}
+
+	return cmdutil.Print(&opts.OperatorOptions, programs, header, func(list operator.Programs) []cmdutil.Row {
+		rows := make([]cmdutil.Row, 0, len(list.Programs))
+		for i := range list.Programs {
+			rows = append(rows, row(&list.Programs[i]))
+		}
+
+		return rows
+	})
+}
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -10,15 +10,21 @@
 
 	"cardamomward/command/cmdutil"
 	"cardamomward/command/demo"
+	"cardamomward/command/dump"
+	"cardamomward/command/host"
 	"cardamomward/command/key"
+	"cardamomward/command/program"
 	"cardamomward/command/serve"
+	"cardamomward/command/service"
 	"cardamomward/command/settings"
 	"cardamomward/command/standin"
+	"cardamomward/command/status"
+	"cardamomward/command/workspace"
 )
 
 // NewCmdRoot returns the command line.
 func NewCmdRoot(f *cmdutil.Factory) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:      "cardamomward",
 		Usage:     "schedule the model and service calls of agent programs",
 		Writer:    f.IOStreams.Out,
@@ -28,10 +34,41 @@
 			serve.NewCmdServe(f, nil),
 			standin.NewCmdStandin(f),
 			settings.NewCmdSettings(f),
+			workspace.NewCmdWorkspace(f),
+			service.NewCmdService(f),
 			key.NewCmdKey(f),
+			program.NewCmdProgram(f),
+			host.NewCmdHost(f),
+			status.NewCmdStatus(f, nil),
+			dump.NewCmdDump(f, nil),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
+	tellUsage(root)
+
+	return root
+}
+
+// tellUsage makes mistakes in the command line usage errors, for all commands.
+func tellUsage(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return cmdutil.Usage("%v; see %s --help", err, cmd.FullName())
+	}
+	if len(cmd.Commands) == 0 {
+		return
+	}
+	if cmd.Action == nil {
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return cmdutil.Usage("there is no command %q; see %s --help", cmd.Args().First(), cmd.FullName())
+			}
+
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range cmd.Commands {
+		tellUsage(sub)
+	}
 }
 
 // Main runs the command line and returns the exit code of the process.
@@ -41,6 +78,9 @@
 	err := NewCmdRoot(f).Run(ctx, args)
 	if err != nil {
 		fmt.Fprintln(f.IOStreams.Err, "cardamomward:", err)
+		if advice := cmdutil.Advice(err); advice != "" {
+			fmt.Fprintln(f.IOStreams.Err, advice)
+		}
 	}
 
 	return int(cmdutil.CodeOf(err))
--- /dev/null
+++ b/command/service/doc.go
@@ -0,0 +1,2 @@
+// Package service lists the services of the settings in force.
+package service
--- /dev/null
+++ b/command/service/service.go
@@ -0,0 +1,16 @@
+package service
+
+import (
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+)
+
+// NewCmdService returns the command with a subcommand for each verb.
+func NewCmdService(f *cmdutil.Factory) *cli.Command {
+	return &cli.Command{
+		Name:     "service",
+		Usage:    "list services",
+		Commands: []*cli.Command{NewCmdList(f, nil)},
+	}
+}
--- a/command/settings/check.go
+++ b/command/settings/check.go
@@ -8,12 +8,16 @@
 
 	"cardamomward/command/cmdutil"
 	"cardamomward/core/settings"
+	"cardamomward/io/daemon"
 )
 
 // CheckOptions are the options of settings check.
 type CheckOptions struct {
 	Factory *cmdutil.Factory
 	Files   []string
+	// Host checks hosts' own settings in place of a fleet's.
+	Host bool
+	JSON bool
 }
 
 // NewCmdCheck returns the command that checks settings files.
@@ -21,10 +25,15 @@
 	opts := &CheckOptions{Factory: f}
 
 	return &cli.Command{
-		Name:        "check",
-		Usage:       "check settings files and print all findings",
-		ArgsUsage:   "FILE...",
-		Description: cmdutil.Example("cardamomward settings check fleet.yaml"),
+		Name:      "check",
+		Usage:     "check settings files and print all findings",
+		ArgsUsage: "FILE...",
+		Description: cmdutil.Example("cardamomward settings check fleet.yaml",
+			"cardamomward settings check --host host-1.yaml host-2.yaml"),
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "host", Usage: "the files are hosts' own settings", Destination: &opts.Host},
+			cmdutil.JSONFlag(&opts.JSON),
+		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			opts.Files = cmd.Args().Slice()
 			if runF != nil {
@@ -40,21 +49,36 @@
 	if len(opts.Files) == 0 {
 		return cmdutil.Usage("name the settings files to check")
 	}
-	count := 0
+	findings := []settings.Finding{}
 	for _, file := range opts.Files {
 		source, err := opts.Factory.ReadFile(file)
 		if err != nil {
 			return cmdutil.Usage("read %s: %v", file, err)
 		}
-		_, findings := settings.Parse(file, source)
-		for _, finding := range findings {
-			fmt.Fprintln(opts.Factory.IOStreams.Out, finding)
+		findings = append(findings, checkFile(file, source, opts.Host)...)
+	}
+	if opts.JSON {
+		if err := cmdutil.PrintJSON(opts.Factory.IOStreams, findings); err != nil {
+			return err
 		}
-		count += len(findings)
+
+		return cmdutil.CountFindings(findings)
+	}
+	if err := cmdutil.Findings(opts.Factory.IOStreams.Out, findings); err != nil {
+		return err
 	}
-	if count > 0 {
-		return cmdutil.Usage("%d findings; nothing was published", count)
+	_, err := fmt.Fprintf(opts.Factory.IOStreams.Out, "no findings in %d of %d files\n", len(opts.Files), len(opts.Files))
+
+	return err
+}
+
+func checkFile(file string, source []byte, host bool) []settings.Finding {
+	if host {
+		_, findings := daemon.LoadConfig(file, source)
+
+		return findings
 	}
+	_, findings := settings.Parse(file, source)
 
-	return nil
+	return findings
 }
--- a/command/settings/settings.go
+++ b/command/settings/settings.go
@@ -11,6 +11,8 @@
 	return &cli.Command{
 		Name:     "settings",
 		Usage:    "check, publish and show the fleet's settings",
-		Commands: []*cli.Command{NewCmdCheck(f, nil), NewCmdPublish(f, nil)},
+		Commands: []*cli.Command{
+			NewCmdCheck(f, nil), NewCmdPublish(f, nil), NewCmdShow(f, nil), NewCmdHistory(f, nil), NewCmdSchema(f, nil),
+		},
 	}
 }
--- /dev/null
+++ b/command/workspace/doc.go
@@ -0,0 +1,2 @@
+// Package workspace lists the workspaces of the settings in force.
+package workspace
--- a/core/settings/reference.go
+++ b/core/settings/reference.go
@@ -6,9 +6,19 @@
 	"strings"
 )
 
+const referenceHead = `# Settings
+
+This page is printed by ` + "`cardamomward settings schema`" + `, from the definitions that check the settings.
+A workspace or a service inherits from its parent each key that is marked as inherited and that it does
+not set itself. The parent is the entry that it nests in, or the one that its ` + "`parent`" + ` key names.
+YAML anchors, aliases, merge keys and tags are findings.
+
+`
+
 // WriteReference writes every key of the scopes with its default, unit and range as Markdown.
 func WriteReference(w io.Writer, scopes []Scope) error {
 	var b strings.Builder
+	b.WriteString(referenceHead)
 	for i, scope := range scopes {
 		if i > 0 {
 			b.WriteString("\n")
