--- a/command/demo/demo.go
+++ b/command/demo/demo.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	_ "embed"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"cardamomward/command/cmdutil"
+	"cardamomward/core/id"
+	"cardamomward/core/settings"
 	"cardamomward/io/operator"
 	"cardamomward/standin/fleet"
 )
@@ -31,6 +34,9 @@
 	whereLifetime = 500 * time.Millisecond
 	// silent writes no events.
 	silent = -1
+	// minHosts and maxHosts bound the hosts, of which there is one in each failure domain.
+	minHosts = 3
+	maxHosts = 6
 )
 
 // NewCmdDemo returns the command that shows the whole path.
@@ -41,10 +47,7 @@
 		Name:        "demo",
 		Usage:       "run stand-ins, hosts and programs on loopback and tell what happens",
 		Description: cmdutil.Example("cardamomward demo", "cardamomward demo --settings examples/authority/fleet.yaml"),
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings file to use in place of the sample", Destination: &opts.Settings},
-			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Value: silent, Destination: &opts.Verbosity},
-		},
+		Flags:       Flags(opts),
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if runF != nil {
 				return runF(ctx, opts)
@@ -55,6 +58,14 @@
 	}
 }
 
+// Flags returns the flags that say what to start.
+func Flags(opts *DemoOptions) []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "settings", Usage: "settings file to use in place of the sample", Destination: &opts.Settings},
+		&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Value: silent, Destination: &opts.Verbosity},
+	}
+}
+
 func demoRun(ctx context.Context, opts *DemoOptions) error {
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
@@ -71,28 +82,71 @@
 	return t.err
 }
 
-// Start starts a fleet and publishes its settings.
+// Start starts a fleet of stand-ins and hosts and publishes its settings.
 func Start(ctx context.Context, opts *DemoOptions) (*fleet.Fleet, error) {
-	document := sample
-	if opts.Settings != "" {
-		source, err := opts.Factory.ReadFile(opts.Settings)
-		if err != nil {
-			return nil, cmdutil.Usage("read %s: %v", opts.Settings, err)
-		}
-		document = source
+	document, err := read(opts)
+	if err != nil {
+		return nil, err
+	}
+	parsed, findings := settings.Parse(opts.Settings, document)
+	if err := cmdutil.Findings(opts.Factory.IOStreams.Err, findings); err != nil {
+		return nil, err
 	}
+	domains := domainsOf(parsed)
 	f, err := fleet.Start(ctx, fleet.Options{
+		Hosts: min(max(len(domains), minHosts), maxHosts), FailureDomains: domains,
 		Document: document, WhereLifetime: whereLifetime, Logger: opts.Factory.Logger(opts.Verbosity),
 	})
 	if err != nil {
 		return nil, err
 	}
-	if err := f.Ready(ctx); err != nil {
+	if err := publish(ctx, f); err != nil {
+		f.Stop()
+
 		return nil, err
 	}
-	_, err = f.Operator(0).Publish(ctx, operator.PublishRequest{
+
+	return f, nil
+}
+
+func read(opts *DemoOptions) ([]byte, error) {
+	if opts.Settings == "" {
+		return sample, nil
+	}
+	document, err := opts.Factory.ReadFile(opts.Settings)
+	if err != nil {
+		return nil, cmdutil.Usage("read %s: %v", opts.Settings, err)
+	}
+
+	return document, nil
+}
+
+// domainsOf returns the failure domains of the upstreams.
+func domainsOf(parsed *settings.Fleet) []id.FailureDomain {
+	var domains []id.FailureDomain
+	for _, svc := range parsed.SortedServices() {
+		for _, upstream := range svc.Upstreams {
+			domains = append(domains, upstream.FailureDomain)
+		}
+	}
+	slices.Sort(domains)
+
+	return slices.Compact(domains)
+}
+
+func publish(ctx context.Context, f *fleet.Fleet) error {
+	if err := f.Ready(ctx); err != nil {
+		return err
+	}
+	resp, err := f.Operator(0).Publish(ctx, operator.PublishRequest{
 		Document: string(f.Document), Author: "demo", WaitMillis: publishWait.Milliseconds(),
 	})
+	if err != nil {
+		return err
+	}
+	if len(resp.Waiting) > 0 {
+		return errStep.New("the settings did not come into force on %v within %s", resp.Waiting, publishWait)
+	}
 
-	return f, err
+	return nil
 }
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -10,6 +10,7 @@
 
 	"cardamomward/command/cmdutil"
 	"cardamomward/command/demo"
+	"cardamomward/command/dev"
 	"cardamomward/command/dump"
 	"cardamomward/command/host"
 	"cardamomward/command/key"
@@ -31,6 +32,7 @@
 		ErrWriter: f.IOStreams.Err,
 		Commands: []*cli.Command{
 			demo.NewCmdDemo(f, nil),
+			dev.NewCmdDev(f, nil),
 			serve.NewCmdServe(f, nil),
 			standin.NewCmdStandin(f),
 			settings.NewCmdSettings(f),
--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -1,7 +1,10 @@
 package settings
 
 import (
+	"math"
+	"strconv"
 	"strings"
+	"time"
 
 	"cardamomward/core/id"
 )
@@ -110,8 +113,35 @@
 		}
 	}
 	t.checkBudget(r, e, w, seen)
+	checkBurst(r, e, w, seen)
 }
 
+// minBurst is the shortest time in which a workspace's rate may admit its whole burst. Hosts use parts of
+// the burst that they ask for, and those of a smaller burst expire on their way.
+const minBurst = 40 * time.Millisecond
+
+// checkBurst reports a burst that is too small to be shared by hosts at the workspace's rate.
+func checkBurst(r *report, e *entry[Workspace], w *Workspace, seen map[place]bool) {
+	least := int64(math.Ceil(float64(w.Rate) * minBurst.Seconds()))
+	if w.Burst >= least {
+		return
+	}
+	origin, own, key := e, setting{at: e.at}, keyBurst
+	for _, name := range []string{keyRate, keyBurst} {
+		if found, s, ok := e.find(specOf(workspaceKeys, name)); ok && (found == e || origin == e && own.at == e.at) {
+			origin, own, key = found, s, name
+		}
+	}
+	if seen[own.at] {
+		return
+	}
+	seen[own.at] = true
+	r.add(own.at, join(origin.path, key), "the burst of %d is below what the rate of %s admits in %s; allowed is a burst of at least %d",
+		w.Burst, formatRate(w.Rate), minBurst, least)
+}
+
+func formatRate(rate Rate) string { return strconv.FormatFloat(float64(rate), 'g', 4, 64) + "/s" }
+
 // checkReference looks at one service of a workspace's list.
 func (t *Tree) checkReference(r *report, path string, item Item) {
 	s, ok := t.fleet.Services[id.Service(item.Text)]
--- a/core/settings/keys.go
+++ b/core/settings/keys.go
@@ -45,8 +45,8 @@
 	},
 	{
 		Spec: Spec{
-			Name: keyBurst, Type: TypeCount, Default: "20", Min: "1", Max: "10000000", Inherited: true,
-			Doc: "Requests above the rate that all hosts together admit at once.",
+			Name: keyBurst, Type: TypeCount, Default: "20", Min: "2", Max: "10000000", Inherited: true,
+			Doc: "Requests above the rate that all hosts together admit at once; at least what the rate admits in 40ms, so that hosts can share it.",
 		},
 		Set: func(w *Workspace, v Value) { w.Burst = int64(v.Amount) },
 	},
