--- a/command/cmdutil/flags.go
+++ b/command/cmdutil/flags.go
@@ -14,6 +14,9 @@
 // OperatorVariable is the environment variable that names a host's operator address.
 const OperatorVariable = "CARDAMOMWARD_OPERATOR"
 
+// operatorName is the name of the flag for a host's operator address.
+const operatorName = "operator"
+
 // OperatorFlag returns the flag for a host's operator address.
 func OperatorFlag(target *string) cli.Flag { return operatorFlag(target, true) }
 
@@ -22,12 +25,11 @@
 
 func operatorFlag(target *string, required bool) cli.Flag {
 	return &cli.StringFlag{
-		Name:        "operator",
+		Name:        operatorName,
 		Usage:       "operator address of any host, an IP number and port",
 		Sources:     cli.NewValueSourceChain(variable(OperatorVariable)),
 		Required:    required,
 		Destination: target,
-		Validator:   checkAddress,
 	}
 }
 
@@ -52,8 +54,12 @@
 // GoString returns the variable as Go code.
 func (v variable) GoString() string { return fmt.Sprintf("variable(%q)", string(v)) }
 
-// checkAddress reports what is wrong with an operator address.
-func checkAddress(address string) error {
+// CheckOperator reports an operator address that is none, for commands that have the flag.
+func CheckOperator(cmd *cli.Command) error {
+	address := cmd.String(operatorName)
+	if address == "" {
+		return nil
+	}
 	if _, err := netip.ParseAddrPort(address); err != nil {
 		return Usage("--operator or %s is %q, which is not an IP number and port such as 127.0.0.1:7002", OperatorVariable, address)
 	}
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -57,6 +57,10 @@
 		return cmdutil.Usage("%v; see %s --help", err, cmd.FullName())
 	}
 	if len(cmd.Commands) == 0 {
+		cmd.Before = func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+			return ctx, cmdutil.CheckOperator(cmd)
+		}
+
 		return
 	}
 	if cmd.Action == nil {
--- a/command/root/root_test.go
+++ b/command/root/root_test.go
@@ -204,6 +204,17 @@
 	}
 }
 
+func TestOperatorVariable(t *testing.T) {
+	address := fakeHost(t)
+	t.Setenv(cmdutil.OperatorVariable, address)
+	out, code := run(address, "key list")
+	require.Equal(t, cmdutil.ExitOK, code, out)
+	t.Setenv(cmdutil.OperatorVariable, "host-1")
+	out, code = run(address, "key list")
+	require.Equal(t, cmdutil.ExitUsage, code, out)
+	require.Contains(t, out, `"host-1", which is not an IP number and port`)
+}
+
 // TestPages compares the pages for operators with what the commands say; go test -update writes them.
 func TestPages(t *testing.T) {
 	pages := goldie.New(t, goldie.WithFixtureDir("../../docs/operations"), goldie.WithNameSuffix(".md"))
