--- a/command/root/root.go
+++ b/command/root/root.go
@@ -57,8 +57,13 @@
 		return cmdutil.Usage("%v; see %s --help", err, cmd.FullName())
 	}
 	if len(cmd.Commands) == 0 {
+		before := cmd.Before
 		cmd.Before = func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
-			return ctx, cmdutil.CheckOperator(cmd)
+			if err := cmdutil.CheckOperator(cmd); err != nil || before == nil {
+				return ctx, err
+			}
+
+			return before(ctx, cmd)
 		}
 
 		return
