--- a/command/root/root.go
+++ b/command/root/root.go
@@ -14,6 +14,7 @@
 	"cardamomward/command/dump"
 	"cardamomward/command/host"
 	"cardamomward/command/key"
+	"cardamomward/command/load"
 	"cardamomward/command/program"
 	"cardamomward/command/serve"
 	"cardamomward/command/service"
@@ -43,6 +44,7 @@
 			host.NewCmdHost(f),
 			status.NewCmdStatus(f, nil),
 			dump.NewCmdDump(f, nil),
+			load.NewCmdLoad(f, nil),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
