--- /dev/null
+++ b/core/culprit/doc.go
@@ -0,0 +1,2 @@
+// Package culprit finds requests that crash the upstreams that run them.
+package culprit
--- a/io/catalog/catalog.go
+++ b/io/catalog/catalog.go
@@ -11,9 +11,13 @@
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/route"
+	"cardamomward/io/follow"
 	"cardamomward/platform"
 )
 
+// upstreamInterval paces the reads of the upstreams' entries, of which there are many.
+const upstreamInterval = 250 * time.Millisecond
+
 // Catalog holds the newest configuration and upstreams that this host has read.
 type Catalog struct {
 	Store  *platform.Store
@@ -56,17 +60,17 @@
 
 // Run follows both topics until ctx ends.
 func (c *Catalog) Run(ctx context.Context) {
-	configuration := &follower{
-		catalog: c, partition: platform.Partition{Topic: platform.ConfigurationTopic},
-		apply: c.applyConfiguration,
+	configuration := &follow.Follower{
+		Store: c.Store, Logger: c.Logger, Now: c.Now, Partition: platform.Partition{Topic: platform.ConfigurationTopic},
+		Apply: c.applyConfiguration, Answered: func(time.Duration) { c.NoteAnswer() },
 	}
-	upstreams := &follower{
-		catalog: c, partition: platform.Partition{Topic: platform.UpstreamsTopic},
-		pause: upstreamInterval, apply: c.applyUpstream, retain: c.retainUpstreams, returned: c.returned,
+	upstreams := &follow.Follower{
+		Store: c.Store, Logger: c.Logger, Now: c.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
+		Pause: upstreamInterval, Apply: c.applyUpstream, Retain: c.retainUpstreams, Answered: c.answeredAfter,
 	}
 	var group sync.WaitGroup
-	group.Go(func() { configuration.run(ctx) })
-	group.Go(func() { upstreams.run(ctx) })
+	group.Go(func() { configuration.Run(ctx) })
+	group.Go(func() { upstreams.Run(ctx) })
 	group.Wait()
 }
 
@@ -125,7 +129,11 @@
 	c.registry.Retain(c.Now(), listed)
 }
 
-func (c *Catalog) returned() {
+func (c *Catalog) answeredAfter(away time.Duration) {
+	c.NoteAnswer()
+	if away == 0 {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.registry.Returned(c.Now())
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -32,7 +32,10 @@
 
 		return
 	}
-	addresses := h.addresses(c.Query(platform.ResolveZone))
+	addresses := h.fleet.Addresses(h.now())
+	if len(addresses) > platform.MaxAddresses {
+		addresses = addresses[:platform.MaxAddresses]
+	}
 	if len(addresses) == 0 {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 
@@ -46,5 +49,3 @@
 	}
 	c.Data(http.StatusOK, "application/json", body)
 }
-
-func (h *Host) addresses(_ string) []string { return []string{h.settings.Callers} }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -10,10 +10,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/go-logr/logr"
 
-	"cardamomward/core/id"
-	"cardamomward/core/registry"
-	"cardamomward/core/route"
 	"cardamomward/io/catalog"
+	"cardamomward/io/fleet"
 	"cardamomward/io/gateway"
 	"cardamomward/io/httpx"
 	"cardamomward/io/upstream"
@@ -41,6 +39,7 @@
 
 	catalog  *catalog.Catalog
 	upstream *upstream.Client
+	fleet    *fleet.Fleet
 	gateway  *gateway.Gateway
 	draining atomic.Bool
 	drained  chan struct{}
@@ -52,36 +51,18 @@
 	store := platform.NewStore(settings.Store.Address)
 	h.catalog = &catalog.Catalog{Store: store, Logger: logger, Now: now}
 	h.upstream = &upstream.Client{}
-	p := &permissive{counts: map[id.Upstream]int{}}
+	h.fleet = fleet.New(fleet.Options{
+		Settings: settings, Store: store, Logger: logger, Now: now,
+		StoreAnswered: h.catalog.Answered, NoteAnswer: h.catalog.NoteAnswer,
+	})
 	h.gateway = &gateway.Gateway{
 		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Draining: h.draining.Load,
-		Rates: p, Turns: p, Crashes: p, Loads: p,
+		Rates: h.fleet, Turns: h.fleet, Crashes: h.fleet, Loads: h.fleet,
 	}
 
 	return h
 }
 
-type permissive struct {
-	mu     sync.Mutex
-	counts map[id.Upstream]int
-}
-
-func (p *permissive) Admit(context.Context, *route.Workspace) (bool, time.Duration) { return true, 0 }
-func (p *permissive) Begin(context.Context, gateway.Turn) ([]byte, gateway.Verdict) {
-	return nil, gateway.Proceed
-}
-func (p *permissive) End(_ context.Context, t gateway.Turn, _ []byte, tok id.Tokens, out []byte, whole bool) bool {
-	return true
-}
-func (p *permissive) Convicted(id.Fingerprint) bool           { return false }
-func (p *permissive) Lost(id.Fingerprint, *registry.Instance) {}
-func (p *permissive) Running(u id.Upstream) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.counts[u]
-}
-func (p *permissive) Add(u id.Upstream, d int) { p.mu.Lock(); defer p.mu.Unlock(); p.counts[u] += d }
-
 // Run serves until ctx ends or the host has drained.
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -91,6 +72,8 @@
 	defer cancel()
 	group.Go(func() { h.catalog.Run(ctx) })
 	group.Go(func() { h.sweep(ctx) })
+	failed := make(chan error, 1)
+	group.Go(func() { failed <- h.fleet.Run(ctx) })
 	servers, err := h.listen()
 	if err != nil {
 		return err
@@ -102,13 +85,14 @@
 	select {
 	case <-ctx.Done():
 	case <-h.drained:
+	case err = <-failed:
 	}
 	h.logger.Info("stopped", "host", h.settings.Name)
 	for _, s := range servers {
 		s.Abort()
 	}
 
-	return nil
+	return err
 }
 
 func (h *Host) listen() ([]*httpx.Server, error) {
@@ -162,6 +146,7 @@
 		return
 	}
 	h.logger.Info("draining", "host", h.settings.Name)
+	go h.fleet.Leave(ctx)
 	go func() {
 		timer := time.NewTimer(h.settings.Bounds.Grace - exitMargin)
 		defer timer.Stop()
--- /dev/null
+++ b/io/fleet/fleet.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/go-logr/logr"
+
+	"cardamomward/core/allowance"
+	"cardamomward/core/culprit"
+	"cardamomward/core/id"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/httpx"
+	"cardamomward/platform"
+)
+
+const (
+	// group names the group whose members own the slots.
+	group = "slots"
+	// slotTopic holds what owners keep; its partitions are the slots.
+	slotTopic = "slots"
+	// peerDial bounds a new connection to a peer.
+	peerDial = 300 * time.Millisecond
+	// peerKeepAlive is how often an idle connection to a peer is probed.
+	peerKeepAlive = time.Second
+	// peerIdle bounds the idle connections to one peer.
+	peerIdle = 8
+	// maxPeerBody bounds a message between hosts, in bytes.
+	maxPeerBody = 64 << 20
+)
+
+// Store is what the fleet needs of the platform's store.
+type Store interface {
+	Append(ctx context.Context, a platform.Append) (int64, error)
+	Newest(ctx context.Context, p platform.Partition) ([]platform.Record, int64, error)
+	Join(ctx context.Context, group, member string, topics []string, lease time.Duration, generation int64) (platform.Membership, error)
+	Leave(ctx context.Context, group, member string) error
+	Owners(ctx context.Context, group string) (map[platform.Partition]string, error)
+}
+
+// Options are what a fleet is built from.
+type Options struct {
+	Settings *platform.Host
+	Store    *platform.Store
+	Logger   logr.Logger
+	Now      func() time.Time
+	// StoreAnswered returns when the store last answered this host, and NoteAnswer notes that it has.
+	StoreAnswered func() time.Time
+	NoteAnswer    func()
+}
+
+// Fleet is this host's part in the fleet.
+type Fleet struct {
+	Options
+
+	store Store
+	topic string
+	self  string
+	slots []*slot
+	peers *peers
+
+	ownership  atomic.Pointer[ownership]
+	generation atomic.Int64
+	lease      time.Duration
+	// leaseUntil is when the membership ends unless it is renewed, in nanoseconds since the Unix epoch.
+	leaseUntil atomic.Int64
+	leaving    atomic.Bool
+	refreshed  chan struct{}
+
+	clientsMu sync.Mutex
+	clients   map[string]fleetpb.Slots
+	http      *http.Client
+
+	ratesMu sync.Mutex
+	rates   map[id.Workspace]*rate
+
+	docketMu sync.Mutex
+	docket   culprit.Docket
+	crashes  []toldCrash
+}
+
+// ownership says which member owns each slot.
+type ownership struct {
+	generation int64
+	owners     []string
+}
+
+// New returns a fleet's part that does nothing before it runs.
+func New(opts Options) *Fleet {
+	f := &Fleet{
+		Options: opts, store: opts.Store, topic: platform.KeyedTopic(slotTopic),
+		self:      net.JoinHostPort(opts.Settings.IP, strconv.Itoa(opts.Settings.PeerPorts[0])),
+		lease:     max(minLease, opts.Settings.Store.MinLease),
+		refreshed: make(chan struct{}, 1),
+		clients:   make(map[string]fleetpb.Slots),
+		rates:     make(map[id.Workspace]*rate),
+	}
+	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: peerKeepAlive}
+	f.http = &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdle, DisableCompression: true,
+	}}
+	f.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
+	for index := range opts.Settings.Store.Partitions {
+		f.slots = append(f.slots, newSlot(f, index))
+	}
+	f.peers = newPeers(f)
+
+	return f
+}
+
+// Run takes part in the fleet until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	server, err := httpx.NewServer(httpx.Options{Address: f.self, MaxBody: maxPeerBody})
+	if err != nil {
+		return err
+	}
+	handler := adaptor.HertzHandler(fleetpb.NewSlotsServer(&service{fleet: f}))
+	server.NoRoute(handler)
+	server.Start()
+	defer server.Abort()
+	conn, err := net.ListenPacket("udp4", f.self)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { f.peers.run(ctx, conn) })
+	running.Go(func() { f.renewLoop(ctx) })
+	running.Go(func() { f.refreshLoop(ctx) })
+	running.Go(func() { f.expireLoop(ctx) })
+	for _, s := range f.slots {
+		running.Go(func() { s.writer.run(ctx) })
+	}
+	<-ctx.Done()
+
+	return conn.Close()
+}
+
+// slotOf returns the slot of a program's or workspace's name.
+func (f *Fleet) slotOf(name string) int {
+	return int(xxhash.Sum64String(name) % uint64(len(f.slots)))
+}
+
+// owner returns the member that owns a slot, or an empty string.
+func (f *Fleet) owner(slot int) string { return f.ownership.Load().owners[slot] }
+
+// client returns the client for a member; this host's own serves without a connection.
+func (f *Fleet) client(member string) fleetpb.Slots {
+	if member == f.self {
+		return &service{fleet: f}
+	}
+	f.clientsMu.Lock()
+	defer f.clientsMu.Unlock()
+	client, ok := f.clients[member]
+	if !ok {
+		client = fleetpb.NewSlotsProtobufClient("http://"+member, f.http)
+		f.clients[member] = client
+	}
+
+	return client
+}
+
+// storeAway reports whether the store answers neither this host nor any peer that is heard.
+func (f *Fleet) storeAway(now time.Time) bool {
+	return now.Sub(f.StoreAnswered()) > contactLimit && !f.peers.storeSeen(now)
+}
+
+// mayOwn reports whether this host may act as an owner: its membership runs, or the store is away for all.
+func (f *Fleet) mayOwn(now time.Time) bool {
+	return now.UnixNano() < f.leaseUntil.Load() || f.storeAway(now)
+}
+
+// expireLoop forgets what has expired.
+func (f *Fleet) expireLoop(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			now := f.Now()
+			for _, s := range f.slots {
+				s.expire(now)
+			}
+			f.docketMu.Lock()
+			f.docket.Expire(now)
+			f.docketMu.Unlock()
+		}
+	}
+}
+
+const (
+	// expireInterval is how often expired records are looked for.
+	expireInterval = 2 * time.Second
+	// contactLimit is how long ago the store must have answered for it to count as reachable.
+	contactLimit = 1500 * time.Millisecond
+)
+
+// pool returns the bucket of a workspace in a slot that this host owns.
+func (s *slot) pool(workspace id.Workspace) *allowance.Pool {
+	if s.pools == nil {
+		s.pools = make(map[id.Workspace]*allowance.Pool)
+	}
+	p, ok := s.pools[workspace]
+	if !ok {
+		p = &allowance.Pool{Full: s.first}
+		s.pools[workspace] = p
+	}
+
+	return p
+}
--- /dev/null
+++ b/io/fleet/membership.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"cardamomward/io/follow"
+	"cardamomward/platform"
+)
+
+const (
+	// minLease is the shortest lease of a membership.
+	minLease = time.Second
+	// renewInterval is how often the membership is renewed.
+	renewInterval = 300 * time.Millisecond
+	// callTimeout bounds a short call to the store.
+	callTimeout = 800 * time.Millisecond
+	// refreshPause is the least time between two reads of the owners.
+	refreshPause = 80 * time.Millisecond
+)
+
+// renewLoop keeps this host a member of the group and takes and gives up slots as the store says.
+func (f *Fleet) renewLoop(ctx context.Context) {
+	for ctx.Err() == nil && !f.leaving.Load() {
+		again := f.renew(ctx)
+		if !again {
+			follow.Sleep(ctx, renewInterval)
+		}
+	}
+}
+
+// renew reports whether the next renewal should follow at once, to hand over slots that were given up.
+func (f *Fleet) renew(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := f.Now()
+	m, err := f.store.Join(callCtx, group, f.self, []string{f.topic}, f.lease, f.generation.Load())
+	if err != nil {
+		f.Logger.V(1).Info("renewal-failed", "error", err)
+
+		return false
+	}
+	f.NoteAnswer()
+	f.leaseUntil.Store(asked.Add(f.lease).UnixNano())
+	changed := m.Generation != f.generation.Load()
+	f.generation.Store(m.Generation)
+	if f.leaving.Load() {
+		return false
+	}
+	released := f.hold(ctx, m)
+	if changed {
+		f.wantOwners()
+	}
+
+	return released
+}
+
+// hold takes the slots that a membership names and gives up all others; it reports whether any was given up.
+func (f *Fleet) hold(ctx context.Context, m platform.Membership) bool {
+	held := make(map[int]struct{}, len(m.Held))
+	for _, partition := range m.Held {
+		if partition.Topic == f.topic && partition.Part < len(f.slots) {
+			held[partition.Part] = struct{}{}
+		}
+	}
+	released := false
+	for _, s := range f.slots {
+		if _, ok := held[s.index]; ok {
+			s.take(ctx, m.Generation)
+		} else if s.release("reassigned") {
+			released = true
+		}
+	}
+
+	return released
+}
+
+// Leave hands all slots over and ends the membership.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.leaving.Store(true)
+	f.peers.setDraining()
+	for _, s := range f.slots {
+		s.flush(ctx, flushLimit)
+		s.release("leaving")
+	}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err := f.store.Leave(callCtx, group, f.self)
+		cancel()
+		if err == nil {
+			break
+		}
+		f.Logger.Error(err, "leave-failed")
+		follow.Sleep(ctx, renewInterval)
+	}
+	f.wantOwners()
+	f.peers.withdraw(ctx)
+}
+
+// flushLimit bounds how long a slot that is handed over waits for its records to become durable.
+const flushLimit = 500 * time.Millisecond
+
+// wantOwners asks for the owners to be read again soon.
+func (f *Fleet) wantOwners() {
+	select {
+	case f.refreshed <- struct{}{}:
+	default:
+	}
+}
+
+// refreshLoop reads the owners when they may have changed.
+func (f *Fleet) refreshLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.refreshed:
+		}
+		f.refreshOwners(ctx)
+		follow.Sleep(ctx, refreshPause)
+	}
+}
+
+func (f *Fleet) refreshOwners(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	generation := f.generation.Load()
+	rows, err := f.store.Owners(callCtx, group)
+	if err != nil {
+		f.Logger.V(1).Info("owners-failed", "error", err)
+
+		return
+	}
+	f.NoteAnswer()
+	owners := make([]string, len(f.slots))
+	for partition, member := range rows {
+		if partition.Topic == f.topic && partition.Part < len(owners) {
+			owners[partition.Part] = member
+		}
+	}
+	f.setOwners(&ownership{generation: generation, owners: owners})
+}
+
+// setOwners takes what a store or a peer says of the owners, unless something newer is known.
+func (f *Fleet) setOwners(next *ownership) {
+	old := f.ownership.Load()
+	if next.generation < old.generation {
+		return
+	}
+	f.ownership.Store(next)
+	if next.generation != old.generation {
+		f.Logger.Info("owners", "generation", next.generation, "owners", next.owners)
+	}
+}
--- /dev/null
+++ b/io/fleet/peers.go
@@ -0,0 +1,373 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/culprit"
+	"cardamomward/core/id"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/follow"
+	"cardamomward/platform"
+)
+
+const (
+	// hostTopic lists the hosts, by name.
+	hostTopic = "hosts"
+	// beatInterval is how often beats are sent.
+	beatInterval = 100 * time.Millisecond
+	// beatFanout bounds the peers that get a beat at one time; larger fleets take turns.
+	beatFanout = 16
+	// silence is how long a peer may be silent in a fleet of up to beatFanout hosts.
+	silence = time.Second
+	// forgetAfter is how long a silent peer stays in the count of the hosts.
+	forgetAfter = 15 * time.Second
+	// announceInterval is how often this host's entry is written again.
+	announceInterval = 10 * time.Second
+	// hostPause paces the reads of the list of hosts.
+	hostPause = 200 * time.Millisecond
+	// ownersEvery is in how many beats the owners are told.
+	ownersEvery = 8
+	// maxDatagram bounds a beat, in bytes.
+	maxDatagram = 8 << 10
+)
+
+// hostEntry is a host's entry in the list of hosts.
+type hostEntry struct {
+	Callers       string           `json:"callers"`
+	Peer          string           `json:"peer"`
+	FailureDomain id.FailureDomain `json:"failure-domain"`
+	CPUShare      float64          `json:"cpu-share"`
+}
+
+type peer struct {
+	hostEntry
+
+	addr     *net.UDPAddr
+	listed   time.Time
+	heard    time.Time
+	sequence uint64
+	draining bool
+	// storeSeen is when the store answered the peer, by this host's clock.
+	storeSeen time.Time
+	loads     map[id.Upstream]int
+}
+
+// peers knows the other hosts.
+type peers struct {
+	fleet   *Fleet
+	started time.Time
+
+	mu       sync.Mutex
+	self     hostEntry
+	draining bool
+	sequence uint64
+	peers    map[id.Host]*peer
+	running  map[id.Upstream]int
+	remote   map[id.Upstream]int
+}
+
+func newPeers(f *Fleet) *peers {
+	return &peers{
+		fleet: f, started: f.Now(), peers: make(map[id.Host]*peer),
+		self: hostEntry{
+			Callers: f.Settings.Callers, Peer: f.self, FailureDomain: f.Settings.FailureDomain, CPUShare: f.Settings.CPUShare,
+		},
+		running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
+	}
+}
+
+// run exchanges beats and follows the list of hosts until ctx ends.
+func (p *peers) run(ctx context.Context, conn net.PacketConn) {
+	list := &follow.Follower{
+		Store: p.fleet.Options.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause,
+		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
+		Apply:     p.apply, Answered: func(time.Duration) { p.fleet.NoteAnswer() },
+	}
+	var running sync.WaitGroup
+	running.Go(func() { list.Run(ctx) })
+	running.Go(func() { p.announceLoop(ctx) })
+	running.Go(func() { p.receive(conn) })
+	running.Go(func() { p.beatLoop(ctx, conn) })
+	running.Wait()
+}
+
+func (p *peers) apply(record platform.Record) {
+	host := id.Host(record.Key)
+	if host == p.fleet.Settings.Name {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(record.Value) == 0 {
+		delete(p.peers, host)
+		p.fleet.Logger.Info("host-withdrawn", "peer", host)
+
+		return
+	}
+	var entry hostEntry
+	if err := json.Unmarshal(record.Value, &entry); err != nil {
+		p.fleet.Logger.Error(err, "host-refused", "peer", host)
+
+		return
+	}
+	addr, err := net.ResolveUDPAddr("udp4", entry.Peer)
+	if err != nil {
+		p.fleet.Logger.Error(err, "host-refused", "peer", host)
+
+		return
+	}
+	known, ok := p.peers[host]
+	if !ok || known.Peer != entry.Peer {
+		p.peers[host] = &peer{hostEntry: entry, addr: addr, listed: p.fleet.Now()}
+		p.fleet.Logger.Info("host-listed", "peer", host, "address", entry.Peer)
+	}
+}
+
+// announceLoop writes this host's entry.
+func (p *peers) announceLoop(ctx context.Context) {
+	for ctx.Err() == nil && !p.fleet.leaving.Load() {
+		value, err := json.Marshal(p.self)
+		if err != nil {
+			p.fleet.Logger.Error(err, "announcement-failed")
+
+			return
+		}
+		if p.write(ctx, value) {
+			follow.Sleep(ctx, announceInterval)
+		} else {
+			follow.Sleep(ctx, renewInterval)
+		}
+	}
+}
+
+// withdraw deletes this host's entry.
+func (p *peers) withdraw(ctx context.Context) {
+	for ctx.Err() == nil && !p.write(ctx, nil) {
+		follow.Sleep(ctx, renewInterval)
+	}
+}
+
+func (p *peers) write(ctx context.Context, value []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := p.fleet.store.Append(ctx, platform.Append{
+		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
+		Records:   []platform.Record{{Key: string(p.fleet.Settings.Name), Value: value}},
+	})
+	if err != nil {
+		p.fleet.Logger.V(1).Info("announcement-failed", "error", err)
+
+		return false
+	}
+	p.fleet.NoteAnswer()
+
+	return true
+}
+
+func (p *peers) setDraining() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+}
+
+// beatLoop sends beats, to all peers or to some at a time.
+func (p *peers) beatLoop(ctx context.Context, conn net.PacketConn) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		data, targets := p.beat(p.fleet.Now())
+		for _, target := range targets {
+			conn.WriteTo(data, target) //nolint:errcheck // a lost beat is followed by the next
+		}
+	}
+}
+
+// beat returns the next beat and to whom it goes.
+func (p *peers) beat(now time.Time) ([]byte, []*net.UDPAddr) {
+	own := p.fleet.ownership.Load()
+	crashes := p.fleet.takeCrashes(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sequence++
+	beat := &fleetpb.Beat{
+		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining,
+		StoreAgeMillis: now.Sub(p.fleet.StoreAnswered()).Milliseconds(), Generation: own.generation,
+	}
+	for upstream, running := range p.running {
+		if running > 0 {
+			beat.Loads = append(beat.Loads, &fleetpb.UpstreamLoad{Upstream: string(upstream), Running: int32(running)})
+		}
+	}
+	for _, crash := range crashes {
+		beat.Crashes = append(beat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Request), Process: crash.Process})
+	}
+	if p.sequence%ownersEvery == 0 {
+		beat.Owners = own.owners
+	}
+	data, err := proto.Marshal(beat)
+	if err != nil {
+		p.fleet.Logger.Error(err, "beat-failed")
+
+		return nil, nil
+	}
+	p.sumLoads(now)
+
+	return data, p.targets()
+}
+
+// targets returns the peers that get the next beat; the caller holds the lock.
+func (p *peers) targets() []*net.UDPAddr {
+	targets := make([]*net.UDPAddr, 0, len(p.peers))
+	for _, other := range p.peers {
+		targets = append(targets, other.addr)
+	}
+	if len(targets) > beatFanout {
+		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+		targets = targets[:beatFanout]
+	}
+
+	return targets
+}
+
+// receive takes beats until the connection is closed.
+func (p *peers) receive(conn net.PacketConn) {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		var beat fleetpb.Beat
+		if err := proto.Unmarshal(buf[:n], &beat); err != nil {
+			p.fleet.Logger.Error(err, "beat-refused")
+
+			continue
+		}
+		p.hear(p.fleet.Now(), &beat)
+	}
+}
+
+func (p *peers) hear(now time.Time, beat *fleetpb.Beat) {
+	for _, crash := range beat.Crashes {
+		p.fleet.learnCrash(now, culprit.Crash{Request: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
+	}
+	if len(beat.Owners) == len(p.fleet.slots) {
+		p.fleet.setOwners(&ownership{generation: beat.Generation, owners: beat.Owners})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from, ok := p.peers[id.Host(beat.Host)]
+	if !ok || (beat.Sequence <= from.sequence && now.Sub(from.heard) < silence) {
+		return
+	}
+	from.heard, from.sequence, from.draining = now, beat.Sequence, beat.Draining
+	from.storeSeen = now.Add(-time.Duration(beat.StoreAgeMillis) * time.Millisecond)
+	from.loads = make(map[id.Upstream]int, len(beat.Loads))
+	for _, load := range beat.Loads {
+		from.loads[id.Upstream(load.Upstream)] = int(load.Running)
+	}
+}
+
+// silenceLimit is how long a peer may be silent, given how many take turns; the caller holds the lock.
+func (p *peers) silenceLimit() time.Duration {
+	rounds := (len(p.peers) + beatFanout - 1) / beatFanout
+
+	return silence * time.Duration(max(1, rounds))
+}
+
+// sumLoads adds up what runs at upstreams for the peers that are heard; the caller holds the lock.
+func (p *peers) sumLoads(now time.Time) {
+	clear(p.remote)
+	limit := p.silenceLimit()
+	for _, other := range p.peers {
+		if now.Sub(other.heard) > limit {
+			continue
+		}
+		for upstream, running := range other.loads {
+			p.remote[upstream] += running
+		}
+	}
+}
+
+// storeSeen reports whether the store has answered a peer that is heard.
+func (p *peers) storeSeen(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers {
+		if now.Sub(other.heard) < silence && now.Sub(other.storeSeen) < contactLimit {
+			return true
+		}
+	}
+
+	return false
+}
+
+// heardShare is the part of the known hosts that this host hears, itself included: the others may admit requests on
+// their own share of a rate.
+func (p *peers) heardShare(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard, known := 1, 1
+	limit := p.silenceLimit()
+	for _, other := range p.peers {
+		quiet := now.Sub(latest(other.heard, other.listed))
+		if quiet > forgetAfter {
+			continue
+		}
+		known++
+		if quiet <= limit {
+			heard++
+		}
+	}
+
+	return float64(heard) / float64(known)
+}
+
+// known returns how many hosts there are, this one included.
+func (p *peers) known() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.peers) + 1
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
+// Addresses returns where callers reach the hosts that serve, this one first unless it drains.
+func (f *Fleet) Addresses(now time.Time) []string {
+	p := f.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	limit := p.silenceLimit()
+	for _, other := range p.peers {
+		if !other.draining && now.Sub(other.heard) <= limit {
+			addresses = append(addresses, other.Callers)
+		}
+	}
+	slices.Sort(addresses)
+	if !p.draining {
+		addresses = append([]string{p.self.Callers}, addresses...)
+	}
+
+	return addresses
+}
--- /dev/null
+++ b/io/fleet/rates.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cardamomward/core/allowance"
+	"cardamomward/core/id"
+	"cardamomward/core/route"
+	"cardamomward/io/fleet/fleetpb"
+)
+
+const (
+	// admitTimeout bounds a request for an allowance.
+	admitTimeout = 250 * time.Millisecond
+	// floorRetry is when to come back after a refusal while the owner cannot be reached.
+	floorRetry = 500 * time.Millisecond
+	// maxRetry bounds when callers are told to come back.
+	maxRetry = time.Second
+)
+
+// rate is this host's side of a workspace's rate.
+type rate struct {
+	mu    sync.Mutex
+	local allowance.Local
+	// answered is closed when the request to the owner that is under way has ended.
+	answered chan struct{}
+	// emptyUntil is when the owner may have something again.
+	emptyUntil time.Time
+	retry      time.Duration
+	lost       bool
+}
+
+// Admit reports whether a request of a workspace may run now, and otherwise when to come back.
+func (f *Fleet) Admit(ctx context.Context, workspace *route.Workspace) (bool, time.Duration) {
+	r := f.rate(workspace.Name)
+	limit := allowance.Limit{Rate: workspace.Rate, Burst: max(1, workspace.Burst)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ctx.Err() == nil {
+		now := f.Now()
+		if r.local.Take(now) {
+			return true, 0
+		}
+		if now.Before(r.emptyUntil) {
+			return f.withoutAllowance(r, now, limit)
+		}
+		if r.local.Busy() {
+			r.await(ctx)
+
+			continue
+		}
+		f.ask(ctx, r, workspace.Name, limit)
+	}
+
+	return false, floorRetry
+}
+
+func (f *Fleet) rate(workspace id.Workspace) *rate {
+	f.ratesMu.Lock()
+	defer f.ratesMu.Unlock()
+	r, ok := f.rates[workspace]
+	if !ok {
+		r = &rate{}
+		f.rates[workspace] = r
+	}
+
+	return r
+}
+
+// withoutAllowance refuses, or admits on this host's own share while the owner cannot be reached.
+func (f *Fleet) withoutAllowance(r *rate, now time.Time, limit allowance.Limit) (bool, time.Duration) {
+	if r.lost && r.local.TakeFloor(now, limit.Scaled(1/float64(f.peers.known()))) {
+		return true, 0
+	}
+
+	return false, min(maxRetry, max(r.retry, r.emptyUntil.Sub(now)))
+}
+
+// await gives the lock up until the request to the owner that is under way has ended.
+func (r *rate) await(ctx context.Context) {
+	answered := r.answered
+	r.mu.Unlock()
+	defer r.mu.Lock()
+	select {
+	case <-ctx.Done():
+	case <-answered:
+	}
+}
+
+// ask asks the owner for an allowance; the caller holds the lock, which is given up meanwhile.
+func (f *Fleet) ask(ctx context.Context, r *rate, workspace id.Workspace, limit allowance.Limit) {
+	asked := f.Now()
+	used, want := r.local.Asking(asked)
+	r.answered = make(chan struct{})
+	defer close(r.answered)
+	r.mu.Unlock()
+	reply, ok := f.askOwner(context.WithoutCancel(ctx), &fleetpb.AdmitRequest{
+		Host: string(f.Settings.Name), Workspace: string(workspace), Used: used, Want: want, Rate: limit.Rate, Burst: limit.Burst,
+	})
+	r.mu.Lock()
+	now := f.Now()
+	r.lost = !ok
+	if !ok {
+		r.local.Failed()
+		r.emptyUntil, r.retry = now.Add(floorRetry/4), floorRetry
+
+		return
+	}
+	r.local.Granted(asked, reply.Allowed)
+	if reply.Allowed == 0 {
+		r.retry = time.Duration(reply.RetryMillis) * time.Millisecond
+		r.emptyUntil = now.Add(min(r.retry, allowance.Lease/4))
+	}
+}
+
+// askOwner asks the owner of a workspace's slot, and once more where the owners had changed.
+func (f *Fleet) askOwner(ctx context.Context, req *fleetpb.AdmitRequest) (*fleetpb.AdmitReply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
+	defer cancel()
+	member := f.owner(f.slotOf(req.Workspace))
+	if member == "" {
+		f.wantOwners()
+
+		return nil, false
+	}
+	reply, err := f.client(member).Admit(ctx, req)
+	if err != nil || reply.Outcome != fleetpb.Outcome_OUTCOME_OK {
+		f.Logger.Info("owner-lost", "workspace", req.Workspace, "owner", member, "error", err)
+		f.wantOwners()
+
+		return nil, false
+	}
+
+	return reply, true
+}
--- /dev/null
+++ b/io/fleet/service.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/allowance"
+	"cardamomward/core/id"
+	"cardamomward/core/ledger"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/platform"
+)
+
+const (
+	// markWait bounds how long a turn waits for its program's mark to become durable.
+	markWait = 600 * time.Millisecond
+	// keepWait bounds how long a turn waits to become durable before its owner says that it cannot tell.
+	keepWait = 1500 * time.Millisecond
+	// awayCheck is how often those that wait look whether the store is away for all.
+	awayCheck = 200 * time.Millisecond
+)
+
+// service answers the requests of peers to the slots of this host.
+type service struct{ fleet *Fleet }
+
+var _ fleetpb.Slots = (*service)(nil)
+
+// BeginTurn reserves a turn's tokens and returns the chain before it.
+func (v *service) BeginTurn(ctx context.Context, req *fleetpb.BeginTurnRequest) (*fleetpb.BeginTurnReply, error) {
+	s := v.fleet.slots[v.fleet.slotOf(req.Program)]
+	reply := &fleetpb.BeginTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != serving || !v.fleet.mayOwn(v.fleet.Now()) {
+		reply.Outcome = fleetpb.Outcome_OUTCOME_NOT_OWNER
+
+		return reply, nil
+	}
+	if req.Previous != "" && !req.HaveChain {
+		chain, ok := s.book.Chain(id.Workspace(req.Workspace), req.Previous)
+		if !ok {
+			reply.Outcome = fleetpb.Outcome_OUTCOME_UNKNOWN_TURN
+
+			return reply, nil
+		}
+		reply.Chain = chain
+	}
+	if req.Budget > 0 {
+		reply.Outcome = s.reserve(ctx, req)
+	}
+
+	return reply, nil
+}
+
+// reserve reserves a turn's tokens, waiting for the program's mark where it must; the caller holds the lock.
+func (s *slot) reserve(ctx context.Context, req *fleetpb.BeginTurnRequest) fleetpb.Outcome {
+	began := s.fleet.Now()
+	limit := began.Add(min(markWait, time.Duration(req.DeadlineMillis)*time.Millisecond))
+	turn := ledger.Turn{
+		Program: id.Program(req.Program), Attempt: req.Attempt,
+		Budget: id.Tokens(req.Budget), Max: id.Tokens(req.MaxTokens),
+		Deadline:  began.Add(time.Duration(req.DeadlineMillis) * time.Millisecond),
+		Retention: budgetRetention,
+	}
+	for {
+		now := s.fleet.Now()
+		decision, mark := s.ledger.Begin(now, turn, s.fleet.storeAway(now))
+		switch decision {
+		case ledger.Spent:
+			return fleetpb.Outcome_OUTCOME_SPENT
+		case ledger.Admit:
+			s.recordMark(now, mark, false)
+
+			return fleetpb.Outcome_OUTCOME_OK
+		case ledger.Wait:
+			s.recordMark(now, mark, true)
+		}
+		if !now.Before(limit) || ctx.Err() != nil {
+			return fleetpb.Outcome_OUTCOME_UNSURE
+		}
+		s.wait(ctx, awayCheck)
+		if s.state != serving {
+			return fleetpb.Outcome_OUTCOME_NOT_OWNER
+		}
+	}
+}
+
+// budgetRetention is how long after its last turn a program's count is kept: a program that was stopped may
+// return within its route's retention of a minute.
+const budgetRetention = 75 * time.Second
+
+// wait gives the lock up until something changes; the caller holds the lock.
+func (s *slot) wait(ctx context.Context, limit time.Duration) {
+	changed := s.changed
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// recordMark makes a mark durable; the caller holds the lock.
+func (s *slot) recordMark(now time.Time, mark ledger.Mark, urgent bool) {
+	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Budget{Budget: &fleetpb.BudgetMark{
+		Mark: int64(mark.Tokens), RetentionMillis: mark.Expires.Sub(now).Milliseconds(), WrittenUnixMillis: now.UnixMilli(),
+	}}})
+	if err != nil {
+		s.fleet.Logger.Error(err, "mark-lost", "program", mark.Program)
+
+		return
+	}
+	s.writer.add(platform.Record{Key: budgetKey + string(mark.Program), Value: value}, urgent, func() { s.ledger.Durable(mark) })
+}
+
+// EndTurn settles a turn and keeps it where it is to be kept.
+func (v *service) EndTurn(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	s := v.fleet.slots[v.fleet.slotOf(req.Program)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != serving || !v.fleet.mayOwn(v.fleet.Now()) {
+		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	if req.Attempt != "" {
+		s.ledger.End(id.Program(req.Program), req.Attempt, id.Tokens(req.Tokens))
+	}
+	if req.Kept == nil {
+		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Durable: true}, nil
+	}
+
+	return s.keep(ctx, req.Kept), nil
+}
+
+// keep keeps a turn and waits until it is durable, or until the store is away for all; the caller holds the lock.
+func (s *slot) keep(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
+	now := s.fleet.Now()
+	retention := time.Duration(kept.RetentionMillis)*time.Millisecond + retentionMargin
+	durable := false
+	if s.book.Has(id.Workspace(kept.Workspace), kept.Previous) {
+		kept.Base = nil
+	}
+	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Turn{Turn: kept}})
+	if err != nil {
+		s.fleet.Logger.Error(err, "turn-lost", "turn", kept.Id)
+
+		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+	}
+	s.book.Keep(turnOf(kept, now.Add(retention)))
+	s.writer.add(platform.Record{Key: turnKey + kept.Id, Value: value}, true, func() { durable = true })
+	for limit := now.Add(keepWait); !durable; {
+		switch now = s.fleet.Now(); {
+		case s.state != serving:
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
+		case s.fleet.storeAway(now):
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
+		case !now.Before(limit) || ctx.Err() != nil:
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+		}
+		s.wait(ctx, awayCheck)
+	}
+
+	return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Durable: true}
+}
+
+// FindTurn looks for a turn in all slots of this host.
+func (v *service) FindTurn(_ context.Context, req *fleetpb.FindTurnRequest) (*fleetpb.FindTurnReply, error) {
+	reply := &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+	if !v.fleet.mayOwn(v.fleet.Now()) {
+		return reply, nil
+	}
+	for _, s := range v.fleet.slots {
+		s.mu.Lock()
+		if s.state == serving {
+			reply.Slots = append(reply.Slots, int32(s.index))
+			if chain, ok := s.book.Chain(id.Workspace(req.Workspace), req.Turn); ok {
+				reply.Outcome, reply.Chain = fleetpb.Outcome_OUTCOME_OK, chain
+			}
+		}
+		s.mu.Unlock()
+	}
+
+	return reply, nil
+}
+
+// Admit grants an allowance of a workspace's rate.
+func (v *service) Admit(_ context.Context, req *fleetpb.AdmitRequest) (*fleetpb.AdmitReply, error) {
+	f := v.fleet
+	s := f.slots[f.slotOf(req.Workspace)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := f.Now()
+	if s.state == idle || !f.mayOwn(now) {
+		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+	limit := allowance.Limit{Rate: req.Rate, Burst: req.Burst}.Scaled(f.peers.heardShare(now))
+	granted, retry := s.pool(id.Workspace(req.Workspace)).Ask(now, limit, id.Host(req.Host), req.Used, req.Want)
+
+	return &fleetpb.AdmitReply{
+		Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: granted, RetryMillis: retry.Milliseconds(),
+	}, nil
+}
--- /dev/null
+++ b/io/fleet/slot.go
@@ -0,0 +1,226 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/allowance"
+	"cardamomward/core/id"
+	"cardamomward/core/ledger"
+	"cardamomward/core/lineage"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/follow"
+	"cardamomward/platform"
+)
+
+type slotState int
+
+const (
+	// idle slots belong to another host.
+	idle slotState = iota
+	// loading slots belong to this host, which reads what its predecessor kept.
+	loading
+	// serving slots are complete.
+	serving
+)
+
+const (
+	// loadTimeout bounds one reading of a slot.
+	loadTimeout = 5 * time.Second
+	// retentionMargin is how much longer than promised records are kept.
+	retentionMargin = 10 * time.Second
+)
+
+// slot is one part of the programs and workspaces.
+type slot struct {
+	fleet  *Fleet
+	index  int
+	writer *writer
+
+	mu    sync.Mutex
+	state slotState
+	epoch int64
+	// first is set for slots taken when the whole system starts for the first time.
+	first  bool
+	ledger ledger.Ledger
+	book   lineage.Book
+	pools  map[id.Workspace]*allowance.Pool
+	// changed is closed and replaced when something became durable or the state changed.
+	changed chan struct{}
+}
+
+func newSlot(f *Fleet, index int) *slot {
+	s := &slot{fleet: f, index: index, changed: make(chan struct{})}
+	s.writer = newWriter(s)
+
+	return s
+}
+
+// notify wakes those that wait; the caller holds the lock.
+func (s *slot) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// take begins to own the slot.
+func (s *slot) take(ctx context.Context, generation int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != idle {
+		return
+	}
+	s.state, s.epoch = loading, generation
+	s.first = s.fleet.Settings.FirstStart && s.fleet.Now().Sub(s.fleet.peers.started) < firstWindow
+	go s.load(ctx, generation)
+}
+
+// firstWindow is how long after its start a host takes a slot for one that nobody owned before.
+const firstWindow = 8 * time.Second
+
+// release gives the slot up and reports whether it was owned.
+func (s *slot) release(reason string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == idle {
+		return false
+	}
+	s.fleet.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
+	s.state = idle
+	s.ledger, s.book, s.pools = ledger.Ledger{}, lineage.Book{}, nil
+	s.writer.reset()
+	s.notify()
+
+	return true
+}
+
+// load fences the predecessor, reads what it kept and begins to serve.
+func (s *slot) load(ctx context.Context, epoch int64) {
+	began := s.fleet.Now()
+	for ctx.Err() == nil && s.owns(epoch) {
+		records, err := s.read(ctx, epoch)
+		if err == nil {
+			s.begin(epoch, records, began)
+
+			return
+		}
+		s.fleet.Logger.Error(err, "slot-load-failed", "slot", s.index, "epoch", epoch)
+		if errorx.IsOfType(err, platform.ErrFenced) {
+			s.release("fenced")
+
+			return
+		}
+		follow.Sleep(ctx, refreshPause)
+	}
+}
+
+func (s *slot) owns(epoch int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.state != idle && s.epoch == epoch
+}
+
+func (s *slot) partition() platform.Partition {
+	return platform.Partition{Topic: s.fleet.topic, Part: s.index}
+}
+
+func (s *slot) read(ctx context.Context, epoch int64) ([]platform.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	claim := platform.Append{Partition: s.partition(), Producer: producer, Epoch: epoch}
+	if _, err := s.fleet.store.Append(ctx, claim); err != nil {
+		return nil, err
+	}
+	s.fleet.NoteAnswer()
+	records, _, err := s.fleet.store.Newest(ctx, s.partition())
+
+	return records, err
+}
+
+// begin restores the records and serves.
+func (s *slot) begin(epoch int64, records []platform.Record, began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != loading || s.epoch != epoch {
+		return
+	}
+	now := s.fleet.Now()
+	for _, record := range records {
+		s.restore(now, record)
+	}
+	s.book.Restored()
+	s.writer.start(epoch)
+	s.state = serving
+	s.notify()
+	s.fleet.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(records),
+		"programs", s.ledger.Len(), "turns", s.book.Len(), "took", now.Sub(began))
+}
+
+func (s *slot) restore(now time.Time, record platform.Record) {
+	var value fleetpb.Record
+	if err := proto.Unmarshal(record.Value, &value); err != nil {
+		s.fleet.Logger.Error(err, "record-refused", "slot", s.index, "key", record.Key, "offset", record.Offset)
+
+		return
+	}
+	switch kind := value.Kind.(type) {
+	case *fleetpb.Record_Budget:
+		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
+		s.ledger.Restore(ledger.Mark{
+			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
+			Expires: restoredExpiry(now, written, kind.Budget.RetentionMillis),
+		})
+	case *fleetpb.Record_Turn:
+		s.book.Keep(turnOf(kind.Turn, restoredExpiry(now, time.UnixMilli(kind.Turn.EndedUnixMillis), kind.Turn.RetentionMillis)))
+	}
+}
+
+// restoredExpiry counts from the time of day of the writer, which may differ from this host's, but never from later than now.
+func restoredExpiry(now, written time.Time, retentionMillis int64) time.Time {
+	if written.After(now) {
+		written = now
+	}
+
+	return written.Add(time.Duration(retentionMillis)*time.Millisecond + retentionMargin)
+}
+
+func turnOf(kept *fleetpb.KeptTurn, expires time.Time) *lineage.Turn {
+	return &lineage.Turn{
+		ID: kept.Id, Workspace: id.Workspace(kept.Workspace), Previous: kept.Previous,
+		Base: kept.Base, Input: kept.Input, Output: kept.Output, Expires: expires,
+	}
+}
+
+// Keys of the records of a slot.
+const (
+	budgetKey = "b"
+	turnKey   = "t"
+)
+
+// expire forgets what has expired, here and in the store.
+func (s *slot) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != serving {
+		return
+	}
+	for _, program := range s.ledger.Expire(now) {
+		s.writer.add(platform.Record{Key: budgetKey + string(program)}, false, nil)
+	}
+	for _, turn := range s.book.Expire(now) {
+		s.writer.add(platform.Record{Key: turnKey + turn}, false, nil)
+	}
+}
+
+// flush waits until all records are durable, up to a limit.
+func (s *slot) flush(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for ctx.Err() == nil && s.writer.pending() {
+		follow.Sleep(ctx, writeRetry)
+	}
+}
--- /dev/null
+++ b/io/fleet/turns.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cardamomward/core/id"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/follow"
+	"cardamomward/io/gateway"
+)
+
+const (
+	// ownerPatience bounds how long a turn waits for its slot to have an owner that answers.
+	ownerPatience = 700 * time.Millisecond
+	// ownerRetry paces the requests to owners that have changed.
+	ownerRetry = 50 * time.Millisecond
+	// settlePatience bounds how long a settlement that no caller waits for is repeated.
+	settlePatience = 20 * time.Second
+	// settleRetry paces such repeats.
+	settleRetry = 500 * time.Millisecond
+	// keepReserve is left of a caller's time when a turn that is not durable is given up.
+	keepReserve = 50 * time.Millisecond
+)
+
+var _ gateway.Turns = (*Fleet)(nil)
+
+// Begin reserves a turn's tokens at the owner of its program and returns the chain before the turn.
+func (f *Fleet) Begin(ctx context.Context, turn gateway.Turn) ([]byte, gateway.Verdict) {
+	ctx, cancel := context.WithDeadline(ctx, earliest(turn.Deadline, f.Now().Add(ownerPatience)))
+	defer cancel()
+	req := &fleetpb.BeginTurnRequest{
+		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Attempt: turn.Request.ID,
+		Budget: int64(turn.Request.Budget), MaxTokens: int64(turn.Request.MaxTokens),
+		DeadlineMillis: turn.Deadline.Sub(f.Now()).Milliseconds(),
+	}
+	if turn.Retains {
+		req.Previous = turn.Request.Previous
+	}
+	var found []byte
+	for {
+		reply, err := f.beginOnce(ctx, req)
+		switch {
+		case err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER:
+			f.wantOwners()
+		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
+			if req.HaveChain {
+				return found, gateway.Proceed
+			}
+
+			return reply.Chain, gateway.Proceed
+		case reply.Outcome == fleetpb.Outcome_OUTCOME_SPENT:
+			return nil, gateway.Spent
+		case reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN:
+			chain, outcome := f.find(ctx, req)
+			if outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+				return nil, gateway.NoSuchTurn
+			}
+			if outcome == fleetpb.Outcome_OUTCOME_OK {
+				found, req.HaveChain = chain, true
+
+				continue
+			}
+		}
+		if follow.Sleep(ctx, ownerRetry); ctx.Err() != nil {
+			f.Logger.Info("owner-unsure", "request", turn.Request.ID, "program", turn.ProgramName(),
+				"owner", f.owner(f.slotOf(turn.ProgramName())), "outcome", reply.GetOutcome(), "error", err)
+
+			return nil, gateway.Unsure
+		}
+	}
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
+func (f *Fleet) beginOnce(ctx context.Context, req *fleetpb.BeginTurnRequest) (*fleetpb.BeginTurnReply, error) {
+	member := f.owner(f.slotOf(req.Program))
+	if member == "" {
+		return &fleetpb.BeginTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+
+	return f.client(member).BeginTurn(ctx, req)
+}
+
+// find looks for a turn at the owners of all slots: a program may continue from another program's turn.
+func (f *Fleet) find(ctx context.Context, req *fleetpb.BeginTurnRequest) ([]byte, fleetpb.Outcome) {
+	members := make(map[string]struct{})
+	for _, member := range f.ownership.Load().owners {
+		if member == "" {
+			return nil, fleetpb.Outcome_OUTCOME_UNSURE
+		}
+		members[member] = struct{}{}
+	}
+	replies := make(chan *fleetpb.FindTurnReply, len(members))
+	var asked sync.WaitGroup
+	for member := range members {
+		asked.Go(func() {
+			reply, err := f.client(member).FindTurn(ctx, &fleetpb.FindTurnRequest{Workspace: req.Workspace, Turn: req.Previous})
+			if err == nil {
+				replies <- reply
+			}
+		})
+	}
+	asked.Wait()
+	close(replies)
+	covered := make(map[int32]struct{})
+	for reply := range replies {
+		if reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
+			return reply.Chain, reply.Outcome
+		}
+		for _, slot := range reply.Slots {
+			covered[slot] = struct{}{}
+		}
+	}
+	if len(covered) < len(f.slots) {
+		f.wantOwners()
+
+		return nil, fleetpb.Outcome_OUTCOME_UNSURE
+	}
+
+	return nil, fleetpb.Outcome_OUTCOME_UNKNOWN_TURN
+}
+
+// End settles a turn at the owner of its program; where the turn is to be kept it reports whether it is.
+func (f *Fleet) End(ctx context.Context, turn gateway.Turn, chain []byte, tokens id.Tokens, output []byte, whole bool) bool {
+	req := &fleetpb.EndTurnRequest{
+		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Tokens: int64(tokens),
+	}
+	if turn.Request.Budget > 0 {
+		req.Attempt = turn.Request.ID
+	}
+	if !turn.Retains || !whole {
+		go f.settle(context.WithoutCancel(ctx), req)
+
+		return true
+	}
+	req.Kept = &fleetpb.KeptTurn{
+		Id: turn.Request.ID, Workspace: string(turn.Workspace), Previous: turn.Request.Previous,
+		Base: chain, Input: turn.Request.Body, Output: output,
+		RetentionMillis: turn.Retention.Milliseconds(), EndedUnixMillis: f.Now().UnixMilli(),
+	}
+	ctx, cancel := context.WithDeadline(ctx, turn.Deadline.Add(-keepReserve))
+	defer cancel()
+	for ctx.Err() == nil {
+		reply, err := f.endOnce(ctx, req)
+		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
+			if !reply.Durable {
+				go f.settle(context.WithoutCancel(ctx), req)
+			}
+
+			return true
+		}
+		f.wantOwners()
+		follow.Sleep(ctx, ownerRetry)
+	}
+	go f.settle(context.WithoutCancel(ctx), &fleetpb.EndTurnRequest{
+		Workspace: req.Workspace, Program: req.Program, Attempt: req.Attempt, Tokens: req.Tokens,
+	})
+
+	return false
+}
+
+func (f *Fleet) endOnce(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	member := f.owner(f.slotOf(req.Program))
+	if member == "" {
+		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
+	}
+
+	return f.client(member).EndTurn(ctx, req)
+}
+
+// settle repeats a settlement until the owner has taken it and what is to be kept is durable.
+func (f *Fleet) settle(ctx context.Context, req *fleetpb.EndTurnRequest) {
+	ctx, cancel := context.WithTimeout(ctx, settlePatience)
+	defer cancel()
+	for ctx.Err() == nil {
+		reply, err := f.endOnce(ctx, req)
+		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
+			return
+		}
+		follow.Sleep(ctx, settleRetry)
+	}
+	f.Logger.Info("settlement-given-up", "program", req.Program, "attempt", req.Attempt, "tokens", req.Tokens)
+}
--- /dev/null
+++ b/io/fleet/writer.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"cardamomward/io/follow"
+	"cardamomward/platform"
+)
+
+const (
+	// producer names the owner of a slot in its partition; epochs tell owners apart.
+	producer = "owner"
+	// linger is how long a record that nobody waits for yet waits for others to share its call.
+	linger = 100 * time.Millisecond
+	// urgentLinger is how long a record that somebody waits for does.
+	urgentLinger = 3 * time.Millisecond
+	// writeRetry paces writes while the store refuses them.
+	writeRetry = 40 * time.Millisecond
+	// writeTimeout bounds one write.
+	writeTimeout = 1500 * time.Millisecond
+	// recordOverhead is room for the length of a record, in bytes.
+	recordOverhead = 8
+)
+
+// entry is a record on its way to the store.
+type entry struct {
+	record platform.Record
+	// done is told when the record is durable, with the slot's lock held; it may be nil.
+	done func()
+}
+
+// writer makes the records of a slot durable, in order, several in a call.
+type writer struct {
+	slot *slot
+
+	mu       sync.Mutex
+	epoch    int64
+	sequence int64
+	queue    []entry
+	flying   bool
+	urgent   bool
+	wake     chan struct{}
+}
+
+func newWriter(s *slot) *writer { return &writer{slot: s, wake: make(chan struct{}, 1)} }
+
+// start begins an epoch.
+func (w *writer) start(epoch int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epoch, w.sequence = epoch, 0
+}
+
+// reset drops what was not written, because the slot is no longer owned.
+func (w *writer) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epoch, w.queue, w.urgent = 0, nil, false
+}
+
+// add queues a record; urgent ones are written at once.
+func (w *writer) add(record platform.Record, urgent bool, done func()) {
+	w.mu.Lock()
+	w.queue = append(w.queue, entry{record: record, done: done})
+	w.urgent = w.urgent || urgent
+	w.mu.Unlock()
+	if urgent {
+		w.signal()
+	}
+}
+
+func (w *writer) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *writer) pending() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return len(w.queue) > 0 || w.flying
+}
+
+// run writes until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	ticker := time.NewTicker(linger)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-w.wake:
+			follow.Sleep(ctx, urgentLinger)
+		}
+		w.drain(ctx)
+	}
+}
+
+// drain writes batches until the queue is empty or the slot is lost.
+func (w *writer) drain(ctx context.Context) {
+	for ctx.Err() == nil {
+		batch, call := w.batch()
+		if len(batch) == 0 {
+			return
+		}
+		if !w.write(ctx, batch, call) {
+			return
+		}
+	}
+}
+
+// batch takes as many records as one call holds.
+func (w *writer) batch() ([]entry, platform.Append) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.epoch == 0 || len(w.queue) == 0 {
+		w.flying = false
+
+		return nil, platform.Append{}
+	}
+	limit := w.slot.fleet.Settings.Store.CallBytes
+	size, n := 0, 0
+	for ; n < len(w.queue); n++ {
+		size += platform.RecordSize(w.queue[n].record) + recordOverhead
+		if n > 0 && limit > 0 && size > limit {
+			break
+		}
+	}
+	batch := w.queue[:n:n]
+	w.queue = w.queue[n:]
+	w.flying, w.urgent = true, false
+	w.sequence++
+	call := platform.Append{
+		Partition: w.slot.partition(), Producer: producer, Epoch: w.epoch, Sequence: w.sequence,
+		Records: make([]platform.Record, 0, n),
+	}
+	for _, e := range batch {
+		call.Records = append(call.Records, e.record)
+	}
+
+	return batch, call
+}
+
+// write repeats one call until it is answered; the same sequence number makes a repeat harmless. It reports false
+// where the slot is lost.
+func (w *writer) write(ctx context.Context, batch []entry, call platform.Append) bool {
+	for ctx.Err() == nil && w.current(call.Epoch) {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := w.slot.fleet.store.Append(callCtx, call)
+		cancel()
+		if err == nil {
+			w.slot.fleet.NoteAnswer()
+			w.slot.written(call.Epoch, batch)
+
+			return true
+		}
+		w.slot.fleet.Logger.Error(err, "write-failed", "slot", w.slot.index, "epoch", call.Epoch, "records", len(batch))
+		if errorx.IsOfType(err, platform.ErrFenced) || errorx.IsOfType(err, platform.ErrSequence) {
+			w.slot.release("fenced")
+
+			return false
+		}
+		follow.Sleep(ctx, writeRetry)
+	}
+
+	return false
+}
+
+func (w *writer) current(epoch int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.epoch == epoch
+}
+
+// written tells those that wait for a batch.
+func (s *slot) written(epoch int64, batch []entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == idle || s.epoch != epoch {
+		return
+	}
+	for _, e := range batch {
+		if e.done != nil {
+			e.done()
+		}
+	}
+	s.notify()
+}
--- a/io/catalog/follower.go
+++ b/io/follow/follower.go
@@ -1,17 +1,16 @@
-package catalog
+package follow
 
 import (
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/joomcode/errorx"
 
 	"cardamomward/platform"
 )
 
 const (
-	// upstreamInterval paces the reads of the upstreams' entries, of which there are many.
-	upstreamInterval = 250 * time.Millisecond
 	// readWait is how long the store keeps a read waiting for records.
 	readWait = time.Second
 	// readMargin is how much longer than that a read may take before its connection counts as silent.
@@ -24,24 +23,28 @@
 	outage = time.Second
 )
 
-// follower reads one partition from its newest records on.
-type follower struct {
-	catalog   *Catalog
-	partition platform.Partition
-	// pause is left between reads.
-	pause time.Duration
-	apply func(platform.Record)
-	// retain is told which keys a complete listing has.
-	retain func(keys map[string]struct{})
-	// returned is told when the store answers after an outage.
-	returned func()
+// Follower reads one partition until its context ends.
+type Follower struct {
+	Store     *platform.Store
+	Partition platform.Partition
+	Logger    logr.Logger
+	Now       func() time.Time
+	// Pause is left between reads.
+	Pause time.Duration
+	// Apply is told each record.
+	Apply func(platform.Record)
+	// Retain is told which keys a complete listing has; it may be nil.
+	Retain func(keys map[string]struct{})
+	// Answered is told that the store has answered, and after how long an outage, if there was one; it may be nil.
+	Answered func(away time.Duration)
 
 	next        int64
 	listed      bool
 	failedSince time.Time
 }
 
-func (f *follower) run(ctx context.Context) {
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -49,21 +52,21 @@
 		}
 		if err != nil {
 			f.failed(err)
-			sleep(ctx, retryInterval)
+			Sleep(ctx, retryInterval)
 
 			continue
 		}
-		sleep(ctx, f.pause)
+		Sleep(ctx, f.Pause)
 	}
 }
 
-func (f *follower) step(ctx context.Context) error {
+func (f *Follower) step(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readWait+readMargin)
 	defer cancel()
-	page, err := f.catalog.Store.Read(ctx, f.partition, f.next, readWait)
+	page, err := f.Store.Read(ctx, f.Partition, f.next, readWait)
 	if errorx.IsOfType(err, platform.ErrExpired) {
 		f.listed = false
 
@@ -74,7 +77,7 @@
 	}
 	f.succeeded()
 	for _, record := range page.Records {
-		f.apply(record)
+		f.Apply(record)
 	}
 	f.next = page.Next
 
@@ -82,54 +85,57 @@
 }
 
 // list takes the newest record of each key; a listing older than what was read already is passed over.
-func (f *follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+func (f *Follower) list(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	records, end, err := f.catalog.Store.Newest(ctx, f.partition)
+	records, end, err := f.Store.Newest(listCtx, f.Partition)
 	if err != nil {
 		return err
 	}
 	f.succeeded()
 	if end < f.next {
-		sleep(ctx, retryInterval)
+		Sleep(ctx, retryInterval)
 
 		return nil
 	}
 	keys := make(map[string]struct{}, len(records))
 	for _, record := range records {
 		keys[record.Key] = struct{}{}
-		f.apply(record)
+		f.Apply(record)
 	}
-	if f.retain != nil {
-		f.retain(keys)
+	if f.Retain != nil {
+		f.Retain(keys)
 	}
 	f.next, f.listed = end, true
 
 	return nil
 }
 
-func (f *follower) failed(err error) {
-	now := f.catalog.Now()
+func (f *Follower) failed(err error) {
 	if f.failedSince.IsZero() {
-		f.failedSince = now
-		f.catalog.Logger.Error(err, "store-lost", "topic", f.partition.Topic)
+		f.failedSince = f.Now()
+		f.Logger.Error(err, "store-lost", "topic", f.Partition.Topic)
 	}
 }
 
-func (f *follower) succeeded() {
-	f.catalog.NoteAnswer()
-	if f.failedSince.IsZero() {
+func (f *Follower) succeeded() {
+	var away time.Duration
+	if !f.failedSince.IsZero() {
+		away = f.Now().Sub(f.failedSince)
+		f.failedSince = time.Time{}
+		f.Logger.Info("store-regained", "topic", f.Partition.Topic, "away", away)
+	}
+	if f.Answered == nil {
 		return
 	}
-	away := f.catalog.Now().Sub(f.failedSince)
-	f.failedSince = time.Time{}
-	f.catalog.Logger.Info("store-regained", "topic", f.partition.Topic, "away", away)
-	if away >= outage && f.returned != nil {
-		f.returned()
+	if away < outage {
+		away = 0
 	}
+	f.Answered(away)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for a time or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -36,6 +36,18 @@
 	Retains bool
 }
 
+// ProgramName returns the name by which the program's owner is found.
+func (t Turn) ProgramName() string {
+	switch {
+	case t.Request.Program != "":
+		return string(t.Request.Program)
+	case t.Request.Session != "":
+		return t.Request.Session
+	default:
+		return t.Request.ID
+	}
+}
+
 // Verdict is what the owner of a program says of a turn.
 type Verdict int
 
