--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -72,7 +72,9 @@
 	// leaseUntil is when the membership ends unless it is renewed, in nanoseconds since the Unix epoch.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
-	refreshed  chan struct{}
+	// rejoin is set while the membership must start over before it is renewed.
+	rejoin    atomic.Bool
+	refreshed chan struct{}
 
 	clientsMu sync.Mutex
 	clients   map[string]fleetpb.Slots
@@ -106,6 +108,7 @@
 	f.http = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdle, DisableCompression: true,
 	}}
+	f.rejoin.Store(true)
 	f.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
 	for index := range opts.Settings.Store.Partitions {
 		f.slots = append(f.slots, newSlot(f, index))
--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -33,6 +33,9 @@
 func (f *Fleet) renew(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if f.rejoin.Load() && !f.startOver(callCtx) {
+		return false
+	}
 	asked := f.Now()
 	m, err := f.store.Join(callCtx, group, f.self, []string{f.topic}, f.lease, f.generation.Load())
 	if err != nil {
@@ -55,6 +58,19 @@
 	return released
 }
 
+// startOver leaves the group, so that the next membership has a generation, and thus epochs, that no earlier process
+// of this host has used.
+func (f *Fleet) startOver(ctx context.Context) bool {
+	if err := f.store.Leave(ctx, group, f.self); err != nil {
+		f.Logger.V(1).Info("leave-failed", "error", err)
+
+		return false
+	}
+	f.rejoin.Store(false)
+
+	return true
+}
+
 // hold takes the slots that a membership names and gives up all others; it reports whether any was given up.
 func (f *Fleet) hold(ctx context.Context, m platform.Membership) bool {
 	held := make(map[int]struct{}, len(m.Held))
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -110,6 +110,7 @@
 		s.fleet.Logger.Error(err, "slot-load-failed", "slot", s.index, "epoch", epoch)
 		if errorx.IsOfType(err, platform.ErrFenced) {
 			s.release("fenced")
+			s.fleet.rejoin.Store(true)
 
 			return
 		}
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -164,6 +164,7 @@
 		w.slot.fleet.Logger.Error(err, "write-failed", "slot", w.slot.index, "epoch", call.Epoch, "records", len(batch))
 		if errorx.IsOfType(err, platform.ErrFenced) || errorx.IsOfType(err, platform.ErrSequence) {
 			w.slot.release("fenced")
+			w.slot.fleet.rejoin.Store(true)
 
 			return false
 		}
