Keep what is not durable at two hosts, and recall it when a slot changes its owner

Ruled out: lost writes after the outage; all durable turns were found. Change: hosts hold turns whose write is owed and tally what they hand out; a new owner recalls both; a host that owns the slot itself copies the turn to a peer; an owner is sure that a turn does not exist only 3 s after it began.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -120,6 +120,17 @@
 	a.settled, a.durable, a.recorded, a.expires = mark.Tokens, mark.Tokens, true, mark.Expires
 }
 
+// Raise counts a program's tokens as at least so many, by what the hosts say that they have handed out.
+func (l *Ledger) Raise(program id.Program, tokens id.Tokens, expires time.Time) {
+	a := l.account(program)
+	if before := a.settled + a.reserved(); tokens > before {
+		a.settled += tokens - before
+	}
+	if expires.After(a.expires) {
+		a.expires = expires
+	}
+}
+
 // Expire drops accounts whose time is over and returns those with a durable mark, which is to be deleted.
 func (l *Ledger) Expire(now time.Time) []id.Program {
 	var recorded []id.Program
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"cardamomward/core/allowance"
 	"cardamomward/core/culprit"
 	"cardamomward/core/id"
+	"cardamomward/core/ledger"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/httpx"
 	"cardamomward/platform"
@@ -83,6 +84,11 @@
 	ratesMu sync.Mutex
 	rates   map[id.Workspace]*rate
 
+	heldMu sync.Mutex
+	// held are kept turns that are not known to be durable.
+	held  map[string]*fleetpb.KeptTurn
+	tally ledger.Tally
+
 	docketMu sync.Mutex
 	docket   culprit.Docket
 	crashes  []toldCrash
@@ -103,6 +109,7 @@
 		refreshed: make(chan struct{}, 1),
 		clients:   make(map[string]fleetpb.Slots),
 		rates:     make(map[id.Workspace]*rate),
+		held:      make(map[string]*fleetpb.KeptTurn),
 	}
 	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: peerKeepAlive}
 	f.http = &http.Client{Transport: &http.Transport{
@@ -197,6 +204,9 @@
 			f.docketMu.Lock()
 			f.docket.Expire(now)
 			f.docketMu.Unlock()
+			f.heldMu.Lock()
+			f.tally.Expire(now, budgetRetention)
+			f.heldMu.Unlock()
 		}
 	}
 }
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -336,6 +336,21 @@
 	return float64(heard) / float64(known)
 }
 
+// live returns the addresses of the peers that are heard.
+func (p *peers) live(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []string
+	limit := p.silenceLimit()
+	for _, other := range p.peers {
+		if now.Sub(other.heard) <= limit {
+			members = append(members, other.Peer)
+		}
+	}
+
+	return members
+}
+
 // known returns how many hosts there are, this one included.
 func (p *peers) known() int {
 	p.mu.Lock()
--- /dev/null
+++ b/io/fleet/recall.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cardamomward/core/id"
+	"cardamomward/io/fleet/fleetpb"
+)
+
+const (
+	// recallTimeout bounds how long a new owner waits for what the other hosts hold.
+	recallTimeout = 350 * time.Millisecond
+	// recallWindow is how far back hosts tell what they have handed out: longer than outages of the store last.
+	recallWindow = 20 * time.Second
+	// certainAfter is how long after its start an owner says that it does not know a turn for sure: hosts may still
+	// hold turns that they could not hand over to its predecessor.
+	certainAfter = 3 * time.Second
+)
+
+// Recall tells what this host holds of a slot.
+func (v *service) Recall(_ context.Context, req *fleetpb.RecallRequest) (*fleetpb.RecallReply, error) {
+	f := v.fleet
+	f.heldMu.Lock()
+	defer f.heldMu.Unlock()
+	reply := &fleetpb.RecallReply{}
+	for program, tokens := range f.tally.Recent(f.Now(), recallWindow) {
+		if f.slotOf(string(program)) == int(req.Slot) {
+			reply.Tallies = append(reply.Tallies, &fleetpb.Tally{Program: string(program), Tokens: int64(tokens)})
+		}
+	}
+	for _, turn := range f.held {
+		if f.slotOf(turn.Program) == int(req.Slot) {
+			reply.Turns = append(reply.Turns, turn)
+		}
+	}
+
+	return reply, nil
+}
+
+// recall asks all hosts for what they hold of a slot; those that do not answer in time are left out.
+func (f *Fleet) recall(ctx context.Context, slot int) []*fleetpb.RecallReply {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	members := append(f.peers.live(f.Now()), f.self)
+	replies := make([]*fleetpb.RecallReply, len(members))
+	var asked sync.WaitGroup
+	for i, member := range members {
+		asked.Go(func() {
+			reply, err := f.client(member).Recall(ctx, &fleetpb.RecallRequest{Slot: int32(slot)})
+			if err != nil {
+				f.Logger.Info("recall-failed", "slot", slot, "peer", member, "error", err)
+
+				return
+			}
+			replies[i] = reply
+		})
+	}
+	asked.Wait()
+
+	return replies
+}
+
+// merge adds what the hosts hold to what was read from the store; the caller holds the lock.
+func (s *slot) merge(now time.Time, replies []*fleetpb.RecallReply) {
+	sums := make(map[id.Program]id.Tokens)
+	for _, reply := range replies {
+		for _, tally := range reply.GetTallies() {
+			sums[id.Program(tally.Program)] += id.Tokens(tally.Tokens)
+		}
+		for _, turn := range reply.GetTurns() {
+			if !s.book.Has(id.Workspace(turn.Workspace), turn.Id) {
+				s.add(now, turn)
+			}
+		}
+	}
+	for program, tokens := range sums {
+		s.ledger.Raise(program, tokens, now.Add(budgetRetention))
+	}
+}
+
+// Hold takes a second copy of a turn and hands it to the owner until it is durable.
+func (v *service) Hold(ctx context.Context, req *fleetpb.HoldRequest) (*fleetpb.HoldReply, error) {
+	v.fleet.holdTurn(context.WithoutCancel(ctx), &fleetpb.EndTurnRequest{
+		Workspace: req.Turn.Workspace, Program: req.Turn.Program, Kept: req.Turn,
+	})
+
+	return &fleetpb.HoldReply{}, nil
+}
+
+// copyTurn gives a peer a copy of a turn that only this host holds, and reports whether one took it.
+func (f *Fleet) copyTurn(ctx context.Context, turn *fleetpb.KeptTurn) bool {
+	for _, member := range f.peers.live(f.Now()) {
+		if ctx.Err() != nil {
+			return false
+		}
+		callCtx, cancel := context.WithTimeout(ctx, recallTimeout)
+		_, err := f.client(member).Hold(callCtx, &fleetpb.HoldRequest{Turn: turn})
+		cancel()
+		if err == nil {
+			return true
+		}
+		f.Logger.Info("copy-failed", "turn", turn.Id, "peer", member, "error", err)
+	}
+
+	return false
+}
+
+// holdTurn remembers a turn that is not durable and hands it to the owner until it is.
+func (f *Fleet) holdTurn(ctx context.Context, req *fleetpb.EndTurnRequest) {
+	f.heldMu.Lock()
+	_, known := f.held[req.Kept.Id]
+	f.held[req.Kept.Id] = req.Kept
+	f.heldMu.Unlock()
+	if known {
+		return
+	}
+	go func() {
+		f.settle(ctx, req)
+		f.heldMu.Lock()
+		delete(f.held, req.Kept.Id)
+		f.heldMu.Unlock()
+	}()
+}
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -115,7 +115,8 @@
 
 		return
 	}
-	s.writer.add(platform.Record{Key: budgetKey + string(mark.Program), Value: value}, urgent, func() { s.ledger.Durable(mark) })
+	record := platform.Record{Key: budgetKey + string(mark.Program), Value: value}
+	s.writer.add(entry{record: record, done: func() { s.ledger.Durable(mark) }}, urgent)
 }
 
 // EndTurn settles a turn and keeps it where it is to be kept.
@@ -136,11 +137,9 @@
 	return s.keep(ctx, req.Kept), nil
 }
 
-// keep keeps a turn and waits until it is durable, or until the store is away for all; the caller holds the lock.
-func (s *slot) keep(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
-	now := s.fleet.Now()
-	retention := time.Duration(kept.RetentionMillis)*time.Millisecond + retentionMargin
-	durable := false
+// add keeps a turn in memory and writes it; done is closed when it is durable. The caller holds the lock.
+func (s *slot) add(now time.Time, kept *fleetpb.KeptTurn) (done <-chan struct{}) {
+	durable := make(chan struct{})
 	if s.book.Has(id.Workspace(kept.Workspace), kept.Previous) {
 		kept.Base = nil
 	}
@@ -148,11 +147,25 @@
 	if err != nil {
 		s.fleet.Logger.Error(err, "turn-lost", "turn", kept.Id)
 
-		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+		return durable
 	}
-	s.book.Keep(turnOf(kept, now.Add(retention)))
-	s.writer.add(platform.Record{Key: turnKey + kept.Id, Value: value}, true, func() { durable = true })
-	for limit := now.Add(keepWait); !durable; {
+	s.book.Keep(turnOf(kept, now.Add(time.Duration(kept.RetentionMillis)*time.Millisecond+retentionMargin)))
+	record := platform.Record{Key: turnKey + kept.Id, Value: value}
+	s.writer.add(entry{record: record, done: func() { close(durable) }, turn: kept}, true)
+
+	return durable
+}
+
+// keep keeps a turn and waits until it is durable, or until the store is away for all; the caller holds the lock.
+func (s *slot) keep(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
+	now := s.fleet.Now()
+	durable := s.add(now, kept)
+	for limit := now.Add(keepWait); ; s.wait(ctx, awayCheck) {
+		select {
+		case <-durable:
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Durable: true}
+		default:
+		}
 		switch now = s.fleet.Now(); {
 		case s.state != serving:
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
@@ -161,10 +174,12 @@
 		case !now.Before(limit) || ctx.Err() != nil:
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
 		}
-		s.wait(ctx, awayCheck)
 	}
+}
 
-	return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Durable: true}
+// certain reports whether a turn that is not here does not exist in the slot; the caller holds the lock.
+func (s *slot) certain(now time.Time) bool {
+	return s.state == serving && (s.first || now.Sub(s.since) >= certainAfter)
 }
 
 // FindTurn looks for a turn in all slots of this host.
@@ -175,11 +190,11 @@
 	}
 	for _, s := range v.fleet.slots {
 		s.mu.Lock()
-		if s.state == serving {
+		if s.certain(v.fleet.Now()) {
 			reply.Slots = append(reply.Slots, int32(s.index))
-			if chain, ok := s.book.Chain(id.Workspace(req.Workspace), req.Turn); ok {
-				reply.Outcome, reply.Chain = fleetpb.Outcome_OUTCOME_OK, chain
-			}
+		}
+		if chain, ok := s.book.Chain(id.Workspace(req.Workspace), req.Turn); ok && s.state == serving {
+			reply.Outcome, reply.Chain = fleetpb.Outcome_OUTCOME_OK, chain
 		}
 		s.mu.Unlock()
 	}
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -44,6 +44,8 @@
 	mu    sync.Mutex
 	state slotState
 	epoch int64
+	// since is when the slot began to serve.
+	since time.Time
 	// first is set for slots taken when the whole system starts for the first time.
 	first  bool
 	ledger ledger.Ledger
@@ -91,19 +93,30 @@
 	s.fleet.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
 	s.state = idle
 	s.ledger, s.book, s.pools = ledger.Ledger{}, lineage.Book{}, nil
-	s.writer.reset()
+	s.rescue(s.writer.reset())
 	s.notify()
 
 	return true
 }
 
+// rescue hands turns that did not become durable to the next owner.
+func (s *slot) rescue(dropped []entry) {
+	for _, e := range dropped {
+		if e.turn != nil {
+			s.fleet.holdTurn(context.Background(), &fleetpb.EndTurnRequest{
+				Workspace: e.turn.Workspace, Program: e.turn.Program, Kept: e.turn,
+			})
+		}
+	}
+}
+
 // load fences the predecessor, reads what it kept and begins to serve.
 func (s *slot) load(ctx context.Context, epoch int64) {
 	began := s.fleet.Now()
 	for ctx.Err() == nil && s.owns(epoch) {
 		records, err := s.read(ctx, epoch)
 		if err == nil {
-			s.begin(epoch, records, began)
+			s.begin(epoch, records, s.fleet.recall(ctx, s.index), began)
 
 			return
 		}
@@ -143,7 +156,7 @@
 }
 
 // begin restores the records and serves.
-func (s *slot) begin(epoch int64, records []platform.Record, began time.Time) {
+func (s *slot) begin(epoch int64, records []platform.Record, replies []*fleetpb.RecallReply, began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != loading || s.epoch != epoch {
@@ -155,7 +168,8 @@
 	}
 	s.book.Restored()
 	s.writer.start(epoch)
-	s.state = serving
+	s.merge(now, replies)
+	s.state, s.since = serving, now
 	s.notify()
 	s.fleet.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(records),
 		"programs", s.ledger.Len(), "turns", s.book.Len(), "took", now.Sub(began))
@@ -210,10 +224,10 @@
 		return
 	}
 	for _, program := range s.ledger.Expire(now) {
-		s.writer.add(platform.Record{Key: budgetKey + string(program)}, false, nil)
+		s.writer.add(entry{record: platform.Record{Key: budgetKey + string(program)}}, false)
 	}
 	for _, turn := range s.book.Expire(now) {
-		s.writer.add(platform.Record{Key: turnKey + turn}, false, nil)
+		s.writer.add(entry{record: platform.Record{Key: turnKey + turn}}, false)
 	}
 }
 
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -19,7 +19,7 @@
 	// settlePatience bounds how long a settlement that no caller waits for is repeated.
 	settlePatience = 20 * time.Second
 	// settleRetry paces such repeats.
-	settleRetry = 500 * time.Millisecond
+	settleRetry = 200 * time.Millisecond
 	// keepReserve is left of a caller's time when a turn that is not durable is given up.
 	keepReserve = 50 * time.Millisecond
 )
@@ -45,6 +45,7 @@
 		case err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER:
 			f.wantOwners()
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
+			f.tallyBegin(req)
 			if req.HaveChain {
 				return found, gateway.Proceed
 			}
@@ -72,6 +73,16 @@
 	}
 }
 
+// tallyBegin notes a turn that was admitted.
+func (f *Fleet) tallyBegin(req *fleetpb.BeginTurnRequest) {
+	if req.Budget == 0 {
+		return
+	}
+	f.heldMu.Lock()
+	defer f.heldMu.Unlock()
+	f.tally.Begin(f.Now(), id.Program(req.Program), req.Attempt, id.Tokens(req.MaxTokens))
+}
+
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -135,6 +146,9 @@
 	}
 	if turn.Request.Budget > 0 {
 		req.Attempt = turn.Request.ID
+		f.heldMu.Lock()
+		f.tally.End(f.Now(), id.Program(req.Program), req.Attempt, tokens)
+		f.heldMu.Unlock()
 	}
 	if !turn.Retains || !whole {
 		go f.settle(context.WithoutCancel(ctx), req)
@@ -142,7 +156,7 @@
 		return true
 	}
 	req.Kept = &fleetpb.KeptTurn{
-		Id: turn.Request.ID, Workspace: string(turn.Workspace), Previous: turn.Request.Previous,
+		Id: turn.Request.ID, Program: turn.ProgramName(), Workspace: string(turn.Workspace), Previous: turn.Request.Previous,
 		Base: chain, Input: turn.Request.Body, Output: output,
 		RetentionMillis: turn.Retention.Milliseconds(), EndedUnixMillis: f.Now().UnixMilli(),
 	}
@@ -151,11 +165,7 @@
 	for ctx.Err() == nil {
 		reply, err := f.endOnce(ctx, req)
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
-			if !reply.Durable {
-				go f.settle(context.WithoutCancel(ctx), req)
-			}
-
-			return true
+			return reply.Durable || f.keepWithout(ctx, req)
 		}
 		f.wantOwners()
 		follow.Sleep(ctx, ownerRetry)
@@ -167,6 +177,17 @@
 	return false
 }
 
+// keepWithout keeps a turn at two hosts while the store is away for all: at its owner and here, or at a peer where this
+// host is the owner.
+func (f *Fleet) keepWithout(ctx context.Context, req *fleetpb.EndTurnRequest) bool {
+	f.holdTurn(context.WithoutCancel(ctx), req)
+	if f.owner(f.slotOf(req.Program)) != f.self {
+		return true
+	}
+
+	return f.copyTurn(ctx, req.Kept)
+}
+
 func (f *Fleet) endOnce(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
 	member := f.owner(f.slotOf(req.Program))
 	if member == "" {
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/follow"
 	"cardamomward/platform"
 )
@@ -31,6 +32,8 @@
 	record platform.Record
 	// done is told when the record is durable, with the slot's lock held; it may be nil.
 	done func()
+	// turn is the turn that the record keeps, if any.
+	turn *fleetpb.KeptTurn
 }
 
 // writer makes the records of a slot durable, in order, several in a call.
@@ -41,9 +44,10 @@
 	epoch    int64
 	sequence int64
 	queue    []entry
-	flying   bool
-	urgent   bool
-	wake     chan struct{}
+	// batched are the records of the call that is under way.
+	batched []entry
+	urgent  bool
+	wake    chan struct{}
 }
 
 func newWriter(s *slot) *writer { return &writer{slot: s, wake: make(chan struct{}, 1)} }
@@ -55,17 +59,20 @@
 	w.epoch, w.sequence = epoch, 0
 }
 
-// reset drops what was not written, because the slot is no longer owned.
-func (w *writer) reset() {
+// reset drops what was not written, because the slot is no longer owned, and returns it.
+func (w *writer) reset() []entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.epoch, w.queue, w.urgent = 0, nil, false
+	dropped := append(w.batched, w.queue...)
+	w.epoch, w.queue, w.batched, w.urgent = 0, nil, nil, false
+
+	return dropped
 }
 
 // add queues a record; urgent ones are written at once.
-func (w *writer) add(record platform.Record, urgent bool, done func()) {
+func (w *writer) add(e entry, urgent bool) {
 	w.mu.Lock()
-	w.queue = append(w.queue, entry{record: record, done: done})
+	w.queue = append(w.queue, e)
 	w.urgent = w.urgent || urgent
 	w.mu.Unlock()
 	if urgent {
@@ -84,7 +91,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return len(w.queue) > 0 || w.flying
+	return len(w.queue)+len(w.batched) > 0
 }
 
 // run writes until ctx ends.
@@ -121,7 +128,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.epoch == 0 || len(w.queue) == 0 {
-		w.flying = false
+		w.batched = nil
 
 		return nil, platform.Append{}
 	}
@@ -135,7 +142,7 @@
 	}
 	batch := w.queue[:n:n]
 	w.queue = w.queue[n:]
-	w.flying, w.urgent = true, false
+	w.batched, w.urgent = batch, false
 	w.sequence++
 	call := platform.Append{
 		Partition: w.slot.partition(), Producer: producer, Epoch: w.epoch, Sequence: w.sequence,
