--- a/core/culprit/docket.go
+++ b/core/culprit/docket.go
@@ -21,7 +21,9 @@
 }
 
 // Docket counts crashes against requests, here and at other hosts; its zero value is empty.
-type Docket struct{ crashes map[id.Fingerprint]map[string]time.Time }
+type Docket struct {
+	crashes map[id.Fingerprint]map[string]time.Time
+}
 
 // Add counts a crash and reports whether it is new.
 func (d *Docket) Add(now time.Time, crash Crash) bool {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -70,6 +70,7 @@
 	ownership  atomic.Pointer[ownership]
 	generation atomic.Int64
 	lease      time.Duration
+	timer      timer
 	// leaseUntil is when the membership ends unless it is renewed, in nanoseconds since the Unix epoch.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -13,8 +13,8 @@
 	minLease = time.Second
 	// renewInterval is how often the membership is renewed.
 	renewInterval = 300 * time.Millisecond
-	// callTimeout bounds a short call to the store.
-	callTimeout = 800 * time.Millisecond
+	// renewRetry paces renewals that failed.
+	renewRetry = 50 * time.Millisecond
 	// refreshPause is the least time between two reads of the owners.
 	refreshPause = 80 * time.Millisecond
 )
@@ -22,46 +22,48 @@
 // renewLoop keeps this host a member of the group and takes and gives up slots as the store says.
 func (f *Fleet) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil && !f.leaving.Load() {
-		again := f.renew(ctx)
-		if !again {
-			follow.Sleep(ctx, renewInterval)
-		}
+		follow.Sleep(ctx, f.renew(ctx))
 	}
 }
 
-// renew reports whether the next renewal should follow at once, to hand over slots that were given up.
-func (f *Fleet) renew(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if f.rejoin.Load() && !f.startOver(callCtx) {
-		return false
+// renew returns when to renew next: at once to hand over slots that were given up.
+func (f *Fleet) renew(ctx context.Context) time.Duration {
+	if f.rejoin.Load() && !f.startOver(ctx) {
+		return renewRetry
 	}
 	asked := f.Now()
-	m, err := f.store.Join(callCtx, group, f.self, []string{f.topic}, f.lease, f.generation.Load())
+	var m platform.Membership
+	err := f.call(ctx, func(ctx context.Context) (err error) {
+		m, err = f.store.Join(ctx, group, f.self, []string{f.topic}, f.lease, f.generation.Load())
+
+		return err
+	})
 	if err != nil {
 		f.Logger.V(1).Info("renewal-failed", "error", err)
 
-		return false
+		return renewRetry
 	}
-	f.NoteAnswer()
 	f.leaseUntil.Store(asked.Add(f.lease).UnixNano())
 	changed := m.Generation != f.generation.Load()
 	f.generation.Store(m.Generation)
 	if f.leaving.Load() {
-		return false
+		return renewInterval
 	}
 	released := f.hold(ctx, m)
 	if changed {
 		f.wantOwners()
 	}
+	if released {
+		return 0
+	}
 
-	return released
+	return renewInterval
 }
 
 // startOver leaves the group, so that the next membership has a generation, and thus epochs, that no earlier process
 // of this host has used.
 func (f *Fleet) startOver(ctx context.Context) bool {
-	if err := f.store.Leave(ctx, group, f.self); err != nil {
+	if err := f.leave(ctx); err != nil {
 		f.Logger.V(1).Info("leave-failed", "error", err)
 
 		return false
@@ -100,9 +102,7 @@
 		s.release("leaving")
 	}
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := f.store.Leave(callCtx, group, f.self)
-		cancel()
+		err := f.leave(ctx)
 		if err == nil {
 			break
 		}
@@ -113,6 +113,10 @@
 	f.peers.withdraw(ctx)
 }
 
+func (f *Fleet) leave(ctx context.Context) error {
+	return f.call(ctx, func(ctx context.Context) error { return f.store.Leave(ctx, group, f.self) })
+}
+
 // flushLimit bounds how long a slot that is handed over waits for its records to become durable.
 const flushLimit = 500 * time.Millisecond
 
@@ -138,16 +142,19 @@
 }
 
 func (f *Fleet) refreshOwners(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	generation := f.generation.Load()
-	rows, err := f.store.Owners(callCtx, group)
+	var rows map[platform.Partition]string
+	err := f.call(ctx, func(ctx context.Context) (err error) {
+		rows, err = f.store.Owners(ctx, group)
+
+		return err
+	})
 	if err != nil {
 		f.Logger.V(1).Info("owners-failed", "error", err)
+		f.wantOwners()
 
 		return
 	}
-	f.NoteAnswer()
 	owners := make([]string, len(f.slots))
 	for partition, member := range rows {
 		if partition.Topic == f.topic && partition.Part < len(owners) {
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -156,20 +156,19 @@
 }
 
 func (p *peers) write(ctx context.Context, value []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	_, err := p.fleet.store.Append(ctx, platform.Append{
-		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
-		Records:   []platform.Record{{Key: string(p.fleet.Settings.Name), Value: value}},
+	err := p.fleet.call(ctx, func(ctx context.Context) error {
+		_, err := p.fleet.store.Append(ctx, platform.Append{
+			Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
+			Records:   []platform.Record{{Key: string(p.fleet.Settings.Name), Value: value}},
+		})
+
+		return err
 	})
 	if err != nil {
 		p.fleet.Logger.V(1).Info("announcement-failed", "error", err)
-
-		return false
 	}
-	p.fleet.NoteAnswer()
 
-	return true
+	return err == nil
 }
 
 func (p *peers) setDraining() {
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// loadTimeout bounds one reading of a slot.
-	loadTimeout = 5 * time.Second
+	// loadPages multiplies the bound of one call for the reading of a slot, which takes several.
+	loadPages = 6
 	// retentionMargin is how much longer than promised records are kept.
 	retentionMargin = 10 * time.Second
 )
@@ -143,13 +143,17 @@
 }
 
 func (s *slot) read(ctx context.Context, epoch int64) ([]platform.Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	claim := platform.Append{Partition: s.partition(), Producer: producer, Epoch: epoch}
-	if _, err := s.fleet.store.Append(ctx, claim); err != nil {
+	err := s.fleet.call(ctx, func(ctx context.Context) error {
+		_, err := s.fleet.store.Append(ctx, claim)
+
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
-	s.fleet.NoteAnswer()
+	ctx, cancel := context.WithTimeout(ctx, loadPages*s.fleet.timer.wait())
+	defer cancel()
 	records, _, err := s.fleet.store.Newest(ctx, s.partition())
 
 	return records, err
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -21,8 +21,6 @@
 	urgentLinger = 3 * time.Millisecond
 	// writeRetry paces writes while the store refuses them.
 	writeRetry = 40 * time.Millisecond
-	// writeTimeout bounds one write.
-	writeTimeout = 1500 * time.Millisecond
 	// recordOverhead is room for the length of a record, in bytes.
 	recordOverhead = 8
 )
@@ -159,11 +157,12 @@
 // where the slot is lost.
 func (w *writer) write(ctx context.Context, batch []entry, call platform.Append) bool {
 	for ctx.Err() == nil && w.current(call.Epoch) {
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := w.slot.fleet.store.Append(callCtx, call)
-		cancel()
+		err := w.slot.fleet.call(ctx, func(ctx context.Context) error {
+			_, err := w.slot.fleet.store.Append(ctx, call)
+
+			return err
+		})
 		if err == nil {
-			w.slot.fleet.NoteAnswer()
 			w.slot.written(call.Epoch, batch)
 
 			return true
