Place turns by what reading, generating and waiting cost at each upstream

Change: core/assign costs reading, crowding and waiting in milliseconds; core/locality remembers where lines ran (at the program's owner) and which upstreams read which parts (told in beats); core/pace follows speed and failures.

--- a/io/fleet/loads.go
+++ b/io/fleet/loads.go
@@ -1,13 +1,16 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"cardamomward/core/culprit"
 	"cardamomward/core/id"
+	"cardamomward/core/locality"
 	"cardamomward/core/registry"
+	"cardamomward/io/fleet/fleetpb"
 )
 
 // Running returns how many requests run or wait at an upstream, here and at the hosts that are heard.
@@ -27,6 +30,58 @@
 	}
 }
 
+// partTold is how long it is told that an upstream reads a part, in beat after beat, since beats get lost.
+const partTold = 350 * time.Millisecond
+
+// toldPart is a part that an upstream reads, of which peers are told until a time.
+type toldPart struct {
+	upstream id.Upstream
+	part     locality.Part
+	until    time.Time
+}
+
+// NoteRead notes that an upstream reads a part of a prompt for this host.
+func (f *Fleet) NoteRead(upstream id.Upstream, part locality.Part) {
+	now := f.Now()
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+	if f.peers.parts.Note(now, upstream, part) {
+		f.peers.told = append(f.peers.told, toldPart{upstream, part, now.Add(partTold)})
+	}
+}
+
+// Keeps reports whether an upstream is taken to keep a part of a prompt.
+func (f *Fleet) Keeps(upstream id.Upstream, part locality.Part) bool {
+	f.peers.mu.Lock()
+	defer f.peers.mu.Unlock()
+
+	return f.peers.parts.Has(f.Now(), upstream, part)
+}
+
+// loads returns what this host runs and reads at upstreams, for a beat; the caller holds the lock.
+func (p *peers) loads(now time.Time) []*fleetpb.UpstreamLoad {
+	loads := make(map[id.Upstream]*fleetpb.UpstreamLoad, len(p.running))
+	load := func(upstream id.Upstream) *fleetpb.UpstreamLoad {
+		l, ok := loads[upstream]
+		if !ok {
+			l = &fleetpb.UpstreamLoad{Upstream: string(upstream), Running: int32(p.running[upstream])}
+			loads[upstream] = l
+		}
+
+		return l
+	}
+	for upstream := range p.running {
+		load(upstream)
+	}
+	p.told = slices.DeleteFunc(p.told, func(t toldPart) bool { return now.After(t.until) })
+	for _, t := range p.told {
+		l := load(t.upstream)
+		l.Parts = append(l.Parts, uint64(t.part))
+	}
+
+	return slices.Collect(maps.Values(loads))
+}
+
 // Convicted reports whether a request has crashed too many upstreams.
 func (f *Fleet) Convicted(request id.Fingerprint) bool {
 	f.docketMu.Lock()
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -13,6 +13,7 @@
 
 	"cardamomward/core/culprit"
 	"cardamomward/core/id"
+	"cardamomward/core/locality"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/follow"
 	"cardamomward/platform"
@@ -72,6 +73,8 @@
 	peers    map[id.Host]*peer
 	running  map[id.Upstream]int
 	remote   map[id.Upstream]int
+	parts    locality.Parts
+	told     []toldPart
 }
 
 func newPeers(f *Fleet) *peers {
@@ -205,11 +208,7 @@
 		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining,
 		StoreAgeMillis: now.Sub(p.fleet.StoreAnswered()).Milliseconds(), Generation: own.generation,
 	}
-	for upstream, running := range p.running {
-		if running > 0 {
-			beat.Loads = append(beat.Loads, &fleetpb.UpstreamLoad{Upstream: string(upstream), Running: int32(running)})
-		}
-	}
+	beat.Loads = p.loads(now)
 	for _, crash := range crashes {
 		beat.Crashes = append(beat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Request), Process: crash.Process})
 	}
@@ -277,6 +276,9 @@
 	from.loads = make(map[id.Upstream]int, len(beat.Loads))
 	for _, load := range beat.Loads {
 		from.loads[id.Upstream(load.Upstream)] = int(load.Running)
+		for _, part := range load.Parts {
+			p.parts.Note(now, id.Upstream(load.Upstream), locality.Part(part))
+		}
 	}
 }
 
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -9,6 +9,7 @@
 	"cardamomward/core/allowance"
 	"cardamomward/core/id"
 	"cardamomward/core/ledger"
+	"cardamomward/core/locality"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/platform"
 )
@@ -50,6 +51,9 @@
 	if req.Budget > 0 {
 		reply.Outcome = s.reserve(ctx, req)
 	}
+	place := s.lines.Last(id.Program(req.Program), req.Line)
+	reply.Last, reply.Kept = string(place.Upstream), int64(place.Tokens)
+	reply.Begun = s.lines.Known(id.Program(req.Program))
 
 	return reply, nil
 }
@@ -130,6 +134,10 @@
 	if req.Attempt != "" {
 		s.ledger.End(id.Program(req.Program), req.Attempt, id.Tokens(req.Tokens))
 	}
+	if req.Upstream != "" {
+		place := locality.Place{Upstream: id.Upstream(req.Upstream), Tokens: id.Tokens(req.Cached)}
+		s.lines.Note(v.fleet.Now(), id.Program(req.Program), req.Line, place)
+	}
 	if req.Kept == nil {
 		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Durable: true}, nil
 	}
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -12,6 +12,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/ledger"
 	"cardamomward/core/lineage"
+	"cardamomward/core/locality"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/follow"
 	"cardamomward/platform"
@@ -31,6 +32,8 @@
 const (
 	// loadPages multiplies the bound of one call for the reading of a slot, which takes several.
 	loadPages = 6
+	// linesKept is how long after its last turn it is remembered where a program ran.
+	linesKept = 15 * time.Second
 	// retentionMargin is how much longer than promised records are kept.
 	retentionMargin = 10 * time.Second
 )
@@ -50,6 +53,7 @@
 	first  bool
 	ledger ledger.Ledger
 	book   lineage.Book
+	lines  locality.Lines
 	pools  map[id.Workspace]*allowance.Pool
 	// changed is closed and replaced when something became durable or the state changed.
 	changed chan struct{}
@@ -92,7 +96,7 @@
 	}
 	s.fleet.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
 	s.state = idle
-	s.ledger, s.book, s.pools = ledger.Ledger{}, lineage.Book{}, nil
+	s.ledger, s.book, s.lines, s.pools = ledger.Ledger{}, lineage.Book{}, locality.Lines{}, nil
 	s.rescue(s.writer.reset())
 	s.notify()
 
@@ -227,6 +231,7 @@
 	if s.state != serving {
 		return
 	}
+	s.lines.Expire(now, linesKept)
 	for _, program := range s.ledger.Expire(now) {
 		s.writer.add(entry{record: platform.Record{Key: budgetKey + string(program)}}, false)
 	}
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cardamomward/core/id"
+	"cardamomward/core/locality"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/follow"
 	"cardamomward/io/gateway"
@@ -27,13 +28,13 @@
 var _ gateway.Turns = (*Fleet)(nil)
 
 // Begin reserves a turn's tokens at the owner of its program and returns the chain before the turn.
-func (f *Fleet) Begin(ctx context.Context, turn gateway.Turn) ([]byte, gateway.Verdict) {
+func (f *Fleet) Begin(ctx context.Context, turn gateway.Turn) gateway.Beginning {
 	ctx, cancel := context.WithDeadline(ctx, earliest(turn.Deadline, f.Now().Add(ownerPatience)))
 	defer cancel()
 	req := &fleetpb.BeginTurnRequest{
 		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Attempt: turn.Request.ID,
 		Budget: int64(turn.Request.Budget), MaxTokens: int64(turn.Request.MaxTokens),
-		DeadlineMillis: turn.Deadline.Sub(f.Now()).Milliseconds(),
+		DeadlineMillis: turn.Deadline.Sub(f.Now()).Milliseconds(), Line: turn.Request.Line(),
 	}
 	if turn.Retains {
 		req.Previous = turn.Request.Previous
@@ -47,16 +48,19 @@
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
 			f.tallyBegin(req)
 			if req.HaveChain {
-				return found, gateway.Proceed
+				reply.Chain = found
 			}
 
-			return reply.Chain, gateway.Proceed
+			return gateway.Beginning{
+				Verdict: gateway.Proceed, Chain: reply.Chain, Begun: reply.Begun,
+				Last: locality.Place{Upstream: id.Upstream(reply.Last), Tokens: id.Tokens(reply.Kept)},
+			}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_SPENT:
-			return nil, gateway.Spent
+			return gateway.Beginning{Verdict: gateway.Spent}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN:
 			chain, outcome := f.find(ctx, req)
 			if outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
-				return nil, gateway.NoSuchTurn
+				return gateway.Beginning{Verdict: gateway.NoSuchTurn}
 			}
 			if outcome == fleetpb.Outcome_OUTCOME_OK {
 				found, req.HaveChain = chain, true
@@ -68,7 +72,7 @@
 			f.Logger.Info("owner-unsure", "request", turn.Request.ID, "program", turn.ProgramName(),
 				"owner", f.owner(f.slotOf(turn.ProgramName())), "outcome", reply.GetOutcome(), "error", err)
 
-			return nil, gateway.Unsure
+			return gateway.Beginning{Verdict: gateway.Unsure}
 		}
 	}
 }
@@ -140,24 +144,25 @@
 }
 
 // End settles a turn at the owner of its program; where the turn is to be kept it reports whether it is.
-func (f *Fleet) End(ctx context.Context, turn gateway.Turn, chain []byte, tokens id.Tokens, output []byte, whole bool) bool {
+func (f *Fleet) End(ctx context.Context, turn gateway.Turn, ending gateway.Ending) bool {
 	req := &fleetpb.EndTurnRequest{
-		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Tokens: int64(tokens),
+		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Tokens: int64(ending.Tokens),
+		Line: turn.Request.Line(), Upstream: string(ending.Place.Upstream), Cached: int64(ending.Place.Tokens),
 	}
 	if turn.Request.Budget > 0 {
 		req.Attempt = turn.Request.ID
 		f.heldMu.Lock()
-		f.tally.End(f.Now(), id.Program(req.Program), req.Attempt, tokens)
+		f.tally.End(f.Now(), id.Program(req.Program), req.Attempt, ending.Tokens)
 		f.heldMu.Unlock()
 	}
-	if !turn.Retains || !whole {
+	if !turn.Retains || !ending.Whole {
 		go f.settle(context.WithoutCancel(ctx), req)
 
 		return true
 	}
 	req.Kept = &fleetpb.KeptTurn{
 		Id: turn.Request.ID, Program: turn.ProgramName(), Workspace: string(turn.Workspace), Previous: turn.Request.Previous,
-		Base: chain, Input: turn.Request.Body, Output: output,
+		Base: ending.Chain, Input: turn.Request.Body, Output: ending.Output,
 		RetentionMillis: turn.Retention.Milliseconds(), EndedUnixMillis: f.Now().UnixMilli(),
 	}
 	ctx, cancel := context.WithDeadline(ctx, turn.Deadline.Add(-keepReserve))
--- /dev/null
+++ b/io/gateway/choose.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"time"
+
+	"cardamomward/core/assign"
+	"cardamomward/core/id"
+	"cardamomward/core/locality"
+	"cardamomward/core/registry"
+)
+
+const (
+	// expectedOutput is the part of the most tokens that a turn generates on average.
+	expectedOutput = 0.45
+	// unknownPace is the time for a token, or for a plain request, in milliseconds, before any was seen.
+	unknownPace = 1.2
+	// minSample is the least number of tokens from which an engine's pace is read.
+	minSample = 60
+	// crowding is how much each request beside slows an engine, as a part of its pace.
+	crowding = 0.025
+)
+
+// sharedPart returns the part of the prompt that other lines have in common.
+func (j *job) sharedPart() (locality.Part, bool) {
+	if len(j.Parts) < 2 {
+		return 0, false
+	}
+
+	return locality.NewPart(j.Parts[0].ID), true
+}
+
+func (j *job) work() assign.Work {
+	work := assign.Work{Line: j.Line(), Generates: j.service.Engine != nil}
+	if !work.Generates {
+		return work
+	}
+	work.Own = j.ownTokens()
+	work.Shared = j.PromptTokens - work.Own
+	work.Last, work.Kept = j.begun.Last.Upstream, j.begun.Last.Tokens
+	work.Output = id.Tokens(expectedOutput * float64(j.MaxTokens))
+
+	return work
+}
+
+// ownTokens returns the tokens of the prompt after its shared part.
+func (j *job) ownTokens() id.Tokens {
+	if len(j.Parts) < 2 {
+		return j.PromptTokens
+	}
+
+	return max(0, j.PromptTokens-j.Parts[0].Tokens)
+}
+
+func (g *Gateway) choose(j *job) *registry.Instance {
+	work := j.work()
+	part, shared := j.sharedPart()
+	now := g.Now()
+	g.pacesMu.Lock()
+	defer g.pacesMu.Unlock()
+	condition := func(instance *registry.Instance) assign.Condition {
+		return assign.Condition{
+			Running:     g.Loads.Running(instance.ID),
+			Pace:        g.paces.Pace(now, instance.Service, instance.ID, unknownPace),
+			Failing:     g.paces.Failing(now, instance.ID),
+			KeepsShared: shared && g.Loads.Keeps(instance.ID, part),
+		}
+	}
+
+	return assign.Choose(g.Catalog.Serving(j.service.Name), work, condition, j.excluded)
+}
+
+// noteFailure counts a failure against an upstream.
+func (g *Gateway) noteFailure(instance *registry.Instance) {
+	g.pacesMu.Lock()
+	defer g.pacesMu.Unlock()
+	g.paces.Failed(g.Now(), instance.ID)
+}
+
+// notePace reads an upstream's pace from an answer: tokens over the time after the first event, or the whole request.
+func (g *Gateway) notePace(j *job, instance *registry.Instance, took time.Duration, tokens id.Tokens) {
+	running := float64(max(0, g.Loads.Running(instance.ID)-1))
+	places := float64(max(1, instance.Slots))
+	ms := took.Seconds() * 1000
+	switch {
+	case j.service.Engine == nil:
+		ms /= 1 + running/places
+	case tokens < minSample:
+		return
+	default:
+		ms /= float64(tokens) * (1 + crowding*min(running, places))
+	}
+	g.pacesMu.Lock()
+	defer g.pacesMu.Unlock()
+	g.paces.Sample(g.Now(), instance.Service, instance.ID, ms)
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/call"
 	"cardamomward/core/id"
+	"cardamomward/core/locality"
+	"cardamomward/core/pace"
 	"cardamomward/core/registry"
 	"cardamomward/core/route"
 	"cardamomward/io/upstream"
@@ -63,12 +66,34 @@
 	Unsure
 )
 
+// Beginning is what the owner of a program answers to a turn.
+type Beginning struct {
+	Verdict Verdict
+	// Chain is what was said before the turn.
+	Chain []byte
+	// Last is where the turn's line last ran.
+	Last locality.Place
+	// Begun is set where the program has had a turn before.
+	Begun bool
+}
+
+// Ending is what became of a turn.
+type Ending struct {
+	Chain  []byte
+	Output []byte
+	Tokens id.Tokens
+	// Whole is set where the caller got the whole answer.
+	Whole bool
+	// Place is where the turn ran; it is empty where it ran nowhere.
+	Place locality.Place
+}
+
 // Turns keeps the budgets and histories of programs.
 type Turns interface {
 	// Begin reserves a turn's tokens and returns the chain before it.
-	Begin(ctx context.Context, turn Turn) (chain []byte, verdict Verdict)
+	Begin(ctx context.Context, turn Turn) Beginning
 	// End settles a turn; it reports whether the turn is kept where it is to be kept.
-	End(ctx context.Context, turn Turn, chain []byte, tokens id.Tokens, output []byte, whole bool) bool
+	End(ctx context.Context, turn Turn, ending Ending) bool
 }
 
 // Crashes counts the crashes of upstreams against the requests that ran there.
@@ -83,6 +108,9 @@
 type Loads interface {
 	Running(upstream id.Upstream) int
 	Add(upstream id.Upstream, delta int)
+	// NoteRead notes that an upstream reads a part of a prompt, and Keeps reports whether one keeps it.
+	NoteRead(upstream id.Upstream, part locality.Part)
+	Keeps(upstream id.Upstream, part locality.Part) bool
 }
 
 // Gateway serves callers.
@@ -97,4 +125,7 @@
 	Now      func() time.Time
 	// Draining reports whether the host is about to stop.
 	Draining func() bool
+
+	pacesMu sync.Mutex
+	paces   pace.Paces
 }
--- a/io/gateway/once.go
+++ b/io/gateway/once.go
@@ -18,6 +18,7 @@
 func (g *Gateway) serveOnce(ctx context.Context, c *app.RequestContext, j *job) {
 	policy := attempt.Policy{Repeatable: j.route.Repeatable(), MaxAttempts: j.route.MaxAttempts}
 	for {
+		sentAt := g.Now()
 		s, refused := g.dispatch(ctx, j)
 		if refused != nil {
 			g.fail(ctx, c, j, refused)
@@ -26,6 +27,7 @@
 		}
 		body, err := readWhole(s)
 		if err == nil {
+			g.notePace(j, s.instance, g.Now().Sub(sentAt), 0)
 			g.finish(s)
 			g.answer(c, j, s, body)
 
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -6,7 +6,6 @@
 
 	"github.com/joomcode/errorx"
 
-	"cardamomward/core/assign"
 	"cardamomward/core/attempt"
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
@@ -90,10 +89,6 @@
 	return &refusal{status: http.StatusBadGateway, reason: reason}
 }
 
-func (g *Gateway) choose(j *job) *registry.Instance {
-	return assign.Choose(g.Catalog.Serving(j.service.Name), j.Line(), g.Loads.Running, j.excluded)
-}
-
 // send sends the request to one upstream.
 func (g *Gateway) send(ctx context.Context, j *job, instance *registry.Instance) (*sent, attempt.Outcome) {
 	now := g.Now()
@@ -106,10 +101,13 @@
 		Upstream: instance.ID, Workspace: j.workspaceName(), Remaining: j.deadline.Sub(now),
 		Priority: j.enginePriority(), LastEvent: j.resumeAfter(),
 	}
-	length := len(j.chain) + len(j.Body)
+	length := len(j.begun.Chain) + len(j.Body)
 	head := platform.AppendHead(make([]byte, 0, headSize+length), j.Request, send, length)
-	head = append(head, j.chain...)
+	head = append(head, j.begun.Chain...)
 	g.Loads.Add(instance.ID, 1)
+	if part, ok := j.sharedPart(); ok {
+		g.Loads.NoteRead(instance.ID, part)
+	}
 	exchange, err := g.Upstream.Send(ctx, now, upstream.Request{
 		Address: instance.Address, Method: j.Method, Head: head, Body: j.Body, Deadline: j.deadline,
 		Mine: func(status int, header http.Header) bool {
@@ -120,6 +118,9 @@
 	})
 	if err != nil {
 		g.Loads.Add(instance.ID, -1)
+		if ctx.Err() == nil {
+			g.noteFailure(instance)
+		}
 		g.Logger.Info("send-failed", "request", j.ID, "upstream", instance.ID, "error", err)
 		if errorx.IsOfType(err, upstream.ErrNotSent) {
 			return nil, attempt.NotSent
@@ -131,6 +132,7 @@
 	if outcome := s.outcome(); outcome != attempt.Answered {
 		g.Logger.Info("send-refused", "request", j.ID, "upstream", instance.ID, "status", exchange.Status)
 		g.drop(s)
+		g.noteFailure(instance)
 
 		return nil, outcome
 	}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -6,12 +6,14 @@
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"cardamomward/core/attempt"
+	"cardamomward/core/locality"
 	"cardamomward/io/upstream"
 	"cardamomward/platform"
 )
@@ -54,6 +56,7 @@
 		var err error
 		writer, err = g.passEvents(c, j, s, writer)
 		if err == nil {
+			g.noteRun(j, s)
 			g.finish(s)
 			g.endStream(ctx, c, j, writer)
 
@@ -77,6 +80,7 @@
 // passEvents passes whole events on until the stream ends; the head goes out with the first event.
 func (g *Gateway) passEvents(c *app.RequestContext, j *job, s *sent, writer *eventWriter) (*eventWriter, error) {
 	events := upstream.NewEventReader(s.Body)
+	j.runBegan, j.runTokens = time.Time{}, j.tokens
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
@@ -94,7 +98,6 @@
 		}
 		if writer == nil {
 			writer = g.openStream(c, s)
-			j.firstByte = g.Now()
 		}
 		if _, err := writer.Write(event.Raw); err != nil {
 			return writer, errAborted
@@ -103,6 +106,17 @@
 			return writer, errAborted
 		}
 		j.note(event)
+		if j.runBegan.IsZero() {
+			j.runBegan, j.runTokens = g.Now(), j.tokens
+		}
+	}
+}
+
+// noteRun learns from a run that has ended.
+func (g *Gateway) noteRun(j *job, s *sent) {
+	j.place = locality.Place{Upstream: s.instance.ID, Tokens: j.ownTokens() + j.tokens}
+	if !j.runBegan.IsZero() {
+		g.notePace(j, s.instance, g.Now().Sub(j.runBegan), j.tokens-j.runTokens)
 	}
 }
 
