Tell all hosts the counts of programs, and keep four copies of a turn while the store is away

Change: each answer of an owner carries the program's count, which every host remembers (in place of tallies); recall waits for the list of hosts; refused programs' counts are written; turns are kept at four hosts in an outage.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -63,7 +63,7 @@
 // Ledger keeps the accounts of a slot; its zero value is empty.
 type Ledger struct{ accounts map[id.Program]*account }
 
-// Begin decides on a turn and returns the mark to make durable if the turn is admitted. While the store is away for
+// Begin decides on a turn and returns the mark to make durable; its tokens are zero where that is done. While the store is away for
 // all hosts, turns are admitted on the count in memory alone.
 func (l *Ledger) Begin(now time.Time, turn Turn, storeAway bool) (Decision, Mark) {
 	a := l.account(turn.Program)
@@ -77,7 +77,11 @@
 	before := a.settled + a.reserved()
 	switch {
 	case before+turn.Max > turn.Budget:
-		return Spent, Mark{}
+		if before <= a.durable {
+			return Spent, Mark{}
+		}
+
+		return Spent, a.mark(turn.Program)
 	case before > a.durable && !storeAway:
 		return Wait, a.mark(turn.Program)
 	}
@@ -120,7 +124,7 @@
 	a.settled, a.durable, a.recorded, a.expires = mark.Tokens, mark.Tokens, true, mark.Expires
 }
 
-// Raise counts a program's tokens as at least so many, by what the hosts say that they have handed out.
+// Raise counts a program's tokens as at least so many, by what the hosts have heard of its count.
 func (l *Ledger) Raise(program id.Program, tokens id.Tokens, expires time.Time) {
 	a := l.account(program)
 	if before := a.settled + a.reserved(); tokens > before {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -88,7 +88,7 @@
 	heldMu sync.Mutex
 	// held are kept turns that are not known to be durable.
 	held  map[string]*fleetpb.KeptTurn
-	tally ledger.Tally
+	marks ledger.Marks
 
 	docketMu sync.Mutex
 	docket   culprit.Docket
@@ -206,7 +206,7 @@
 			f.docket.Expire(now)
 			f.docketMu.Unlock()
 			f.heldMu.Lock()
-			f.tally.Expire(now, budgetRetention)
+			f.marks.Expire(now, budgetRetention)
 			f.heldMu.Unlock()
 		}
 	}
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -66,6 +66,10 @@
 	fleet   *Fleet
 	started time.Time
 
+	// listed is closed when the list of hosts has been read once.
+	listed     chan struct{}
+	listedOnce sync.Once
+
 	mu       sync.Mutex
 	self     hostEntry
 	draining bool
@@ -83,7 +87,7 @@
 		self: hostEntry{
 			Callers: f.Settings.Callers, Peer: f.self, FailureDomain: f.Settings.FailureDomain, CPUShare: f.Settings.CPUShare,
 		},
-		running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
+		listed: make(chan struct{}), running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
 	}
 }
 
@@ -92,7 +96,8 @@
 	list := &follow.Follower{
 		Store: p.fleet.Options.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause,
 		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
-		Apply:     p.apply, Answered: func(time.Duration) { p.fleet.NoteAnswer() },
+		Apply:     p.apply, Retain: func(map[string]struct{}) { p.listedOnce.Do(func() { close(p.listed) }) },
+		Answered: func(time.Duration) { p.fleet.NoteAnswer() },
 	}
 	var running sync.WaitGroup
 	running.Go(func() { list.Run(ctx) })
@@ -337,14 +342,14 @@
 	return float64(heard) / float64(known)
 }
 
-// live returns the addresses of the peers that are heard.
+// live returns the addresses of the peers that are heard, or that may not have had the time to be.
 func (p *peers) live(now time.Time) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var members []string
 	limit := p.silenceLimit()
 	for _, other := range p.peers {
-		if now.Sub(other.heard) <= limit {
+		if now.Sub(latest(other.heard, other.listed)) <= limit {
 			members = append(members, other.Peer)
 		}
 	}
--- a/io/fleet/recall.go
+++ b/io/fleet/recall.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cardamomward/core/id"
@@ -12,7 +15,7 @@
 const (
 	// recallTimeout bounds how long a new owner waits for what the other hosts hold.
 	recallTimeout = 350 * time.Millisecond
-	// recallWindow is how far back hosts tell what they have handed out: longer than outages of the store last.
+	// recallWindow is how far back hosts tell what they have heard: longer than outages of the store last.
 	recallWindow = 20 * time.Second
 	// certainAfter is how long after its start an owner says that it does not know a turn for sure: hosts may still
 	// hold turns that they could not hand over to its predecessor.
@@ -25,9 +28,9 @@
 	f.heldMu.Lock()
 	defer f.heldMu.Unlock()
 	reply := &fleetpb.RecallReply{}
-	for program, tokens := range f.tally.Recent(f.Now(), recallWindow) {
+	for program, tokens := range f.marks.Recent(f.Now(), recallWindow) {
 		if f.slotOf(string(program)) == int(req.Slot) {
-			reply.Tallies = append(reply.Tallies, &fleetpb.Tally{Program: string(program), Tokens: int64(tokens)})
+			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(tokens)})
 		}
 	}
 	for _, turn := range f.held {
@@ -41,6 +44,10 @@
 
 // recall asks all hosts for what they hold of a slot; those that do not answer in time are left out.
 func (f *Fleet) recall(ctx context.Context, slot int) []*fleetpb.RecallReply {
+	select {
+	case <-ctx.Done():
+	case <-f.peers.listed:
+	}
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
 	members := append(f.peers.live(f.Now()), f.self)
@@ -64,10 +71,9 @@
 
 // merge adds what the hosts hold to what was read from the store; the caller holds the lock.
 func (s *slot) merge(now time.Time, replies []*fleetpb.RecallReply) {
-	sums := make(map[id.Program]id.Tokens)
 	for _, reply := range replies {
-		for _, tally := range reply.GetTallies() {
-			sums[id.Program(tally.Program)] += id.Tokens(tally.Tokens)
+		for _, mark := range reply.GetMarks() {
+			s.ledger.Raise(id.Program(mark.Program), id.Tokens(mark.Tokens), now.Add(budgetRetention))
 		}
 		for _, turn := range reply.GetTurns() {
 			if !s.book.Has(id.Workspace(turn.Workspace), turn.Id) {
@@ -75,9 +81,6 @@
 			}
 		}
 	}
-	for program, tokens := range sums {
-		s.ledger.Raise(program, tokens, now.Add(budgetRetention))
-	}
 }
 
 // Hold takes a second copy of a turn and hands it to the owner until it is durable.
@@ -89,22 +92,32 @@
 	return &fleetpb.HoldReply{}, nil
 }
 
-// copyTurn gives a peer a copy of a turn that only this host holds, and reports whether one took it.
-func (f *Fleet) copyTurn(ctx context.Context, turn *fleetpb.KeptTurn) bool {
-	for _, member := range f.peers.live(f.Now()) {
-		if ctx.Err() != nil {
-			return false
-		}
-		callCtx, cancel := context.WithTimeout(ctx, recallTimeout)
-		_, err := f.client(member).Hold(callCtx, &fleetpb.HoldRequest{Turn: turn})
-		cancel()
-		if err == nil {
-			return true
+// copyTurn gives peers other than the owner copies of a turn and returns how many took one.
+func (f *Fleet) copyTurn(ctx context.Context, turn *fleetpb.KeptTurn, owner string, copies int) int {
+	members := f.peers.live(f.Now())
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	members = slices.DeleteFunc(members, func(member string) bool { return member == owner })
+	var taken atomic.Int64
+	for len(members) > 0 && int(taken.Load()) < copies && ctx.Err() == nil {
+		batch := members[:min(len(members), copies-int(taken.Load()))]
+		members = members[len(batch):]
+		var asked sync.WaitGroup
+		for _, member := range batch {
+			asked.Go(func() {
+				callCtx, cancel := context.WithTimeout(ctx, recallTimeout)
+				defer cancel()
+				if _, err := f.client(member).Hold(callCtx, &fleetpb.HoldRequest{Turn: turn}); err != nil {
+					f.Logger.Info("copy-failed", "turn", turn.Id, "peer", member, "error", err)
+
+					return
+				}
+				taken.Add(1)
+			})
 		}
-		f.Logger.Info("copy-failed", "turn", turn.Id, "peer", member, "error", err)
+		asked.Wait()
 	}
 
-	return false
+	return int(taken.Load())
 }
 
 // holdTurn remembers a turn that is not durable and hands it to the owner until it is.
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -49,7 +49,7 @@
 		reply.Chain = chain
 	}
 	if req.Budget > 0 {
-		reply.Outcome = s.reserve(ctx, req)
+		reply.Outcome, reply.Mark = s.reserve(ctx, req)
 	}
 	place := s.lines.Last(id.Program(req.Program), req.Line)
 	reply.Last, reply.Kept = string(place.Upstream), int64(place.Tokens)
@@ -59,7 +59,7 @@
 }
 
 // reserve reserves a turn's tokens, waiting for the program's mark where it must; the caller holds the lock.
-func (s *slot) reserve(ctx context.Context, req *fleetpb.BeginTurnRequest) fleetpb.Outcome {
+func (s *slot) reserve(ctx context.Context, req *fleetpb.BeginTurnRequest) (fleetpb.Outcome, int64) {
 	began := s.fleet.Now()
 	limit := began.Add(min(markWait, time.Duration(req.DeadlineMillis)*time.Millisecond))
 	turn := ledger.Turn{
@@ -73,20 +73,24 @@
 		decision, mark := s.ledger.Begin(now, turn, s.fleet.storeAway(now))
 		switch decision {
 		case ledger.Spent:
-			return fleetpb.Outcome_OUTCOME_SPENT
+			if mark.Tokens > 0 {
+				s.recordMark(now, mark, true)
+			}
+
+			return fleetpb.Outcome_OUTCOME_SPENT, 0
 		case ledger.Admit:
 			s.recordMark(now, mark, false)
 
-			return fleetpb.Outcome_OUTCOME_OK
+			return fleetpb.Outcome_OUTCOME_OK, int64(mark.Tokens)
 		case ledger.Wait:
 			s.recordMark(now, mark, true)
 		}
 		if !now.Before(limit) || ctx.Err() != nil {
-			return fleetpb.Outcome_OUTCOME_UNSURE
+			return fleetpb.Outcome_OUTCOME_UNSURE, 0
 		}
 		s.wait(ctx, awayCheck)
 		if s.state != serving {
-			return fleetpb.Outcome_OUTCOME_NOT_OWNER
+			return fleetpb.Outcome_OUTCOME_NOT_OWNER, 0
 		}
 	}
 }
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -46,7 +46,7 @@
 		case err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER:
 			f.wantOwners()
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
-			f.tallyBegin(req)
+			f.noteMark(req.Program, reply.Mark)
 			if req.HaveChain {
 				reply.Chain = found
 			}
@@ -56,6 +56,8 @@
 				Last: locality.Place{Upstream: id.Upstream(reply.Last), Tokens: id.Tokens(reply.Kept)},
 			}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_SPENT:
+			f.noteMark(req.Program, req.Budget)
+
 			return gateway.Beginning{Verdict: gateway.Spent}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN:
 			chain, outcome := f.find(ctx, req)
@@ -77,14 +79,11 @@
 	}
 }
 
-// tallyBegin notes a turn that was admitted.
-func (f *Fleet) tallyBegin(req *fleetpb.BeginTurnRequest) {
-	if req.Budget == 0 {
-		return
-	}
+// noteMark remembers what the owner said of a program's count.
+func (f *Fleet) noteMark(program string, tokens int64) {
 	f.heldMu.Lock()
 	defer f.heldMu.Unlock()
-	f.tally.Begin(f.Now(), id.Program(req.Program), req.Attempt, id.Tokens(req.MaxTokens))
+	f.marks.Note(f.Now(), id.Program(program), id.Tokens(tokens))
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -151,9 +150,6 @@
 	}
 	if turn.Request.Budget > 0 {
 		req.Attempt = turn.Request.ID
-		f.heldMu.Lock()
-		f.tally.End(f.Now(), id.Program(req.Program), req.Attempt, ending.Tokens)
-		f.heldMu.Unlock()
 	}
 	if !turn.Retains || !ending.Whole {
 		go f.settle(context.WithoutCancel(ctx), req)
@@ -182,15 +178,20 @@
 	return false
 }
 
-// keepWithout keeps a turn at two hosts while the store is away for all: at its owner and here, or at a peer where this
-// host is the owner.
+// copiesWithout is how many hosts keep a turn while the store is away for all, its owner included, so that three may be
+// lost before the store is back.
+const copiesWithout = 4
+
+// keepWithout keeps a turn at several hosts while the store is away for all; one more than the owner is enough.
 func (f *Fleet) keepWithout(ctx context.Context, req *fleetpb.EndTurnRequest) bool {
 	f.holdTurn(context.WithoutCancel(ctx), req)
-	if f.owner(f.slotOf(req.Program)) != f.self {
-		return true
+	owner := f.owner(f.slotOf(req.Program))
+	copies := 1
+	if owner != f.self {
+		copies++
 	}
 
-	return f.copyTurn(ctx, req.Kept)
+	return copies+f.copyTurn(ctx, req.Kept, owner, copiesWithout-copies) > 1
 }
 
 func (f *Fleet) endOnce(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
