--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -124,8 +124,9 @@
 	a.settled, a.durable, a.recorded, a.expires = mark.Tokens, mark.Tokens, true, mark.Expires
 }
 
-// Raise counts a program's tokens as at least so many, by what the hosts have heard of its count.
-func (l *Ledger) Raise(program id.Program, tokens id.Tokens, expires time.Time) {
+// Raise counts a program's tokens as at least so many, by what the hosts have heard of its count; it returns the mark to
+// make durable, whose tokens are zero where there is none.
+func (l *Ledger) Raise(program id.Program, tokens id.Tokens, expires time.Time) Mark {
 	a := l.account(program)
 	if before := a.settled + a.reserved(); tokens > before {
 		a.settled += tokens - before
@@ -133,6 +134,11 @@
 	if expires.After(a.expires) {
 		a.expires = expires
 	}
+	if a.settled+a.reserved() <= a.durable {
+		return Mark{}
+	}
+
+	return a.mark(program)
 }
 
 // Expire drops accounts whose time is over and returns those with a durable mark, which is to be deleted.
