Admit programs, not requests, where a rate is short

Change: the owner of a rate promises it to programs that begin, by what programs have needed; requests of programs that have begun wait up to 0.4 s for the rate.

--- a/core/allowance/pool.go
+++ b/core/allowance/pool.go
@@ -15,6 +15,15 @@
 	// startLevel is what a new owner's bucket holds, in seconds of the rate: its predecessor may have granted
 	// the whole burst a moment ago, and a tenth of the rate over the window is all that may be admitted beyond.
 	startLevel = 0.4
+	// startsAhead is how many seconds of the rate programs may be begun ahead, since their requests come over time.
+	startsAhead = 0.2
+	// startsShare is the part of the rate that is promised to programs that begin; the rest is for what they need beyond
+	// the average.
+	startsShare = 0.9
+	// firstGuess is how many requests a program is taken to need before any was seen.
+	firstGuess = 10.0
+	// countHalfLife is how long it takes until a request or start counts half in the requests of a program.
+	countHalfLife = 20 * time.Second
 )
 
 // Limit is a workspace's rate in requests a second, and its burst in requests.
@@ -39,12 +48,19 @@
 	level  float64
 	filled time.Time
 	grants map[id.Host]grant
+	// open is what may still be promised to programs that begin, in requests.
+	open float64
+	// requests and starts are counted to learn what a program needs; older ones count less.
+	requests float64
+	starts   float64
+	counted  time.Time
 }
 
 // Ask settles a host's last allowance, of which it used a part, and grants up to want requests. Where none can be
 // granted it returns when to ask again.
 func (p *Pool) Ask(now time.Time, limit Limit, host id.Host, used, want int64) (granted int64, retry time.Duration) {
 	p.fill(now, limit)
+	p.count(now, float64(used), 0)
 	if p.grants == nil {
 		p.grants = make(map[id.Host]grant)
 	}
@@ -72,17 +88,59 @@
 	return 0, time.Duration((1 - p.level) / limit.Rate * float64(time.Second))
 }
 
+// Start admits the first request of a program where the rate holds the requests that the program will need, or returns
+// when to ask again: a program that begins and is refused midway serves nobody.
+func (p *Pool) Start(now time.Time, limit Limit) (ok bool, retry time.Duration) {
+	p.fill(now, limit)
+	need := min(p.perProgram(now), p.mostOpen(limit))
+	if limit.Rate <= 0 {
+		return false, returnLimit
+	}
+	if short := max(need-p.open, 1-p.level); short > 0 {
+		return false, time.Duration(short / limit.Rate * float64(time.Second))
+	}
+	p.open -= need
+	p.level--
+	p.count(now, 1, 1)
+
+	return true, 0
+}
+
+func (p *Pool) mostOpen(limit Limit) float64 { return limit.Burst + startsAhead*limit.Rate }
+
+// count adds requests and starts to those that have faded.
+func (p *Pool) count(now time.Time, requests, starts float64) {
+	if elapsed := now.Sub(p.counted).Seconds(); !p.counted.IsZero() && elapsed > 0 {
+		fade := math.Exp2(-elapsed / countHalfLife.Seconds())
+		p.requests *= fade
+		p.starts *= fade
+	}
+	p.counted = now
+	p.requests += requests
+	p.starts += starts
+}
+
+// perProgram returns how many requests a program needs.
+func (p *Pool) perProgram(now time.Time) float64 {
+	p.count(now, 0, 0)
+
+	return (p.requests + firstGuess) / (p.starts + 1)
+}
+
 func (p *Pool) fill(now time.Time, limit Limit) {
 	if p.filled.IsZero() {
 		p.filled = now
 		p.level = min(limit.Burst, limit.Rate*startLevel)
+		p.open = p.level
 		if p.Full {
-			p.level = limit.Burst
+			p.level, p.open = limit.Burst, p.mostOpen(limit)
 		}
 	}
 	if elapsed := now.Sub(p.filled).Seconds(); elapsed > 0 {
 		p.level += elapsed * limit.Rate
+		p.open += elapsed * limit.Rate * startsShare
 		p.filled = now
 	}
 	p.level = min(limit.Burst, p.level)
+	p.open = min(p.mostOpen(limit), p.open)
 }
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -158,6 +158,13 @@
 	return recorded
 }
 
+// Known reports whether a program has generated tokens, or may be about to.
+func (l *Ledger) Known(program id.Program) bool {
+	a, ok := l.accounts[program]
+
+	return ok && a.settled+a.reserved() > 0
+}
+
 // Len returns the number of accounts.
 func (l *Ledger) Len() int { return len(l.accounts) }
 
--- a/io/fleet/rates.go
+++ b/io/fleet/rates.go
@@ -9,6 +9,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/route"
 	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/follow"
 )
 
 const (
@@ -16,6 +17,8 @@
 	admitTimeout = 250 * time.Millisecond
 	// floorRetry is when to come back after a refusal while the owner cannot be reached.
 	floorRetry = 500 * time.Millisecond
+	// queueTime is how long the requests of programs that have begun wait for the rate to hold them.
+	queueTime = 400 * time.Millisecond
 	// maxRetry bounds when callers are told to come back.
 	maxRetry = time.Second
 )
@@ -32,19 +35,42 @@
 	lost       bool
 }
 
+// AdmitStart reports whether a program of a workspace may begin now, and otherwise when to come back.
+func (f *Fleet) AdmitStart(ctx context.Context, workspace *route.Workspace) (bool, time.Duration) {
+	limit := limitOf(workspace)
+	reply, ok := f.askOwner(ctx, &fleetpb.AdmitRequest{
+		Host: string(f.Settings.Name), Workspace: string(workspace.Name), Rate: limit.Rate, Burst: limit.Burst, Starting: true,
+	})
+	if !ok {
+		return f.Admit(ctx, workspace)
+	}
+
+	return reply.Allowed > 0, min(maxRetry, time.Duration(reply.RetryMillis)*time.Millisecond)
+}
+
+func limitOf(workspace *route.Workspace) allowance.Limit {
+	return allowance.Limit{Rate: workspace.Rate, Burst: max(1, workspace.Burst)}
+}
+
 // Admit reports whether a request of a workspace may run now, and otherwise when to come back.
 func (f *Fleet) Admit(ctx context.Context, workspace *route.Workspace) (bool, time.Duration) {
 	r := f.rate(workspace.Name)
-	limit := allowance.Limit{Rate: workspace.Rate, Burst: max(1, workspace.Burst)}
+	limit := limitOf(workspace)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for ctx.Err() == nil {
+	for until := f.Now().Add(queueTime); ctx.Err() == nil; {
 		now := f.Now()
 		if r.local.Take(now) {
 			return true, 0
 		}
 		if now.Before(r.emptyUntil) {
-			return f.withoutAllowance(r, now, limit)
+			ok, retry := f.withoutAllowance(r, now, limit)
+			if ok || !r.emptyUntil.Before(until) {
+				return ok, retry
+			}
+			r.pause(ctx, r.emptyUntil.Sub(now))
+
+			continue
 		}
 		if r.local.Busy() {
 			r.await(ctx)
@@ -78,6 +104,13 @@
 	return false, min(maxRetry, max(r.retry, r.emptyUntil.Sub(now)))
 }
 
+// pause gives the lock up for a time.
+func (r *rate) pause(ctx context.Context, d time.Duration) {
+	r.mu.Unlock()
+	defer r.mu.Lock()
+	follow.Sleep(ctx, d)
+}
+
 // await gives the lock up until the request to the owner that is under way has ended.
 func (r *rate) await(ctx context.Context) {
 	answered := r.answered
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -48,12 +48,13 @@
 		}
 		reply.Chain = chain
 	}
+	program := id.Program(req.Program)
+	reply.Begun = s.lines.Known(program) || s.ledger.Known(program)
 	if req.Budget > 0 {
 		reply.Outcome, reply.Mark = s.reserve(ctx, req)
 	}
-	place := s.lines.Last(id.Program(req.Program), req.Line)
+	place := s.lines.Last(program, req.Line)
 	reply.Last, reply.Kept = string(place.Upstream), int64(place.Tokens)
-	reply.Begun = s.lines.Known(id.Program(req.Program))
 
 	return reply, nil
 }
@@ -225,6 +226,15 @@
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
 	limit := allowance.Limit{Rate: req.Rate, Burst: req.Burst}.Scaled(f.peers.heardShare(now))
+	if req.Starting {
+		ok, retry := s.pool(id.Workspace(req.Workspace)).Start(now, limit)
+		reply := &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, RetryMillis: retry.Milliseconds()}
+		if ok {
+			reply.Allowed = 1
+		}
+
+		return reply, nil
+	}
 	granted, retry := s.pool(id.Workspace(req.Workspace)).Ask(now, limit, id.Host(req.Host), req.Used, req.Want)
 
 	return &fleetpb.AdmitReply{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -27,6 +27,8 @@
 type Rates interface {
 	// Admit reports whether a request may run now, and otherwise when to come back.
 	Admit(ctx context.Context, workspace *route.Workspace) (ok bool, retry time.Duration)
+	// AdmitStart does so for the first turn of a program, for which the rate must hold the whole program.
+	AdmitStart(ctx context.Context, workspace *route.Workspace) (ok bool, retry time.Duration)
 }
 
 // Turn is what the owner of a program is told of a turn.
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -71,13 +71,6 @@
 
 		return
 	}
-	if g.turnNeeded(j) {
-		if r := g.beginTurn(ctx, j); r != nil {
-			g.refuse(c, j, r)
-
-			return
-		}
-	}
 	if j.route.Kind == route.Stream {
 		g.serveStream(ctx, c, j)
 
@@ -114,15 +107,37 @@
 	if g.Crashes.Convicted(j.fingerprint) {
 		return refuseUnrun("crashes-upstreams", 0)
 	}
-	if j.workspace != nil && j.workspace.Rate > 0 {
-		if ok, retry := g.Rates.Admit(ctx, j.workspace); !ok {
-			return &refusal{status: http.StatusTooManyRequests, reason: "over-rate", retry: retry}
+	if g.turnNeeded(j) {
+		if r := g.beginTurn(ctx, j); r != nil {
+			return r
 		}
 	}
+	if r := g.admitRate(ctx, j); r != nil {
+		g.endTurn(ctx, j, false)
+
+		return r
+	}
 
 	return nil
 }
 
+// admitRate refuses requests beyond the workspace's rate.
+func (g *Gateway) admitRate(ctx context.Context, j *job) *refusal {
+	if j.workspace == nil || j.workspace.Rate <= 0 {
+		return nil
+	}
+	admit := g.Rates.Admit
+	if g.turnNeeded(j) && j.Program != "" && !j.begun.Begun {
+		admit = g.Rates.AdmitStart
+	}
+	ok, retry := admit(ctx, j.workspace)
+	if ok {
+		return nil
+	}
+
+	return &refusal{status: http.StatusTooManyRequests, reason: "over-rate", retry: retry}
+}
+
 func (j *job) setDeadline() {
 	limit := defaultTimeout
 	if j.route.Timeout > 0 {
