--- a/command/gateway/gateway.go
+++ b/command/gateway/gateway.go
@@ -20,6 +20,8 @@
 	Factory   *cmdutil.Factory
 	Settings  string
 	Verbosity int
+	// MetricsPort is where the host serves its metrics; zero means nowhere.
+	MetricsPort int
 }
 
 // NewCmdGateway returns the command that runs an entry host.
@@ -35,6 +37,7 @@
 				Name: "settings", Usage: "file with the platform's settings of the host", Destination: &opts.Settings,
 				Sources: cli.EnvVars(platform.SettingsVariable),
 			},
+			&cli.IntFlag{Name: "metrics-port", Usage: "serve counters as text on this port of the host", Destination: &opts.MetricsPort},
 			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Destination: &opts.Verbosity},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
@@ -52,8 +55,11 @@
 	if err != nil {
 		return cmdutil.Usage("%v", err)
 	}
-	logger := logline.New(opts.Factory.IOStreams.Out, opts.Factory.Now, opts.Verbosity)
+	out := logline.NewBounded(opts.Factory.IOStreams.Out)
+	defer out.Close()
+	logger := logline.New(out, opts.Factory.Now, opts.Verbosity)
 	host := entry.New(settings, logger, opts.Factory.Now)
+	host.MetricsPort = opts.MetricsPort
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
--- a/core/attempt/attempt.go
+++ b/core/attempt/attempt.go
@@ -17,6 +17,11 @@
 	Answered
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"not-sent", "not-run", "lost", "answered"}[o]
+}
+
 // minRemaining is the least time in which another send can still be of use.
 const minRemaining = 15 * time.Millisecond
 
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -49,3 +49,10 @@
 	}
 	c.Data(http.StatusOK, "application/json", body)
 }
+
+func (h *Host) serveMetrics(_ context.Context, c *app.RequestContext) {
+	c.SetContentType("text/plain; charset=utf-8")
+	if err := h.metrics.Write(c); err != nil {
+		h.logger.Error(err, "metrics-failed")
+	}
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +35,9 @@
 
 // Host is one entry host.
 type Host struct {
+	// MetricsPort is where the host serves its metrics; zero means nowhere.
+	MetricsPort int
+
 	settings *platform.Host
 	logger   logr.Logger
 	now      func() time.Time
@@ -41,6 +46,7 @@
 	upstream *upstream.Client
 	fleet    *fleet.Fleet
 	gateway  *gateway.Gateway
+	metrics  gateway.Metrics
 	draining atomic.Bool
 	drained  chan struct{}
 }
@@ -56,7 +62,7 @@
 		StoreAnswered: h.catalog.Answered, NoteAnswer: h.catalog.NoteAnswer,
 	})
 	h.gateway = &gateway.Gateway{
-		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Draining: h.draining.Load,
+		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Draining: h.draining.Load, Metrics: &h.metrics,
 		Rates: h.fleet, Turns: h.fleet, Crashes: h.fleet, Loads: h.fleet,
 	}
 
@@ -116,6 +122,9 @@
 	}, h.gateway.Serve)
 	add(httpx.Options{Address: h.settings.Readiness}, h.serveReadiness)
 	add(httpx.Options{Address: h.settings.Directory}, h.serveDirectory)
+	if h.MetricsPort > 0 {
+		add(httpx.Options{Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort))}, h.serveMetrics)
+	}
 	if len(failures) > 0 {
 		for _, s := range servers {
 			s.Abort()
--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -138,7 +138,10 @@
 	f.t.Helper()
 	var answer standin.Answer
 	require.Eventually(f.t, func() bool {
-		answer = f.do(name, call); if os.Getenv("DBG") != "" { fmt.Println(name, answer.Status, answer.Body) }
+		answer = f.do(name, call)
+		if os.Getenv("DBG") != "" {
+			fmt.Println(name, answer.Status, answer.Body)
+		}
 
 		return answer.Status == status
 	}, patience, 20*time.Millisecond)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -125,6 +125,8 @@
 	Loads    Loads
 	Logger   logr.Logger
 	Now      func() time.Time
+	// Metrics counts requests; it may be nil.
+	Metrics *Metrics
 	// Draining reports whether the host is about to stop.
 	Draining func() bool
 
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -46,6 +46,7 @@
 		}
 		s, outcome := g.send(ctx, j, instance)
 		j.tries.Note(outcome)
+		g.Metrics.sent(outcome.String())
 		if outcome == attempt.Answered {
 			return s, nil
 		}
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -256,21 +256,37 @@
 	g.log(j, r.status, r.reason)
 }
 
-// log writes what became of a request.
+// log writes what became of a request, and counts it.
 func (g *Gateway) log(j *job, status int, outcome string) {
 	now := g.Now()
-	pairs := []any{"request", j.ID, "status", status, "outcome", outcome, "took", now.Sub(j.began).Round(time.Microsecond)}
-	if j.config != nil {
-		pairs = append(pairs, "config", j.config.Version)
-	}
-	if j.route != nil {
-		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspaceName(), "left", j.deadline.Sub(now).Round(time.Millisecond))
+	took := now.Sub(j.began)
+	g.Metrics.observe(outcome, took)
+	g.Logger.Info("request", "request", j.ID, "status", status, "outcome", outcome, "took", took.Round(time.Microsecond),
+		"left", j.left(now), "config", j.configVersion(), "route", j.routeName(), "workspace", j.workspaceName(),
+		"program", j.Program, "upstreams", j.upstreams, "tokens", j.tokens, "begun", j.begun.Begun, "last", j.begun.Last.Upstream)
+}
+
+// left is the time before the request's deadline.
+func (j *job) left(now time.Time) time.Duration {
+	if j.deadline.IsZero() {
+		return 0
 	}
-	if j.Program != "" {
-		pairs = append(pairs, "program", j.Program)
+
+	return j.deadline.Sub(now).Round(time.Millisecond)
+}
+
+func (j *job) configVersion() int64 {
+	if j.config == nil {
+		return 0
 	}
-	if len(j.upstreams) > 0 {
-		pairs = append(pairs, "upstreams", j.upstreams, "tokens", j.tokens)
+
+	return j.config.Version
+}
+
+func (j *job) routeName() string {
+	if j.route == nil {
+		return ""
 	}
-	g.Logger.Info("request", pairs...)
+
+	return j.route.Name
 }
