Go on at another upstream when one has died, and copy a turn before its base is dropped

The race detector found that a turn's base was dropped in a message that copies to peers still used, so that a copy could lack its chain. Change: a silent or broken upstream is looked for with a new connection; one that cannot be reached counts as ended. A slot's own record of a turn is a message of its own.

--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -43,13 +43,20 @@
 	running  *entry.Host
 }
 
+// nextPort runs below the ports that the kernel gives to outgoing connections, so that none takes a dead host's port.
+var nextPort = 20_000 + os.Getpid()%50*200
+
 func freePort(t *testing.T) int {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
+	for {
+		nextPort++
+		listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort)))
+		if err == nil {
+			require.NoError(t, listener.Close())
 
-	return listener.Addr().(*net.TCPAddr).Port
+			return nextPort
+		}
+	}
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
@@ -95,7 +102,9 @@
 	h.running = entry.New(h.settings, logr.Discard(), time.Now)
 	go func(running *entry.Host, done chan struct{}) {
 		defer close(done)
-		running.Run(ctx) //nolint:errcheck // a host that does not run fails the test elsewhere
+		if err := running.Run(ctx); err != nil {
+			f.t.Errorf("host %s: %v", h.settings.Name, err)
+		}
 	}(h.running, h.done)
 	f.t.Cleanup(func() { cancel(); <-h.done })
 }
@@ -138,12 +147,11 @@
 	f.t.Helper()
 	var answer standin.Answer
 	require.Eventually(f.t, func() bool {
-		answer = f.do(name, call)
-		if os.Getenv("DBG") != "" {
-			fmt.Println(name, answer.Status, answer.Body)
-		}
+		request := fmt.Sprintf("request-%d", f.calls.Add(1))
+		var err error
+		answer, err = call.Do(context.Background(), request, f.hosts[name].settings.Callers)
 
-		return answer.Status == status
+		return err == nil && answer.Status == status
 	}, patience, 20*time.Millisecond)
 
 	return answer
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -150,11 +150,19 @@
 	return s.keep(ctx, req.Kept), nil
 }
 
+// withoutBase returns a turn for a slot that keeps the turn before it; copies elsewhere still need the base.
+func withoutBase(kept *fleetpb.KeptTurn) *fleetpb.KeptTurn {
+	return &fleetpb.KeptTurn{
+		Id: kept.Id, Program: kept.Program, Workspace: kept.Workspace, Previous: kept.Previous, Input: kept.Input,
+		Output: kept.Output, RetentionMillis: kept.RetentionMillis, EndedUnixMillis: kept.EndedUnixMillis,
+	}
+}
+
 // add keeps a turn in memory and writes it; done is closed when it is durable. The caller holds the lock.
 func (s *slot) add(now time.Time, kept *fleetpb.KeptTurn) (done <-chan struct{}) {
 	durable := make(chan struct{})
 	if s.book.Has(id.Workspace(kept.Workspace), kept.Previous) {
-		kept.Base = nil
+		kept = withoutBase(kept)
 	}
 	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Turn{Turn: kept}})
 	if err != nil {
--- a/io/gateway/once.go
+++ b/io/gateway/once.go
@@ -33,8 +33,8 @@
 
 			return
 		}
-		gone := g.ended(s.instance)
 		g.drop(s)
+		gone := policy.Repeatable && g.ended(ctx, s.instance)
 		if ctx.Err() != nil || !j.tries.Again(policy, attempt.Lost, gone, j.deadline.Sub(g.Now())) {
 			g.fail(ctx, c, j, lostRefusal(j, "answer-cut"))
 
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -44,7 +45,7 @@
 		if instance == nil {
 			return nil, g.noneLeft(j)
 		}
-		s, outcome := g.send(ctx, j, instance)
+		s, outcome, gone := g.send(ctx, j, instance)
 		j.tries.Note(outcome)
 		g.Metrics.sent(outcome.String())
 		if outcome == attempt.Answered {
@@ -56,18 +57,21 @@
 		if outcome == attempt.Lost {
 			g.Crashes.Lost(j.fingerprint, instance)
 		}
-		remaining := j.deadline.Sub(g.Now())
-		if !j.tries.Again(policy, outcome, outcome == attempt.Lost && g.ended(instance), remaining) {
+		gone = gone || (outcome == attempt.Lost && policy.Repeatable && g.ended(ctx, instance))
+		if !j.tries.Again(policy, outcome, gone, j.deadline.Sub(g.Now())) {
 			return nil, g.noneLeft(j)
 		}
 	}
 }
 
-// ended reports whether an upstream has left the list or been replaced since it was chosen.
-func (g *Gateway) ended(instance *registry.Instance) bool {
+// ended reports whether an upstream has left the list, been replaced since it was chosen, or cannot be reached.
+func (g *Gateway) ended(ctx context.Context, instance *registry.Instance) bool {
 	current, ok := g.Catalog.Get(instance.ID)
+	if !ok || current.Born != instance.Born || current.Address != instance.Address {
+		return true
+	}
 
-	return !ok || current.Born != instance.Born || current.Address != instance.Address
+	return !g.Upstream.Reachable(ctx, instance.Address)
 }
 
 func (g *Gateway) noneLeft(j *job) *refusal {
@@ -90,8 +94,11 @@
 	return &refusal{status: http.StatusBadGateway, reason: reason}
 }
 
-// send sends the request to one upstream.
-func (g *Gateway) send(ctx context.Context, j *job, instance *registry.Instance) (*sent, attempt.Outcome) {
+// stallLimit is how long an upstream may be silent before a request that may run again looks for it.
+const stallLimit = 700 * time.Millisecond
+
+// send sends the request to one upstream; gone says that this cannot be reached any more.
+func (g *Gateway) send(ctx context.Context, j *job, instance *registry.Instance) (s *sent, outcome attempt.Outcome, gone bool) {
 	now := g.Now()
 	if j.excluded == nil {
 		j.excluded = make(map[id.Upstream]struct{})
@@ -109,8 +116,12 @@
 	if part, ok := j.sharedPart(); ok {
 		g.Loads.NoteRead(instance.ID, part)
 	}
+	stall := time.Duration(0)
+	if j.route.Repeatable() {
+		stall = stallLimit
+	}
 	exchange, err := g.Upstream.Send(ctx, now, upstream.Request{
-		Address: instance.Address, Method: j.Method, Head: head, Body: j.Body, Deadline: j.deadline,
+		Address: instance.Address, Method: j.Method, Head: head, Body: j.Body, Deadline: j.deadline, Stall: stall,
 		Mine: func(status int, header http.Header) bool {
 			answered := platform.DecodeAnswer(status, header).RequestID
 
@@ -124,21 +135,21 @@
 		}
 		g.Logger.Info("send-failed", "request", j.ID, "upstream", instance.ID, "error", err)
 		if errorx.IsOfType(err, upstream.ErrNotSent) {
-			return nil, attempt.NotSent
+			return nil, attempt.NotSent, true
 		}
 
-		return nil, attempt.Lost
+		return nil, attempt.Lost, errorx.IsOfType(err, upstream.ErrGone)
 	}
-	s := &sent{Exchange: exchange, instance: instance, answer: platform.DecodeAnswer(exchange.Status, exchange.Header)}
-	if outcome := s.outcome(); outcome != attempt.Answered {
+	s = &sent{Exchange: exchange, instance: instance, answer: platform.DecodeAnswer(exchange.Status, exchange.Header)}
+	if outcome = s.outcome(); outcome != attempt.Answered {
 		g.Logger.Info("send-refused", "request", j.ID, "upstream", instance.ID, "status", exchange.Status)
 		g.drop(s)
 		g.noteFailure(instance)
 
-		return nil, outcome
+		return nil, outcome, false
 	}
 
-	return s, attempt.Answered
+	return s, attempt.Answered, false
 }
 
 // headSize is room for the head of a request, in bytes.
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -62,11 +62,12 @@
 
 			return
 		}
-		gone := g.ended(s.instance)
 		if ctx.Err() == nil {
 			g.Crashes.Lost(j.fingerprint, s.instance)
+			g.noteFailure(s.instance)
 		}
 		g.drop(s)
+		gone := policy.Repeatable && g.ended(ctx, s.instance)
 		g.Logger.Info("stream-broken", "request", j.ID, "upstream", s.instance.ID, "after", j.lastEvent, "error", err)
 		if ctx.Err() != nil || errors.Is(err, errAborted) || !j.tries.Again(policy, attempt.Lost, gone, j.deadline.Sub(g.Now())) {
 			g.endTurn(ctx, j, false)
@@ -93,6 +94,7 @@
 		if err != nil {
 			return writer, err
 		}
+		s.Progress()
 		if !follows(event.ID, j.lastEvent) {
 			continue
 		}
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -18,6 +18,8 @@
 	ErrNotSent = errs.NewType("not-sent")
 	// ErrLost marks a request that was sent and has no whole answer: it may have run.
 	ErrLost = errs.NewType("lost")
+	// ErrGone marks a request whose upstream could not be reached any more: it may have run, and runs no more.
+	ErrGone = ErrLost.NewSubtype("gone")
 )
 
 const (
@@ -25,6 +27,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// keepAlive is how often a connection is probed, so that the kernel notices silent ones.
 	keepAlive = time.Second
+	// probeTimeout bounds the connection that shows whether an upstream can still be reached.
+	probeTimeout = 300 * time.Millisecond
 	// idleLimit is how long a connection is kept where the upstream states no time.
 	idleLimit = 4 * time.Second
 	// idleMargin is left of the time that an upstream keeps idle connections.
@@ -92,6 +96,18 @@
 	return newConn(inner, address), nil
 }
 
+// Reachable reports whether an upstream takes a new connection, which is closed at once.
+func (c *Client) Reachable(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	probe, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	probe.Close()
+
+	return true
+}
+
 // Open returns how many connections there are to an upstream.
 func (c *Client) Open(address string) int {
 	c.mu.Lock()
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 const (
@@ -24,6 +27,9 @@
 	Body    []byte
 	// Deadline ends the exchange.
 	Deadline time.Time
+	// Stall is how long the upstream may be silent before it is probed, and given up if it cannot be reached; zero
+	// means for ever.
+	Stall time.Duration
 	// Mine tells from the head of an answer whether it belongs to this request.
 	Mine func(status int, header http.Header) bool
 }
@@ -40,6 +46,10 @@
 	written <-chan error
 	stop    func() bool
 	ended   bool
+
+	stall    time.Duration
+	watchdog *time.Timer
+	gone     atomic.Bool
 }
 
 // Send sends a request and reads the head of its answer. Errors are ErrNotSent and ErrLost; the context's end
@@ -54,22 +64,52 @@
 
 		return nil, ErrNotSent.Wrap(err, "set the deadline")
 	}
-	x := &Exchange{client: c, conn: conn}
+	x := &Exchange{client: c, conn: conn, stall: req.Stall}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	if x.stall > 0 {
+		x.watchdog = time.AfterFunc(x.stall, func() { x.probe(ctx) })
+	}
 	if err := x.write(req); err != nil {
 		x.Abort()
 
-		return nil, ErrLost.Wrap(err, "send to %s", req.Address)
+		return nil, x.Lost().Wrap(err, "send to %s", req.Address)
 	}
 	if err := x.readHead(req); err != nil {
 		x.Abort()
 
-		return nil, ErrLost.Wrap(err, "read the answer of %s", req.Address)
+		return nil, x.Lost().Wrap(err, "read the answer of %s", req.Address)
 	}
 
 	return x, nil
 }
 
+// probe closes the connection to a silent upstream that cannot be reached; otherwise it waits on.
+func (x *Exchange) probe(ctx context.Context) {
+	if x.client.Reachable(ctx, x.conn.address) {
+		x.watchdog.Reset(x.stall)
+
+		return
+	}
+	x.gone.Store(true)
+	x.conn.Close()
+}
+
+// Progress notes that the upstream is not silent.
+func (x *Exchange) Progress() {
+	if x.watchdog != nil {
+		x.watchdog.Reset(x.stall)
+	}
+}
+
+// Lost returns the type of the errors of this exchange.
+func (x *Exchange) Lost() *errorx.Type {
+	if x.gone.Load() {
+		return ErrGone
+	}
+
+	return ErrLost
+}
+
 // write sends the request; large ones are sent beside the reading, since an upstream may answer early.
 func (x *Exchange) write(req Request) error {
 	message := append(req.Head, req.Body...)
@@ -121,15 +161,23 @@
 		return
 	}
 	x.ended = true
+	x.unwatch()
 	x.stop()
 	x.client.discard(x.conn)
 }
 
+func (x *Exchange) unwatch() {
+	if x.watchdog != nil {
+		x.watchdog.Stop()
+	}
+}
+
 // Finish gives the connection back after the answer was read to its end.
 func (x *Exchange) Finish(now time.Time) {
 	if x.ended {
 		return
 	}
+	x.unwatch()
 	if !x.stop() || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.sent() {
 		x.ended = true
 		x.client.discard(x.conn)
