Say that a turn does not exist only where nobody has kept anything, and mend the tests of whole hosts

Cause: an owner took a slot for new by its own age, and said 404 for a turn that another host still held; a test took a stream that broke off for a whole one, used ports that the kernel hands out, and began before the hosts knew each other. Change: a slot is new where its partition was never written; the tests wait for the directory.

--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -120,6 +121,11 @@
 	f.t.Helper()
 	require.Eventually(f.t, func() bool {
 		for i, name := range f.names {
+			for _, other := range f.names {
+				if !strings.Contains(f.addresses(name), f.hosts[other].settings.Callers) {
+					return false
+				}
+			}
 			for slot := range 8 {
 				program := fmt.Sprintf("warm-%d-%d-%d", i, slot, f.calls.Add(1))
 				answer, err := standin.Turn("/draft/x", "secret", program, "", "hello").Do(context.Background(), program, f.hosts[name].settings.Callers)
@@ -133,6 +139,19 @@
 	}, patience, 50*time.Millisecond)
 }
 
+// addresses returns what a host's directory answers.
+func (f *fleet) addresses(name string) string {
+	resp, err := http.Get("http://" + f.hosts[name].settings.Directory + platform.ResolvePath + "?name=agents.example") //nolint:noctx // a test
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(f.t, err)
+
+	return string(body)
+}
+
 func (f *fleet) do(name string, call standin.Call) standin.Answer {
 	f.t.Helper()
 	request := fmt.Sprintf("request-%d", f.calls.Add(1))
@@ -151,7 +170,7 @@
 		var err error
 		answer, err = call.Do(context.Background(), request, f.hosts[name].settings.Callers)
 
-		return err == nil && answer.Status == status
+		return err == nil && answer.Status == status && !answer.Cut
 	}, patience, 20*time.Millisecond)
 
 	return answer
@@ -428,19 +447,8 @@
 	for _, engine := range f.engines {
 		engine.EventPause = 100 * time.Millisecond
 	}
-	addresses := func(name string) string {
-		resp, err := http.Get("http://" + f.hosts[name].settings.Directory + platform.ResolvePath + "?name=agents.example") //nolint:noctx // a test
-		if err != nil {
-			return ""
-		}
-		defer resp.Body.Close()
-		var body [512]byte
-		n, _ := resp.Body.Read(body[:])
-
-		return string(body[:n])
-	}
 	leaving := f.hosts["host-0"]
-	require.Eventually(t, func() bool { return strings.Contains(addresses("host-1"), leaving.settings.Callers) }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(f.addresses("host-1"), leaving.settings.Callers) }, patience, 20*time.Millisecond)
 	var group sync.WaitGroup
 	for i := range 6 {
 		group.Go(func() {
@@ -452,7 +460,7 @@
 	}
 	time.Sleep(100 * time.Millisecond)
 	leaving.running.Drain(context.Background())
-	require.Eventually(t, func() bool { return !strings.Contains(addresses("host-1"), leaving.settings.Callers) }, patience, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return !strings.Contains(f.addresses("host-1"), leaving.settings.Callers) }, patience, 20*time.Millisecond)
 	answer := f.do("host-0", standin.Call{Path: "/look/", Key: "secret"})
 	require.Equal(t, http.StatusOK, answer.Status, "what still comes is served")
 	require.True(t, answer.Closes, "callers are told to connect elsewhere")
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -49,7 +49,7 @@
 	epoch int64
 	// since is when the slot began to serve.
 	since time.Time
-	// first is set for slots taken when the whole system starts for the first time.
+	// first is set where nobody has kept anything in the slot before.
 	first  bool
 	ledger ledger.Ledger
 	book   lineage.Book
@@ -80,13 +80,9 @@
 		return
 	}
 	s.state, s.epoch = loading, generation
-	s.first = s.fleet.Settings.FirstStart && s.fleet.Now().Sub(s.fleet.peers.started) < firstWindow
 	go s.load(ctx, generation)
 }
 
-// firstWindow is how long after its start a host takes a slot for one that nobody owned before.
-const firstWindow = 8 * time.Second
-
 // release gives the slot up and reports whether it was owned.
 func (s *slot) release(reason string) bool {
 	s.mu.Lock()
@@ -118,9 +114,12 @@
 func (s *slot) load(ctx context.Context, epoch int64) {
 	began := s.fleet.Now()
 	for ctx.Err() == nil && s.owns(epoch) {
-		records, err := s.read(ctx, epoch)
+		records, end, err := s.read(ctx, epoch)
 		if err == nil {
-			s.begin(epoch, records, s.fleet.recall(ctx, s.index), began)
+			s.begin(epoch, loaded{
+				records: records, replies: s.fleet.recall(ctx, s.index), began: began,
+				first: s.fleet.Settings.FirstStart && end == 0,
+			})
 
 			return
 		}
@@ -146,7 +145,16 @@
 	return platform.Partition{Topic: s.fleet.topic, Part: s.index}
 }
 
-func (s *slot) read(ctx context.Context, epoch int64) ([]platform.Record, error) {
+// loaded is what a new owner has learned of a slot.
+type loaded struct {
+	records []platform.Record
+	replies []*fleetpb.RecallReply
+	began   time.Time
+	// first is set where nobody has kept anything in the slot before.
+	first bool
+}
+
+func (s *slot) read(ctx context.Context, epoch int64) ([]platform.Record, int64, error) {
 	claim := platform.Append{Partition: s.partition(), Producer: producer, Epoch: epoch}
 	err := s.fleet.call(ctx, func(ctx context.Context) error {
 		_, err := s.fleet.store.Append(ctx, claim)
@@ -154,33 +162,32 @@
 		return err
 	})
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadPages*s.fleet.timer.wait())
 	defer cancel()
-	records, _, err := s.fleet.store.Newest(ctx, s.partition())
 
-	return records, err
+	return s.fleet.store.Newest(ctx, s.partition())
 }
 
 // begin restores the records and serves.
-func (s *slot) begin(epoch int64, records []platform.Record, replies []*fleetpb.RecallReply, began time.Time) {
+func (s *slot) begin(epoch int64, l loaded) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != loading || s.epoch != epoch {
 		return
 	}
 	now := s.fleet.Now()
-	for _, record := range records {
+	for _, record := range l.records {
 		s.restore(now, record)
 	}
 	s.book.Restored()
 	s.writer.start(epoch)
-	s.merge(now, replies)
-	s.state, s.since = serving, now
+	s.merge(now, l.replies)
+	s.state, s.since, s.first = serving, now, l.first
 	s.notify()
-	s.fleet.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(records),
-		"programs", s.ledger.Len(), "turns", s.book.Len(), "took", now.Sub(began))
+	s.fleet.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(l.records),
+		"programs", s.ledger.Len(), "turns", s.book.Len(), "first", l.first, "took", now.Sub(l.began))
 }
 
 func (s *slot) restore(now time.Time, record platform.Record) {
