--- a/command/gateway/gateway.go
+++ b/command/gateway/gateway.go
@@ -56,7 +56,7 @@
 		return cmdutil.Usage("%v", err)
 	}
 	out := logline.NewBounded(opts.Factory.IOStreams.Out)
-	defer out.Close()
+	defer out.Close() //nolint:errcheck // it always succeeds
 	logger := logline.New(out, opts.Factory.Now, opts.Verbosity)
 	host := entry.New(settings, logger, opts.Factory.Now)
 	host.MetricsPort = opts.MetricsPort
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -25,8 +25,6 @@
 	sweepInterval = time.Second
 	// exitMargin is left of the grace period when a host that drains stops.
 	exitMargin = time.Second
-	// answerUses is how many times its lifetime some callers use an answer of the directory.
-	answerUses = 1
 	// maxBody bounds a request's body before the configuration's own limit is known, in bytes.
 	maxBody = 16 << 20
 	// maxHeader bounds a request's head likewise.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
+	defer conn.Close() //nolint:errcheck // it is closed before in most cases
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { f.peers.run(ctx, conn) })
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -94,7 +94,7 @@
 // run exchanges beats and follows the list of hosts until ctx ends.
 func (p *peers) run(ctx context.Context, conn net.PacketConn) {
 	list := &follow.Follower{
-		Store: p.fleet.Options.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause,
+		Store: p.fleet.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause,
 		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
 		Apply:     p.apply, Retain: func(map[string]struct{}) { p.listedOnce.Do(func() { close(p.listed) }) },
 		Answered: func(time.Duration) { p.fleet.NoteAnswer() },
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,7 +62,7 @@
 func (w *writer) reset() []entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	dropped := append(w.batched, w.queue...)
+	dropped := slices.Concat(w.batched, w.queue)
 	w.epoch, w.queue, w.batched, w.urgent = 0, nil, nil, false
 
 	return dropped
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +113,7 @@
 
 // write sends the request; large ones are sent beside the reading, since an upstream may answer early.
 func (x *Exchange) write(req Request) error {
-	message := append(req.Head, req.Body...)
+	message := slices.Concat(req.Head, req.Body)
 	done := make(chan error, 1)
 	x.written = done
 	if len(message) < asyncWrite {
@@ -132,7 +133,7 @@
 // readHead reads the head of the answer and passes over late answers to earlier requests.
 func (x *Exchange) readHead(req Request) error {
 	for strays := 0; ; strays++ {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method}) //nolint:bodyclose // the exchange reads it to its end or closes the connection
 		if err != nil {
 			return err
 		}
