Let a few hosts of a large fleet own the slots, and believe the store's word on owners

Change: core/candidacy: at most as many members as slots, who stay; a host that leaves tells the owners at once; pauses between reads grow with the fleet; a peer's word counts only for a newer generation.

--- a/io/catalog/catalog.go
+++ b/io/catalog/catalog.go
@@ -23,6 +23,8 @@
 	Store  *platform.Store
 	Logger logr.Logger
 	Now    func() time.Time
+	// Stretch stretches the pauses between reads of what changes often; it may be nil.
+	Stretch func(time.Duration) time.Duration
 
 	config atomic.Pointer[route.Config]
 	// answered is when the store last answered, in nanoseconds since the Unix epoch.
@@ -66,7 +68,7 @@
 	}
 	upstreams := &follow.Follower{
 		Store: c.Store, Logger: c.Logger, Now: c.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
-		Pause: upstreamInterval, Apply: c.applyUpstream, Retain: c.retainUpstreams, Answered: c.answeredAfter,
+		Pause: upstreamInterval, Stretch: c.Stretch, Apply: c.applyUpstream, Retain: c.retainUpstreams, Answered: c.answeredAfter,
 	}
 	var group sync.WaitGroup
 	group.Go(func() { configuration.Run(ctx) })
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -59,6 +59,7 @@
 		Settings: settings, Store: store, Logger: logger, Now: now,
 		StoreAnswered: h.catalog.Answered, NoteAnswer: h.catalog.NoteAnswer,
 	})
+	h.catalog.Stretch = h.fleet.Scaled
 	h.gateway = &gateway.Gateway{
 		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Draining: h.draining.Load, Metrics: &h.metrics,
 		Rates: h.fleet, Turns: h.fleet, Crashes: h.fleet, Loads: h.fleet,
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -77,6 +77,11 @@
 	// rejoin is set while the membership must start over before it is renewed.
 	rejoin    atomic.Bool
 	refreshed chan struct{}
+	// freed tells that a peer has left the group.
+	freed chan struct{}
+	// member is set while this host is in the group, and owned is when it last owned a slot; the renewal loop's own.
+	member bool
+	owned  time.Time
 
 	clientsMu sync.Mutex
 	clients   map[string]fleetpb.Slots
@@ -107,10 +112,10 @@
 		Options: opts, store: opts.Store, topic: platform.KeyedTopic(slotTopic),
 		self:      net.JoinHostPort(opts.Settings.IP, strconv.Itoa(opts.Settings.PeerPorts[0])),
 		lease:     max(minLease, opts.Settings.Store.MinLease),
-		refreshed: make(chan struct{}, 1),
-		clients:   make(map[string]fleetpb.Slots),
-		rates:     make(map[id.Workspace]*rate),
-		held:      make(map[string]*fleetpb.KeptTurn),
+		refreshed: make(chan struct{}, 1), freed: make(chan struct{}, 1),
+		clients: make(map[string]fleetpb.Slots),
+		rates:   make(map[id.Workspace]*rate),
+		held:    make(map[string]*fleetpb.KeptTurn),
 	}
 	dialer := &net.Dialer{Timeout: peerDial, KeepAlive: peerKeepAlive}
 	f.http = &http.Client{Transport: &http.Transport{
--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cardamomward/core/candidacy"
 	"cardamomward/io/follow"
 	"cardamomward/platform"
 )
@@ -22,8 +23,64 @@
 // renewLoop keeps this host a member of the group and takes and gives up slots as the store says.
 func (f *Fleet) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil && !f.leaving.Load() {
-		follow.Sleep(ctx, f.renew(ctx))
+		var pause time.Duration
+		if f.candidate() {
+			pause = f.renew(ctx)
+		} else {
+			pause = f.standDown(ctx)
+		}
+		f.pauseRenewal(ctx, pause)
+	}
+}
+
+// pauseRenewal waits, but no longer than until a peer that leaves has freed its slots.
+func (f *Fleet) pauseRenewal(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.freed:
+	case <-timer.C:
+	}
+}
+
+// candidate reports whether this host should be a member.
+func (f *Fleet) candidate() bool {
+	now := f.Now()
+	if f.ownsAny() {
+		f.owned = now
+	}
+
+	return candidacy.Take(candidacy.View{
+		Self: f.self, Slots: len(f.slots), Live: append(f.peers.live(now), f.self), Owners: f.ownership.Load().owners,
+		Member: f.member, Idle: now.Sub(f.owned),
+	})
+}
+
+func (f *Fleet) ownsAny() bool {
+	for _, s := range f.slots {
+		s.mu.Lock()
+		owned := s.state != idle
+		s.mu.Unlock()
+		if owned {
+			return true
+		}
 	}
+
+	return false
+}
+
+// standDown ends the membership of a host that owns nothing in a fleet with enough others.
+func (f *Fleet) standDown(ctx context.Context) time.Duration {
+	if f.member {
+		if err := f.leave(ctx); err != nil {
+			return renewRetry
+		}
+		f.member = false
+		f.rejoin.Store(true)
+	}
+
+	return renewInterval
 }
 
 // renew returns when to renew next: at once to hand over slots that were given up.
@@ -43,6 +100,9 @@
 
 		return renewRetry
 	}
+	if !f.member {
+		f.member, f.owned = true, asked
+	}
 	f.leaseUntil.Store(asked.Add(f.lease).UnixNano())
 	changed := m.Generation != f.generation.Load()
 	f.generation.Store(m.Generation)
@@ -109,6 +169,7 @@
 		f.Logger.Error(err, "leave-failed")
 		follow.Sleep(ctx, renewInterval)
 	}
+	f.peers.setLeft()
 	f.wantOwners()
 	f.peers.withdraw(ctx)
 }
@@ -137,12 +198,12 @@
 		case <-f.refreshed:
 		}
 		f.refreshOwners(ctx)
-		follow.Sleep(ctx, refreshPause)
+		follow.Sleep(ctx, f.peers.scaled(refreshPause))
 	}
 }
 
 func (f *Fleet) refreshOwners(ctx context.Context) {
-	generation := f.generation.Load()
+	generation := max(f.generation.Load(), f.ownership.Load().generation)
 	var rows map[platform.Partition]string
 	err := f.call(ctx, func(ctx context.Context) (err error) {
 		rows, err = f.store.Owners(ctx, group)
@@ -164,7 +225,15 @@
 	f.setOwners(&ownership{generation: generation, owners: owners})
 }
 
-// setOwners takes what a store or a peer says of the owners, unless something newer is known.
+// hearOwners takes what a peer says of the owners, if it is newer than what is known: within a generation the store
+// alone knows what has been handed over.
+func (f *Fleet) hearOwners(next *ownership) {
+	if next.generation > f.ownership.Load().generation {
+		f.setOwners(next)
+	}
+}
+
+// setOwners takes what the store says of the owners, unless something newer is known.
 func (f *Fleet) setOwners(next *ownership) {
 	old := f.ownership.Load()
 	if next.generation < old.generation {
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -56,6 +56,7 @@
 	heard    time.Time
 	sequence uint64
 	draining bool
+	left     bool
 	// storeSeen is when the store answered the peer, by this host's clock.
 	storeSeen time.Time
 	loads     map[id.Upstream]int
@@ -73,6 +74,7 @@
 	mu       sync.Mutex
 	self     hostEntry
 	draining bool
+	left     bool
 	sequence uint64
 	peers    map[id.Host]*peer
 	running  map[id.Upstream]int
@@ -94,7 +96,7 @@
 // run exchanges beats and follows the list of hosts until ctx ends.
 func (p *peers) run(ctx context.Context, conn net.PacketConn) {
 	list := &follow.Follower{
-		Store: p.fleet.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause,
+		Store: p.fleet.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause, Stretch: p.scaled,
 		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
 		Apply:     p.apply, Retain: func(map[string]struct{}) { p.listedOnce.Do(func() { close(p.listed) }) },
 		Answered: func(time.Duration) { p.fleet.NoteAnswer() },
@@ -179,6 +181,13 @@
 	return err == nil
 }
 
+// setLeft tells peers that this host's slots are free.
+func (p *peers) setLeft() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.left = true
+}
+
 func (p *peers) setDraining() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -210,7 +219,7 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	beat := &fleetpb.Beat{
-		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining,
+		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining, Left: p.left,
 		StoreAgeMillis: now.Sub(p.fleet.StoreAnswered()).Milliseconds(), Generation: own.generation,
 	}
 	beat.Loads = p.loads(now)
@@ -237,9 +246,19 @@
 	for _, other := range p.peers {
 		targets = append(targets, other.addr)
 	}
-	if len(targets) > beatFanout {
-		rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-		targets = targets[:beatFanout]
+	if len(targets) <= beatFanout {
+		return targets
+	}
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	targets = targets[:beatFanout]
+	if !p.left {
+		return targets
+	}
+	// A host that has left tells the owners first, who take its slots.
+	for _, other := range p.peers {
+		if slices.Contains(p.fleet.ownership.Load().owners, other.Peer) {
+			targets = append(targets, other.addr)
+		}
 	}
 
 	return targets
@@ -268,7 +287,7 @@
 		p.fleet.learnCrash(now, culprit.Crash{Request: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
 	}
 	if len(beat.Owners) == len(p.fleet.slots) {
-		p.fleet.setOwners(&ownership{generation: beat.Generation, owners: beat.Owners})
+		p.fleet.hearOwners(&ownership{generation: beat.Generation, owners: beat.Owners})
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -276,7 +295,10 @@
 	if !ok || (beat.Sequence <= from.sequence && now.Sub(from.heard) < silence) {
 		return
 	}
-	from.heard, from.sequence, from.draining = now, beat.Sequence, beat.Draining
+	if beat.Left && !from.left {
+		p.fleet.noteFreed()
+	}
+	from.heard, from.sequence, from.draining, from.left = now, beat.Sequence, beat.Draining, beat.Left
 	from.storeSeen = now.Add(-time.Duration(beat.StoreAgeMillis) * time.Millisecond)
 	from.loads = make(map[id.Upstream]int, len(beat.Loads))
 	for _, load := range beat.Loads {
@@ -342,6 +364,16 @@
 	return float64(heard) / float64(known)
 }
 
+// scaled stretches a pause with the fleet, so that all hosts together call the store no more often.
+func (p *peers) scaled(pause time.Duration) time.Duration {
+	const usual = 16
+
+	return pause * time.Duration(max(1, min(maxScale, p.known()/usual)))
+}
+
+// maxScale bounds how much pauses are stretched, since an upstream that drains must be known in time.
+const maxScale = 4
+
 // live returns the addresses of the peers that are heard, or that may not have had the time to be.
 func (p *peers) live(now time.Time) []string {
 	p.mu.Lock()
@@ -392,3 +424,14 @@
 
 	return addresses
 }
+
+// noteFreed lets the renewal follow at once, since slots may have become free.
+func (f *Fleet) noteFreed() {
+	select {
+	case f.freed <- struct{}{}:
+	default:
+	}
+}
+
+// Scaled stretches a pause with the fleet.
+func (f *Fleet) Scaled(pause time.Duration) time.Duration { return f.peers.scaled(pause) }
--- a/io/fleet/recall.go
+++ b/io/fleet/recall.go
@@ -14,7 +14,7 @@
 
 const (
 	// recallTimeout bounds how long a new owner waits for what the other hosts hold.
-	recallTimeout = 350 * time.Millisecond
+	recallTimeout = 200 * time.Millisecond
 	// recallWindow is how far back hosts tell what they have heard: longer than outages of the store last.
 	recallWindow = 20 * time.Second
 	// certainAfter is how long after its start an owner says that it does not know a turn for sure: hosts may still
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -29,8 +29,9 @@
 	Partition platform.Partition
 	Logger    logr.Logger
 	Now       func() time.Time
-	// Pause is left between reads.
-	Pause time.Duration
+	// Pause is left between reads, as long as Stretch makes it, where that is set.
+	Pause   time.Duration
+	Stretch func(time.Duration) time.Duration
 	// Apply is told each record.
 	Apply func(platform.Record)
 	// Retain is told which keys a complete listing has; it may be nil.
@@ -56,7 +57,11 @@
 
 			continue
 		}
-		Sleep(ctx, f.Pause)
+		pause := f.Pause
+		if f.Stretch != nil {
+			pause = f.Stretch(pause)
+		}
+		Sleep(ctx, pause)
 	}
 }
 
