--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -10,7 +10,7 @@
 )
 
 // answerTTL is how long callers use an answer of the directory, in seconds; a short one takes hosts out soon.
-const answerTTL = 2.0
+const answerTTL = 1.0
 
 func (h *Host) serveReadiness(_ context.Context, c *app.RequestContext) {
 	if string(c.Path()) != platform.ReadinessPath {
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/io/catalog"
 	"cardamomward/io/fleet"
+	"cardamomward/io/follow"
 	"cardamomward/io/gateway"
 	"cardamomward/io/httpx"
 	"cardamomward/io/upstream"
@@ -23,8 +24,13 @@
 const (
 	// sweepInterval is how often idle connections are looked through.
 	sweepInterval = time.Second
-	// exitMargin is left of the grace period when a host that drains stops.
-	exitMargin = time.Second
+	// closeMargin is left of the grace period when a host that drains takes no more requests, and exitMargin when it
+	// gives up those that still run.
+	closeMargin = 2500 * time.Millisecond
+	exitMargin  = 500 * time.Millisecond
+	// idlePoll is how often it is looked whether requests still run, and flushTime lets the last answers leave.
+	idlePoll  = 20 * time.Millisecond
+	flushTime = 50 * time.Millisecond
 	// maxBody bounds a request's body before the configuration's own limit is known, in bytes.
 	maxBody = 16 << 20
 	// maxHeader bounds a request's head likewise.
@@ -90,6 +96,7 @@
 	select {
 	case <-ctx.Done():
 	case <-h.drained:
+		h.finish(ctx, servers)
 	case err = <-failed:
 	}
 	h.logger.Info("stopped", "host", h.settings.Name)
@@ -156,7 +163,7 @@
 	h.logger.Info("draining", "host", h.settings.Name)
 	go h.fleet.Leave(ctx)
 	go func() {
-		timer := time.NewTimer(h.settings.Bounds.Grace - exitMargin)
+		timer := time.NewTimer(h.settings.Bounds.Grace - closeMargin)
 		defer timer.Stop()
 		select {
 		case <-ctx.Done():
@@ -166,6 +173,17 @@
 	}()
 }
 
+// finish takes no more requests and waits for those that run.
+func (h *Host) finish(ctx context.Context, servers []*httpx.Server) {
+	for _, s := range servers {
+		s.StopAccepting(h.gateway.Busy)
+	}
+	for until := h.now().Add(closeMargin - exitMargin); h.now().Before(until) && !h.gateway.Idle(); {
+		follow.Sleep(ctx, idlePoll)
+	}
+	follow.Sleep(ctx, flushTime)
+}
+
 // ready reports whether the host can serve callers.
 func (h *Host) ready() bool {
 	return !h.draining.Load() && h.catalog.Config() != nil
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -130,6 +130,9 @@
 	// Draining reports whether the host is about to stop.
 	Draining func() bool
 
+	// active holds the remote addresses of the connections on which requests run.
+	active sync.Map
+
 	pacesMu sync.Mutex
 	paces   pace.Paces
 }
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -62,6 +62,9 @@
 
 // Serve answers one request of a caller.
 func (g *Gateway) Serve(ctx context.Context, c *app.RequestContext) {
+	remote := c.RemoteAddr().String()
+	g.active.Store(remote, struct{}{})
+	defer g.active.Delete(remote)
 	j := &job{began: g.Now(), config: g.Catalog.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
 	if g.Draining() {
 		c.Response.SetConnectionClose()
@@ -79,6 +82,25 @@
 	g.serveOnce(ctx, c, j)
 }
 
+// Busy reports whether a request runs on the connection from a remote address.
+func (g *Gateway) Busy(remote string) bool {
+	_, busy := g.active.Load(remote)
+
+	return busy
+}
+
+// Idle reports whether no request runs.
+func (g *Gateway) Idle() bool {
+	idle := true
+	g.active.Range(func(any, any) bool {
+		idle = false
+
+		return false
+	})
+
+	return idle
+}
+
 // admit checks a request and finds its route, workspace and deadline.
 func (g *Gateway) admit(ctx context.Context, c *app.RequestContext, j *job) *refusal {
 	if j.config == nil {
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -53,6 +53,21 @@
 	}
 }
 
+// closeIdle ends the connections on which nothing runs.
+func (l *listener) closeIdle(busy func(remote string) bool) {
+	l.mu.Lock()
+	var idle []*conn
+	for remote, c := range l.conns {
+		if !busy(remote) {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		c.Close() //nolint:errcheck // the connection is given up
+	}
+}
+
 // gone reports whether the other end has closed its connection, or is not known any more.
 func (l *listener) gone(remote string) bool {
 	l.mu.Lock()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -111,6 +111,12 @@
 	return err
 }
 
+// StopAccepting takes no more connections and ends those on which nothing runs.
+func (s *Server) StopAccepting(busy func(remote string) bool) {
+	s.listener.Close() //nolint:errcheck // the server is about to end
+	s.listener.closeIdle(busy)
+}
+
 // Abort ends the server and all its connections at once.
 func (s *Server) Abort() {
 	s.listener.Close() //nolint:errcheck // the server is given up
