--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -48,9 +47,7 @@
 	stop    func() bool
 	ended   bool
 
-	stall    time.Duration
-	watchdog *time.Timer
-	gone     atomic.Bool
+	watchdog watchdog
 }
 
 // Send sends a request and reads the head of its answer. Errors are ErrNotSent and ErrLost; the context's end
@@ -65,11 +62,9 @@
 
 		return nil, ErrNotSent.Wrap(err, "set the deadline")
 	}
-	x := &Exchange{client: c, conn: conn, stall: req.Stall}
+	x := &Exchange{client: c, conn: conn}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
-	if x.stall > 0 {
-		x.watchdog = time.AfterFunc(x.stall, func() { x.probe(ctx) })
-	}
+	x.watchdog.start(req.Stall, func() bool { return c.Reachable(ctx, conn.address) }, func() { conn.Close() })
 	if err := x.write(req); err != nil {
 		x.Abort()
 
@@ -84,27 +79,12 @@
 	return x, nil
 }
 
-// probe closes the connection to a silent upstream that cannot be reached; otherwise it waits on.
-func (x *Exchange) probe(ctx context.Context) {
-	if x.client.Reachable(ctx, x.conn.address) {
-		x.watchdog.Reset(x.stall)
-
-		return
-	}
-	x.gone.Store(true)
-	x.conn.Close()
-}
-
 // Progress notes that the upstream is not silent.
-func (x *Exchange) Progress() {
-	if x.watchdog != nil {
-		x.watchdog.Reset(x.stall)
-	}
-}
+func (x *Exchange) Progress() { x.watchdog.progress() }
 
 // Lost returns the type of the errors of this exchange.
 func (x *Exchange) Lost() *errorx.Type {
-	if x.gone.Load() {
+	if x.watchdog.expired() {
 		return ErrGone
 	}
 
@@ -162,23 +142,17 @@
 		return
 	}
 	x.ended = true
-	x.unwatch()
+	x.watchdog.stop()
 	x.stop()
 	x.client.discard(x.conn)
 }
 
-func (x *Exchange) unwatch() {
-	if x.watchdog != nil {
-		x.watchdog.Stop()
-	}
-}
-
 // Finish gives the connection back after the answer was read to its end.
 func (x *Exchange) Finish(now time.Time) {
 	if x.ended {
 		return
 	}
-	x.unwatch()
+	x.watchdog.stop()
 	if !x.stop() || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.sent() {
 		x.ended = true
 		x.client.discard(x.conn)
