Forget upstreams that are gone, and write the crowding of engines once

Figures: io/entry, platform, core/locality and core/pace under the race detector pass; linter clean.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -36,8 +36,8 @@
 }
 
 const (
-	// crowding is how much each request beside slows an engine's tokens, as a part of the pace.
-	crowding = 0.025
+	// Crowding is how much each request beside slows an engine's tokens, as a part of the pace.
+	Crowding = 0.025
 	// readPerToken is the time to read a token of a prompt, as a part of the time to generate one.
 	readPerToken = 1.0 / 300
 	// disturbance is how much of a request's reading each request beside waits for.
@@ -78,7 +78,7 @@
 	reading := float64(work.missing(candidate.ID, c.KeepsShared)) * readPerToken * c.Pace
 	generating := float64(work.Output) * c.Pace
 	cost += reading * (1 + disturbance*beside)
-	cost += generating * (1 + 2*crowding*beside)
+	cost += generating * (1 + 2*Crowding*beside)
 
 	return cost + waiting(running, places, generating)
 }
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -151,6 +151,7 @@
 			return
 		case <-ticker.C:
 			h.upstream.Sweep(h.now())
+			h.gateway.Sweep()
 		}
 	}
 }
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -16,8 +16,6 @@
 	unknownPace = 1.2
 	// minSample is the least number of tokens from which an engine's pace is read.
 	minSample = 60
-	// crowding is how much each request beside slows an engine, as a part of its pace.
-	crowding = 0.025
 )
 
 // sharedPart returns the part of the prompt that other lines have in common.
@@ -69,6 +67,17 @@
 	return assign.Choose(g.Catalog.Serving(j.service.Name), work, condition, j.excluded)
 }
 
+// Sweep forgets what was learned of upstreams that are not listed any more.
+func (g *Gateway) Sweep() {
+	g.pacesMu.Lock()
+	defer g.pacesMu.Unlock()
+	g.paces.Expire(func(upstream id.Upstream) bool {
+		_, listed := g.Catalog.Get(upstream)
+
+		return listed
+	})
+}
+
 // noteFailure counts a failure against an upstream.
 func (g *Gateway) noteFailure(instance *registry.Instance) {
 	g.pacesMu.Lock()
@@ -87,7 +96,7 @@
 	case tokens < minSample:
 		return
 	default:
-		ms /= float64(tokens) * (1 + crowding*min(running, places))
+		ms /= float64(tokens) * (1 + assign.Crowding*min(running, places))
 	}
 	g.pacesMu.Lock()
 	defer g.pacesMu.Unlock()
