--- /dev/null
+++ b/command/gateway/gateway.go
@@ -0,0 +1,72 @@
+// Package gateway holds the command that runs an entry host on the users' platform.
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"cardamomward/command/cmdutil"
+	"cardamomward/io/entry"
+	"cardamomward/io/logline"
+	"cardamomward/platform"
+)
+
+// GatewayOptions are the options of gateway.
+type GatewayOptions struct {
+	Factory   *cmdutil.Factory
+	Settings  string
+	Verbosity int
+}
+
+// NewCmdGateway returns the command that runs an entry host.
+func NewCmdGateway(f *cmdutil.Factory, runF func(context.Context, *GatewayOptions) error) *cli.Command {
+	opts := &GatewayOptions{Factory: f}
+
+	return &cli.Command{
+		Name:        "gateway",
+		Usage:       "run an entry host on the users' platform",
+		Description: cmdutil.Example("cardamomward gateway --settings settings.json"),
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "file with the platform's settings of the host", Destination: &opts.Settings,
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Destination: &opts.Verbosity},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			if runF != nil {
+				return runF(ctx, opts)
+			}
+
+			return gatewayRun(ctx, opts)
+		},
+	}
+}
+
+func gatewayRun(ctx context.Context, opts *GatewayOptions) error {
+	settings, err := platform.LoadSettings(opts.Settings)
+	if err != nil {
+		return cmdutil.Usage("%v", err)
+	}
+	logger := logline.New(opts.Factory.IOStreams.Out, opts.Factory.Now, opts.Verbosity)
+	host := entry.New(settings, logger, opts.Factory.Now)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGTERM {
+				host.Drain(ctx)
+
+				continue
+			}
+			logger.Info("reloaded", "host", settings.Name)
+		}
+	}()
+
+	return host.Run(ctx)
+}
--- a/command/root/root.go
+++ b/command/root/root.go
@@ -12,6 +12,7 @@
 	"cardamomward/command/demo"
 	"cardamomward/command/dev"
 	"cardamomward/command/dump"
+	"cardamomward/command/gateway"
 	"cardamomward/command/host"
 	"cardamomward/command/key"
 	"cardamomward/command/load"
@@ -35,6 +36,7 @@
 			demo.NewCmdDemo(f, nil),
 			dev.NewCmdDev(f, nil),
 			serve.NewCmdServe(f, nil),
+			gateway.NewCmdGateway(f, nil),
 			standin.NewCmdStandin(f),
 			settings.NewCmdSettings(f),
 			workspace.NewCmdWorkspace(f),
--- /dev/null
+++ b/core/assign/doc.go
@@ -0,0 +1,2 @@
+// Package assign chooses the upstream that runs a request.
+package assign
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route holds one version of the operator's configuration and matches requests with it.
+package route
--- /dev/null
+++ b/io/catalog/catalog.go
@@ -0,0 +1,132 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cardamomward/core/id"
+	"cardamomward/core/registry"
+	"cardamomward/core/route"
+	"cardamomward/platform"
+)
+
+// Catalog holds the newest configuration and upstreams that this host has read.
+type Catalog struct {
+	Store  *platform.Store
+	Logger logr.Logger
+	Now    func() time.Time
+
+	config atomic.Pointer[route.Config]
+	// answered is when the store last answered, in nanoseconds since the Unix epoch.
+	answered atomic.Int64
+
+	mu       sync.Mutex
+	registry registry.Registry
+}
+
+// Config returns the newest configuration, or nil where none is known.
+func (c *Catalog) Config() *route.Config { return c.config.Load() }
+
+// Serving returns the upstreams of a service that may get new work.
+func (c *Catalog) Serving(service id.Service) []*registry.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.Expire(c.Now())
+
+	return c.registry.Serving(service)
+}
+
+// Get returns the entry of an upstream.
+func (c *Catalog) Get(upstream id.Upstream) (*registry.Instance, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.registry.Get(upstream)
+}
+
+// Answered returns when the store last answered this host.
+func (c *Catalog) Answered() time.Time { return time.Unix(0, c.answered.Load()) }
+
+// NoteAnswer notes that the store has answered.
+func (c *Catalog) NoteAnswer() { c.answered.Store(c.Now().UnixNano()) }
+
+// Run follows both topics until ctx ends.
+func (c *Catalog) Run(ctx context.Context) {
+	configuration := &follower{
+		catalog: c, partition: platform.Partition{Topic: platform.ConfigurationTopic},
+		apply: c.applyConfiguration,
+	}
+	upstreams := &follower{
+		catalog: c, partition: platform.Partition{Topic: platform.UpstreamsTopic},
+		pause: upstreamInterval, apply: c.applyUpstream, retain: c.retainUpstreams, returned: c.returned,
+	}
+	var group sync.WaitGroup
+	group.Go(func() { configuration.run(ctx) })
+	group.Go(func() { upstreams.run(ctx) })
+	group.Wait()
+}
+
+func (c *Catalog) applyConfiguration(record platform.Record) {
+	if record.Key != platform.ConfigurationKey || len(record.Value) == 0 {
+		return
+	}
+	config, err := platform.DecodeConfiguration(record.Value)
+	if err != nil {
+		c.Logger.Error(err, "configuration-refused", "offset", record.Offset)
+
+		return
+	}
+	old := c.config.Load()
+	if old != nil && config.Version <= old.Version {
+		return
+	}
+	c.config.Store(config)
+	c.Logger.Info("configuration", "version", config.Version, "offset", record.Offset,
+		"routes", len(config.Routes), "workspaces", len(config.Workspaces))
+}
+
+func (c *Catalog) applyUpstream(record platform.Record) {
+	now := c.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(record.Value) == 0 {
+		c.registry.Remove(now, id.Upstream(record.Key))
+		c.Logger.Info("upstream-removed", "upstream", record.Key, "offset", record.Offset)
+
+		return
+	}
+	instance, err := platform.DecodeUpstream(record.Key, record.Value)
+	if err != nil {
+		c.registry.Remove(now, id.Upstream(record.Key))
+		c.Logger.Error(err, "upstream-refused", "upstream", record.Key, "offset", record.Offset)
+
+		return
+	}
+	old, known := c.registry.Get(instance.ID)
+	if known && *old == *instance {
+		return
+	}
+	c.registry.Put(instance)
+	c.Logger.Info("upstream", "upstream", instance.ID, "service", instance.Service, "address", instance.Address,
+		"draining", instance.Draining, "offset", record.Offset)
+}
+
+func (c *Catalog) retainUpstreams(keys map[string]struct{}) {
+	listed := make(map[id.Upstream]struct{}, len(keys))
+	for key := range keys {
+		listed[id.Upstream(key)] = struct{}{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.Retain(c.Now(), listed)
+}
+
+func (c *Catalog) returned() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.Returned(c.Now())
+}
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"cardamomward/core/call"
+	"cardamomward/core/id"
+	"cardamomward/core/registry"
+	"cardamomward/core/route"
+	"cardamomward/io/upstream"
+)
+
+// Catalog tells the newest configuration and upstreams.
+type Catalog interface {
+	Config() *route.Config
+	Serving(service id.Service) []*registry.Instance
+	Get(upstream id.Upstream) (*registry.Instance, bool)
+}
+
+// Rates admits requests within the rates of workspaces.
+type Rates interface {
+	// Admit reports whether a request may run now, and otherwise when to come back.
+	Admit(ctx context.Context, workspace *route.Workspace) (ok bool, retry time.Duration)
+}
+
+// Turn is what the owner of a program is told of a turn.
+type Turn struct {
+	Request   *call.Request
+	Workspace id.Workspace
+	Deadline  time.Time
+	Retention time.Duration
+	// Retains asks for the chain before the turn, and for the turn to be kept.
+	Retains bool
+}
+
+// Verdict is what the owner of a program says of a turn.
+type Verdict int
+
+// Verdicts on a turn.
+const (
+	// Proceed lets the turn run.
+	Proceed Verdict = iota
+	// Spent says that the program's budget does not hold the turn.
+	Spent
+	// NoSuchTurn says that the turn to continue from does not exist.
+	NoSuchTurn
+	// Unsure says that nobody can tell now.
+	Unsure
+)
+
+// Turns keeps the budgets and histories of programs.
+type Turns interface {
+	// Begin reserves a turn's tokens and returns the chain before it.
+	Begin(ctx context.Context, turn Turn) (chain []byte, verdict Verdict)
+	// End settles a turn; it reports whether the turn is kept where it is to be kept.
+	End(ctx context.Context, turn Turn, chain []byte, tokens id.Tokens, output []byte, whole bool) bool
+}
+
+// Crashes counts the crashes of upstreams against the requests that ran there.
+type Crashes interface {
+	// Convicted reports whether a request has crashed too many upstreams.
+	Convicted(fingerprint id.Fingerprint) bool
+	// Lost notes that an upstream's answer to a request broke off.
+	Lost(fingerprint id.Fingerprint, instance *registry.Instance)
+}
+
+// Loads counts what runs at upstreams, here and at other hosts.
+type Loads interface {
+	Running(upstream id.Upstream) int
+	Add(upstream id.Upstream, delta int)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	Catalog  Catalog
+	Upstream *upstream.Client
+	Rates    Rates
+	Turns    Turns
+	Crashes  Crashes
+	Loads    Loads
+	Logger   logr.Logger
+	Now      func() time.Time
+	// Draining reports whether the host is about to stop.
+	Draining func() bool
+}
--- /dev/null
+++ b/io/gateway/send.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+
+	"cardamomward/core/assign"
+	"cardamomward/core/attempt"
+	"cardamomward/core/id"
+	"cardamomward/core/registry"
+	"cardamomward/io/upstream"
+	"cardamomward/platform"
+)
+
+// sent is a send whose answer has begun.
+type sent struct {
+	*upstream.Exchange
+
+	instance *registry.Instance
+	answer   platform.Answer
+}
+
+// basePriority is the engine's priority of routes of the highest rank; lower ranks follow.
+const basePriority = 3
+
+func (j *job) enginePriority() int {
+	if j.service.Engine == nil {
+		return -1
+	}
+	rank := j.route.Priority
+	if j.workspace != nil && j.workspace.Priority != nil {
+		rank = *j.workspace.Priority
+	}
+
+	return min(9, basePriority+rank)
+}
+
+// dispatch sends the request until an upstream answers it; the refusal says why none did.
+func (g *Gateway) dispatch(ctx context.Context, j *job) (*sent, *refusal) {
+	policy := attempt.Policy{Repeatable: j.route.Repeatable(), MaxAttempts: j.route.MaxAttempts}
+	for {
+		instance := g.choose(j)
+		if instance == nil {
+			return nil, g.noneLeft(j)
+		}
+		s, outcome := g.send(ctx, j, instance)
+		j.tries.Note(outcome)
+		if outcome == attempt.Answered {
+			return s, nil
+		}
+		if ctx.Err() != nil {
+			return nil, lostRefusal(j, "caller-gone")
+		}
+		if outcome == attempt.Lost {
+			g.Crashes.Lost(j.fingerprint, instance)
+		}
+		remaining := j.deadline.Sub(g.Now())
+		if !j.tries.Again(policy, outcome, outcome == attempt.Lost && g.ended(instance), remaining) {
+			return nil, g.noneLeft(j)
+		}
+	}
+}
+
+// ended reports whether an upstream has left the list or been replaced since it was chosen.
+func (g *Gateway) ended(instance *registry.Instance) bool {
+	current, ok := g.Catalog.Get(instance.ID)
+
+	return !ok || current.Born != instance.Born || current.Address != instance.Address
+}
+
+func (g *Gateway) noneLeft(j *job) *refusal {
+	if j.tries.Ran > 0 {
+		return lostRefusal(j, "answer-lost")
+	}
+	if !g.Now().Before(j.deadline) {
+		return refuseUnrun("deadline", retrySoon)
+	}
+
+	return refuseUnrun("no-upstream", retrySoon)
+}
+
+// lostRefusal promises nothing where the request may have run.
+func lostRefusal(j *job, reason string) *refusal {
+	if j.tries.Ran == 0 {
+		return refuseUnrun(reason, retrySoon)
+	}
+
+	return &refusal{status: http.StatusBadGateway, reason: reason}
+}
+
+func (g *Gateway) choose(j *job) *registry.Instance {
+	return assign.Choose(g.Catalog.Serving(j.service.Name), j.Line(), g.Loads.Running, j.excluded)
+}
+
+// send sends the request to one upstream.
+func (g *Gateway) send(ctx context.Context, j *job, instance *registry.Instance) (*sent, attempt.Outcome) {
+	now := g.Now()
+	if j.excluded == nil {
+		j.excluded = make(map[id.Upstream]struct{})
+	}
+	j.excluded[instance.ID] = struct{}{}
+	j.upstreams = append(j.upstreams, instance.ID)
+	send := platform.Send{
+		Upstream: instance.ID, Workspace: j.workspaceName(), Remaining: j.deadline.Sub(now),
+		Priority: j.enginePriority(), LastEvent: j.resumeAfter(),
+	}
+	length := len(j.chain) + len(j.Body)
+	head := platform.AppendHead(make([]byte, 0, headSize+length), j.Request, send, length)
+	head = append(head, j.chain...)
+	g.Loads.Add(instance.ID, 1)
+	exchange, err := g.Upstream.Send(ctx, now, upstream.Request{
+		Address: instance.Address, Method: j.Method, Head: head, Body: j.Body, Deadline: j.deadline,
+		Mine: func(status int, header http.Header) bool {
+			answered := platform.DecodeAnswer(status, header).RequestID
+
+			return answered == "" || answered == j.ID
+		},
+	})
+	if err != nil {
+		g.Loads.Add(instance.ID, -1)
+		g.Logger.Info("send-failed", "request", j.ID, "upstream", instance.ID, "error", err)
+		if errorx.IsOfType(err, upstream.ErrNotSent) {
+			return nil, attempt.NotSent
+		}
+
+		return nil, attempt.Lost
+	}
+	s := &sent{Exchange: exchange, instance: instance, answer: platform.DecodeAnswer(exchange.Status, exchange.Header)}
+	if outcome := s.outcome(); outcome != attempt.Answered {
+		g.Logger.Info("send-refused", "request", j.ID, "upstream", instance.ID, "status", exchange.Status)
+		g.drop(s)
+
+		return nil, outcome
+	}
+
+	return s, attempt.Answered
+}
+
+// headSize is room for the head of a request, in bytes.
+const headSize = 1024
+
+// resumeAfter is the event after which a stream goes on: the last passed on, else the caller's own.
+func (j *job) resumeAfter() string {
+	if j.lastEvent != "" {
+		return j.lastEvent
+	}
+
+	return j.LastEvent
+}
+
+// outcome judges the head of an answer; one that no upstream signed is no answer to the request.
+func (s *sent) outcome() attempt.Outcome {
+	switch {
+	case s.answer.NotRun:
+		return attempt.NotRun
+	case s.answer.Signed:
+		return attempt.Answered
+	default:
+		return attempt.Lost
+	}
+}
+
+// drop ends an exchange whose answer is not read.
+func (g *Gateway) drop(s *sent) {
+	s.Abort()
+	g.Loads.Add(s.instance.ID, -1)
+}
+
+// finish ends an exchange whose answer was read to its end.
+func (g *Gateway) finish(s *sent) {
+	s.Finish(g.Now())
+	g.Loads.Add(s.instance.ID, -1)
+}
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -1,6 +1,7 @@
 package httpx
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -44,6 +45,15 @@
 	MaxBody int
 	// DrainTimeout is how long Close waits for requests under way.
 	DrainTimeout time.Duration
+	// MaxHeader bounds the head of a request in bytes; zero means the library's bound.
+	MaxHeader int
+	// ReadTimeout bounds how long a request may take to arrive; zero means 20 s.
+	ReadTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept; zero means 2 min.
+	IdleTimeout time.Duration
+	// Forwarding is set for servers that pass requests on: nothing is added to responses, no body is parsed, and
+	// a handler's context ends when the other end closes the connection.
+	Forwarding bool
 }
 
 // NewServer binds the address and returns a server that does not accept requests yet.
@@ -53,20 +63,33 @@
 		return nil, err
 	}
 	listener := &listener{Listener: inner}
-	h := server.New(
+	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithMaxRequestBodySize(max(opts.MaxBody, 1)),
-		server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout),
+		server.WithReadTimeout(cmp.Or(opts.ReadTimeout, readTimeout)),
+		server.WithIdleTimeout(cmp.Or(opts.IdleTimeout, idleTimeout)),
 		server.WithExitWaitTime(opts.DrainTimeout),
-		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
-	)
+		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	}
+	if opts.MaxHeader > 0 {
+		options = append(options, server.WithMaxHeaderBytes(opts.MaxHeader))
+	}
+	if opts.Forwarding {
+		options = append(options,
+			server.WithSenseClientDisconnection(true),
+			server.WithDisableDefaultDate(true),
+			server.WithDisableDefaultContentType(true),
+			server.WithDisablePreParseMultipartForm(true),
+			server.WithHandleMethodNotAllowed(false),
+			server.WithRedirectTrailingSlash(false),
+		)
+	}
 
-	return &Server{Hertz: h, listener: listener, done: make(chan error, 1)}, nil
+	return &Server{Hertz: server.New(options...), listener: listener, done: make(chan error, 1)}, nil
 }
 
 // Address returns the bound address.
