--- a/core/allowance/pool.go
+++ b/core/allowance/pool.go
@@ -15,6 +15,9 @@
 	// startLevel is what a new owner's bucket holds, in seconds of the rate: its predecessor may have granted
 	// the whole burst a moment ago, and a tenth of the rate over the window is all that may be admitted beyond.
 	startLevel = 0.4
+	// startSlack is the part of the requests that may be admitted beyond the rate in any window that a new owner's
+	// bucket holds besides, so that four owners in a window stay within them.
+	startSlack = 0.25
 	// startsAhead is how many seconds of the rate programs may be begun ahead, since their requests come over time.
 	startsAhead = 0.2
 	// startsShare is the part of the rate that is promised to programs that begin; the rest is for what they need beyond
@@ -48,6 +51,8 @@
 type Pool struct {
 	// Full is set where there was no owner before, so that the bucket starts full.
 	Full bool
+	// Slack is how many requests may be admitted beyond the rate in any window.
+	Slack float64
 
 	level  float64
 	filled time.Time
@@ -154,10 +159,10 @@
 func (p *Pool) fill(now time.Time, limit Limit) {
 	if p.filled.IsZero() {
 		p.filled = now
-		p.level = min(limit.Burst, limit.Rate*startLevel)
-		p.open = p.level
+		p.level = min(limit.Burst, limit.Rate*startLevel+startSlack*p.Slack)
+		p.open = p.mostOpen(limit)
 		if p.Full {
-			p.level, p.open = limit.Burst, p.mostOpen(limit)
+			p.level = limit.Burst
 		}
 	}
 	if elapsed := now.Sub(p.filled).Seconds(); elapsed > 0 {
--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -8,8 +8,21 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// idleLimit is how long a member may own nothing before it stops being one.
-const idleLimit = 2 * time.Second
+const (
+	// idleLimit is how long a member may own nothing before it stops being one.
+	idleLimit = 2 * time.Second
+	// largePart is the part of the largest host's size from which on a host counts as large.
+	largePart = 0.5
+	// fewest is how many large hosts must be there for the small ones to own nothing.
+	fewest = 6
+)
+
+// Host is a host that is heard.
+type Host struct {
+	Member string
+	// Size is the processor time that it has, in cores.
+	Size float64
+}
 
 // View is what a host knows when it decides.
 type View struct {
@@ -17,7 +30,7 @@
 	// Slots is how many slots there are.
 	Slots int
 	// Live are the hosts that are heard, this one included.
-	Live []string
+	Live []Host
 	// Owners are the owners of the slots; a slot without one has an empty string.
 	Owners []string
 	// Member is set while this host is a member, and Idle is since when it has owned nothing.
@@ -26,20 +39,52 @@
 }
 
 // Take reports whether the host should be a member of the slots' group. Members stay while they own something; others
-// take the places that are free, in an order that all hosts compute alike.
+// take the places that are free, in an order that all hosts compute alike. Where a fleet has enough large hosts, small
+// ones own nothing: all turns of a slot's programs depend on its owner.
 func Take(v View) bool {
+	able := able(v.Live)
+	if !slices.Contains(able, v.Self) {
+		return false
+	}
 	if v.Member {
-		return v.Idle < idleLimit || len(v.Live) <= v.Slots
+		return v.Idle < idleLimit || len(able) <= v.Slots
 	}
 	owners := make(map[string]bool, v.Slots)
 	for _, owner := range v.Owners {
-		if owner != "" && slices.Contains(v.Live, owner) {
+		if owner != "" && slices.Contains(able, owner) {
 			owners[owner] = true
 		}
 	}
 	free := v.Slots - len(owners)
-	waiting := slices.DeleteFunc(slices.Clone(v.Live), func(host string) bool { return owners[host] })
+	waiting := slices.DeleteFunc(able, func(host string) bool { return owners[host] })
 	slices.SortFunc(waiting, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
 
 	return slices.Index(waiting, v.Self) < free
 }
+
+// Share returns how many slots a host owns at most when all that may own some are members.
+func Share(slots int, live []Host) int {
+	owners := len(able(live))
+
+	return (slots + owners - 1) / owners
+}
+
+// able returns the members that may own slots.
+func able(live []Host) []string {
+	largest := 0.0
+	for _, host := range live {
+		largest = max(largest, host.Size)
+	}
+	var all, large []string
+	for _, host := range live {
+		all = append(all, host.Member)
+		if host.Size >= largePart*largest {
+			large = append(large, host.Member)
+		}
+	}
+	if len(large) >= fewest {
+		return large
+	}
+
+	return all
+}
--- a/core/candidacy/candidacy_test.go
+++ b/core/candidacy/candidacy_test.go
@@ -19,6 +19,16 @@
 	return list
 }
 
+// equal returns hosts of one size.
+func equal(members []string) []candidacy.Host {
+	list := make([]candidacy.Host, 0, len(members))
+	for _, member := range members {
+		list = append(list, candidacy.Host{Member: member, Size: 1})
+	}
+
+	return list
+}
+
 // members returns the hosts that would be members, given the owners.
 func members(live, owners []string) []string {
 	var list []string
@@ -27,7 +37,7 @@
 		for _, owner := range owners {
 			isOwner = isOwner || owner == host
 		}
-		if candidacy.Take(candidacy.View{Self: host, Slots: 12, Live: live, Owners: owners, Member: isOwner}) {
+		if candidacy.Take(candidacy.View{Self: host, Slots: 12, Live: equal(live), Owners: owners, Member: isOwner}) {
 			list = append(list, host)
 		}
 	}
@@ -64,10 +74,33 @@
 }
 
 func TestMembersThatOwnNothingLeaveALargeFleet(t *testing.T) {
-	v := candidacy.View{Self: "x", Slots: 12, Live: hosts(80), Member: true, Idle: time.Second}
+	v := candidacy.View{Self: hosts(1)[0], Slots: 12, Live: equal(hosts(80)), Member: true, Idle: time.Second}
 	require.True(t, candidacy.Take(v))
 	v.Idle = 3 * time.Second
 	require.False(t, candidacy.Take(v))
-	v.Live = hosts(12)
+	v.Live = equal(hosts(12))
 	require.True(t, candidacy.Take(v))
 }
+
+func TestSmallHostsOwnNothingWhereThereAreEnoughLargeOnes(t *testing.T) {
+	live := equal(hosts(80))
+	for i := range live {
+		if i%4 != 0 {
+			live[i].Size = 0.192
+		}
+	}
+	for i, host := range live {
+		v := candidacy.View{Self: host.Member, Slots: 24, Live: live, Owners: make([]string, 24)}
+		require.Equal(t, i%4 == 0, candidacy.Take(v))
+		v.Member = true
+		require.Equal(t, i%4 == 0, candidacy.Take(v), "a small member stands down")
+	}
+	few := live[:20]
+	require.True(t, candidacy.Take(candidacy.View{Self: few[1].Member, Slots: 24, Live: few, Owners: make([]string, 24)}), "five large hosts are too few")
+}
+
+func TestShareOfSlots(t *testing.T) {
+	require.Equal(t, 1, candidacy.Share(12, equal(hosts(12))))
+	require.Equal(t, 2, candidacy.Share(24, equal(hosts(20))))
+	require.Equal(t, 12, candidacy.Share(12, equal(hosts(1))))
+}
--- /dev/null
+++ b/core/detour/detour.go
@@ -0,0 +1,47 @@
+package detour
+
+import "time"
+
+const (
+	// failures is how many calls in a row must fail before calls go another way.
+	failures = 2
+	// quiet is how long ago the last answer must be by then.
+	quiet = 150 * time.Millisecond
+	// probeInterval is how often the direct way is tried while it fails.
+	probeInterval = 300 * time.Millisecond
+)
+
+// Way follows how calls fare on the direct way; its zero value goes there.
+type Way struct {
+	failed   int
+	answered time.Time
+	probed   time.Time
+}
+
+// Blocked reports whether calls should go another way.
+func (w *Way) Blocked(now time.Time) bool {
+	return w.failed >= failures && now.Sub(w.answered) >= quiet
+}
+
+// Probe reports whether the direct way is to be tried now, and notes that it is.
+func (w *Way) Probe(now time.Time) bool {
+	if !w.Blocked(now) || now.Sub(w.probed) < probeInterval {
+		return false
+	}
+	w.probed = now
+
+	return true
+}
+
+// Note notes whether a call on the direct way was answered.
+func (w *Way) Note(now time.Time, answered bool) {
+	if answered {
+		w.failed, w.answered = 0, now
+
+		return
+	}
+	w.failed++
+}
+
+// Answered returns when a call on the direct way was last answered.
+func (w *Way) Answered() time.Time { return w.answered }
--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,50 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/core/directory"
+)
+
+func fleet(large, small int) []directory.Host {
+	var hosts []directory.Host
+	for i := range large {
+		hosts = append(hosts, directory.Host{Address: fmt.Sprintf("large-%d", i), Size: 0.8})
+	}
+	for i := range small {
+		hosts = append(hosts, directory.Host{Address: fmt.Sprintf("small-%d", i), Size: 0.192})
+	}
+
+	return hosts
+}
+
+func TestCallersAreSentToLargeHostsWhereTheseAreEnough(t *testing.T) {
+	addresses := directory.Choose(fleet(20, 60), 64, 1)
+	require.Len(t, addresses, 20)
+	for _, address := range addresses {
+		require.Contains(t, address, "large")
+	}
+	require.Len(t, directory.Choose(fleet(5, 60), 64, 1), 64, "small hosts serve where the large ones are lost")
+}
+
+func TestHostsOfOneSizeAreAllNamedInTurn(t *testing.T) {
+	require.Len(t, directory.Choose(fleet(12, 0), 64, 1), 12)
+	named := make(map[string]int)
+	for seed := range 400 {
+		for _, address := range directory.Choose(fleet(100, 0), 64, uint64(seed)) {
+			named[address]++
+		}
+	}
+	require.Len(t, named, 100)
+	for address, times := range named {
+		require.InDelta(t, 256, times, 64, address)
+	}
+}
+
+func TestNobodyServes(t *testing.T) {
+	require.Empty(t, directory.Choose(nil, 64, 1))
+	require.Equal(t, []string{"a"}, directory.Choose([]directory.Host{{Address: "a"}}, 64, 1))
+}
--- /dev/null
+++ b/core/directory/doc.go
@@ -0,0 +1,2 @@
+// Package directory chooses the hosts that callers are told to connect to.
+package directory
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"cardamomward/core/id"
@@ -17,6 +18,8 @@
 	Spent
 	// Wait asks for the program's mark to become durable first.
 	Wait
+	// Over refuses a turn that was settled before it was decided on: nobody waits for it any more.
+	Over
 )
 
 const (
@@ -76,6 +79,8 @@
 	}
 	before := a.settled + a.reserved()
 	switch {
+	case slices.Contains(a.ended, turn.Attempt):
+		return Over, Mark{}
 	case before+turn.Max > turn.Budget:
 		if before <= a.durable {
 			return Spent, Mark{}
@@ -96,10 +101,8 @@
 // End settles a turn with the tokens that it did generate.
 func (l *Ledger) End(program id.Program, attempt string, tokens id.Tokens) {
 	a := l.account(program)
-	for _, ended := range a.ended {
-		if ended == attempt {
-			return
-		}
+	if slices.Contains(a.ended, attempt) {
+		return
 	}
 	a.ended = append(a.ended, attempt)
 	if len(a.ended) > maxSettled {
--- a/io/catalog/catalog.go
+++ b/io/catalog/catalog.go
@@ -32,6 +32,8 @@
 
 	mu       sync.Mutex
 	registry registry.Registry
+	// listed is set once the list of upstreams has been read whole.
+	listed bool
 }
 
 // Config returns the newest configuration, or nil where none is known.
@@ -117,6 +119,9 @@
 		return
 	}
 	c.registry.Put(instance)
+	if !c.listed {
+		return
+	}
 	c.Logger.Info("upstream", "upstream", instance.ID, "service", instance.Service, "address", instance.Address,
 		"draining", instance.Draining, "offset", record.Offset)
 }
@@ -129,6 +134,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.registry.Retain(c.Now(), listed)
+	if !c.listed {
+		c.listed = true
+		c.Logger.Info("upstreams-listed", "upstreams", c.registry.Len())
+	}
 }
 
 func (c *Catalog) answeredAfter(away time.Duration) {
--- a/io/entry/directory.go
+++ b/io/entry/directory.go
@@ -32,10 +32,7 @@
 
 		return
 	}
-	addresses := h.fleet.Addresses(h.now())
-	if len(addresses) > platform.MaxAddresses {
-		addresses = addresses[:platform.MaxAddresses]
-	}
+	addresses := h.fleet.Addresses(h.now(), platform.MaxAddresses)
 	if len(addresses) == 0 {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 
--- /dev/null
+++ b/io/entry/failure_test.go
@@ -0,0 +1,108 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/platform"
+	"cardamomward/platform/standin"
+)
+
+// longLease makes memberships outlast a test, so that slots move only by what the hosts do.
+func longLease(_ *fleet, settings *platform.Host) { settings.Store.MinLease = time.Hour }
+
+func TestHostThatTheStoreTurnsAwayGoesOnByWayOfAPeer(t *testing.T) {
+	f := newFleet(t, 3)
+	first := f.until("host-1", standin.Turn("/chat/", "secret", "p", "", "one;"), http.StatusOK)
+	f.doors["host-0"].SetClosed(true)
+	// What is in force still reaches the host, and what it owns becomes durable.
+	standin.Configuration{Version: 2, Keys: []string{"newer"}}.Write(f.store)
+	f.until("host-0", standin.Call{Path: "/look/", Key: "secret"}, http.StatusUnauthorized)
+	for i := range 24 {
+		program := fmt.Sprintf("relayed-%d", i)
+		turn := f.until("host-0", standin.Turn("/chat/", "newer", program, "", "one;"), http.StatusOK)
+		f.until("host-2", standin.Turn("/chat/", "newer", program, turn.ID, "two;"), http.StatusOK)
+	}
+	second := f.until("host-0", standin.Turn("/chat/", "newer", "p", first.ID, "two;"), http.StatusOK)
+	require.Equal(t, "one;word-1\nword-2\nword-3\nword-4\nword-5\ntwo;", f.runs(second.ID)[0].Body)
+	f.doors["host-0"].SetClosed(false)
+	f.until("host-0", standin.Turn("/chat/", "newer", "p", second.ID, "three;"), http.StatusOK)
+}
+
+func TestSilentOwnersAreReplacedBeforeTheirLeasesEnd(t *testing.T) {
+	f := newFleet(t, 4, longLease)
+	first := make(map[string]standin.Answer)
+	for i := range 24 {
+		program := fmt.Sprintf("program-%d", i)
+		first[program] = f.until("host-1", standin.Turn("/chat/", "secret", program, "", "one;"), http.StatusOK)
+	}
+	f.kill("host-0")
+	for program, turn := range first {
+		f.until("host-2", standin.Turn("/chat/", "secret", program, turn.ID, "two;"), http.StatusOK)
+	}
+}
+
+func TestHostThatIsCutOffNamesTheOthers(t *testing.T) {
+	f := newFleet(t, 3, longLease)
+	f.kill("host-1")
+	f.kill("host-2")
+	// The store still takes the others for owners, and the host hears neither.
+	require.Eventually(t, func() bool {
+		addresses := f.addresses("host-0")
+
+		return !strings.Contains(addresses, f.hosts["host-0"].settings.Callers) &&
+			strings.Contains(addresses, f.hosts["host-1"].settings.Callers)
+	}, patience, 20*time.Millisecond)
+	answer := f.do("host-0", standin.Turn("/draft/", "secret", "p", "", "x"))
+	require.Equal(t, http.StatusServiceUnavailable, answer.Status)
+	require.True(t, answer.Closes, "callers are told to connect elsewhere")
+	f.start("host-1")
+	f.start("host-2")
+	f.ready()
+	f.until("host-0", standin.Turn("/draft/", "secret", "p", "", "x"), http.StatusOK)
+}
+
+func TestHostThatDrainsInAnOutageServesItsPrograms(t *testing.T) {
+	f := newFleet(t, 3, func(_ *fleet, settings *platform.Host) { settings.Bounds.Grace = 10 * time.Second })
+	f.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(2 * time.Second) // The hosts notice that the store is away for all.
+	f.hosts["host-0"].running.Drain(context.Background())
+	for i := range 24 {
+		f.until("host-1", standin.Turn("/draft/", "secret", fmt.Sprintf("program-%d", i), "", "x"), http.StatusOK)
+	}
+	f.store.SetFaults(standin.Faults{})
+	<-f.hosts["host-0"].done
+	for i := range 24 {
+		f.until("host-1", standin.Turn("/draft/", "secret", fmt.Sprintf("program-%d", i), "", "x"), http.StatusOK)
+	}
+}
+
+func TestWhatWasKeptInAnOutageIsWrittenOverASlowLink(t *testing.T) {
+	// A full batch takes longer than a call of a healthy store may.
+	const link = 1 << 20
+	f := newFleet(t, 2, func(_ *fleet, settings *platform.Host) { settings.LinkBytes = 4 * link })
+	f.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(2 * time.Second)
+	input := strings.Repeat("x", 60_000)
+	turns := make(map[string]standin.Answer)
+	for i := range 60 {
+		program := fmt.Sprintf("program-%d", i)
+		turns[program] = f.until("host-0", standin.Turn("/chat/", "secret", program, "", input), http.StatusOK)
+	}
+	f.store.SetFaults(standin.Faults{BytesPerSecond: link})
+	for program, turn := range turns {
+		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "two;"), http.StatusOK)
+	}
+	f.kill("host-0")
+	f.kill("host-1")
+	f.start("host-1")
+	for program, turn := range turns {
+		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "three;"), http.StatusOK)
+	}
+}
--- a/io/entry/host.go
+++ b/io/entry/host.go
@@ -64,10 +64,11 @@
 	h.fleet = fleet.New(fleet.Options{
 		Settings: settings, Store: store, Logger: logger, Now: now,
 		StoreAnswered: h.catalog.Answered, NoteAnswer: h.catalog.NoteAnswer,
+		Configured: func() bool { return h.catalog.Config() != nil },
 	})
 	h.catalog.Stretch = h.fleet.Scaled
 	h.gateway = &gateway.Gateway{
-		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Draining: h.draining.Load, Metrics: &h.metrics,
+		Catalog: h.catalog, Upstream: h.upstream, Logger: logger, Now: now, Elsewhere: h.elsewhere, Metrics: &h.metrics,
 		Rates: h.fleet, Turns: h.fleet, Crashes: h.fleet, Loads: h.fleet,
 	}
 
@@ -185,6 +186,9 @@
 	follow.Sleep(ctx, flushTime)
 }
 
+// elsewhere reports whether callers should go to other hosts.
+func (h *Host) elsewhere() bool { return h.draining.Load() || h.fleet.CutOff(h.now()) }
+
 // ready reports whether the host can serve callers.
 func (h *Host) ready() bool {
 	return !h.draining.Load() && h.catalog.Config() != nil
--- a/io/entry/host_test.go
+++ b/io/entry/host_test.go
@@ -35,6 +35,9 @@
 	hosts   map[string]*host
 	names   []string
 	calls   atomic.Int64
+	// doors are the ways of the hosts to the store, and adjust changes the settings of each host.
+	doors  map[string]*standin.Door
+	adjust []func(*fleet, *platform.Host)
 }
 
 type host struct {
@@ -60,9 +63,9 @@
 	}
 }
 
-func newFleet(t *testing.T, hosts int) *fleet {
+func newFleet(t *testing.T, hosts int, adjust ...func(*fleet, *platform.Host)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), hosts: make(map[string]*host)}
+	f := &fleet{t: t, store: standin.NewStore(), hosts: make(map[string]*host), doors: make(map[string]*standin.Door), adjust: adjust}
 	t.Cleanup(f.store.Close)
 	standin.Configuration{Version: 1, Keys: []string{"secret"}}.Write(f.store)
 	for i := range 2 {
@@ -90,12 +93,18 @@
 	if !ok {
 		local := func() string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(freePort(f.t))) }
 		port := freePort(f.t)
+		door := f.store.NewDoor()
+		f.t.Cleanup(door.Close)
+		f.doors[name] = door
 		h = &host{settings: &platform.Host{
 			Name: id.Host(name), IP: "127.0.0.1", FailureDomain: "zone-a", Callers: local(), Readiness: local(), Directory: local(),
 			PeerPorts: [2]int{port, port + 1}, FirstStart: true, CPUShare: 1,
-			Store:  platform.StoreSettings{Address: f.store.Address(), Partitions: 12, CallBytes: 1 << 20, MinLease: time.Second},
+			Store:  platform.StoreSettings{Address: door.Address(), Partitions: 12, CallBytes: 1 << 20, MinLease: time.Second},
 			Bounds: platform.Bounds{Grace: 4 * time.Second, AnswerTTL: 5 * time.Second},
 		}}
+		for _, adjust := range f.adjust {
+			adjust(f, h.settings)
+		}
 		f.hosts[name] = h
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,7 +180,7 @@
 		answer, err = call.Do(context.Background(), request, f.hosts[name].settings.Callers)
 
 		return err == nil && answer.Status == status && !answer.Cut
-	}, patience, 20*time.Millisecond)
+	}, patience, 20*time.Millisecond, "the last answer: %v", &answer)
 
 	return answer
 }
--- a/io/fleet/beats.go
+++ b/io/fleet/beats.go
@@ -25,6 +25,8 @@
 			return
 		case <-ticker.C:
 		}
+		p.tick(p.fleet.Now())
+		p.watch(ctx)
 		data, targets := p.beat(p.fleet.Now())
 		for _, target := range targets {
 			conn.WriteTo(data, target) //nolint:errcheck // a lost beat is followed by the next
@@ -40,8 +42,8 @@
 	defer p.mu.Unlock()
 	p.sequence++
 	beat := &fleetpb.Beat{
-		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining, Left: p.left,
-		StoreAgeMillis: now.Sub(p.fleet.StoreAnswered()).Milliseconds(), Generation: own.generation,
+		Host: string(p.fleet.Settings.Name), Sequence: p.sequence, Draining: p.draining || !p.fleet.Configured(), Left: p.left,
+		StoreAgeMillis: now.Sub(p.fleet.storeDirect()).Milliseconds(), Generation: own.generation,
 	}
 	beat.Loads = p.loads(now)
 	for _, crash := range crashes {
@@ -50,6 +52,7 @@
 	if p.sequence%ownersEvery == 0 {
 		beat.Owners = own.owners
 	}
+	beat.Evicted = p.evictions(now)
 	data, err := proto.Marshal(beat)
 	if err != nil {
 		p.fleet.Logger.Error(err, "beat-failed")
@@ -72,12 +75,13 @@
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	targets = targets[:beatFanout]
-	if !p.left {
+	owners := p.fleet.ownership.Load().owners
+	if !p.left && !slices.Contains(owners, p.self.Peer) {
 		return targets
 	}
-	// A host that has left tells the owners first, who take its slots.
+	// Owners hear each other each beat, and hear of a host that has left at once, since they take its slots.
 	for _, other := range p.peers {
-		if slices.Contains(p.fleet.ownership.Load().owners, other.Peer) {
+		if slices.Contains(owners, other.Peer) && !slices.Contains(targets, other.addr) {
 			targets = append(targets, other.addr)
 		}
 	}
@@ -119,6 +123,8 @@
 	if beat.Left && !from.left {
 		p.fleet.noteFreed()
 	}
+	p.hearEvictions(now, beat.Evicted)
+	from.evicted = false
 	from.heard, from.sequence, from.draining, from.left = now, beat.Sequence, beat.Draining, beat.Left
 	from.storeSeen = now.Add(-time.Duration(beat.StoreAgeMillis) * time.Millisecond)
 	from.loads = make(map[id.Upstream]int, len(beat.Loads))
--- a/io/fleet/call.go
+++ b/io/fleet/call.go
@@ -24,9 +24,33 @@
 	return t.patience.Wait()
 }
 
-// call makes one call to the store with a bound on its time, and notes how it went.
+const (
+	// linkPart is the part of the host's link that a call to the store can count on beside other traffic.
+	linkPart = 0.25
+	// smallCall is the size under which a call's time tells how fast the store answers, in bytes.
+	smallCall = 16 << 10
+	// usualLink is taken for a host whose link is not known, in bytes a second.
+	usualLink = 8e6
+)
+
+// timeout bounds a call that moves so many bytes.
+func (f *Fleet) timeout(bytes int) time.Duration {
+	link := f.Settings.LinkBytes
+	if link <= 0 {
+		link = usualLink
+	}
+
+	return f.timer.wait() + time.Duration(float64(bytes)/(link*linkPart)*float64(time.Second))
+}
+
+// call makes one small call to the store with a bound on its time, and notes how it went.
 func (f *Fleet) call(ctx context.Context, do func(ctx context.Context) error) error {
-	callCtx, cancel := context.WithTimeout(ctx, f.timer.wait())
+	return f.callWith(ctx, 0, do)
+}
+
+// callWith does so for a call that moves so many bytes.
+func (f *Fleet) callWith(ctx context.Context, bytes int, do func(ctx context.Context) error) error {
+	callCtx, cancel := context.WithTimeout(ctx, f.timeout(bytes))
 	defer cancel()
 	began := f.Now()
 	err := do(callCtx)
@@ -34,7 +58,9 @@
 	defer f.timer.mu.Unlock()
 	switch {
 	case err == nil:
-		f.timer.patience.Answered(f.Now().Sub(began))
+		if bytes < smallCall {
+			f.timer.patience.Answered(f.Now().Sub(began))
+		}
 		f.NoteAnswer()
 	case errorx.IsOfType(err, platform.ErrInDoubt) && ctx.Err() == nil:
 		f.timer.patience.Unanswered()
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -40,7 +40,7 @@
 // Store is what the fleet needs of the platform's store.
 type Store interface {
 	Append(ctx context.Context, a platform.Append) (int64, error)
-	Newest(ctx context.Context, p platform.Partition) ([]platform.Record, int64, error)
+	Newest(ctx context.Context, p platform.Partition, pageTimeout time.Duration) ([]platform.Record, int64, error)
 	Join(ctx context.Context, group, member string, topics []string, lease time.Duration, generation int64) (platform.Membership, error)
 	Leave(ctx context.Context, group, member string) error
 	Owners(ctx context.Context, group string) (map[platform.Partition]string, error)
@@ -55,6 +55,8 @@
 	// StoreAnswered returns when the store last answered this host, and NoteAnswer notes that it has.
 	StoreAnswered func() time.Time
 	NoteAnswer    func()
+	// Configured reports whether this host knows a configuration; callers are sent to others until then.
+	Configured func() bool
 }
 
 // Fleet is this host's part in the fleet.
@@ -67,10 +69,14 @@
 	slots []*slot
 	peers *peers
 
-	ownership  atomic.Pointer[ownership]
-	generation atomic.Int64
-	lease      time.Duration
-	timer      timer
+	ownership atomic.Pointer[ownership]
+	ownersMu  sync.Mutex
+	// ownersChanged is closed and replaced when the owners change.
+	ownersChanged chan struct{}
+	generation    atomic.Int64
+	lease         time.Duration
+	timer         timer
+	way           storeWay
 	// leaseUntil is when the membership ends unless it is renewed, in nanoseconds since the Unix epoch.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
@@ -110,9 +116,10 @@
 func New(opts Options) *Fleet {
 	f := &Fleet{
 		Options: opts, store: opts.Store, topic: platform.KeyedTopic(slotTopic),
-		self:      net.JoinHostPort(opts.Settings.IP, strconv.Itoa(opts.Settings.PeerPorts[0])),
-		lease:     max(minLease, opts.Settings.Store.MinLease),
-		refreshed: make(chan struct{}, 1), freed: make(chan struct{}, 1),
+		self:          net.JoinHostPort(opts.Settings.IP, strconv.Itoa(opts.Settings.PeerPorts[0])),
+		lease:         max(minLease, opts.Settings.Store.MinLease),
+		ownersChanged: make(chan struct{}),
+		refreshed:     make(chan struct{}, 1), freed: make(chan struct{}, 1),
 		clients: make(map[string]fleetpb.Slots),
 		rates:   make(map[id.Workspace]*rate),
 		held:    make(map[string]*fleetpb.KeptTurn),
@@ -127,6 +134,7 @@
 		f.slots = append(f.slots, newSlot(f, index))
 	}
 	f.peers = newPeers(f)
+	opts.Store.Via = f.exchange
 
 	return f
 }
@@ -168,6 +176,29 @@
 // owner returns the member that owns a slot, or an empty string.
 func (f *Fleet) owner(slot int) string { return f.ownership.Load().owners[slot] }
 
+// whileOwner returns a context that ends when a member stops being a slot's owner.
+func (f *Fleet) whileOwner(ctx context.Context, slot int, member string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			f.ownersMu.Lock()
+			changed := f.ownersChanged
+			f.ownersMu.Unlock()
+			if f.owner(slot) != member {
+				return
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+			}
+		}
+	}()
+
+	return ctx, cancel
+}
+
 // client returns the client for a member; this host's own serves without a connection.
 func (f *Fleet) client(member string) fleetpb.Slots {
 	if member == f.self {
@@ -224,7 +255,7 @@
 	// expireInterval is how often expired records are looked for.
 	expireInterval = 2 * time.Second
 	// contactLimit is how long ago the store must have answered for it to count as reachable.
-	contactLimit = 1500 * time.Millisecond
+	contactLimit = 700 * time.Millisecond
 )
 
 // pool returns the bucket of a workspace in a slot that this host owns.
@@ -234,7 +265,7 @@
 	}
 	p, ok := s.pools[workspace]
 	if !ok {
-		p = &allowance.Pool{Full: s.first}
+		p = &allowance.Pool{Full: s.first, Slack: s.fleet.Settings.Bounds.RateSlack}
 		s.pools[workspace] = p
 	}
 
--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -22,6 +22,7 @@
 
 // renewLoop keeps this host a member of the group and takes and gives up slots as the store says.
 func (f *Fleet) renewLoop(ctx context.Context) {
+	f.awaitList(ctx)
 	for ctx.Err() == nil && !f.leaving.Load() {
 		var pause time.Duration
 		if f.candidate() {
@@ -33,6 +34,17 @@
 	}
 }
 
+// awaitList waits for the list of hosts, without which a host takes itself for the only one.
+func (f *Fleet) awaitList(ctx context.Context) {
+	timer := time.NewTimer(gathering)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.peers.listed:
+	case <-timer.C:
+	}
+}
+
 // pauseRenewal waits, but no longer than until a peer that leaves has freed its slots.
 func (f *Fleet) pauseRenewal(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
@@ -50,9 +62,14 @@
 	if f.ownsAny() {
 		f.owned = now
 	}
+	if f.CutOff(now) {
+		f.wantOwners()
+
+		return false
+	}
 
 	return candidacy.Take(candidacy.View{
-		Self: f.self, Slots: len(f.slots), Live: append(f.peers.live(now), f.self), Owners: f.ownership.Load().owners,
+		Self: f.self, Slots: len(f.slots), Live: f.peers.candidates(now), Owners: f.ownership.Load().owners,
 		Member: f.member, Idle: now.Sub(f.owned),
 	})
 }
@@ -73,6 +90,7 @@
 // standDown ends the membership of a host that owns nothing in a fleet with enough others.
 func (f *Fleet) standDown(ctx context.Context) time.Duration {
 	if f.member {
+		f.handOver(ctx, "stands-down")
 		if err := f.leave(ctx); err != nil {
 			return renewRetry
 		}
@@ -109,6 +127,9 @@
 	if f.leaving.Load() {
 		return renewInterval
 	}
+	if f.crowded(len(m.Held)) {
+		return crowdedPause
+	}
 	released := f.hold(ctx, m)
 	if changed {
 		f.wantOwners()
@@ -120,6 +141,24 @@
 	return renewInterval
 }
 
+const (
+	// gathering is how long after its start a host expects others to start too, as after the loss of all hosts.
+	gathering = 1200 * time.Millisecond
+	// crowdedPause paces renewals while a host waits for the others to take their slots.
+	crowdedPause = 60 * time.Millisecond
+)
+
+// crowded reports whether a host that has just started holds many more slots than its share: others that start beside it
+// are about to take them, and reading them all would keep it busy until then.
+func (f *Fleet) crowded(held int) bool {
+	now := f.Now()
+	if now.Sub(f.peers.started) > gathering || f.ownsAny() {
+		return false
+	}
+
+	return held > 2*candidacy.Share(len(f.slots), f.peers.candidates(now))
+}
+
 // startOver leaves the group, so that the next membership has a generation, and thus epochs, that no earlier process
 // of this host has used.
 func (f *Fleet) startOver(ctx context.Context) bool {
@@ -153,14 +192,15 @@
 	return released
 }
 
-// Leave hands all slots over and ends the membership.
+// Leave hands all slots over and ends the membership; while the store is away for all hosts, nobody could take the
+// slots, and this host keeps them.
 func (f *Fleet) Leave(ctx context.Context) {
 	f.leaving.Store(true)
 	f.peers.setDraining()
-	for _, s := range f.slots {
-		s.flush(ctx, flushLimit)
-		s.release("leaving")
+	for ctx.Err() == nil && !f.storeServes(ctx) {
+		follow.Sleep(ctx, renewRetry)
 	}
+	f.handOver(ctx, "leaving")
 	for ctx.Err() == nil {
 		err := f.leave(ctx)
 		if err == nil {
@@ -174,11 +214,32 @@
 	f.peers.withdraw(ctx)
 }
 
+// storeServes asks the store something that changes nothing.
+func (f *Fleet) storeServes(ctx context.Context) bool {
+	err := f.call(ctx, func(ctx context.Context) error {
+		_, err := f.store.Owners(ctx, group)
+
+		return err
+	})
+
+	return err == nil
+}
+
+// handOver gives up all slots once their records are durable, or cannot be in time.
+func (f *Fleet) handOver(ctx context.Context, reason string) {
+	flushCtx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	for _, s := range f.slots {
+		s.flush(flushCtx)
+		s.release(reason)
+	}
+}
+
 func (f *Fleet) leave(ctx context.Context) error {
 	return f.call(ctx, func(ctx context.Context) error { return f.store.Leave(ctx, group, f.self) })
 }
 
-// flushLimit bounds how long a slot that is handed over waits for its records to become durable.
+// flushLimit bounds how long slots that are handed over wait for their records to become durable.
 const flushLimit = 500 * time.Millisecond
 
 // wantOwners asks for the owners to be read again soon.
@@ -240,6 +301,10 @@
 		return
 	}
 	f.ownership.Store(next)
+	f.ownersMu.Lock()
+	close(f.ownersChanged)
+	f.ownersChanged = make(chan struct{})
+	f.ownersMu.Unlock()
 	if next.generation != old.generation {
 		f.Logger.Info("owners", "generation", next.generation, "owners", next.owners)
 	}
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
+	"cardamomward/core/directory"
 	"cardamomward/core/id"
 	"cardamomward/core/locality"
 	"cardamomward/io/follow"
@@ -52,6 +53,8 @@
 	sequence uint64
 	draining bool
 	left     bool
+	// evicted is set where the peer was taken out of the group since it was last heard.
+	evicted bool
 	// storeSeen is when the store answered the peer, by this host's clock.
 	storeSeen time.Time
 	loads     map[id.Upstream]int
@@ -71,11 +74,16 @@
 	draining bool
 	left     bool
 	sequence uint64
-	peers    map[id.Host]*peer
-	running  map[id.Upstream]int
-	remote   map[id.Upstream]int
-	parts    locality.Parts
-	told     []toldPart
+	// ticked is when the last beat was sent, and resumed when this process last went on after a pause.
+	ticked  time.Time
+	resumed time.Time
+	// evicted are the members that this host has taken out, told until a time.
+	evicted map[string]time.Time
+	peers   map[id.Host]*peer
+	running map[id.Upstream]int
+	remote  map[id.Upstream]int
+	parts   locality.Parts
+	told    []toldPart
 }
 
 func newPeers(f *Fleet) *peers {
@@ -84,16 +92,29 @@
 		self: hostEntry{
 			Callers: f.Settings.Callers, Peer: f.self, FailureDomain: f.Settings.FailureDomain, CPUShare: f.Settings.CPUShare,
 		},
-		listed: make(chan struct{}), running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
+		evicted: make(map[string]time.Time),
+		listed:  make(chan struct{}), running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
+		parts: locality.Parts{UnknownUntil: unknownUntil(f)},
 	}
 }
 
+// partsLearned is how long after its start a host has heard from the others which parts the upstreams keep.
+const partsLearned = 4 * time.Second
+
+func unknownUntil(f *Fleet) time.Time {
+	if f.Settings.FirstStart {
+		return time.Time{}
+	}
+
+	return f.Now().Add(partsLearned)
+}
+
 // run exchanges beats and follows the list of hosts until ctx ends.
 func (p *peers) run(ctx context.Context, conn net.PacketConn) {
 	list := &follow.Follower{
 		Store: p.fleet.Store, Logger: p.fleet.Logger, Now: p.fleet.Now, Pause: hostPause, Stretch: p.scaled,
 		Partition: platform.Partition{Topic: platform.KeyedTopic(hostTopic)},
-		Apply:     p.apply, Retain: func(map[string]struct{}) { p.listedOnce.Do(func() { close(p.listed) }) },
+		Apply:     p.apply, Retain: p.listedAll,
 		Answered: func(time.Duration) { p.fleet.NoteAnswer() },
 	}
 	var running sync.WaitGroup
@@ -132,10 +153,27 @@
 	known, ok := p.peers[host]
 	if !ok || known.Peer != entry.Peer {
 		p.peers[host] = &peer{hostEntry: entry, addr: addr, listed: p.fleet.Now()}
+		p.logListed(host, entry)
+	}
+}
+
+// logListed tells of a host that came later than the first list; the caller holds the lock.
+func (p *peers) logListed(host id.Host, entry hostEntry) {
+	select {
+	case <-p.listed:
 		p.fleet.Logger.Info("host-listed", "peer", host, "address", entry.Peer)
+	default:
 	}
 }
 
+// listedAll notes that the list of hosts has been read once.
+func (p *peers) listedAll(map[string]struct{}) {
+	p.listedOnce.Do(func() {
+		close(p.listed)
+		p.fleet.Logger.Info("hosts-listed", "hosts", p.known())
+	})
+}
+
 // announceLoop writes this host's entry.
 func (p *peers) announceLoop(ctx context.Context) {
 	for ctx.Err() == nil && !p.fleet.leaving.Load() {
@@ -285,24 +323,24 @@
 	return b
 }
 
-// Addresses returns where callers reach the hosts that serve, this one first unless it drains.
-func (f *Fleet) Addresses(now time.Time) []string {
+// Addresses returns where callers may connect, at most so many.
+func (f *Fleet) Addresses(now time.Time, most int) []string {
+	cutOff := f.CutOff(now)
 	p := f.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var addresses []string
+	hosts := make([]directory.Host, 0, len(p.peers)+1)
 	limit := p.silenceLimit()
 	for _, other := range p.peers {
-		if !other.draining && now.Sub(other.heard) <= limit {
-			addresses = append(addresses, other.Callers)
+		if !other.draining && (cutOff || now.Sub(other.heard) <= limit) {
+			hosts = append(hosts, directory.Host{Address: other.Callers, Size: other.CPUShare})
 		}
 	}
-	slices.Sort(addresses)
-	if !p.draining {
-		addresses = append([]string{p.self.Callers}, addresses...)
+	if !p.draining && !cutOff && f.Configured() {
+		hosts = append(hosts, directory.Host{Address: p.self.Callers, Size: p.self.CPUShare})
 	}
 
-	return addresses
+	return directory.Choose(hosts, most, rand.Uint64())
 }
 
 // noteFreed lets the renewal follow at once, since slots may have become free.
--- a/io/fleet/rates.go
+++ b/io/fleet/rates.go
@@ -153,7 +153,7 @@
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
 	member := f.owner(f.slotOf(req.Workspace))
-	if member == "" {
+	if member == "" || f.CutOff(f.Now()) {
 		f.wantOwners()
 
 		return nil, false
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -62,7 +62,7 @@
 // reserve reserves a turn's tokens, waiting for the program's mark where it must; the caller holds the lock.
 func (s *slot) reserve(ctx context.Context, req *fleetpb.BeginTurnRequest) (fleetpb.Outcome, int64) {
 	began := s.fleet.Now()
-	limit := began.Add(min(markWait, time.Duration(req.DeadlineMillis)*time.Millisecond))
+	limit := began.Add(min(markWait, time.Duration(req.WaitMillis)*time.Millisecond))
 	turn := ledger.Turn{
 		Program: id.Program(req.Program), Attempt: req.Attempt,
 		Budget: id.Tokens(req.Budget), Max: id.Tokens(req.MaxTokens),
@@ -85,6 +85,8 @@
 			return fleetpb.Outcome_OUTCOME_OK, int64(mark.Tokens)
 		case ledger.Wait:
 			s.recordMark(now, mark, true)
+		case ledger.Over:
+			return fleetpb.Outcome_OUTCOME_UNSURE, 0
 		}
 		if !now.Before(limit) || ctx.Err() != nil {
 			return fleetpb.Outcome_OUTCOME_UNSURE, 0
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -30,8 +30,8 @@
 )
 
 const (
-	// loadPages multiplies the bound of one call for the reading of a slot, which takes several.
-	loadPages = 6
+	// pageBytes is the most that a page of a slot's records holds, in bytes, as the platform's pages state.
+	pageBytes = 1 << 20
 	// linesKept is how long after its last turn it is remembered where a program ran.
 	linesKept = 15 * time.Second
 	// retentionMargin is how much longer than promised records are kept.
@@ -114,12 +114,10 @@
 func (s *slot) load(ctx context.Context, epoch int64) {
 	began := s.fleet.Now()
 	for ctx.Err() == nil && s.owns(epoch) {
-		records, end, err := s.read(ctx, epoch)
+		l, err := s.read(ctx, epoch)
 		if err == nil {
-			s.begin(epoch, loaded{
-				records: records, replies: s.fleet.recall(ctx, s.index), began: began,
-				first: s.fleet.Settings.FirstStart && end == 0,
-			})
+			l.began = began
+			s.begin(epoch, l)
 
 			return
 		}
@@ -154,7 +152,8 @@
 	first bool
 }
 
-func (s *slot) read(ctx context.Context, epoch int64) ([]platform.Record, int64, error) {
+// read fences the predecessor, then reads what it kept while the hosts are asked what they hold.
+func (s *slot) read(ctx context.Context, epoch int64) (loaded, error) {
 	claim := platform.Append{Partition: s.partition(), Producer: producer, Epoch: epoch}
 	err := s.fleet.call(ctx, func(ctx context.Context) error {
 		_, err := s.fleet.store.Append(ctx, claim)
@@ -162,12 +161,16 @@
 		return err
 	})
 	if err != nil {
-		return nil, 0, err
+		return loaded{}, err
+	}
+	replies := make(chan []*fleetpb.RecallReply, 1)
+	go func() { replies <- s.fleet.recall(ctx, s.index) }()
+	records, end, err := s.fleet.store.Newest(ctx, s.partition(), s.fleet.timeout(pageBytes))
+	if err != nil {
+		return loaded{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadPages*s.fleet.timer.wait())
-	defer cancel()
 
-	return s.fleet.store.Newest(ctx, s.partition())
+	return loaded{records: records, replies: <-replies, first: s.fleet.Settings.FirstStart && end == 0}, nil
 }
 
 // begin restores the records and serves.
@@ -247,10 +250,8 @@
 	}
 }
 
-// flush waits until all records are durable, up to a limit.
-func (s *slot) flush(ctx context.Context, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+// flush waits until all records are durable or ctx ends.
+func (s *slot) flush(ctx context.Context) {
 	for ctx.Err() == nil && s.writer.pending() {
 		follow.Sleep(ctx, writeRetry)
 	}
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -15,6 +15,9 @@
 const (
 	// ownerPatience bounds how long a turn waits for its slot to have an owner that answers.
 	ownerPatience = 700 * time.Millisecond
+	// ownerPart is the part of a caller's time that a turn may wait for its owner, so that a refusal leaves time to
+	// come back.
+	ownerPart = 0.3
 	// ownerRetry paces the requests to owners that have changed.
 	ownerRetry = 50 * time.Millisecond
 	// settlePatience bounds how long a settlement that no caller waits for is repeated.
@@ -29,16 +32,21 @@
 
 // Begin reserves a turn's tokens at the owner of its program and returns the chain before the turn.
 func (f *Fleet) Begin(ctx context.Context, turn gateway.Turn) gateway.Beginning {
-	ctx, cancel := context.WithDeadline(ctx, earliest(turn.Deadline, f.Now().Add(ownerPatience)))
+	left := turn.Deadline.Sub(f.Now())
+	wait := min(ownerPatience, time.Duration(ownerPart*float64(left)))
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	req := &fleetpb.BeginTurnRequest{
 		Workspace: string(turn.Workspace), Program: turn.ProgramName(), Attempt: turn.Request.ID,
 		Budget: int64(turn.Request.Budget), MaxTokens: int64(turn.Request.MaxTokens),
-		DeadlineMillis: turn.Deadline.Sub(f.Now()).Milliseconds(), Line: turn.Request.Line(),
+		DeadlineMillis: left.Milliseconds(), WaitMillis: wait.Milliseconds(), Line: turn.Request.Line(),
 	}
 	if turn.Retains {
 		req.Previous = turn.Request.Previous
 	}
+	if f.CutOff(f.Now()) {
+		return gateway.Beginning{Verdict: gateway.Unsure}
+	}
 	var found []byte
 	for {
 		reply, err := f.beginOnce(ctx, req)
@@ -73,12 +81,23 @@
 		if follow.Sleep(ctx, ownerRetry); ctx.Err() != nil {
 			f.Logger.Info("owner-unsure", "request", turn.Request.ID, "program", turn.ProgramName(),
 				"owner", f.owner(f.slotOf(turn.ProgramName())), "outcome", reply.GetOutcome(), "error", err)
+			f.abandon(ctx, req, err)
 
 			return gateway.Beginning{Verdict: gateway.Unsure}
 		}
 	}
 }
 
+// abandon settles a turn that is refused while its owner may have reserved tokens for it.
+func (f *Fleet) abandon(ctx context.Context, req *fleetpb.BeginTurnRequest, err error) {
+	if err == nil || req.Budget == 0 {
+		return
+	}
+	go f.settle(context.WithoutCancel(ctx), &fleetpb.EndTurnRequest{
+		Workspace: req.Workspace, Program: req.Program, Attempt: req.Attempt,
+	})
+}
+
 // noteMark remembers what the owner said of a program's count.
 func (f *Fleet) noteMark(program string, tokens int64) {
 	f.heldMu.Lock()
@@ -86,19 +105,14 @@
 	f.marks.Note(f.Now(), id.Program(program), id.Tokens(tokens))
 }
 
-func earliest(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-
-	return b
-}
-
 func (f *Fleet) beginOnce(ctx context.Context, req *fleetpb.BeginTurnRequest) (*fleetpb.BeginTurnReply, error) {
-	member := f.owner(f.slotOf(req.Program))
+	slot := f.slotOf(req.Program)
+	member := f.owner(slot)
 	if member == "" {
 		return &fleetpb.BeginTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
+	ctx, cancel := f.whileOwner(ctx, slot, member)
+	defer cancel()
 
 	return f.client(member).BeginTurn(ctx, req)
 }
@@ -195,10 +209,13 @@
 }
 
 func (f *Fleet) endOnce(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
-	member := f.owner(f.slotOf(req.Program))
+	slot := f.slotOf(req.Program)
+	member := f.owner(slot)
 	if member == "" {
 		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
+	ctx, cancel := f.whileOwner(ctx, slot, member)
+	defer cancel()
 
 	return f.client(member).EndTurn(ctx, req)
 }
--- /dev/null
+++ b/io/fleet/watch.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"cardamomward/core/candidacy"
+	"cardamomward/core/eviction"
+)
+
+const (
+	// isolation is how long a host must have heard no peer to count as cut off.
+	isolation = 450 * time.Millisecond
+	// tickLimit is the time between two beats from which on the process was paused meanwhile.
+	tickLimit = 300 * time.Millisecond
+	// evictionTold is how long an eviction is told, in beat after beat, since beats get lost.
+	evictionTold = 500 * time.Millisecond
+)
+
+// tick notes that the process runs.
+func (p *peers) tick(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.ticked) > tickLimit {
+		p.resumed = now
+	}
+	p.ticked = now
+}
+
+// watch takes silent owners out of the group.
+func (p *peers) watch(ctx context.Context) {
+	now := p.fleet.Now()
+	owners := p.fleet.ownership.Load().owners
+	p.mu.Lock()
+	if now.Sub(p.resumed) < isolation {
+		p.mu.Unlock()
+
+		return
+	}
+	heard := make([]eviction.Peer, 0, len(p.peers))
+	for _, other := range p.peers {
+		if other.heard.IsZero() {
+			continue
+		}
+		heard = append(heard, eviction.Peer{Member: other.Peer, Silent: now.Sub(other.heard), Evicted: other.evicted})
+	}
+	silent := eviction.Silent(p.self.Peer, owners, heard)
+	p.markEvicted(silent)
+	p.mu.Unlock()
+	for _, member := range silent {
+		go p.evict(ctx, member)
+	}
+}
+
+// markEvicted keeps members from being taken out again before they are heard; the caller holds the lock.
+func (p *peers) markEvicted(members []string) {
+	for _, member := range members {
+		for _, other := range p.peers {
+			if other.Peer == member {
+				other.evicted = true
+			}
+		}
+	}
+}
+
+// evict ends a silent owner's membership and tells the peers, who take its slots.
+func (p *peers) evict(ctx context.Context, member string) {
+	f := p.fleet
+	err := f.call(ctx, func(ctx context.Context) error { return f.store.Leave(ctx, group, member) })
+	if err != nil {
+		f.Logger.Info("eviction-failed", "peer", member, "error", err)
+
+		return
+	}
+	f.Logger.Info("owner-evicted", "peer", member)
+	p.mu.Lock()
+	p.evicted[member] = f.Now().Add(evictionTold)
+	p.mu.Unlock()
+	f.noteFreed()
+}
+
+// evictions returns the evictions to tell; the caller holds the lock.
+func (p *peers) evictions(now time.Time) []string {
+	var members []string
+	for member, until := range p.evicted {
+		if now.After(until) {
+			delete(p.evicted, member)
+
+			continue
+		}
+		members = append(members, member)
+	}
+
+	return members
+}
+
+// hearEvictions renews the membership at once where slots have become free; the caller holds the lock.
+func (p *peers) hearEvictions(now time.Time, members []string) {
+	for _, member := range members {
+		for _, other := range p.peers {
+			if other.Peer != member || other.evicted || now.Sub(other.heard) < eviction.Silence/2 {
+				continue
+			}
+			other.evicted = true
+			p.fleet.noteFreed()
+		}
+	}
+}
+
+// CutOff reports whether this host hears none of the others while they own slots: callers are better served there.
+func (f *Fleet) CutOff(now time.Time) bool { return f.peers.isolated(now) && f.othersOwn() }
+
+// isolated reports whether no other host has been heard for a while.
+func (p *peers) isolated(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.resumed) < isolation {
+		return false
+	}
+	known := false
+	for _, other := range p.peers {
+		if now.Sub(latest(other.heard, other.listed)) < isolation {
+			return false
+		}
+		known = known || !other.left
+	}
+
+	return known
+}
+
+// othersOwn reports whether, as the store last said, other hosts own slots.
+func (f *Fleet) othersOwn() bool {
+	for _, owner := range f.ownership.Load().owners {
+		if owner != "" && owner != f.self {
+			return true
+		}
+	}
+
+	return false
+}
+
+// candidates returns the hosts that may own slots, as this host hears them.
+func (p *peers) candidates(now time.Time) []candidacy.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := p.silenceLimit()
+	hosts := []candidacy.Host{{Member: p.self.Peer, Size: p.self.CPUShare}}
+	for _, other := range p.peers {
+		if now.Sub(latest(other.heard, other.listed)) <= limit {
+			hosts = append(hosts, candidacy.Host{Member: other.Peer, Size: other.CPUShare})
+		}
+	}
+
+	return hosts
+}
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -22,6 +22,8 @@
 	urgentLinger = 3 * time.Millisecond
 	// writeRetry paces writes while the store refuses them.
 	writeRetry = 40 * time.Millisecond
+	// maxBatch bounds the records of one call, in bytes, so that a slow link carries it soon.
+	maxBatch = 256 << 10
 	// recordOverhead is room for the length of a record, in bytes.
 	recordOverhead = 8
 )
@@ -112,38 +114,42 @@
 // drain writes batches until the queue is empty or the slot is lost.
 func (w *writer) drain(ctx context.Context) {
 	for ctx.Err() == nil {
-		batch, call := w.batch()
+		batch, size, call := w.batch()
 		if len(batch) == 0 {
 			return
 		}
-		if !w.write(ctx, batch, call) {
+		if !w.write(ctx, batch, size, call) {
 			return
 		}
 	}
 }
 
 // batch takes as many records as one call holds.
-func (w *writer) batch() ([]entry, platform.Append) {
+func (w *writer) batch() (batch []entry, size int, call platform.Append) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.epoch == 0 || len(w.queue) == 0 {
 		w.batched = nil
 
-		return nil, platform.Append{}
+		return nil, 0, platform.Append{}
 	}
-	limit := w.slot.fleet.Settings.Store.CallBytes
-	size, n := 0, 0
+	limit := maxBatch
+	if most := w.slot.fleet.Settings.Store.CallBytes; most > 0 {
+		limit = min(limit, most)
+	}
+	n := 0
 	for ; n < len(w.queue); n++ {
-		size += platform.RecordSize(w.queue[n].record) + recordOverhead
-		if n > 0 && limit > 0 && size > limit {
+		next := platform.RecordSize(w.queue[n].record) + recordOverhead
+		if n > 0 && size+next > limit {
 			break
 		}
+		size += next
 	}
-	batch := w.queue[:n:n]
+	batch = w.queue[:n:n]
 	w.queue = w.queue[n:]
 	w.batched, w.urgent = batch, false
 	w.sequence++
-	call := platform.Append{
+	call = platform.Append{
 		Partition: w.slot.partition(), Producer: producer, Epoch: w.epoch, Sequence: w.sequence,
 		Records: make([]platform.Record, 0, n),
 	}
@@ -151,14 +157,14 @@
 		call.Records = append(call.Records, e.record)
 	}
 
-	return batch, call
+	return batch, size, call
 }
 
 // write repeats one call until it is answered; the same sequence number makes a repeat harmless. It reports false
 // where the slot is lost.
-func (w *writer) write(ctx context.Context, batch []entry, call platform.Append) bool {
+func (w *writer) write(ctx context.Context, batch []entry, size int, call platform.Append) bool {
 	for ctx.Err() == nil && w.current(call.Epoch) {
-		err := w.slot.fleet.call(ctx, func(ctx context.Context) error {
+		err := w.slot.fleet.callWith(ctx, size, func(ctx context.Context) error {
 			_, err := w.slot.fleet.store.Append(ctx, call)
 
 			return err
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -15,7 +15,7 @@
 	readWait = time.Second
 	// readMargin is how much longer than that a read may take before its connection counts as silent.
 	readMargin = time.Second
-	// listTimeout bounds the listing of a partition.
+	// listTimeout bounds each page of the listing of a partition.
 	listTimeout = 3 * time.Second
 	// retryInterval paces calls while the store fails.
 	retryInterval = 150 * time.Millisecond
@@ -91,9 +91,7 @@
 
 // list takes the newest record of each key; a listing older than what was read already is passed over.
 func (f *Follower) list(ctx context.Context) error {
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	records, end, err := f.Store.Newest(listCtx, f.Partition)
+	records, end, err := f.Store.Newest(ctx, f.Partition, listTimeout)
 	if err != nil {
 		return err
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -127,8 +127,8 @@
 	Now      func() time.Time
 	// Metrics counts requests; it may be nil.
 	Metrics *Metrics
-	// Draining reports whether the host is about to stop.
-	Draining func() bool
+	// Elsewhere reports whether callers should go to other hosts: this one is about to stop, or cut off from them.
+	Elsewhere func() bool
 
 	// active holds the remote addresses of the connections on which requests run.
 	active sync.Map
--- a/io/gateway/serve.go
+++ b/io/gateway/serve.go
@@ -66,7 +66,7 @@
 	g.active.Store(remote, struct{}{})
 	defer g.active.Delete(remote)
 	j := &job{began: g.Now(), config: g.Catalog.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
-	if g.Draining() {
+	if g.Elsewhere() {
 		c.Response.SetConnectionClose()
 	}
 	if r := g.admit(ctx, c, j); r != nil {
@@ -285,7 +285,7 @@
 	g.Metrics.observe(outcome, took)
 	g.Logger.Info("request", "request", j.ID, "status", status, "outcome", outcome, "took", took.Round(time.Microsecond),
 		"left", j.left(now), "config", j.configVersion(), "route", j.routeName(), "workspace", j.workspaceName(),
-		"program", j.Program, "upstreams", j.upstreams, "tokens", j.tokens, "begun", j.begun.Begun, "last", j.begun.Last.Upstream)
+		"program", j.Program, "previous", j.Previous, "upstreams", j.upstreams, "tokens", j.tokens, "begun", j.begun.Begun, "last", j.begun.Last.Upstream)
 }
 
 // left is the time before the request's deadline.
