Act for owners that are lost in an outage, and hand slots over as soon as a newer generation is heard of

An eviction that failed in an outage was never repeated, and a call that was begun in one hung for up to 1.5 s after the return.

--- a/core/patience/patience.go
+++ b/core/patience/patience.go
@@ -5,8 +5,11 @@
 const (
 	// least is the shortest wait: an answer of a healthy store takes a tenth of it.
 	least = 120 * time.Millisecond
-	// most is the longest wait.
+	// most is the longest wait for a store whose answers are slow.
 	most = 1500 * time.Millisecond
+	// mostStretched is the longest wait that calls without an answer lead to: a call that was begun in an outage ends
+	// by then after the store's return.
+	mostStretched = 800 * time.Millisecond
 	// factor multiplies the time that answers have taken.
 	factor = 6
 	// weight is that of the newest answer.
@@ -32,12 +35,12 @@
 
 // Unanswered notes that no answer came in time.
 func (p *Patience) Unanswered() {
-	p.stretch = min(max(1, p.stretch)*growth, float64(most)/float64(least))
+	p.stretch = min(max(1, p.stretch)*growth, float64(mostStretched)/float64(least))
 }
 
 // Wait returns how long to wait for the next answer.
 func (p *Patience) Wait() time.Duration {
-	wait := max(least, factor*p.usual)
+	wait := min(most, max(least, factor*p.usual))
 
-	return min(most, time.Duration(float64(wait)*max(1, p.stretch)))
+	return max(wait, min(mostStretched, time.Duration(float64(wait)*max(1, p.stretch))))
 }
--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -106,3 +106,53 @@
 		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "three;"), http.StatusOK)
 	}
 }
+
+func TestSlotsOfAnOwnerThatIsLostInAnOutageAreActedFor(t *testing.T) {
+	f := newFleet(t, 4)
+	begun := make(map[string]standin.Answer)
+	for i := range 24 {
+		program := fmt.Sprintf("begun-%d", i)
+		begun[program] = f.until("host-1", standin.Turn("/draft/", "secret", program, "", "x"), http.StatusOK)
+	}
+	f.store.SetFaults(standin.Faults{Down: true})
+	f.kill("host-0")
+	for program := range begun {
+		f.until("host-2", standin.Turn("/draft/", "secret", program, "", "x"), http.StatusOK)
+	}
+	kept := make(map[string]standin.Answer)
+	for i := range 24 {
+		program := fmt.Sprintf("new-%d", i)
+		kept[program] = f.until("host-2", standin.Turn("/chat/", "secret", program, "", "one;"), http.StatusOK)
+		f.until("host-3", standin.Turn("/chat/", "secret", program, kept[program].ID, "two;"), http.StatusOK)
+	}
+	f.store.SetFaults(standin.Faults{})
+	for program, turn := range kept {
+		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "three;"), http.StatusOK)
+	}
+}
+
+func TestBudgetHoldsWhereAnOwnerIsLostInAnOutage(t *testing.T) {
+	f := newFleet(t, 4)
+	turns := 0
+	spend := func(name string) int {
+		answer := f.do(name, standin.Turn("/draft/", "secret", "looping", "", "x"))
+		if answer.Status == http.StatusOK {
+			turns++
+		}
+
+		return answer.Status
+	}
+	for i := 0; turns < 6; i++ {
+		spend(f.names[i%4])
+	}
+	f.store.SetFaults(standin.Faults{Down: true})
+	f.kill("host-1")
+	deadline := time.Now().Add(patience)
+	for i := 0; spend(f.names[2*(i%2)]) != http.StatusPaymentRequired; i++ {
+		require.True(t, time.Now().Before(deadline))
+	}
+	f.store.SetFaults(standin.Faults{})
+	f.until("host-3", standin.Turn("/draft/", "secret", "looping", "", "x"), http.StatusPaymentRequired)
+	// Each turn has five events of ten tokens.
+	require.LessOrEqual(t, turns*50, 1000+100)
+}
--- a/io/fleet/beats.go
+++ b/io/fleet/beats.go
@@ -53,6 +53,7 @@
 		beat.Owners = own.owners
 	}
 	beat.Evicted = p.evictions(now)
+	beat.Member = p.fleet.leaseUntil.Load() != 0
 	data, err := proto.Marshal(beat)
 	if err != nil {
 		p.fleet.Logger.Error(err, "beat-failed")
@@ -111,6 +112,7 @@
 	for _, crash := range beat.Crashes {
 		p.fleet.learnCrash(now, culprit.Crash{Request: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
 	}
+	p.fleet.noteGeneration(beat.Generation)
 	if len(beat.Owners) == len(p.fleet.slots) {
 		p.fleet.hearOwners(&ownership{generation: beat.Generation, owners: beat.Owners})
 	}
@@ -124,7 +126,7 @@
 		p.fleet.noteFreed()
 	}
 	p.hearEvictions(now, beat.Evicted)
-	from.evicted = false
+	from.evicted, from.member = false, beat.Member
 	from.heard, from.sequence, from.draining, from.left = now, beat.Sequence, beat.Draining, beat.Left
 	from.storeSeen = now.Add(-time.Duration(beat.StoreAgeMillis) * time.Millisecond)
 	from.loads = make(map[id.Upstream]int, len(beat.Loads))
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"cardamomward/core/culprit"
 	"cardamomward/core/id"
 	"cardamomward/core/ledger"
+	"cardamomward/core/succession"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/httpx"
 	"cardamomward/platform"
@@ -74,9 +75,11 @@
 	// ownersChanged is closed and replaced when the owners change.
 	ownersChanged chan struct{}
 	generation    atomic.Int64
-	lease         time.Duration
-	timer         timer
-	way           storeWay
+	// heardGeneration is the newest generation that a peer has told of.
+	heardGeneration atomic.Int64
+	lease           time.Duration
+	timer           timer
+	way             storeWay
 	// leaseUntil is when the membership ends unless it is renewed, in nanoseconds since the Unix epoch.
 	leaseUntil atomic.Int64
 	leaving    atomic.Bool
@@ -173,14 +176,35 @@
 	return int(xxhash.Sum64String(name) % uint64(len(f.slots)))
 }
 
-// owner returns the member that owns a slot, or an empty string.
-func (f *Fleet) owner(slot int) string { return f.ownership.Load().owners[slot] }
+// owner returns the member that owns a slot or acts for its owner, or an empty string.
+func (f *Fleet) owner(slot int) string {
+	owners := f.ownership.Load().owners
+	if !f.storeAway(f.Now()) {
+		return owners[slot]
+	}
+
+	return succession.Deputy(slot, owners, f.gone)
+}
+
+// gone reports whether an owner has stopped since it owned its slots, as far as this host has heard.
+func (f *Fleet) gone(member string) bool {
+	if member == f.self {
+		return f.leaseUntil.Load() == 0
+	}
+
+	return f.peers.gone(member)
+}
+
+// ownerCheck is how often those that wait for an owner look whether another host acts for it.
+const ownerCheck = 100 * time.Millisecond
 
 // whileOwner returns a context that ends when a member stops being a slot's owner.
 func (f *Fleet) whileOwner(ctx context.Context, slot int, member string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		defer cancel()
+		ticker := time.NewTicker(ownerCheck)
+		defer ticker.Stop()
 		for {
 			f.ownersMu.Lock()
 			changed := f.ownersChanged
@@ -192,6 +216,7 @@
 			case <-ctx.Done():
 				return
 			case <-changed:
+			case <-ticker.C:
 			}
 		}
 	}()
--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -36,7 +36,7 @@
 
 // awaitList waits for the list of hosts, without which a host takes itself for the only one.
 func (f *Fleet) awaitList(ctx context.Context) {
-	timer := time.NewTimer(gathering)
+	timer := time.NewTimer(gatheringTime)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -128,35 +128,40 @@
 		return renewInterval
 	}
 	if f.crowded(len(m.Held)) {
-		return crowdedPause
+		return gatheringPause
 	}
 	released := f.hold(ctx, m)
 	if changed {
 		f.wantOwners()
 	}
-	if released {
+	switch {
+	case released:
 		return 0
+	case f.gathering():
+		return gatheringPause
 	}
 
 	return renewInterval
 }
 
 const (
-	// gathering is how long after its start a host expects others to start too, as after the loss of all hosts.
-	gathering = 1200 * time.Millisecond
-	// crowdedPause paces renewals while a host waits for the others to take their slots.
-	crowdedPause = 60 * time.Millisecond
+	// gatheringTime is how long after its start a host expects others to start too, as after the loss of all hosts.
+	gatheringTime = 1200 * time.Millisecond
+	// gatheringPause paces renewals while slots pass from the first hosts to the others.
+	gatheringPause = 60 * time.Millisecond
 )
 
+// gathering reports whether hosts may still be starting beside this one.
+func (f *Fleet) gathering() bool { return f.Now().Sub(f.peers.started) <= gatheringTime }
+
 // crowded reports whether a host that has just started holds many more slots than its share: others that start beside it
 // are about to take them, and reading them all would keep it busy until then.
 func (f *Fleet) crowded(held int) bool {
-	now := f.Now()
-	if now.Sub(f.peers.started) > gathering || f.ownsAny() {
+	if !f.gathering() || f.ownsAny() {
 		return false
 	}
 
-	return held > 2*candidacy.Share(len(f.slots), f.peers.candidates(now))
+	return held > 2*candidacy.Share(len(f.slots), f.peers.candidates(f.Now()))
 }
 
 // startOver leaves the group, so that the next membership has a generation, and thus epochs, that no earlier process
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -55,6 +55,8 @@
 	left     bool
 	// evicted is set where the peer was taken out of the group since it was last heard.
 	evicted bool
+	// member is set where the peer's process has been a member of the group.
+	member bool
 	// storeSeen is when the store answered the peer, by this host's clock.
 	storeSeen time.Time
 	loads     map[id.Upstream]int
@@ -94,21 +96,9 @@
 		},
 		evicted: make(map[string]time.Time),
 		listed:  make(chan struct{}), running: make(map[id.Upstream]int), remote: make(map[id.Upstream]int),
-		parts: locality.Parts{UnknownUntil: unknownUntil(f)},
 	}
 }
 
-// partsLearned is how long after its start a host has heard from the others which parts the upstreams keep.
-const partsLearned = 4 * time.Second
-
-func unknownUntil(f *Fleet) time.Time {
-	if f.Settings.FirstStart {
-		return time.Time{}
-	}
-
-	return f.Now().Add(partsLearned)
-}
-
 // run exchanges beats and follows the list of hosts until ctx ends.
 func (p *peers) run(ctx context.Context, conn net.PacketConn) {
 	list := &follow.Follower{
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -34,7 +34,7 @@
 	reply := &fleetpb.BeginTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != serving || !v.fleet.mayOwn(v.fleet.Now()) {
+	if !s.serves(ctx, v.fleet.Now()) {
 		reply.Outcome = fleetpb.Outcome_OUTCOME_NOT_OWNER
 
 		return reply, nil
@@ -135,9 +135,12 @@
 	s := v.fleet.slots[v.fleet.slotOf(req.Program)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != serving || !v.fleet.mayOwn(v.fleet.Now()) {
+	if !s.serves(ctx, v.fleet.Now()) {
 		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
+	if req.BaseLeftOut && !s.book.Has(id.Workspace(req.Workspace), req.Kept.Previous) {
+		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}, nil
+	}
 	if req.Attempt != "" {
 		s.ledger.End(id.Program(req.Program), req.Attempt, id.Tokens(req.Tokens))
 	}
@@ -202,7 +205,7 @@
 
 // certain reports whether a turn that is not here does not exist in the slot; the caller holds the lock.
 func (s *slot) certain(now time.Time) bool {
-	return s.state == serving && (s.first || now.Sub(s.since) >= certainAfter)
+	return s.state == serving && !s.deputy && (s.first || now.Sub(s.since) >= certainAfter)
 }
 
 // FindTurn looks for a turn in all slots of this host.
@@ -226,13 +229,13 @@
 }
 
 // Admit grants an allowance of a workspace's rate.
-func (v *service) Admit(_ context.Context, req *fleetpb.AdmitRequest) (*fleetpb.AdmitReply, error) {
+func (v *service) Admit(ctx context.Context, req *fleetpb.AdmitRequest) (*fleetpb.AdmitReply, error) {
 	f := v.fleet
 	s := f.slots[f.slotOf(req.Workspace)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := f.Now()
-	if s.state == idle || !f.mayOwn(now) {
+	if !s.serves(ctx, now) && (s.state == idle || !f.mayOwn(now)) {
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
 	limit := allowance.Limit{Rate: req.Rate, Burst: req.Burst}.Scaled(f.peers.heardShare(now))
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -47,6 +47,8 @@
 	mu    sync.Mutex
 	state slotState
 	epoch int64
+	// deputy is set while this host acts for an owner that is gone, on what the hosts hold, since the store is away.
+	deputy bool
 	// since is when the slot began to serve.
 	since time.Time
 	// first is set where nobody has kept anything in the slot before.
@@ -76,6 +78,9 @@
 func (s *slot) take(ctx context.Context, generation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.deputy {
+		s.drop("owned")
+	}
 	if s.state != idle {
 		return
 	}
@@ -83,15 +88,53 @@
 	go s.load(ctx, generation)
 }
 
+// act begins to act for the slot's owner, which is gone while the store is away; the caller holds the lock.
+func (s *slot) act(ctx context.Context) {
+	s.state, s.deputy = loading, true
+	go func() {
+		replies := s.fleet.recall(ctx, s.index)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.state != loading || !s.deputy {
+			return
+		}
+		now := s.fleet.Now()
+		s.merge(now, replies)
+		s.state, s.since, s.first = serving, now, false
+		s.notify()
+		s.fleet.Logger.Info("slot-acted-for", "slot", s.index, "owner", s.fleet.ownership.Load().owners[s.index],
+			"programs", s.ledger.Len(), "turns", s.book.Len())
+	}()
+}
+
+// serves reports whether this host decides for the slot now; the caller holds the lock.
+func (s *slot) serves(ctx context.Context, now time.Time) bool {
+	f := s.fleet
+	switch {
+	case s.deputy && !f.storeAway(now):
+		s.drop("store-returned")
+	case s.state == idle && f.storeAway(now) && f.owner(s.index) == f.self:
+		s.act(context.WithoutCancel(ctx))
+	}
+
+	return s.state == serving && f.mayOwn(now)
+}
+
 // release gives the slot up and reports whether it was owned.
 func (s *slot) release(reason string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
+	return s.drop(reason)
+}
+
+// drop does so; the caller holds the lock.
+func (s *slot) drop(reason string) bool {
 	if s.state == idle {
 		return false
 	}
 	s.fleet.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
-	s.state = idle
+	s.state, s.deputy = idle, false
 	s.ledger, s.book, s.lines, s.pools = ledger.Ledger{}, lineage.Book{}, locality.Lines{}, nil
 	s.rescue(s.writer.reset())
 	s.notify()
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -177,8 +177,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, turn.Deadline.Add(-keepReserve))
 	defer cancel()
+	short := leaveOutBase(req)
 	for ctx.Err() == nil {
-		reply, err := f.endOnce(ctx, req)
+		reply, err := f.endOnce(ctx, short)
+		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+			short = req
+
+			continue
+		}
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
 			return reply.Durable || f.keepWithout(ctx, req)
 		}
@@ -192,6 +198,18 @@
 	return false
 }
 
+// leaveOutBase returns a settlement without the chain before the turn, which the owner has in most cases.
+func leaveOutBase(req *fleetpb.EndTurnRequest) *fleetpb.EndTurnRequest {
+	if len(req.Kept.Base) == 0 {
+		return req
+	}
+
+	return &fleetpb.EndTurnRequest{
+		Workspace: req.Workspace, Program: req.Program, Attempt: req.Attempt, Tokens: req.Tokens,
+		Kept: withoutBase(req.Kept), Line: req.Line, Upstream: req.Upstream, Cached: req.Cached, BaseLeftOut: true,
+	}
+}
+
 // copiesWithout is how many hosts keep a turn while the store is away for all, its owner included, so that three may be
 // lost before the store is back.
 const copiesWithout = 4
--- a/io/fleet/watch.go
+++ b/io/fleet/watch.go
@@ -6,6 +6,7 @@
 
 	"cardamomward/core/candidacy"
 	"cardamomward/core/eviction"
+	"cardamomward/io/follow"
 )
 
 const (
@@ -13,8 +14,10 @@
 	isolation = 450 * time.Millisecond
 	// tickLimit is the time between two beats from which on the process was paused meanwhile.
 	tickLimit = 300 * time.Millisecond
+	// evictionRetry paces evictions while the store does not answer.
+	evictionRetry = 150 * time.Millisecond
 	// evictionTold is how long an eviction is told, in beat after beat, since beats get lost.
-	evictionTold = 500 * time.Millisecond
+	evictionTold = 1500 * time.Millisecond
 )
 
 // tick notes that the process runs.
@@ -63,22 +66,63 @@
 	}
 }
 
+// gone reports whether a peer's process has stopped since it was a member of the group.
+func (p *peers) gone(member string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.peers {
+		if other.Peer == member {
+			return other.evicted || other.left || (!other.heard.IsZero() && !other.member)
+		}
+	}
+
+	return true
+}
+
 // evict ends a silent owner's membership and tells the peers, who take its slots.
 func (p *peers) evict(ctx context.Context, member string) {
 	f := p.fleet
-	err := f.call(ctx, func(ctx context.Context) error { return f.store.Leave(ctx, group, member) })
-	if err != nil {
+	for {
+		err := f.call(ctx, func(ctx context.Context) error { return f.store.Leave(ctx, group, member) })
+		if err == nil {
+			break
+		}
 		f.Logger.Info("eviction-failed", "peer", member, "error", err)
-
-		return
+		if f.storeAway(f.Now()) {
+			p.tellEvicted(member)
+		}
+		follow.Sleep(ctx, evictionRetry)
+		if ctx.Err() != nil || !p.gone(member) {
+			return
+		}
 	}
 	f.Logger.Info("owner-evicted", "peer", member)
-	p.mu.Lock()
-	p.evicted[member] = f.Now().Add(evictionTold)
-	p.mu.Unlock()
+	p.tellEvicted(member)
 	f.noteFreed()
 }
 
+// tellEvicted lets the peers know that a member has stopped: they renew at once, or act for it while the store is away.
+func (p *peers) tellEvicted(member string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evicted[member] = p.fleet.Now().Add(evictionTold)
+}
+
+// noteGeneration renews the membership at once where a peer knows of a newer generation: slots are handed over then.
+func (f *Fleet) noteGeneration(generation int64) {
+	for {
+		heard := f.heardGeneration.Load()
+		if generation <= max(heard, f.generation.Load()) {
+			return
+		}
+		if f.heardGeneration.CompareAndSwap(heard, generation) {
+			f.noteFreed()
+
+			return
+		}
+	}
+}
+
 // evictions returns the evictions to tell; the caller holds the lock.
 func (p *peers) evictions(now time.Time) []string {
 	var members []string
