Serve slots whose partition of the store is down by itself, on what the hosts hold

From 11 to 16 s two partitions of the store took no writes while the others did. Their owners were owners by the store's word and waited for marks that could not become durable: 15 to 27 turns in two seconds were refused (owner-unsure), 11 turns broke off at their end (turn-not-kept). A host told an outage for all from none, and nothing between; a new owner that could not read such a slot served nothing.

Ruled out: the hosts' way to the store (no store-way lines then), the hand-overs of the roll (slots taken within 0.2 s).

Change: a slot whose writes have had no answer for 0.7 s counts on memory and copies, as in an outage; a new owner that cannot read its slot for as long serves on what the hosts recall until it can.

--- a/core/locality/parts.go
+++ b/core/locality/parts.go
@@ -23,9 +23,6 @@
 
 // Parts knows which upstreams keep which parts; its zero value is empty.
 type Parts struct {
-	// UnknownUntil is until when it is not known what the upstreams have read before: they are then taken to keep all parts.
-	UnknownUntil time.Time
-
 	upstreams map[id.Upstream]map[Part]time.Time
 }
 
@@ -47,9 +44,6 @@
 
 // Has reports whether an upstream is taken to keep a part.
 func (p *Parts) Has(now time.Time, upstream id.Upstream, part Part) bool {
-	if now.Before(p.UnknownUntil) {
-		return true
-	}
 	last, ok := p.upstreams[upstream][part]
 
 	return ok && now.Sub(last) <= memory
--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -156,3 +156,23 @@
 	// Each turn has five events of ten tokens.
 	require.LessOrEqual(t, turns*50, 1000+100)
 }
+
+func TestSlotsWhosePartitionIsDownAreServed(t *testing.T) {
+	f := newFleet(t, 3)
+	// The followed topics have one partition, 0.
+	f.store.SetFaults(standin.Faults{DownParts: []int{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}})
+	kept := make(map[string]standin.Answer)
+	for i := range 24 {
+		program := fmt.Sprintf("program-%d", i)
+		kept[program] = f.until("host-0", standin.Turn("/chat/", "secret", program, "", "one;"), http.StatusOK)
+		kept[program] = f.until("host-1", standin.Turn("/chat/", "secret", program, kept[program].ID, "two;"), http.StatusOK)
+	}
+	f.kill("host-0")
+	for program, turn := range kept {
+		kept[program] = f.until("host-2", standin.Turn("/chat/", "secret", program, turn.ID, "three;"), http.StatusOK)
+	}
+	f.store.SetFaults(standin.Faults{})
+	for program, turn := range kept {
+		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "four;"), http.StatusOK)
+	}
+}
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -71,7 +71,7 @@
 	}
 	for {
 		now := s.fleet.Now()
-		decision, mark := s.ledger.Begin(now, turn, s.fleet.storeAway(now))
+		decision, mark := s.ledger.Begin(now, turn, s.away(now))
 		switch decision {
 		case ledger.Spent:
 			if mark.Tokens > 0 {
@@ -195,7 +195,7 @@
 		switch now = s.fleet.Now(); {
 		case s.state != serving:
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
-		case s.fleet.storeAway(now):
+		case s.away(now):
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
 		case !now.Before(limit) || ctx.Err() != nil:
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
@@ -205,7 +205,7 @@
 
 // certain reports whether a turn that is not here does not exist in the slot; the caller holds the lock.
 func (s *slot) certain(now time.Time) bool {
-	return s.state == serving && !s.deputy && (s.first || now.Sub(s.since) >= certainAfter)
+	return s.state == serving && !s.partial && (s.first || now.Sub(s.since) >= certainAfter)
 }
 
 // FindTurn looks for a turn in all slots of this host.
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -47,8 +47,10 @@
 	mu    sync.Mutex
 	state slotState
 	epoch int64
-	// deputy is set while this host acts for an owner that is gone, on what the hosts hold, since the store is away.
+	// deputy is set while this host acts for an owner that is gone, since the store is away.
 	deputy bool
+	// partial is set while the slot is served on what the hosts hold, since its records cannot be read.
+	partial bool
 	// since is when the slot began to serve.
 	since time.Time
 	// first is set where nobody has kept anything in the slot before.
@@ -91,20 +93,32 @@
 // act begins to act for the slot's owner, which is gone while the store is away; the caller holds the lock.
 func (s *slot) act(ctx context.Context) {
 	s.state, s.deputy = loading, true
-	go func() {
-		replies := s.fleet.recall(ctx, s.index)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.state != loading || !s.deputy {
-			return
-		}
-		now := s.fleet.Now()
-		s.merge(now, replies)
-		s.state, s.since, s.first = serving, now, false
-		s.notify()
-		s.fleet.Logger.Info("slot-acted-for", "slot", s.index, "owner", s.fleet.ownership.Load().owners[s.index],
-			"programs", s.ledger.Len(), "turns", s.book.Len())
-	}()
+	go s.serveRecalled(ctx)
+}
+
+// serveRecalled serves the slot on what the hosts hold.
+func (s *slot) serveRecalled(ctx context.Context) {
+	s.mu.Lock()
+	epoch, deputy := s.epoch, s.deputy
+	s.mu.Unlock()
+	replies := s.fleet.recall(ctx, s.index)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != loading || s.epoch != epoch || s.deputy != deputy {
+		return
+	}
+	now := s.fleet.Now()
+	s.partial = true
+	s.merge(now, replies)
+	s.state, s.since, s.first = serving, now, false
+	s.notify()
+	s.fleet.Logger.Info("slot-recalled", "slot", s.index, "owner", s.fleet.ownership.Load().owners[s.index],
+		"deputy", deputy, "programs", s.ledger.Len(), "turns", s.book.Len())
+}
+
+// away reports whether the slot's records cannot be made durable now; the caller holds the lock.
+func (s *slot) away(now time.Time) bool {
+	return s.partial || s.writer.stuck(now) || s.fleet.storeAway(now)
 }
 
 // serves reports whether this host decides for the slot now; the caller holds the lock.
@@ -135,13 +149,20 @@
 	}
 	s.fleet.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
 	s.state, s.deputy = idle, false
-	s.ledger, s.book, s.lines, s.pools = ledger.Ledger{}, lineage.Book{}, locality.Lines{}, nil
-	s.rescue(s.writer.reset())
+	s.forget()
+	s.pools = nil
 	s.notify()
 
 	return true
 }
 
+// forget drops what is known of programs; the caller holds the lock.
+func (s *slot) forget() {
+	s.partial = false
+	s.ledger, s.book, s.lines = ledger.Ledger{}, lineage.Book{}, locality.Lines{}
+	s.rescue(s.writer.reset())
+}
+
 // rescue hands turns that did not become durable to the next owner.
 func (s *slot) rescue(dropped []entry) {
 	for _, e := range dropped {
@@ -155,7 +176,7 @@
 
 // load fences the predecessor, reads what it kept and begins to serve.
 func (s *slot) load(ctx context.Context, epoch int64) {
-	began := s.fleet.Now()
+	began, recalled := s.fleet.Now(), false
 	for ctx.Err() == nil && s.owns(epoch) {
 		l, err := s.read(ctx, epoch)
 		if err == nil {
@@ -171,6 +192,10 @@
 
 			return
 		}
+		if !recalled && s.fleet.Now().Sub(began) > contactLimit {
+			recalled = true
+			go s.serveRecalled(ctx)
+		}
 		follow.Sleep(ctx, refreshPause)
 	}
 }
@@ -220,9 +245,10 @@
 func (s *slot) begin(epoch int64, l loaded) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state != loading || s.epoch != epoch {
+	if s.epoch != epoch || (s.state != loading && !s.partial) {
 		return
 	}
+	s.forget()
 	now := s.fleet.Now()
 	for _, record := range l.records {
 		s.restore(now, record)
--- a/io/fleet/writer.go
+++ b/io/fleet/writer.go
@@ -48,6 +48,8 @@
 	// batched are the records of the call that is under way.
 	batched []entry
 	urgent  bool
+	// failing is since when writes have had no answer; it is zero while they have.
+	failing time.Time
 	wake    chan struct{}
 }
 
@@ -65,7 +67,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	dropped := slices.Concat(w.batched, w.queue)
-	w.epoch, w.queue, w.batched, w.urgent = 0, nil, nil, false
+	w.epoch, w.queue, w.batched, w.urgent, w.failing = 0, nil, nil, false, time.Time{}
 
 	return dropped
 }
@@ -169,6 +171,7 @@
 
 			return err
 		})
+		w.note(err == nil)
 		if err == nil {
 			w.slot.written(call.Epoch, batch)
 
@@ -187,6 +190,25 @@
 	return false
 }
 
+func (w *writer) note(answered bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case answered:
+		w.failing = time.Time{}
+	case w.failing.IsZero():
+		w.failing = w.slot.fleet.Now()
+	}
+}
+
+// stuck reports whether the slot's partition has not taken writes for a while: parts of the store fail by themselves.
+func (w *writer) stuck(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return !w.failing.IsZero() && now.Sub(w.failing) > contactLimit
+}
+
 func (w *writer) current(epoch int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
