Count streams that end with their caller's time against nobody

Cause: after the loss of all hosts callers come back with little time left.

Ruled out: upstreams that ended (none was removed), connections reset by a full upstream (all errors are time-outs).

Change: what breaks off at the caller's deadline is neither told as a crash nor held against the upstream.

The test fails without the change.

--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -176,3 +176,35 @@
 		f.until("host-1", standin.Turn("/chat/", "secret", program, turn.ID, "four;"), http.StatusOK)
 	}
 }
+
+func TestRequestsThatRunOutOfTimeAreNotTakenForCulprits(t *testing.T) {
+	f := newFleet(t, 1)
+	for i := range 2 {
+		engine := standin.NewUpstream(fmt.Sprintf("engine-more-%d", i), "engines", 5)
+		t.Cleanup(engine.Close)
+		f.engines = append(f.engines, engine)
+		engine.Register(f.store, "ready")
+	}
+	for _, engine := range f.engines {
+		engine.EventPause = 100 * time.Millisecond
+	}
+	for i := range 16 {
+		// Programs and prompts differ, so that the upstreams take turns.
+		hurried := standin.Turn("/draft/", "secret", fmt.Sprintf("hurried-%d", i), "", "the same body")
+		hurried.Header["Time-Remaining-Ms"] = "250"
+		hurried.Header["Prompt-Prefix"] = fmt.Sprintf("a%d:400,b%d:100", i, i)
+		answer := f.do("host-0", hurried)
+		require.True(t, answer.Cut, "the stream ends with the caller's time")
+	}
+	used := make(map[string]bool)
+	for _, engine := range f.engines {
+		for _, ran := range engine.Runs() {
+			if ran.Body == "the same body" {
+				used[fmt.Sprint(engine)] = true
+			}
+		}
+	}
+	require.GreaterOrEqual(t, len(used), 3, "a culprit would be convicted after three upstreams")
+	patient := standin.Turn("/draft/", "secret", "patient", "", "the same body")
+	require.Equal(t, wholeStream, f.until("host-0", patient, http.StatusOK).Body)
+}
--- a/io/gateway/send.go
+++ b/io/gateway/send.go
@@ -54,7 +54,7 @@
 		if ctx.Err() != nil {
 			return nil, lostRefusal(j, "caller-gone")
 		}
-		if outcome == attempt.Lost {
+		if outcome == attempt.Lost && g.inTime(j) {
 			g.Crashes.Lost(j.fingerprint, instance)
 		}
 		gone = gone || (outcome == attempt.Lost && policy.Repeatable && g.ended(ctx, instance))
@@ -64,6 +64,9 @@
 	}
 }
 
+// inTime reports whether the caller still waits: what breaks off at its deadline is not the upstream's fault.
+func (g *Gateway) inTime(j *job) bool { return g.Now().Before(j.deadline) }
+
 // ended reports whether an upstream has left the list, been replaced since it was chosen, or cannot be reached.
 func (g *Gateway) ended(ctx context.Context, instance *registry.Instance) bool {
 	current, ok := g.Catalog.Get(instance.ID)
@@ -130,7 +133,7 @@
 	})
 	if err != nil {
 		g.Loads.Add(instance.ID, -1)
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && g.inTime(j) {
 			g.noteFailure(instance)
 		}
 		g.Logger.Info("send-failed", "request", j.ID, "upstream", instance.ID, "error", err)
