Let a part of the fleet that is cut off refuse, and not act on its own

Three hosts were cut from all others and from the store. They took the store to be away for all, since no host that they heard had an answer, and acted for all slots on memory, while the others had taken the slots over: budgets were counted twice, and turns that were kept on the one side were answered 404 on the other.

Ruled out: the hand-over of slots (the turns were kept by hosts that were cut, none by an owner that the store named).

Change: an owner takes the store to be away for all, acts for others, counts on memory and takes silent owners out only while it hears most of the owners; one that does not, and has no answer of the store, refuses at once and names the others.

In an outage that takes half of the owners with it nobody acts for the slots.

--- a/core/eviction/eviction.go
+++ b/core/eviction/eviction.go
@@ -25,29 +25,24 @@
 }
 
 // Silent returns the owners that this host should take out of the group now. Owners alone do so, and only those that
-// hear another host: one that hears none is itself cut off.
+// hear most of the owners: the others are cut off themselves, or cannot tell.
 func Silent(self string, owners []string, peers []Peer) []string {
-	if !slices.Contains(owners, self) {
+	if !slices.Contains(owners, self) || !Most(self, owners, peers) {
 		return nil
 	}
 	live := []string{self}
-	hears := false
 	var silent []Peer
 	for _, peer := range peers {
-		owns := slices.Contains(owners, peer.Member)
+		if !slices.Contains(owners, peer.Member) {
+			continue
+		}
 		switch {
 		case peer.Silent < Silence:
-			hears = true
-			if owns {
-				live = append(live, peer.Member)
-			}
-		case owns && !peer.Evicted:
+			live = append(live, peer.Member)
+		case !peer.Evicted:
 			silent = append(silent, peer)
 		}
 	}
-	if !hears {
-		return nil
-	}
 	var evict []string
 	for _, peer := range silent {
 		if peer.Silent >= Silence+step*time.Duration(rank(self, live, peer.Member)) {
@@ -58,6 +53,27 @@
 	return evict
 }
 
+// Most reports whether a host hears most of the owners, itself included; one that owns nothing follows the owners.
+func Most(self string, owners []string, peers []Peer) bool {
+	if !slices.Contains(owners, self) {
+		return true
+	}
+	all := make(map[string]struct{}, len(owners))
+	for _, owner := range owners {
+		if owner != "" {
+			all[owner] = struct{}{}
+		}
+	}
+	heard := 1
+	for _, peer := range peers {
+		if _, owns := all[peer.Member]; owns && peer.Silent < Silence {
+			heard++
+		}
+	}
+
+	return 2*heard > len(all)
+}
+
 // rank returns this host's place among the live owners in the order in which they take a member out.
 func rank(self string, live []string, member string) int {
 	order := slices.Clone(live)
--- a/core/eviction/eviction_test.go
+++ b/core/eviction/eviction_test.go
@@ -57,6 +57,20 @@
 	require.Equal(t, 11, evictors)
 }
 
+func TestMinorityTakesNobodyOut(t *testing.T) {
+	all := members(12)
+	silent := make(map[string]time.Duration)
+	for _, member := range all[6:] {
+		silent[member] = time.Minute
+	}
+	require.False(t, eviction.Most(all[0], all, view(all[0], all, silent)), "half of the owners is not most")
+	require.Empty(t, eviction.Silent(all[0], all, view(all[0], all, silent)))
+	delete(silent, all[6])
+	require.True(t, eviction.Most(all[0], all, view(all[0], all, silent)))
+	require.True(t, eviction.Most("another", all, nil), "a host that owns nothing follows the owners")
+	require.True(t, eviction.Most(all[0], all[:1], nil))
+}
+
 func TestHostThatHearsNobodyTakesNobodyOut(t *testing.T) {
 	all := members(12)
 	silent := make(map[string]time.Duration)
@@ -80,8 +94,8 @@
 }
 
 func TestOwnerIsTakenOutOnceUntilItIsHeard(t *testing.T) {
-	all := members(2)
-	peers := []eviction.Peer{{Member: all[1], Silent: time.Second}, {Member: "another", Silent: 0}}
+	all := members(3)
+	peers := []eviction.Peer{{Member: all[1], Silent: 2 * time.Second}, {Member: all[2], Silent: 0}}
 	require.Equal(t, []string{all[1]}, eviction.Silent(all[0], all, peers))
 	peers[0].Evicted = true
 	require.Empty(t, eviction.Silent(all[0], all, peers))
--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -208,3 +208,53 @@
 	patient := standin.Turn("/draft/", "secret", "patient", "", "the same body")
 	require.Equal(t, wholeStream, f.until("host-0", patient, http.StatusOK).Body)
 }
+
+func TestPartOfTheFleetThatIsCutOffRefuses(t *testing.T) {
+	f := newFleet(t, 5)
+	for _, name := range f.names[:2] {
+		f.doors[name].SetClosed(true)
+	}
+	// To the two hosts, the loss of the others is the same as a cut.
+	for _, name := range f.names[2:] {
+		f.kill(name)
+	}
+	refused := func() bool {
+		for i := range 24 {
+			answer := f.do("host-0", standin.Turn("/chat/", "secret", fmt.Sprintf("program-%d", i), "", "one;"))
+			if answer.Status != http.StatusServiceUnavailable {
+				return false
+			}
+		}
+
+		return true
+	}
+	require.Eventually(t, refused, patience, 20*time.Millisecond)
+	for range 3 {
+		require.True(t, refused(), "the others may go on without these two")
+	}
+	for _, name := range f.names[:2] {
+		f.doors[name].SetClosed(false)
+	}
+	for i := range 24 {
+		f.until("host-0", standin.Turn("/chat/", "secret", fmt.Sprintf("program-%d", i), "", "one;"), http.StatusOK)
+	}
+}
+
+func TestUpstreamsWhoseEntriesLapsedInAnOutageServeOn(t *testing.T) {
+	f := newFleet(t, 1)
+	f.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(1500 * time.Millisecond)
+	// The leases of the entries have run out by the store's return, and the upstreams write the same entries again.
+	for _, upstream := range append(append([]*standin.Upstream(nil), f.engines...), f.desks...) {
+		f.store.Put(platform.UpstreamsTopic, upstream.ID, nil)
+	}
+	f.store.SetFaults(standin.Faults{})
+	time.Sleep(time.Second)
+	for _, upstream := range append(append([]*standin.Upstream(nil), f.engines...), f.desks...) {
+		upstream.Register(f.store, "ready")
+	}
+	f.until("host-0", standin.Call{Path: "/look/", Key: "secret"}, http.StatusOK)
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		require.Equal(t, http.StatusOK, f.do("host-0", standin.Call{Path: "/look/", Key: "secret"}).Status)
+	}
+}
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"cardamomward/core/allowance"
 	"cardamomward/core/culprit"
+	"cardamomward/core/eviction"
 	"cardamomward/core/id"
 	"cardamomward/core/ledger"
 	"cardamomward/core/succession"
@@ -240,11 +241,23 @@
 	return client
 }
 
-// storeAway reports whether the store answers neither this host nor any peer that is heard.
+// storeAway reports whether the store is taken to be away for all hosts: it answers neither this host nor any peer that
+// is heard, and this host is not cut off with a few others.
 func (f *Fleet) storeAway(now time.Time) bool {
+	return f.storeSilent(now) && f.hearsMost(now)
+}
+
+// storeSilent reports whether the store answers neither this host nor any peer that is heard.
+func (f *Fleet) storeSilent(now time.Time) bool {
 	return now.Sub(f.StoreAnswered()) > contactLimit && !f.peers.storeSeen(now)
 }
 
+// hearsMost reports whether this host, if it owns slots, hears most of the owners: fewer could be a part of the fleet that
+// is cut off, while the others go on.
+func (f *Fleet) hearsMost(now time.Time) bool {
+	return eviction.Most(f.self, f.ownership.Load().owners, f.peers.heard(now))
+}
+
 // mayOwn reports whether this host may act as an owner: its membership runs, or the store is away for all.
 func (f *Fleet) mayOwn(now time.Time) bool {
 	return now.UnixNano() < f.leaseUntil.Load() || f.storeAway(now)
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -118,7 +118,11 @@
 
 // away reports whether the slot's records cannot be made durable now; the caller holds the lock.
 func (s *slot) away(now time.Time) bool {
-	return s.partial || s.writer.stuck(now) || s.fleet.storeAway(now)
+	if !s.partial && !s.writer.stuck(now) && !s.fleet.storeSilent(now) {
+		return false
+	}
+
+	return s.fleet.hearsMost(now)
 }
 
 // serves reports whether this host decides for the slot now; the caller holds the lock.
--- a/io/fleet/watch.go
+++ b/io/fleet/watch.go
@@ -40,14 +40,7 @@
 
 		return
 	}
-	heard := make([]eviction.Peer, 0, len(p.peers))
-	for _, other := range p.peers {
-		if other.heard.IsZero() {
-			continue
-		}
-		heard = append(heard, eviction.Peer{Member: other.Peer, Silent: now.Sub(other.heard), Evicted: other.evicted})
-	}
-	silent := eviction.Silent(p.self.Peer, owners, heard)
+	silent := eviction.Silent(p.self.Peer, owners, p.heardLocked(now))
 	p.markEvicted(silent)
 	p.mu.Unlock()
 	for _, member := range silent {
@@ -55,6 +48,25 @@
 	}
 }
 
+// heard returns the peers as they are heard.
+func (p *peers) heard(now time.Time) []eviction.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.heardLocked(now)
+}
+
+func (p *peers) heardLocked(now time.Time) []eviction.Peer {
+	heard := make([]eviction.Peer, 0, len(p.peers))
+	for _, other := range p.peers {
+		if !other.heard.IsZero() {
+			heard = append(heard, eviction.Peer{Member: other.Peer, Silent: now.Sub(other.heard), Evicted: other.evicted})
+		}
+	}
+
+	return heard
+}
+
 // markEvicted keeps members from being taken out again before they are heard; the caller holds the lock.
 func (p *peers) markEvicted(members []string) {
 	for _, member := range members {
@@ -151,8 +163,11 @@
 	}
 }
 
-// CutOff reports whether this host hears none of the others while they own slots: callers are better served there.
-func (f *Fleet) CutOff(now time.Time) bool { return f.peers.isolated(now) && f.othersOwn() }
+// CutOff reports whether callers are better served by the others, which own slots: this host hears none of them, or few,
+// while the store does not answer it either.
+func (f *Fleet) CutOff(now time.Time) bool {
+	return f.othersOwn() && (f.peers.isolated(now) || (f.storeSilent(now) && !f.hearsMost(now)))
+}
 
 // isolated reports whether no other host has been heard for a while.
 func (p *peers) isolated(now time.Time) bool {
