Serve upstreams whose entries lapsed in an outage and came back unchanged

From 26 s on every request was refused as no-upstream until the hosts were restarted at 34 s. The entries had lapsed in the outage; their removals waited 2 s as they should, the upstreams wrote the same entries again, and the catalog passed over an entry that was equal to the one it still had, so that the removal took effect and nothing brought the entry back.

Ruled out: the registry itself (its test covers this, but the catalog did not call it).

Change: Put tells whether the entry is another, and clears a removal that waits in any case.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -36,15 +36,20 @@
 // Returned notes that the store answers again after an outage: removals wait for entries to reappear.
 func (r *Registry) Returned(now time.Time) { r.graceUntil = now.Add(reappearance) }
 
-// Put adds or replaces an entry.
-func (r *Registry) Put(instance *Instance) {
+// Put adds or replaces an entry, also one whose removal waits, and reports whether it is another than before.
+func (r *Registry) Put(instance *Instance) bool {
 	if r.entries == nil {
 		r.entries = make(map[id.Upstream]*Instance)
 		r.removed = make(map[id.Upstream]struct{})
 	}
 	delete(r.removed, instance.ID)
+	if old, ok := r.entries[instance.ID]; ok && *old == *instance {
+		return false
+	}
 	r.entries[instance.ID] = instance
 	r.index()
+
+	return true
 }
 
 // Remove drops an entry, at once or when the grace after an outage ends.
--- a/io/catalog/catalog.go
+++ b/io/catalog/catalog.go
@@ -114,12 +114,7 @@
 
 		return
 	}
-	old, known := c.registry.Get(instance.ID)
-	if known && *old == *instance {
-		return
-	}
-	c.registry.Put(instance)
-	if !c.listed {
+	if !c.registry.Put(instance) || !c.listed {
 		return
 	}
 	c.Logger.Info("upstream", "upstream", instance.ID, "service", instance.Service, "address", instance.Address,
