--- a/io/fleet/membership.go
+++ b/io/fleet/membership.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// pauseRenewal waits, but no longer than until a peer that leaves has freed its slots.
+// pauseRenewal waits, but no longer than until slots may have become free.
 func (f *Fleet) pauseRenewal(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -87,7 +87,7 @@
 	return false
 }
 
-// standDown ends the membership of a host that owns nothing in a fleet with enough others.
+// standDown ends the membership of a host that is no candidate, once it has handed over what it owns.
 func (f *Fleet) standDown(ctx context.Context) time.Duration {
 	if f.member {
 		f.handOver(ctx, "stands-down")
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -25,7 +25,7 @@
 	idle slotState = iota
 	// loading slots belong to this host, which reads what its predecessor kept.
 	loading
-	// serving slots are complete.
+	// serving slots are decided for here, on all that was kept or, where partial is set, on what the hosts hold.
 	serving
 )
 
