--- /dev/null
+++ b/test/pages/tests_test.go
@@ -0,0 +1,56 @@
+package pages
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	testName     = regexp.MustCompile(`\bTest[A-Z]\w+…?`)
+	testFunction = regexp.MustCompile(`(?m)^func (Test[A-Z]\w+)\(`)
+)
+
+// TestPagesNameTestsThatExist looks for each test that a page names.
+func TestPagesNameTestsThatExist(t *testing.T) {
+	defined := make(map[string]bool)
+	named := make(map[string]string)
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		isTest, isPage := strings.HasSuffix(path, "_test.go"), strings.HasSuffix(path, ".md") || entry.Name() == "KNOWN-RED.txt"
+		if !isTest && !isPage {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if isPage {
+			for _, name := range testName.FindAllString(string(text), -1) {
+				named[name] = path
+			}
+
+			return nil
+		}
+		for _, match := range testFunction.FindAllStringSubmatch(string(text), -1) {
+			defined[match[1]] = true
+		}
+
+		return nil
+	})
+	require.NoError(t, err)
+	var missing []string
+	for name, page := range named {
+		if !defined[name] {
+			missing = append(missing, name+" in "+page)
+		}
+	}
+	require.Empty(t, missing, "pages name tests that do not exist under that name")
+}
