--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -50,6 +50,17 @@
 	require.Equal(t, ledger.Admit, decision)
 }
 
+func TestTurnThatWasGivenUpBeforeItWasDecidedOnReservesNothing(t *testing.T) {
+	var l ledger.Ledger
+	l.End("p", "late", 0)
+	decision, mark := l.Begin(start, turn("late"), false)
+	require.Equal(t, ledger.Over, decision)
+	require.Zero(t, mark.Tokens)
+	decision, mark = l.Begin(start, turn("next"), false)
+	require.Equal(t, ledger.Admit, decision)
+	require.Equal(t, id.Tokens(400), mark.Tokens, "the turn that was given up holds nothing back")
+}
+
 func TestTurnsGoOnInMemoryWhileTheStoreIsAway(t *testing.T) {
 	var l ledger.Ledger
 	l.Begin(start, turn("a"), true)
