--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -71,7 +71,6 @@
 func TestHostThatDrainsInAnOutageServesItsPrograms(t *testing.T) {
 	f := newFleet(t, 3, func(_ *fleet, settings *platform.Host) { settings.Bounds.Grace = 10 * time.Second })
 	f.store.SetFaults(standin.Faults{Down: true})
-	time.Sleep(2 * time.Second) // The hosts notice that the store is away for all.
 	f.hosts["host-0"].running.Drain(context.Background())
 	for i := range 24 {
 		f.until("host-1", standin.Turn("/draft/", "secret", fmt.Sprintf("program-%d", i), "", "x"), http.StatusOK)
@@ -88,7 +87,6 @@
 	const link = 1 << 20
 	f := newFleet(t, 2, func(_ *fleet, settings *platform.Host) { settings.LinkBytes = 4 * link })
 	f.store.SetFaults(standin.Faults{Down: true})
-	time.Sleep(2 * time.Second)
 	input := strings.Repeat("x", 60_000)
 	turns := make(map[string]standin.Answer)
 	for i := range 60 {
