Read slots however long their pages take, and serve on recalls only where the partition is down

After the outage four slots were never read: each page of up to 1 MB, a third longer as text, was bounded by 0.4 s, which a busy host does not keep, and the bound was the same at each attempt. Their owners served them on what the hosts recalled from 25.9 s on and kept turns and counts in memory, though the partitions took writes; the loss of all hosts at 34.1 s took these with it.

Ruled out: a store that was away (stable from 28 s), writes that failed (none after 29 s).

Change: each attempt at reading a slot allows more time for a page; a new owner serves on recalls only while the partition does not take its claim. A turn that is handed to the next owner carries the chain before it, and none is kept whose chain is not there.

The test of the slow pages stands beside the change.

--- a/io/entry/failure_test.go
+++ b/io/entry/failure_test.go
@@ -256,3 +256,18 @@
 		require.Equal(t, http.StatusOK, f.do("host-0", standin.Call{Path: "/look/", Key: "secret"}).Status)
 	}
 }
+
+func TestSlotIsReadThoughItsPagesTakeLong(t *testing.T) {
+	f := newFleet(t, 2, func(_ *fleet, settings *platform.Host) { settings.LinkBytes = 100e6 })
+	input := strings.Repeat("x", 60_000)
+	turn := f.until("host-0", standin.Turn("/chat/", "secret", "p", "", input), http.StatusOK)
+	for range 11 {
+		turn = f.until("host-0", standin.Turn("/chat/", "secret", "p", turn.ID, input), http.StatusOK)
+	}
+	f.kill("host-0")
+	f.kill("host-1")
+	// A page of the slot takes half a second, much longer than a call of a healthy store.
+	f.store.SetFaults(standin.Faults{AnswerBytesPerSecond: 2 << 20})
+	f.start("host-1")
+	f.until("host-1", standin.Turn("/chat/", "secret", "p", turn.ID, "last;"), http.StatusOK)
+}
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -79,6 +79,8 @@
 	// ticked is when the last beat was sent, and resumed when this process last went on after a pause.
 	ticked  time.Time
 	resumed time.Time
+	// ownerSince is since when this host owns slots; it is zero while it owns none.
+	ownerSince time.Time
 	// evicted are the members that this host has taken out, told until a time.
 	evicted map[string]time.Time
 	peers   map[id.Host]*peer
--- a/io/fleet/recall.go
+++ b/io/fleet/recall.go
@@ -79,7 +79,7 @@
 			}
 		}
 		for _, turn := range reply.GetTurns() {
-			if !s.book.Has(id.Workspace(turn.Workspace), turn.Id) {
+			if !s.book.Has(id.Workspace(turn.Workspace), turn.Id) && s.complete(turn) {
 				s.add(now, turn)
 			}
 		}
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -138,7 +138,7 @@
 	if !s.serves(ctx, v.fleet.Now()) {
 		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
-	if req.BaseLeftOut && !s.book.Has(id.Workspace(req.Workspace), req.Kept.Previous) {
+	if req.Kept != nil && !s.complete(req.Kept) {
 		return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}, nil
 	}
 	if req.Attempt != "" {
@@ -163,6 +163,12 @@
 	}
 }
 
+// complete reports whether a turn can be kept: it begins a chain, or has the chain before it here; the caller holds the
+// lock.
+func (s *slot) complete(kept *fleetpb.KeptTurn) bool {
+	return kept.Previous == "" || len(kept.Base) > 0 || s.book.Has(id.Workspace(kept.Workspace), kept.Previous)
+}
+
 // add keeps a turn in memory and writes it; done is closed when it is durable. The caller holds the lock.
 func (s *slot) add(now time.Time, kept *fleetpb.KeptTurn) (done <-chan struct{}) {
 	durable := make(chan struct{})
--- a/io/fleet/slot.go
+++ b/io/fleet/slot.go
@@ -30,8 +30,9 @@
 )
 
 const (
-	// pageBytes is the most that a page of a slot's records holds, in bytes, as the platform's pages state.
-	pageBytes = 1 << 20
+	// pageBytes is the most that a page of a slot's records holds, in bytes, as the platform's pages state; its text is a
+	// third longer.
+	pageBytes = 4 << 20 / 3
 	// linesKept is how long after its last turn it is remembered where a program ran.
 	linesKept = 15 * time.Second
 	// retentionMargin is how much longer than promised records are kept.
@@ -163,26 +164,33 @@
 // forget drops what is known of programs; the caller holds the lock.
 func (s *slot) forget() {
 	s.partial = false
-	s.ledger, s.book, s.lines = ledger.Ledger{}, lineage.Book{}, locality.Lines{}
 	s.rescue(s.writer.reset())
+	s.ledger, s.book, s.lines = ledger.Ledger{}, lineage.Book{}, locality.Lines{}
 }
 
-// rescue hands turns that did not become durable to the next owner.
+// rescue hands turns that did not become durable to the next owner, each with the chain before it, since that may lack
+// the turns before; the caller holds the lock.
 func (s *slot) rescue(dropped []entry) {
 	for _, e := range dropped {
-		if e.turn != nil {
-			s.fleet.holdTurn(context.Background(), &fleetpb.EndTurnRequest{
-				Workspace: e.turn.Workspace, Program: e.turn.Program, Kept: e.turn,
-			})
+		if e.turn == nil {
+			continue
+		}
+		kept := withoutBase(e.turn)
+		kept.Base = e.turn.Base
+		if chain, ok := s.book.Chain(id.Workspace(kept.Workspace), kept.Previous); ok {
+			kept.Base = chain
 		}
+		s.fleet.holdTurn(context.Background(), &fleetpb.EndTurnRequest{
+			Workspace: kept.Workspace, Program: kept.Program, Kept: kept,
+		})
 	}
 }
 
 // load fences the predecessor, reads what it kept and begins to serve.
 func (s *slot) load(ctx context.Context, epoch int64) {
 	began, recalled := s.fleet.Now(), false
-	for ctx.Err() == nil && s.owns(epoch) {
-		l, err := s.read(ctx, epoch)
+	for attempt := 1; ctx.Err() == nil && s.owns(epoch); attempt++ {
+		l, err := s.read(ctx, epoch, attempt)
 		if err == nil {
 			l.began = began
 			s.begin(epoch, l)
@@ -196,7 +204,7 @@
 
 			return
 		}
-		if !recalled && s.fleet.Now().Sub(began) > contactLimit {
+		if !recalled && !l.fenced && s.fleet.Now().Sub(began) > contactLimit {
 			recalled = true
 			go s.serveRecalled(ctx)
 		}
@@ -220,12 +228,15 @@
 	records []platform.Record
 	replies []*fleetpb.RecallReply
 	began   time.Time
+	// fenced is set once the partition has taken the claim, so that it is not down.
+	fenced bool
 	// first is set where nobody has kept anything in the slot before.
 	first bool
 }
 
 // read fences the predecessor, then reads what it kept while the hosts are asked what they hold.
-func (s *slot) read(ctx context.Context, epoch int64) (loaded, error) {
+// Each attempt allows more time for a page, so that a busy host gets through.
+func (s *slot) read(ctx context.Context, epoch int64, attempt int) (loaded, error) {
 	claim := platform.Append{Partition: s.partition(), Producer: producer, Epoch: epoch}
 	err := s.fleet.call(ctx, func(ctx context.Context) error {
 		_, err := s.fleet.store.Append(ctx, claim)
@@ -237,12 +248,14 @@
 	}
 	replies := make(chan []*fleetpb.RecallReply, 1)
 	go func() { replies <- s.fleet.recall(ctx, s.index) }()
-	records, end, err := s.fleet.store.Newest(ctx, s.partition(), s.fleet.timeout(pageBytes))
+	records, end, err := s.fleet.store.Newest(ctx, s.partition(), time.Duration(attempt)*s.fleet.timeout(pageBytes))
 	if err != nil {
-		return loaded{}, err
+		return loaded{fenced: true}, err
 	}
 
-	return loaded{records: records, replies: <-replies, first: s.fleet.Settings.FirstStart && end == 0}, nil
+	return loaded{
+		records: records, replies: <-replies, fenced: true, first: s.fleet.Settings.FirstStart && end == 0,
+	}, nil
 }
 
 // begin restores the records and serves.
--- a/io/fleet/turns.go
+++ b/io/fleet/turns.go
@@ -206,7 +206,7 @@
 
 	return &fleetpb.EndTurnRequest{
 		Workspace: req.Workspace, Program: req.Program, Attempt: req.Attempt, Tokens: req.Tokens,
-		Kept: withoutBase(req.Kept), Line: req.Line, Upstream: req.Upstream, Cached: req.Cached, BaseLeftOut: true,
+		Kept: withoutBase(req.Kept), Line: req.Line, Upstream: req.Upstream, Cached: req.Cached,
 	}
 }
 
--- a/io/fleet/watch.go
+++ b/io/fleet/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cardamomward/core/candidacy"
@@ -12,6 +13,8 @@
 const (
 	// isolation is how long a host must have heard no peer to count as cut off.
 	isolation = 450 * time.Millisecond
+	// ownerKnown is how long after it has become an owner the other owners know it and send it each beat.
+	ownerKnown = 1500 * time.Millisecond
 	// tickLimit is the time between two beats from which on the process was paused meanwhile.
 	tickLimit = 300 * time.Millisecond
 	// evictionRetry paces evictions while the store does not answer.
@@ -35,7 +38,12 @@
 	now := p.fleet.Now()
 	owners := p.fleet.ownership.Load().owners
 	p.mu.Lock()
-	if now.Sub(p.resumed) < isolation {
+	if !slices.Contains(owners, p.self.Peer) {
+		p.ownerSince = time.Time{}
+	} else if p.ownerSince.IsZero() {
+		p.ownerSince = now
+	}
+	if p.ownerSince.IsZero() || now.Sub(p.ownerSince) < ownerKnown || now.Sub(p.resumed) < isolation {
 		p.mu.Unlock()
 
 		return
