--- a/io/fleet/watch.go
+++ b/io/fleet/watch.go
@@ -12,7 +12,7 @@
 
 const (
 	// isolation is how long a host must have heard no peer to count as cut off.
-	isolation = 450 * time.Millisecond
+	isolation = eviction.Silence
 	// ownerKnown is how long after it has become an owner the other owners know it and send it each beat.
 	ownerKnown = 1500 * time.Millisecond
 	// tickLimit is the time between two beats from which on the process was paused meanwhile.
@@ -78,25 +78,30 @@
 // markEvicted keeps members from being taken out again before they are heard; the caller holds the lock.
 func (p *peers) markEvicted(members []string) {
 	for _, member := range members {
-		for _, other := range p.peers {
-			if other.Peer == member {
-				other.evicted = true
-			}
+		if other := p.byMember(member); other != nil {
+			other.evicted = true
 		}
 	}
 }
 
-// gone reports whether a peer's process has stopped since it was a member of the group.
-func (p *peers) gone(member string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// byMember returns the peer with a member's address, or nil; the caller holds the lock.
+func (p *peers) byMember(member string) *peer {
 	for _, other := range p.peers {
 		if other.Peer == member {
-			return other.evicted || other.left || (!other.heard.IsZero() && !other.member)
+			return other
 		}
 	}
 
-	return true
+	return nil
+}
+
+// gone reports whether a peer's process has stopped since it was a member of the group.
+func (p *peers) gone(member string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	other := p.byMember(member)
+
+	return other == nil || other.evicted || other.left || (!other.heard.IsZero() && !other.member)
 }
 
 // evict ends a silent owner's membership and tells the peers, who take its slots.
