--- a/command/root/root.go
+++ b/command/root/root.go
@@ -12,6 +12,7 @@
 	"cardamomward/command/demo"
 	"cardamomward/command/dev"
 	"cardamomward/command/dump"
+	"cardamomward/command/explain"
 	"cardamomward/command/gateway"
 	"cardamomward/command/host"
 	"cardamomward/command/key"
@@ -46,6 +47,7 @@
 			host.NewCmdHost(f),
 			status.NewCmdStatus(f, nil),
 			dump.NewCmdDump(f, nil),
+			explain.NewCmdExplain(f, nil),
 			load.NewCmdLoad(f, nil),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/go-logr/logr"
 
@@ -174,7 +173,7 @@
 
 // slotOf returns the slot of a program's or workspace's name.
 func (f *Fleet) slotOf(name string) int {
-	return int(xxhash.Sum64String(name) % uint64(len(f.slots)))
+	return id.SlotOf(name, len(f.slots))
 }
 
 // owner returns the member that owns a slot or acts for its owner, or an empty string.
--- a/io/fleet/peers.go
+++ b/io/fleet/peers.go
@@ -320,9 +320,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	hosts := make([]directory.Host, 0, len(p.peers)+1)
-	limit := p.silenceLimit()
+	limit := p.silenceLimit() / 2
 	for _, other := range p.peers {
-		if !other.draining && (cutOff || now.Sub(other.heard) <= limit) {
+		if !other.draining && (cutOff || (!other.evicted && now.Sub(other.heard) <= limit)) {
 			hosts = append(hosts, directory.Host{Address: other.Callers, Size: other.CPUShare})
 		}
 	}
