Log each lost attempt with its excuse, and the budget of each request

attempt-lost is written at each decision after an attempt that may have run; request lines have the budget. The decision moves to a file of its own and is unchanged.

--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -294,7 +294,7 @@
 	p.Metrics.observeRequest(outcome, duration)
 	p.Logger.Info("request", "request", req.ID, "status", status, "outcome", outcome, "took", duration.Round(time.Microsecond),
 		"left", req.timeLeft(now), "config", req.configVersion(), "route", req.routeName(), "workspace", req.workspaceName(),
-		"program", req.Program, "previous", req.PreviousTurn, "upstreams", req.triedUpstreams, "tokens", req.outputTokens, "begun", req.beginResult.ContinuesProgram, "last", req.beginResult.LastLocation.Upstream)
+		"program", req.Program, "previous", req.PreviousTurn, "upstreams", req.triedUpstreams, "tokens", req.outputTokens, "budget", req.TokenBudget, "begun", req.beginResult.ContinuesProgram, "last", req.beginResult.LastLocation.Upstream)
 }
 
 // timeLeft returns the time until the request's deadline, or zero if none is set.
--- /dev/null
+++ b/io/reverseproxy/retry.go
@@ -0,0 +1,55 @@
+package reverseproxy
+
+import (
+	"context"
+
+	"cardamomward/core/registry"
+	"cardamomward/core/retrypolicy"
+)
+
+// endReason is why an upstream's process counts as ended after a request to it was lost; it is empty while the process
+// counts as running.
+type endReason string
+
+const (
+	unregistered endReason = "unregistered"
+	replaced     endReason = "replaced"
+	unreachable  endReason = "unreachable"
+)
+
+// retryPolicy returns the limits of the retries of the request's route.
+func (req *proxiedRequest) retryPolicy() retrypolicy.Policy {
+	return retrypolicy.Policy{AllowReexecution: req.route.IsRetryable(), MaxAttempts: req.route.MaxAttempts}
+}
+
+// shouldRetry reports whether the request may be sent to another upstream after an attempt, and logs the decision if the
+// attempt may have run. The reason says why the process that lost the request counts as ended.
+func (p *Proxy) shouldRetry(req *proxiedRequest, instance *registry.Instance, outcome retrypolicy.Outcome, reason endReason) bool {
+	policy := req.retryPolicy()
+	again := req.attempts.ShouldRetry(policy, outcome, reason != "", req.deadline.Sub(p.Now()))
+	if outcome == retrypolicy.Lost {
+		p.Logger.Info("attempt-lost", "request", req.ID, "upstream", instance.ID, "incarnation", instance.Incarnation, "fingerprint", req.fingerprint,
+			"ended", reason, "executed", req.attempts.Executed, "allowed", policy.MaxAttempts, "again", again)
+	}
+
+	return again
+}
+
+// findEndReason returns why an upstream that lost a request counts as ended: it was unregistered, was replaced since it was
+// chosen, or cannot be reached.
+func (p *Proxy) findEndReason(ctx context.Context, req *proxiedRequest, instance *registry.Instance) endReason {
+	if !req.route.IsRetryable() {
+		return ""
+	}
+	current, ok := p.Discovery.GetUpstream(instance.ID)
+	switch {
+	case !ok:
+		return unregistered
+	case current.Incarnation != instance.Incarnation || current.Address != instance.Address:
+		return replaced
+	case !p.UpstreamClient.IsReachable(ctx, instance.Address):
+		return unreachable
+	default:
+		return ""
+	}
+}
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -41,13 +41,12 @@
 // sendWithRetries sends the request to one upstream after another until one responds, or returns an error response if
 // none does.
 func (p *Proxy) sendWithRetries(ctx context.Context, req *proxiedRequest) (*sentRequest, *errorResponse) {
-	policy := retrypolicy.Policy{AllowReexecution: req.route.IsRetryable(), MaxAttempts: req.route.MaxAttempts}
 	for {
 		instance := p.chooseUpstream(req)
 		if instance == nil {
 			return nil, p.noUpstreamResponse(req)
 		}
-		sent, outcome, upstreamGone := p.sendOnce(ctx, req, instance)
+		sent, outcome, reason := p.sendOnce(ctx, req, instance)
 		req.attempts.Record(outcome)
 		p.Metrics.countSend(outcome.String())
 		if outcome == retrypolicy.Answered {
@@ -59,8 +58,10 @@
 		if outcome == retrypolicy.Lost && p.isBeforeDeadline(req) {
 			p.Crashes.RecordCrash(req.fingerprint, instance)
 		}
-		upstreamGone = upstreamGone || (outcome == retrypolicy.Lost && policy.AllowReexecution && p.isUpstreamGone(ctx, instance))
-		if !req.attempts.ShouldRetry(policy, outcome, upstreamGone, req.deadline.Sub(p.Now())) {
+		if outcome == retrypolicy.Lost && reason == "" {
+			reason = p.findEndReason(ctx, req, instance)
+		}
+		if !p.shouldRetry(req, instance, outcome, reason) {
 			return nil, p.noUpstreamResponse(req)
 		}
 	}
@@ -70,16 +71,6 @@
 // deadline does not count as a failure of the upstream.
 func (p *Proxy) isBeforeDeadline(req *proxiedRequest) bool { return p.Now().Before(req.deadline) }
 
-// isUpstreamGone reports whether an upstream was unregistered, was replaced since it was chosen, or cannot be reached.
-func (p *Proxy) isUpstreamGone(ctx context.Context, instance *registry.Instance) bool {
-	current, ok := p.Discovery.GetUpstream(instance.ID)
-	if !ok || current.Incarnation != instance.Incarnation || current.Address != instance.Address {
-		return true
-	}
-
-	return !p.UpstreamClient.IsReachable(ctx, instance.Address)
-}
-
 // noUpstreamResponse returns the error response of a request that no upstream answered.
 func (p *Proxy) noUpstreamResponse(req *proxiedRequest) *errorResponse {
 	if req.attempts.Executed > 0 {
@@ -105,8 +96,8 @@
 // stallTimeout is how long an upstream may send nothing before a retryable request probes whether it can be reached.
 const stallTimeout = 700 * time.Millisecond
 
-// sendOnce sends the request to one upstream; upstreamGone is set if the upstream cannot be reached any more.
-func (p *Proxy) sendOnce(ctx context.Context, req *proxiedRequest, instance *registry.Instance) (sent *sentRequest, outcome retrypolicy.Outcome, upstreamGone bool) {
+// sendOnce sends the request to one upstream; reason is set if the upstream cannot be reached any more.
+func (p *Proxy) sendOnce(ctx context.Context, req *proxiedRequest, instance *registry.Instance) (sent *sentRequest, outcome retrypolicy.Outcome, reason endReason) {
 	now := p.Now()
 	if req.excludedUpstreams == nil {
 		req.excludedUpstreams = make(map[id.Upstream]struct{})
@@ -143,10 +134,13 @@
 		}
 		p.Logger.Info("send-failed", "request", req.ID, "upstream", instance.ID, "error", err)
 		if errorx.IsOfType(err, upstreamclient.ErrNotSent) {
-			return nil, retrypolicy.NotSent, true
+			return nil, retrypolicy.NotSent, unreachable
+		}
+		if errorx.IsOfType(err, upstreamclient.ErrUnreachable) {
+			reason = unreachable
 		}
 
-		return nil, retrypolicy.Lost, errorx.IsOfType(err, upstreamclient.ErrUnreachable)
+		return nil, retrypolicy.Lost, reason
 	}
 	sent = &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
 	if outcome = sent.classifyOutcome(); outcome != retrypolicy.Answered {
@@ -154,10 +148,10 @@
 		p.abortExchange(sent)
 		p.recordFailure(instance)
 
-		return nil, outcome, false
+		return nil, outcome, ""
 	}
 
-	return sent, retrypolicy.Answered, false
+	return sent, retrypolicy.Answered, ""
 }
 
 // headCapacity is the initial buffer capacity for a request's header, in bytes.
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"cardamomward/core/affinity"
+	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
 	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
@@ -59,7 +60,6 @@
 
 // serveStream forwards the events of the response as they arrive, and resumes at another upstream if the stream breaks.
 func (p *Proxy) serveStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
-	policy := retrypolicy.Policy{AllowReexecution: req.route.IsRetryable(), MaxAttempts: req.route.MaxAttempts}
 	var writer *eventWriter
 	for {
 		sent, errResp := p.sendWithRetries(ctx, req)
@@ -88,9 +88,9 @@
 			p.recordFailure(sent.instance)
 		}
 		p.abortExchange(sent)
-		upstreamGone := policy.AllowReexecution && p.isUpstreamGone(ctx, sent.instance)
+		reason := p.findEndReason(ctx, req, sent.instance)
 		p.Logger.Info("stream-broken", "request", req.ID, "upstream", sent.instance.ID, "after", req.lastSentEventID, "error", err)
-		if ctx.Err() != nil || errors.Is(err, errStreamAborted) || !p.mayResume(req, policy, upstreamGone) {
+		if ctx.Err() != nil || errors.Is(err, errStreamAborted) || !p.mayResume(req, sent.instance, reason) {
 			p.endTurn(ctx, req, false)
 			p.failStream(ctx, c, req, writer, failedUpstreamResponse(req, "stream-broken"))
 
@@ -100,12 +100,12 @@
 }
 
 // mayResume reports whether the host may resume a broken stream at another upstream.
-func (p *Proxy) mayResume(req *proxiedRequest, policy retrypolicy.Policy, upstreamGone bool) bool {
+func (p *Proxy) mayResume(req *proxiedRequest, instance *registry.Instance, reason endReason) bool {
 	if req.origin != nil && p.isOriginUncertain(*req.origin) {
 		return false
 	}
 
-	return req.attempts.ShouldRetry(policy, retrypolicy.Lost, upstreamGone, req.deadline.Sub(p.Now()))
+	return p.shouldRetry(req, instance, retrypolicy.Lost, reason)
 }
 
 // forwardEvents forwards whole events until the stream ends; the response header is sent with the first event.
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -16,7 +16,6 @@
 
 // serveUnary handles a request whose response is forwarded as a whole.
 func (p *Proxy) serveUnary(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
-	policy := retrypolicy.Policy{AllowReexecution: req.route.IsRetryable(), MaxAttempts: req.route.MaxAttempts}
 	for {
 		sentAt := p.Now()
 		sent, errResp := p.sendWithRetries(ctx, req)
@@ -34,8 +33,8 @@
 			return
 		}
 		p.abortExchange(sent)
-		upstreamGone := policy.AllowReexecution && p.isUpstreamGone(ctx, sent.instance)
-		if ctx.Err() != nil || !req.attempts.ShouldRetry(policy, retrypolicy.Lost, upstreamGone, req.deadline.Sub(p.Now())) {
+		reason := p.findEndReason(ctx, req, sent.instance)
+		if ctx.Err() != nil || !p.shouldRetry(req, sent.instance, retrypolicy.Lost, reason) {
 			p.failRequest(ctx, c, req, failedUpstreamResponse(req, "answer-cut"))
 
 			return
