Bound the tokens that are counted in memory alone

Cause: while the store or a slot's partition took no writes, the owner admitted turns by its count in memory, without a bound. A loss of all hosts before the writes succeeded let the program spend the same tokens again.

Change: beyond the durable watermark a program may have one turn, as always, or a quarter of its budget while the store is unavailable. Budgets of up to four turns are thus exceeded by one turn at most. Owners report the durable part of each count with the count, so an acting owner knows what remains.

Changed tests: TestTurnsAreAdmittedFromMemoryWhileStoreIsUnavailable and TestBudgetIsEnforcedWhenOwnerIsLostDuringStoreOutage asked for turns beyond any bound during an outage, which is the fault; they now ask for the bound, that a program goes on within it, and for the refusal after the outage. TestUnsettledTurnsAreChargedTheirMaximum used an outage to admit a second turn; it makes the first one durable instead.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -25,6 +25,9 @@
 const (
 	// settlementGracePeriod is the time after its deadline at which an unsettled turn is charged its whole reservation.
 	settlementGracePeriod = 3 * time.Second
+	// undurableBudgetDivisor divides a budget into the part that may be admitted beyond the durable watermark while the
+	// platform's store is unavailable.
+	undurableBudgetDivisor = 4
 	// maxSettledAttempts bounds the settled attempts that an account remembers to ignore a repeated settlement.
 	maxSettledAttempts = 32
 )
@@ -69,8 +72,8 @@
 type Ledger struct{ accounts map[id.Program]*account }
 
 // Reserve reserves the maximum of a turn and returns the decision and the watermark to make durable, whose tokens are
-// zero if there is none. While the platform's store is unavailable to all hosts, turns are admitted by the count in
-// memory alone.
+// zero if there is none. While the platform's store is unavailable, a part of the budget is admitted by the count in memory
+// alone.
 func (l *Ledger) Reserve(now time.Time, turn Turn, storeUnavailable bool) (Decision, Watermark) {
 	a := l.account(turn.Program)
 	a.settleOverdue(now)
@@ -90,7 +93,7 @@
 		}
 
 		return Exhausted, a.watermark(turn.Program)
-	case committedTokens > a.durableTokens && !storeUnavailable:
+	case committedTokens > a.durableTokens && !(storeUnavailable && a.mayExceedDurable(turn)):
 		return AwaitDurable, a.watermark(turn.Program)
 	}
 	if a.reservations == nil {
@@ -101,6 +104,12 @@
 	return Admit, a.watermark(turn.Program)
 }
 
+// mayExceedDurable reports whether a turn may be admitted though earlier ones are not durable: a loss of all hosts makes a
+// program's undurable tokens available to it once more.
+func (a *account) mayExceedDurable(turn Turn) bool {
+	return a.settledTokens+a.reservedTokens()+turn.MaxTokens-a.durableTokens <= turn.BudgetTokens/undurableBudgetDivisor
+}
+
 // Settle replaces the reservation of a turn by the tokens that it generated; repeated settlements are ignored.
 func (l *Ledger) Settle(program id.Program, attempt string, tokens id.Tokens) {
 	a := l.account(program)
@@ -130,13 +139,14 @@
 	a.settledTokens, a.durableTokens, a.hasDurableWatermark, a.expiresAt = watermark.Tokens, watermark.Tokens, true, watermark.ExpiresAt
 }
 
-// RaiseTo raises a program's token count to at least the given value, which other hosts have reported. It returns the
+// RaiseTo raises a program's token count to at least the given one, which other hosts have reported. It returns the
 // watermark to make durable, whose tokens are zero if there is none.
-func (l *Ledger) RaiseTo(program id.Program, tokens id.Tokens, expiresAt time.Time) Watermark {
+func (l *Ledger) RaiseTo(program id.Program, count Count, expiresAt time.Time) Watermark {
 	a := l.account(program)
-	if committedTokens := a.settledTokens + a.reservedTokens(); tokens > committedTokens {
-		a.settledTokens += tokens - committedTokens
+	if committedTokens := a.settledTokens + a.reservedTokens(); count.Tokens > committedTokens {
+		a.settledTokens += count.Tokens - committedTokens
 	}
+	a.durableTokens = max(a.durableTokens, count.Durable)
 	if expiresAt.After(a.expiresAt) {
 		a.expiresAt = expiresAt
 	}
@@ -164,11 +174,19 @@
 	return durable
 }
 
-// HasUsage reports whether a program has settled or reserved tokens.
-func (l *Ledger) HasUsage(program id.Program) bool {
+// Count returns a program's token count.
+func (l *Ledger) Count(program id.Program) Count {
 	a, ok := l.accounts[program]
+	if !ok {
+		return Count{}
+	}
+
+	return Count{Tokens: a.settledTokens + a.reservedTokens(), Durable: a.durableTokens}
+}
 
-	return ok && a.settledTokens+a.reservedTokens() > 0
+// HasUsage reports whether a program has settled or reserved tokens.
+func (l *Ledger) HasUsage(program id.Program) bool {
+	return l.Count(program).Tokens > 0
 }
 
 // Len returns the number of accounts.
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -62,10 +62,37 @@
 }
 
 func TestTurnsAreAdmittedFromMemoryWhileStoreIsUnavailable(t *testing.T) {
+	large := func(attempt string) tokenbudget.Turn {
+		large := turn(attempt)
+		large.BudgetTokens = 3600
+
+		return large
+	}
 	var l tokenbudget.Ledger
-	l.Reserve(start, turn("a"), true)
-	decision, _ := l.Reserve(start, turn("b"), true)
+	l.Reserve(start, large("a"), true)
+	decision, _ := l.Reserve(start, large("b"), true)
+	require.Equal(t, tokenbudget.Admit, decision)
+	decision, watermark := l.Reserve(start, large("c"), true)
+	require.Equal(t, tokenbudget.AwaitDurable, decision, "a quarter of the budget may be spent undurably")
+	l.MarkDurable(watermark)
+	decision, _ = l.Reserve(start, large("c"), true)
 	require.Equal(t, tokenbudget.Admit, decision)
+}
+
+func TestSmallBudgetIsNotSpentFromMemoryWhileStoreIsUnavailable(t *testing.T) {
+	var l tokenbudget.Ledger
+	decision, _ := l.Reserve(start, turn("a"), true)
+	require.Equal(t, tokenbudget.Admit, decision)
+	decision, _ = l.Reserve(start, turn("b"), true)
+	require.Equal(t, tokenbudget.AwaitDurable, decision, "a loss of all hosts would let the program spend two turns too many")
+}
+
+func TestExhaustedBudgetReturnsWatermarkToWrite(t *testing.T) {
+	var l tokenbudget.Ledger
+	l.Reserve(start, turn("a"), false)
+	l.Settle("p", "a", 400)
+	l.MarkDurable(tokenbudget.Watermark{Program: "p", Tokens: 400})
+	l.Reserve(start, turn("b"), false)
 	decision, watermark := l.Reserve(start, turn("c"), true)
 	require.Equal(t, tokenbudget.Exhausted, decision)
 	require.Equal(t, id.Tokens(800), watermark.Tokens, "the count of a refused program is made durable, so that a new owner refuses it too")
@@ -86,9 +113,10 @@
 
 func TestUnsettledTurnsAreChargedTheirMaximum(t *testing.T) {
 	var l tokenbudget.Ledger
-	l.Reserve(start, turn("a"), false)
+	_, first := l.Reserve(start, turn("a"), false)
+	l.MarkDurable(first)
 	late := start.Add(time.Minute)
-	_, watermark := l.Reserve(late, turn("b"), true)
+	_, watermark := l.Reserve(late, turn("b"), false)
 	require.Equal(t, id.Tokens(800), watermark.Tokens)
 }
 
@@ -111,8 +139,8 @@
 func TestRaiseToReturnsWatermarkToWrite(t *testing.T) {
 	var l tokenbudget.Ledger
 	l.Restore(tokenbudget.Watermark{Program: "p", Tokens: 100, ExpiresAt: start})
-	require.Zero(t, l.RaiseTo("p", 100, start).Tokens)
-	require.Equal(t, id.Tokens(900), l.RaiseTo("p", 900, start).Tokens)
+	require.Zero(t, l.RaiseTo("p", tokenbudget.Count{Tokens: 100}, start).Tokens)
+	require.Equal(t, id.Tokens(900), l.RaiseTo("p", tokenbudget.Count{Tokens: 900}, start).Tokens)
 	decision, _ := l.Reserve(start, turn("a"), false)
 	require.Equal(t, tokenbudget.Exhausted, decision)
 }
@@ -138,9 +166,10 @@
 
 func TestReportedWatermarksKeepHighest(t *testing.T) {
 	var m tokenbudget.ReportedWatermarks
-	m.Report(start, "p", 500)
-	m.Report(start, "p", 300)
-	require.Equal(t, map[id.Program]id.Tokens{"p": 500}, m.Recent(start.Add(time.Second), 2*time.Second))
+	highest := tokenbudget.Count{Tokens: 500, Durable: 200}
+	m.Report(start, "p", highest)
+	m.Report(start, "p", tokenbudget.Count{Tokens: 300, Durable: 300})
+	require.Equal(t, map[id.Program]tokenbudget.Count{"p": highest}, m.Recent(start.Add(time.Second), 2*time.Second))
 	require.Empty(t, m.Recent(start.Add(3*time.Second), 2*time.Second))
 	m.RemoveOlderThan(start.Add(time.Minute), 10*time.Second)
 	require.Empty(t, m.Recent(start, time.Hour))
@@ -155,6 +184,8 @@
 	reported        tokenbudget.ReportedWatermarks
 	now             time.Time
 	generatedTokens id.Tokens
+	// storeUnavailable is set during an outage of the store, in which no watermark becomes durable.
+	storeUnavailable bool
 }
 
 const (
@@ -166,13 +197,13 @@
 	decision, watermark := s.ledger.Reserve(s.now, tokenbudget.Turn{
 		Program: "p", Attempt: attempt, BudgetTokens: simulatedBudget, MaxTokens: simulatedMaxTokens,
 		Deadline: s.now.Add(time.Hour), Retention: time.Hour,
-	}, false)
+	}, s.storeUnavailable)
 	if watermark.Tokens > 0 {
 		s.pending = append(s.pending, watermark)
 	}
 	if decision == tokenbudget.Admit {
 		s.running[attempt] = true
-		s.reported.Report(s.now, "p", watermark.Tokens)
+		s.reported.Report(s.now, "p", tokenbudget.Count{Tokens: watermark.Tokens})
 	}
 }
 
@@ -188,6 +219,9 @@
 }
 
 func (s *simulation) writeWatermarks() {
+	if s.storeUnavailable {
+		return
+	}
 	for _, watermark := range s.pending {
 		s.durable = watermark
 		s.ledger.MarkDurable(watermark)
@@ -209,8 +243,8 @@
 
 		return
 	}
-	for program, tokens := range s.reported.Recent(s.now, time.Hour) {
-		if watermark := s.ledger.RaiseTo(program, tokens, s.now.Add(time.Hour)); watermark.Tokens > 0 {
+	for program, count := range s.reported.Recent(s.now, time.Hour) {
+		if watermark := s.ledger.RaiseTo(program, count, s.now.Add(time.Hour)); watermark.Tokens > 0 {
 			s.pending = append(s.pending, watermark)
 		}
 	}
@@ -228,6 +262,10 @@
 		s.writeWatermarks()
 	case "lose-owner":
 		s.failOwner(true)
+	case "outage":
+		s.storeUnavailable = true
+	case "recovery":
+		s.storeUnavailable = false
 	case "lose-all":
 		s.failOwner(false)
 	}
@@ -256,3 +294,15 @@
 		}
 	})
 }
+
+func TestBudgetHoldsAcrossFailureOfAllHostsDuringOutage(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := simulation{running: map[string]bool{}, now: start}
+		events := []string{"begin", "begin", "end", "write", "outage", "recovery", "lose-all"}
+		for step := range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			if s.step(rt, step, events) == "lose-all" {
+				events = events[:6]
+			}
+		}
+	})
+}
--- a/core/tokenbudget/watermarks.go
+++ b/core/tokenbudget/watermarks.go
@@ -6,9 +6,18 @@
 	"cardamomward/core/id"
 )
 
-// reportedCount is the highest number of tokens that was reported for a program.
+// Count is a program's token count at its owner.
+type Count struct {
+	// Tokens are the settled and the reserved tokens.
+	Tokens id.Tokens
+	// Durable is the durable watermark.
+	Durable id.Tokens
+}
+
+// reportedCount is the highest count that was reported for a program.
 type reportedCount struct {
-	tokens     id.Tokens
+	Count
+
 	reportedAt time.Time
 }
 
@@ -16,20 +25,23 @@
 // empty. A new owner asks all hosts for them, since its predecessor may have failed before its counts became durable.
 type ReportedWatermarks struct{ programs map[id.Program]reportedCount }
 
-// Report records that a program has used at least the given tokens.
-func (m *ReportedWatermarks) Report(now time.Time, program id.Program, tokens id.Tokens) {
+// Report records the count of a program.
+func (m *ReportedWatermarks) Report(now time.Time, program id.Program, count Count) {
 	if m.programs == nil {
 		m.programs = make(map[id.Program]reportedCount)
 	}
-	m.programs[program] = reportedCount{tokens: max(tokens, m.programs[program].tokens), reportedAt: now}
+	if previous, ok := m.programs[program]; ok && previous.Tokens > count.Tokens {
+		count = previous.Count
+	}
+	m.programs[program] = reportedCount{Count: count, reportedAt: now}
 }
 
 // Recent returns the counts that were reported within maxAge.
-func (m *ReportedWatermarks) Recent(now time.Time, maxAge time.Duration) map[id.Program]id.Tokens {
-	recent := make(map[id.Program]id.Tokens)
+func (m *ReportedWatermarks) Recent(now time.Time, maxAge time.Duration) map[id.Program]Count {
+	recent := make(map[id.Program]Count)
 	for program, r := range m.programs {
 		if now.Sub(r.reportedAt) <= maxAge {
-			recent[program] = r.tokens
+			recent[program] = r.Count
 		}
 	}
 
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"cardamomward/core/id"
+	"cardamomward/core/tokenbudget"
 	"cardamomward/io/fleet/fleetpb"
 )
 
@@ -30,9 +31,9 @@
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
 	reply := &fleetpb.RecallReply{}
-	for program, tokens := range c.programWatermarks.Recent(c.Now(), maxReportedWatermarkAge) {
+	for program, count := range c.programWatermarks.Recent(c.Now(), maxReportedWatermarkAge) {
 		if c.hashSlot(string(program)) == int(req.Slot) {
-			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(tokens)})
+			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(count.Tokens), Durable: int64(count.Durable)})
 		}
 	}
 	for _, held := range c.heldTurns {
@@ -76,7 +77,11 @@
 func (s *slot) mergeInMemoryState(now time.Time, replies []*fleetpb.RecallReply) {
 	for _, reply := range replies {
 		for _, mark := range reply.GetMarks() {
-			raised := s.ledger.RaiseTo(id.Program(mark.Program), id.Tokens(mark.Tokens), now.Add(budgetRetention))
+			count := tokenbudget.Count{Tokens: id.Tokens(mark.Tokens)}
+			if s.isPartial {
+				count.Durable = id.Tokens(mark.Durable)
+			}
+			raised := s.ledger.RaiseTo(id.Program(mark.Program), count, now.Add(budgetRetention))
 			if raised.Tokens > 0 {
 				s.writeWatermark(now, raised, false)
 			}
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -53,6 +53,7 @@
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
 		reply.Outcome, reply.Mark = s.reserveTokens(ctx, req)
+		reply.Durable = int64(s.ledger.Count(program).Durable)
 	}
 	location := s.locations.Lookup(program, req.Line)
 	reply.Last, reply.Kept = string(location.Upstream), int64(location.CachedTokens)
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -7,6 +7,7 @@
 
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
+	"cardamomward/core/tokenbudget"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/reverseproxy"
 	"cardamomward/io/topicconsumer"
@@ -55,7 +56,7 @@
 		case err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER:
 			c.requestOwnersRefresh()
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
-			c.recordWatermark(req.Program, reply.Mark)
+			c.recordWatermark(req.Program, reply.Mark, reply.Durable)
 			if req.HaveChain {
 				reply.Chain = foundTranscript
 			}
@@ -65,7 +66,7 @@
 				LastLocation: affinity.Location{Upstream: id.Upstream(reply.Last), CachedTokens: id.Tokens(reply.Kept)},
 			}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_SPENT:
-			c.recordWatermark(req.Program, req.Budget)
+			c.recordWatermark(req.Program, req.Budget, reply.Durable)
 
 			return reverseproxy.BeginResult{Status: reverseproxy.BudgetExhausted}
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN:
@@ -105,10 +106,10 @@
 }
 
 // recordWatermark stores the token count of a program that its owner reported.
-func (c *Cluster) recordWatermark(program string, tokens int64) {
+func (c *Cluster) recordWatermark(program string, tokens, durable int64) {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	c.programWatermarks.Report(c.Now(), id.Program(program), id.Tokens(tokens))
+	c.programWatermarks.Report(c.Now(), id.Program(program), tokenbudget.Count{Tokens: id.Tokens(tokens), Durable: id.Tokens(durable)})
 }
 
 func (c *Cluster) tryBeginTurn(ctx context.Context, req *fleetpb.BeginTurnRequest) (*fleetpb.BeginTurnReply, error) {
--- a/io/gatewayhost/failure_test.go
+++ b/io/gatewayhost/failure_test.go
@@ -151,11 +151,18 @@
 	}
 	c.store.SetFaults(standin.Faults{Down: true})
 	c.kill("host-1")
+	// A quarter of the budget of 1000, five turns, may be spent undurably, in addition to a last turn that is durable already.
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		sendTurn("host-0")
+		sendTurn("host-2")
+	}
+	require.Greater(t, turns, 6, "the program goes on during the outage")
+	require.LessOrEqual(t, turns, 6+6)
+	c.store.SetFaults(standin.Faults{})
 	deadline := time.Now().Add(waitTimeout)
 	for i := 0; sendTurn(c.names[2*(i%2)]) != http.StatusPaymentRequired; i++ {
 		require.True(t, time.Now().Before(deadline))
 	}
-	c.store.SetFaults(standin.Faults{})
 	c.doUntilStatus("host-3", standin.NewTurnRequest("/draft/", "secret", "looping", "", "x"), http.StatusPaymentRequired)
 	// Each turn has five events of ten tokens.
 	require.LessOrEqual(t, turns*50, 1000+100)
