Refuse unknown programs in slots that no host remembers

Cause: an owner that cannot read its slot serves it from what the hosts remember, and took programs that no reply names for new ones, though hosts that have just started remember nothing; and hosts reported only the counts of the last 20 s, while a stopped program may return for a minute.

Change: hosts report all counts that they keep, and say whether they remember all programs that they served. Unless a majority does, programs without an account are refused until the records are read.

The test cluster starts restarted hosts with FirstStart unset, as the users' platform does.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -93,7 +93,7 @@
 		}
 
 		return Exhausted, a.watermark(turn.Program)
-	case committedTokens > a.durableTokens && !(storeUnavailable && a.mayExceedDurable(turn)):
+	case committedTokens > a.durableTokens && (!storeUnavailable || !a.mayExceedDurable(turn)):
 		return AwaitDurable, a.watermark(turn.Program)
 	}
 	if a.reservations == nil {
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -17,9 +17,6 @@
 	// stateTransferTimeout bounds the wait of a new owner for the hosts' in-memory state, and a call that copies a turn to a
 	// peer.
 	stateTransferTimeout = 200 * time.Millisecond
-	// maxReportedWatermarkAge bounds the age of the watermarks that hosts report; it is longer than outages of the
-	// store last.
-	maxReportedWatermarkAge = 20 * time.Second
 	// authoritativeAfter is how long a new owner must have served before it may say that a turn does not exist: until
 	// then, hosts may hold turns that its predecessor did not receive.
 	authoritativeAfter = 3 * time.Second
@@ -30,8 +27,8 @@
 	c := srv.cluster
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	reply := &fleetpb.RecallReply{}
-	for program, count := range c.programWatermarks.Recent(c.Now(), maxReportedWatermarkAge) {
+	reply := &fleetpb.RecallReply{Complete: c.remembersAllPrograms(c.Now())}
+	for program, count := range c.programWatermarks.Recent(c.Now(), budgetRetention) {
 		if c.hashSlot(string(program)) == int(req.Slot) {
 			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(count.Tokens), Durable: int64(count.Durable)})
 		}
@@ -45,6 +42,24 @@
 	return reply, nil
 }
 
+// remembersAllPrograms reports whether this host has the watermarks of all programs that it has served and that may return.
+func (c *Cluster) remembersAllPrograms(now time.Time) bool {
+	return c.Settings.FirstStart || now.Sub(c.peers.startedAt) >= budgetRetention
+}
+
+// rememberAllPrograms reports whether a majority of the hosts that were asked remember all programs that they have served.
+// Programs that none of the hosts knows are then new.
+func rememberAllPrograms(replies []*fleetpb.RecallReply) bool {
+	complete := 0
+	for _, reply := range replies {
+		if reply.GetComplete() {
+			complete++
+		}
+	}
+
+	return 2*complete > len(replies)
+}
+
 // collectInMemoryState collects the state of a slot that all hosts have in memory. The entry of a host that does not
 // respond within stateTransferTimeout is nil.
 func (c *Cluster) collectInMemoryState(ctx context.Context, slot int) []*fleetpb.RecallReply {
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -53,6 +53,8 @@
 	isActingOwner bool
 	// isPartial is set while the slot is served from the hosts' in-memory state because its records cannot be read.
 	isPartial bool
+	// knowsAllPrograms is set while a program without an account is a new one.
+	knowsAllPrograms bool
 	// unconfirmedSince is since when another host may have owned the slot after its records were read; zero if none has.
 	unconfirmedSince time.Time
 	// confirmationRequests counts the times when a confirmation became necessary.
@@ -124,12 +126,12 @@
 		return
 	}
 	now := s.cluster.Now()
-	s.isPartial = true
+	s.isPartial, s.knowsAllPrograms = true, rememberAllPrograms(replies)
 	s.mergeInMemoryState(now, replies)
 	s.state, s.servingSince, s.isNew = serving, now, false
 	s.notifyChanged()
 	s.cluster.Logger.Info("slot-recalled", "slot", s.index, "owner", s.cluster.ownership.Load().owners[s.index],
-		"deputy", isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len())
+		"deputy", isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len(), "complete", s.knowsAllPrograms)
 }
 
 // isDurabilityUnavailable reports whether the slot's records cannot become durable now, while this host hears a
@@ -196,7 +198,7 @@
 
 // discardState discards the state of programs and sends unwritten turns to the next owner; the caller holds the lock.
 func (s *slot) discardState() {
-	s.isPartial = false
+	s.isPartial, s.knowsAllPrograms = false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
 	s.pendingTurns = nil
@@ -331,6 +333,7 @@
 	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
 	s.mergeInMemoryState(now, contents.replies)
+	s.knowsAllPrograms = true
 	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
 	s.notifyChanged()
 	if !s.unconfirmedSince.IsZero() {
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -52,6 +52,11 @@
 	program := id.Program(req.Program)
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
+		if !s.knowsAllPrograms && s.ledger.Count(program).Tokens == 0 {
+			reply.Outcome = fleetpb.Outcome_OUTCOME_UNSURE
+
+			return reply, nil
+		}
 		reply.Outcome, reply.Mark = s.reserveTokens(ctx, req)
 		reply.Durable = int64(s.ledger.Count(program).Durable)
 	}
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -114,6 +114,8 @@
 			adjustSettings(c, h.settings)
 		}
 		c.hosts[name] = h
+	} else {
+		h.settings.FirstStart = false
 	}
 	if c.runsProcesses {
 		c.startProcess(h)
