Count attempts at upstreams that are no longer registered

Callers' requests could run on more upstreams than their route allows (the first line of BUDGET): a stream that broke off was run again if its upstream was not registered any more.

Cause: a missing registration was taken for the end of the process. Upstreams that leave without a draining state lose their entry and continue to serve, and the store's history can be dropped. The same belief came from a probe that ended because its caller had left.

Change: only a new incarnation, or a failed probe of a caller that still waits, excuses an attempt.

Evidence: TestBrokenStreamOfUnlistedUpstreamStaysWithinItsAttempts failed before (two upstreams where one is allowed) and passes.

--- a/io/gatewayhost/failure_test.go
+++ b/io/gatewayhost/failure_test.go
@@ -391,3 +391,30 @@
 	c.start("host-2")
 	require.Eventually(t, func() bool { return lists("host-2") }, 2*time.Second, 20*time.Millisecond, "a new host reads its entry")
 }
+
+func TestBrokenStreamOfUnlistedUpstreamStaysWithinItsAttempts(t *testing.T) {
+	c := newTestCluster(t, 1)
+	standin.Configuration{Version: 2, APIKeys: []string{"secret"}, MaxAttempts: 1}.WriteToStore(c.store)
+	c.slowStreams(300 * time.Millisecond)
+	for _, engine := range c.engines {
+		engine.BreakStreamsAtEvent(4)
+	}
+	time.Sleep(registrationDelay)
+	broken := make(chan standin.CallerResponse, 1)
+	go func() {
+		response, err := standin.NewTurnRequest("/draft/", "secret", "p", "", "x").Send(context.Background(), "unlisted", c.hosts["host-0"].settings.CallerAddress)
+		assert.NoError(t, err)
+		broken <- response
+	}()
+	require.Eventually(t, func() bool { return len(c.executionsOf("unlisted")) == 1 }, waitTimeout, 5*time.Millisecond)
+	// An upstream that leaves without a draining state loses its entry and continues to run.
+	for _, engine := range c.engines {
+		for _, executed := range engine.ExecutedRequests() {
+			if executed.Header.Get("Request-Id") == "unlisted" {
+				engine.Deregister(c.store)
+			}
+		}
+	}
+	require.True(t, (<-broken).Truncated)
+	require.Len(t, c.executionsOf("unlisted"), 1, "the upstreams that ran the request")
+}
--- a/io/reverseproxy/retry.go
+++ b/io/reverseproxy/retry.go
@@ -12,9 +12,8 @@
 type endReason string
 
 const (
-	unregistered endReason = "unregistered"
-	replaced     endReason = "replaced"
-	unreachable  endReason = "unreachable"
+	replaced    endReason = "replaced"
+	unreachable endReason = "unreachable"
 )
 
 // retryPolicy returns the limits of the retries of the request's route.
@@ -35,19 +34,17 @@
 	return again
 }
 
-// findEndReason returns why an upstream that lost a request counts as ended: it was unregistered, was replaced since it was
-// chosen, or cannot be reached.
+// findEndReason returns why an upstream that lost a request counts as ended: it was replaced since it was chosen, or cannot be
+// reached. A missing registration shows neither: upstreams that leave continue to run.
 func (p *Proxy) findEndReason(ctx context.Context, req *proxiedRequest, instance *registry.Instance) endReason {
 	if !req.route.IsRetryable() {
 		return ""
 	}
 	current, ok := p.Discovery.GetUpstream(instance.ID)
 	switch {
-	case !ok:
-		return unregistered
-	case current.Incarnation != instance.Incarnation || current.Address != instance.Address:
+	case ok && (current.Incarnation != instance.Incarnation || current.Address != instance.Address):
 		return replaced
-	case !p.UpstreamClient.IsReachable(ctx, instance.Address):
+	case !p.UpstreamClient.IsReachable(ctx, instance.Address) && ctx.Err() == nil:
 		return unreachable
 	default:
 		return ""
