--- /dev/null
+++ b/io/gatewayhost/limit_test.go
@@ -0,0 +1,151 @@
+package gatewayhost_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/platform/standin"
+)
+
+const (
+	// upstreamLimit is the limit that upstreams name, in requests per second.
+	upstreamLimit = 4
+	// limitWindow is the window over which the platform compares arrivals with a limit, and limitLearningTime how long after
+	// an upstream first names a limit that begins.
+	limitWindow       = 4 * time.Second
+	limitLearningTime = time.Second
+	// maxLimitedArrivals is the most that may arrive in limitWindow.
+	maxLimitedArrivals = 1.5*4*upstreamLimit + 5
+	// limitedLoad is how long the tests send requests.
+	limitedLoad = limitLearningTime + limitWindow + time.Second
+)
+
+// nameLimit makes upstreams name a limit in all further responses.
+func nameLimit(limit float64, upstreams ...*standin.Upstream) {
+	for _, upstream := range upstreams {
+		upstream.SetLimitHeaders(strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+}
+
+// sendConcurrently sends calls from several callers to all hosts for a time, and returns the number of responses by status.
+func (c *testCluster) sendConcurrently(duration time.Duration, newCall func(number int64) standin.CallerRequest) map[int]int {
+	c.t.Helper()
+	const callersPerHost = 4
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	var tasks sync.WaitGroup
+	until := time.Now().Add(duration)
+	for i := range callersPerHost * len(c.names) {
+		tasks.Go(func() {
+			for time.Now().Before(until) {
+				number := c.requestCount.Add(1)
+				response, err := newCall(number).Send(context.Background(), fmt.Sprintf("request-%d", number), c.hosts[c.names[i%len(c.names)]].settings.CallerAddress)
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				statuses[response.Status]++
+				mu.Unlock()
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	tasks.Wait()
+
+	return statuses
+}
+
+func newLookup(int64) standin.CallerRequest {
+	return standin.CallerRequest{Path: "/look/", APIKey: "secret"}
+}
+
+// newDraft returns the first turn of a program of its own.
+func newDraft(number int64) standin.CallerRequest {
+	return standin.NewTurnRequest("/draft/", "secret", fmt.Sprintf("program-%d", number), "", fmt.Sprintf("body-%d", number))
+}
+
+// maxArrivals returns the most requests that arrived at an upstream in a window after a time.
+func maxArrivals(upstream *standin.Upstream, after time.Time) int {
+	arrivals := slices.DeleteFunc(upstream.Arrivals(), func(at time.Time) bool { return at.Before(after) })
+	most, first := 0, 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+
+	return most
+}
+
+func TestUpstreamGetsNoMoreThanItsLimitFromAllHosts(t *testing.T) {
+	for name, newCall := range map[string]func(int64) standin.CallerRequest{"plain": newLookup, "stream": newDraft} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 4)
+			limited := []*standin.Upstream{c.plainUpstreams[0], c.engines[0]}
+			nameLimit(upstreamLimit, limited...)
+			startedAt := time.Now()
+			statuses := c.sendConcurrently(limitedLoad, newCall)
+			require.Equal(t, []int{http.StatusOK}, statusesOf(statuses), "other upstreams serve what exceeds the limit")
+			for _, upstream := range limited {
+				require.LessOrEqual(t, maxArrivals(upstream, startedAt.Add(limitLearningTime)), int(maxLimitedArrivals), upstream.ID)
+			}
+		})
+	}
+}
+
+func TestRequestsBeyondLimitsOfAllUpstreamsAreRefusedAtOnce(t *testing.T) {
+	c := newTestCluster(t, 4)
+	nameLimit(upstreamLimit, c.plainUpstreams...)
+	startedAt := time.Now()
+	statuses := c.sendConcurrently(limitedLoad, newLookup)
+	for _, upstream := range c.plainUpstreams {
+		arrivals := maxArrivals(upstream, startedAt.Add(limitLearningTime))
+		require.LessOrEqual(t, arrivals, int(maxLimitedArrivals), upstream.ID)
+		require.GreaterOrEqual(t, arrivals, 4*upstreamLimit/2, "%s is used up to its limit", upstream.ID)
+	}
+	require.Positive(t, statuses[http.StatusServiceUnavailable])
+	response := c.doUntilStatus("host-0", newLookup(0), http.StatusServiceUnavailable)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, c.executionsOf(response.RequestID))
+}
+
+func TestUpstreamIsUsedAgainOnceItNamesNoLimit(t *testing.T) {
+	c := newTestCluster(t, 3)
+	nameLimit(upstreamLimit, c.plainUpstreams[0])
+	c.sendConcurrently(2*time.Second, newLookup)
+	c.plainUpstreams[0].SetLimitHeaders()
+	c.sendConcurrently(time.Second, newLookup)
+	endedAt := time.Now()
+	c.sendConcurrently(time.Second, newLookup)
+	require.Greater(t, maxArrivals(c.plainUpstreams[0], endedAt), int(maxLimitedArrivals))
+}
+
+func TestUnclearLimitsAreIgnored(t *testing.T) {
+	c := newTestCluster(t, 1)
+	for _, values := range [][]string{{"many"}, {"-1"}, {"NaN"}, {"1", "2"}, {""}} {
+		c.plainUpstreams[0].SetLimitHeaders(values...)
+		c.plainUpstreams[1].SetLimitHeaders(values...)
+		statuses := c.sendConcurrently(time.Second, newLookup)
+		require.Equal(t, []int{http.StatusOK}, statusesOf(statuses), "limit %q", values)
+	}
+}
+
+// statusesOf returns the statuses that occurred, sorted.
+func statusesOf(counts map[int]int) []int {
+	var statuses []int
+	for status := range counts {
+		statuses = append(statuses, status)
+	}
+	slices.Sort(statuses)
+
+	return statuses
+}
