Keep to the limits that upstreams name, over all hosts

Cause: nothing read Server-Limit, and the choice of an upstream knew no bound that all hosts share. The class: a statement of a peer that is passed on and not acted on.

Change: answers are evaluated where they are decoded; hosts tell each other in heartbeats what they received. The owner of an upstream's slot admits each request to a limited upstream from a token bucket.

--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -31,6 +31,8 @@
 	UnitLatencyMS float64
 	// FailureScore is the decayed count of its failures.
 	FailureScore float64
+	// AdmissionDelayMS is the estimated time in milliseconds until its limit admits a request; zero if it has none.
+	AdmissionDelayMS float64
 	// CachesSharedPrefix is set if it probably caches the request's shared prompt tokens.
 	CachesSharedPrefix bool
 }
@@ -49,7 +51,8 @@
 // ChooseUpstream returns the candidate with the least cost that is not excluded, or nil if there is none.
 //
 // The cost in milliseconds is the time that the request takes at the upstream plus the delay it causes to the requests
-// that run there: prefill of uncached prompt tokens, decoding among concurrent requests, and queueing.
+// that run there: prefill of uncached prompt tokens, decoding among concurrent requests, and queueing. The delay by an
+// upstream's limit counts unless the upstream caches the request's own prompt.
 func ChooseUpstream(candidates []*registry.Instance, request Request, stateOf func(*registry.Instance) UpstreamState, excluded map[id.Upstream]struct{}) *registry.Instance {
 	var best *registry.Instance
 	var bestCost float64
@@ -71,6 +74,9 @@
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
 	cost := failurePenaltyMS * state.FailureScore
+	if candidate.ID != request.LastUpstream {
+		cost += state.AdmissionDelayMS
+	}
 	if !request.IsModelCall {
 		return cost + state.UnitLatencyMS*(1+runningRequests/concurrency) + queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
 	}
--- a/core/leastcost/leastcost_test.go
+++ b/core/leastcost/leastcost_test.go
@@ -57,6 +57,23 @@
 	require.Equal(t, id.Upstream("u1"), leastcost.ChooseUpstream(newEngines(2), request, stateOf, nil).ID)
 }
 
+func TestChooseUpstreamLeavesLimitedUpstreamsToTheirOwnKeys(t *testing.T) {
+	limited := func(instance *registry.Instance) leastcost.UpstreamState {
+		state := leastcost.UpstreamState{UnitLatencyMS: 1.2, CachesSharedPrefix: true}
+		if instance.ID == "u0" {
+			state.AdmissionDelayMS = 200
+		}
+
+		return state
+	}
+	require.Equal(t, id.Upstream("u0"), leastcost.ChooseUpstream(newEngines(2), newTurnRequest("u0"), limited, nil).ID)
+	for i := range 20 {
+		request := newTurnRequest("")
+		request.AffinityKey = fmt.Sprint(i)
+		require.Equal(t, id.Upstream("u1"), leastcost.ChooseUpstream(newEngines(2), request, limited, nil).ID)
+	}
+}
+
 func TestChooseUpstreamAvoidsSlowAndFailingUpstreams(t *testing.T) {
 	slow := func(instance *registry.Instance) leastcost.UpstreamState {
 		state := leastcost.UpstreamState{UnitLatencyMS: 1.2, CachesSharedPrefix: true}
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -115,6 +115,8 @@
 	streamOriginsMu sync.Mutex
 	streamOrigins   streamorigin.Index
 
+	limits upstreamLimits
+
 	crashesMu       sync.Mutex
 	crashCounter    crashcount.Counter
 	gossipedCrashes []gossipedCrash
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -39,6 +39,7 @@
 func (p *peerTable) buildHeartbeat(now time.Time) ([]byte, []*net.UDPAddr) {
 	current := p.cluster.ownership.Load()
 	crashes := p.cluster.crashesToGossip(now)
+	limits := p.cluster.limitsToGossip(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
@@ -46,7 +47,7 @@
 		Host: string(p.cluster.Settings.Name), Sequence: p.sequence, Draining: p.isDraining || !p.cluster.HasConfig(), Left: p.hasLeft,
 		StoreAgeMillis: now.Sub(p.cluster.lastDirectResponse()).Milliseconds(), Generation: current.generation,
 	}
-	heartbeat.Loads = p.upstreamLoads(now)
+	heartbeat.Loads, heartbeat.Limits = p.upstreamLoads(now), limits
 	for _, crash := range crashes {
 		heartbeat.Crashes = append(heartbeat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Fingerprint), Process: crash.Process})
 	}
@@ -130,6 +131,9 @@
 	for _, crash := range heartbeat.Crashes {
 		p.cluster.addPeerCrash(now, crashcount.Crash{Fingerprint: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
 	}
+	for _, limit := range heartbeat.Limits {
+		p.cluster.recordPeerLimit(decodeUpstreamLimit(now, limit))
+	}
 	for _, origin := range heartbeat.Streams {
 		p.cluster.storeStreamOrigin(streamorigin.Attempt(origin.Attempt), decodeStreamOrigin(origin))
 	}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -11,6 +11,7 @@
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
 	"cardamomward/core/quota"
+	"cardamomward/core/ratelimit"
 	"cardamomward/core/tokenbudget"
 	"cardamomward/core/turnstore"
 	"cardamomward/io/fleet/fleetpb"
@@ -69,6 +70,7 @@
 	pendingTurns    map[string]<-chan struct{}
 	locations       affinity.Locations
 	quotaAllocators map[id.Workspace]*quota.Allocator
+	limitBuckets    map[id.Upstream]*ratelimit.Bucket
 	// changed is closed and replaced when records became durable or the state changed.
 	changed chan struct{}
 }
@@ -190,7 +192,7 @@
 	s.cluster.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
 	s.state, s.isActingOwner, s.unconfirmedSince = unowned, false, time.Time{}
 	s.discardState()
-	s.quotaAllocators = nil
+	s.quotaAllocators, s.limitBuckets = nil, nil
 	s.notifyChanged()
 
 	return true
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/go-logr/logr"
 
+	"cardamomward/core/id"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
 	"cardamomward/io/httpx"
@@ -70,7 +71,7 @@
 	h.discovery.ScalePause = h.cluster.ScaleInterval
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
-		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster,
+		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
 	}
 
 	return h
@@ -157,10 +158,17 @@
 		case <-ticker.C:
 			h.upstreamClient.CloseExpired(h.now())
 			h.proxy.RemoveUnlistedStats()
+			h.cluster.RemoveUnlistedLimits(h.isUpstreamListed)
 		}
 	}
 }
 
+func (h *Host) isUpstreamListed(upstream id.Upstream) bool {
+	_, listed := h.discovery.GetUpstream(upstream)
+
+	return listed
+}
+
 // Drain removes the host from the directory and stops it at the end of the grace period, so that callers have time to
 // connect to other hosts.
 func (h *Host) Drain(ctx context.Context) {
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -52,8 +52,8 @@
 	return max(0, req.PromptTokens-req.PromptParts[0].Tokens)
 }
 
-// chooseUpstream returns the available upstream with the least estimated cost, or nil if all were tried.
-func (p *Proxy) chooseUpstream(req *proxiedRequest) *registry.Instance {
+// chooseUpstream returns the available upstream with the least estimated cost, or nil if all are excluded.
+func (p *Proxy) chooseUpstream(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
 	request := req.balancerRequest()
 	part, shared := req.sharedPromptPart()
 	now := p.Now()
@@ -65,10 +65,11 @@
 			UnitLatencyMS:      p.stats.MillisPerUnit(now, instance.Service, instance.ID, defaultUnitLatencyMS),
 			FailureScore:       p.stats.FailureScore(now, instance.ID),
 			CachesSharedPrefix: shared && p.Loads.CachesPromptPart(instance.ID, part),
+			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
 		}
 	}
 
-	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, req.excludedUpstreams)
+	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, excluded)
 }
 
 // RemoveUnlistedStats removes the statistics of upstreams that are not registered any more.
--- /dev/null
+++ b/io/reverseproxy/limit.go
@@ -0,0 +1,113 @@
+package reverseproxy
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cardamomward/core/id"
+	"cardamomward/core/registry"
+	"cardamomward/core/upstreamlimit"
+)
+
+const (
+	// maxLimitWait bounds how long a request of a running program waits while the limits of all upstreams are used up.
+	maxLimitWait = 400 * time.Millisecond
+	// limitWaitShare is the fraction of a request's remaining time that it may wait, so that a refused caller has time to retry.
+	limitWaitShare = 0.3
+)
+
+// acquireUpstream returns the upstream with the least cost whose limit admits the request, or an error response if there is
+// none. While all limits are used up, requests of running programs wait for a short time; others are refused at once.
+func (p *Proxy) acquireUpstream(ctx context.Context, req *proxiedRequest) (*registry.Instance, *errorResponse) {
+	startedAt := p.Now()
+	maxWait := min(maxLimitWait, time.Duration(limitWaitShare*float64(req.deadline.Sub(startedAt))))
+	if req.startsProgram() {
+		maxWait = 0
+	}
+	for {
+		instance, retryAfter := p.tryAcquireUpstream(ctx, req)
+		if instance != nil {
+			return instance, nil
+		}
+		if retryAfter == 0 {
+			return nil, p.noUpstreamResponse(req)
+		}
+		if p.Now().Add(retryAfter).Sub(startedAt) > maxWait {
+			return nil, p.limitedResponse(req, retryAfter)
+		}
+		timer := time.NewTimer(retryAfter)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+
+			return nil, failedUpstreamResponse(req, "caller-gone")
+		case <-timer.C:
+		}
+	}
+}
+
+// startsProgram reports whether the request is the first of a program or belongs to none.
+func (req *proxiedRequest) startsProgram() bool {
+	return req.Program == "" || (req.turn.Request != nil && !req.beginResult.ContinuesProgram)
+}
+
+// tryAcquireUpstream returns the upstream with the least cost whose limit admits the request now, or nil and after how long the
+// first limit has room again; that is zero if no upstream is available.
+func (p *Proxy) tryAcquireUpstream(ctx context.Context, req *proxiedRequest) (*registry.Instance, time.Duration) {
+	excluded := maps.Clone(req.excludedUpstreams)
+	var limited []id.Upstream
+	retryAfter := time.Duration(0)
+	for {
+		instance := p.chooseUpstream(req, excluded)
+		if instance == nil {
+			p.logLimited(req, limited, "")
+
+			return nil, retryAfter
+		}
+		ok, wait := p.Limits.AdmitToUpstream(ctx, instance)
+		if ok {
+			p.logLimited(req, limited, instance.ID)
+
+			return instance, 0
+		}
+		if excluded == nil {
+			excluded = make(map[id.Upstream]struct{})
+		}
+		excluded[instance.ID] = struct{}{}
+		limited = append(limited, instance.ID)
+		if retryAfter == 0 || wait < retryAfter {
+			retryAfter = wait
+		}
+	}
+}
+
+// logLimited logs the upstreams whose limits turned the request away, and the one that was chosen instead.
+func (p *Proxy) logLimited(req *proxiedRequest, limited []id.Upstream, chosen id.Upstream) {
+	if len(limited) == 0 {
+		return
+	}
+	p.Metrics.countSend("limited")
+	p.Logger.Info("send-limited", "request", req.ID, "limited", limited, "upstream", chosen)
+}
+
+// limitedResponse returns the error response of a request that the limits of all upstreams turn away.
+func (p *Proxy) limitedResponse(req *proxiedRequest, retryAfter time.Duration) *errorResponse {
+	if req.attempts.Executed > 0 {
+		return failedUpstreamResponse(req, "answer-lost")
+	}
+
+	return notExecutedResponse("upstream-limits", max(retryDelay, retryAfter))
+}
+
+// recordLimit records what a response says of the limit of its upstream.
+func (p *Proxy) recordLimit(sent *sentRequest) {
+	limit := sent.responseHead.Limit
+	if !limit.IsClear {
+		return
+	}
+	p.Limits.RecordUpstreamLimit(upstreamlimit.Statement{
+		Upstream: sent.instance.ID, Incarnation: sent.instance.Incarnation, IsLimited: limit.IsLimited, Rate: limit.RequestsPerSecond,
+		ReceivedAt: p.Now(),
+	})
+}
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -13,6 +13,7 @@
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
+	"cardamomward/core/upstreamlimit"
 	"cardamomward/core/upstreamstats"
 	"cardamomward/io/upstreamclient"
 )
@@ -125,6 +126,16 @@
 	RecordCrash(fingerprint id.Fingerprint, instance *registry.Instance)
 }
 
+// UpstreamLimiter enforces the request rates that upstreams name in their responses, over all hosts.
+type UpstreamLimiter interface {
+	// RecordUpstreamLimit records what a response says of the limit of an upstream.
+	RecordUpstreamLimit(statement upstreamlimit.Statement)
+	// AdmissionDelay estimates the time until an upstream's limit admits a request; it is zero if the upstream has none.
+	AdmissionDelay(instance *registry.Instance) time.Duration
+	// AdmitToUpstream reports whether a request may be sent to an upstream now, and otherwise after how long to ask again.
+	AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration)
+}
+
 // LoadTracker counts the requests of all hosts at each upstream and tracks which prompt parts upstreams cache.
 type LoadTracker interface {
 	// RunningRequests returns how many requests of all hosts run at an upstream.
@@ -146,6 +157,7 @@
 	Crashes        CrashTracker
 	Streams        StreamTracker
 	Loads          LoadTracker
+	Limits         UpstreamLimiter
 	Logger         logr.Logger
 	Now            func() time.Time
 	// Metrics is optional.
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -42,9 +42,9 @@
 // none does.
 func (p *Proxy) sendWithRetries(ctx context.Context, req *proxiedRequest) (*sentRequest, *errorResponse) {
 	for {
-		instance := p.chooseUpstream(req)
-		if instance == nil {
-			return nil, p.noUpstreamResponse(req)
+		instance, errResp := p.acquireUpstream(ctx, req)
+		if errResp != nil {
+			return nil, errResp
 		}
 		sent, outcome, reason := p.sendOnce(ctx, req, instance)
 		req.attempts.Record(outcome)
@@ -143,6 +143,7 @@
 		return nil, retrypolicy.Lost, reason
 	}
 	sent = &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
+	p.recordLimit(sent)
 	if outcome = sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
