Bound what is read of a response that does not end

Change: heads up to 64 KB, eight interim responses, events up to their bound line by line, and 24 MB for all bodies that are being read.

--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -168,6 +169,8 @@
 
 	// activeConnections holds the remote addresses of the connections with a request in progress.
 	activeConnections sync.Map
+	// bufferedBytes is the size of the response bodies that are being read.
+	bufferedBytes atomic.Int64
 
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -14,6 +15,10 @@
 // maxBufferedBodyBytes limits a response body that is buffered before it is forwarded.
 const maxBufferedBodyBytes = 16 << 20
 
+// maxBufferedBytes limits the bodies that are being read at the same time: an upstream may send bytes without end to many
+// requests.
+const maxBufferedBytes = 24 << 20
+
 // serveUnary handles a request whose response is forwarded as a whole.
 func (p *Proxy) serveUnary(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
 	for {
@@ -24,7 +29,7 @@
 
 			return
 		}
-		body, err := readBody(sent)
+		body, err := p.readBody(sent)
 		if err == nil {
 			p.recordLatency(req, sent.instance, p.Now().Sub(sentAt), 0)
 			p.finishExchange(sent)
@@ -42,9 +47,12 @@
 	}
 }
 
-// readBody reads the whole response body; it returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes.
-func readBody(sent *sentRequest) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(sent.Body, maxBufferedBodyBytes+1))
+// readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes, or all bodies
+// that are being read exceed maxBufferedBytes.
+func (p *Proxy) readBody(sent *sentRequest) ([]byte, error) {
+	reader := &countingReader{inner: sent.Body, total: &p.bufferedBytes}
+	defer reader.release()
+	body, err := io.ReadAll(io.LimitReader(reader, maxBufferedBodyBytes+1))
 	if err != nil {
 		return nil, err
 	}
@@ -55,6 +63,26 @@
 	return body, nil
 }
 
+// countingReader adds the bytes that it reads to the total of all bodies that are being read.
+type countingReader struct {
+	inner     io.Reader
+	total     *atomic.Int64
+	readBytes int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.inner.Read(p)
+	r.readBytes += int64(n)
+	if r.total.Add(int64(n)) > maxBufferedBytes {
+		return n, io.ErrShortBuffer
+	}
+
+	return n, err
+}
+
+// release subtracts the bytes from the total.
+func (r *countingReader) release() { r.total.Add(-r.readBytes) }
+
 func (p *Proxy) writeResponse(c *app.RequestContext, req *proxiedRequest, sent *sentRequest, body []byte) {
 	platform.CopyResponseHeader(&c.Response.Header, sent.Header)
 	c.Response.SetStatusCode(sent.Status)
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -13,13 +14,43 @@
 	net.Conn
 
 	address   string
+	source    *limitedReader
 	reader    *bufio.Reader
 	expiresAt time.Time
 	reused    bool
 }
 
 func newConn(inner net.Conn, address string) *conn {
-	return &conn{Conn: inner, address: address, reader: bufio.NewReaderSize(inner, readBufferBytes)}
+	source := &limitedReader{inner: inner}
+
+	return &conn{Conn: inner, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
+var errHeadTooLarge = errors.New("the head of the response is too large")
+
+// limitedReader limits the bytes that are read while isLimited is set: the head of a response is held in memory as a whole.
+type limitedReader struct {
+	inner     io.Reader
+	isLimited bool
+	remaining int
+}
+
+// setLimit limits the bytes that are read before removeLimit is called.
+func (r *limitedReader) setLimit(bytes int) { r.isLimited, r.remaining = true, bytes }
+
+func (r *limitedReader) removeLimit() { r.isLimited = false }
+
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.isLimited {
+		return r.inner.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := r.inner.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+
+	return n, err
 }
 
 // isOpenAndIdle reports whether the connection is open and has no unread bytes, which would belong to no request.
--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -45,7 +45,7 @@
 		}
 		event.Raw = append(event.Raw, line...)
 		if len(event.Raw) > maxEventBytes {
-			return Event{}, ErrResponseLost.New("an event is larger than %d bytes", maxEventBytes)
+			return Event{}, errEventTooLarge()
 		}
 		content := bytes.TrimRight(line, "\r\n")
 		if len(content) == 0 {
@@ -55,18 +55,25 @@
 	}
 }
 
+// readLine returns the next line, or an error once it is longer than an event may be.
 func (e *EventReader) readLine() ([]byte, error) {
 	line, err := e.r.ReadSlice('\n')
-	if err == nil {
-		return line, nil
-	}
 	if err != bufio.ErrBufferFull { //nolint:errorlint // bufio returns it itself
 		return line, err
 	}
-	long := bytes.Clone(line)
-	rest, err := e.r.ReadBytes('\n')
+	var long []byte
+	for err == bufio.ErrBufferFull { //nolint:errorlint // bufio returns it itself
+		if long = append(long, line...); len(long) > maxEventBytes {
+			return nil, errEventTooLarge()
+		}
+		line, err = e.r.ReadSlice('\n')
+	}
+
+	return append(long, line...), err
+}
 
-	return append(long, rest...), err
+func errEventTooLarge() error {
+	return ErrResponseLost.New("an event is larger than %d bytes", maxEventBytes)
 }
 
 // parseField stores the value of one field line.
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -16,6 +16,10 @@
 	asyncWriteThresholdBytes = 8 << 10
 	// maxStaleResponses bounds the responses to other requests that are skipped.
 	maxStaleResponses = 2
+	// maxInterimResponses bounds the 1xx responses before the response.
+	maxInterimResponses = 8
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	// maxStaleBodyBytes bounds the body of a skipped response.
 	maxStaleBodyBytes = 64 << 10
 )
@@ -117,15 +121,10 @@
 // readHead reads the header of the response and skips late responses to earlier requests.
 func (x *Exchange) readHead(req Request) error {
 	for staleResponses := 0; ; staleResponses++ {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: req.Method}) //nolint:bodyclose // the exchange reads it to its end or closes the connection
+		resp, err := x.readFinalHead(req.Method)
 		if err != nil {
 			return err
 		}
-		if resp.StatusCode < http.StatusOK {
-			staleResponses--
-
-			continue
-		}
 		if req.IsResponse(resp.StatusCode, resp.Header) {
 			x.resp, x.Status, x.Header, x.Body = resp, resp.StatusCode, resp.Header, resp.Body
 
@@ -140,6 +139,20 @@
 	}
 }
 
+// readFinalHead reads the head of the next response that is not an interim one.
+func (x *Exchange) readFinalHead(method string) (*http.Response, error) {
+	defer x.conn.source.removeLimit()
+	for range maxInterimResponses {
+		x.conn.source.setLimit(maxHeadBytes)
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method}) //nolint:bodyclose // the exchange reads it to its end or closes the connection
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+
+	return nil, ErrResponseLost.New("more than %d interim responses", maxInterimResponses)
+}
+
 // Abort closes the connection, so that the upstream stops its work on the request.
 func (x *Exchange) Abort() {
 	if x.closed {
