--- a/io/gatewayhost/limit_test.go
+++ b/io/gatewayhost/limit_test.go
@@ -48,13 +48,13 @@
 			for time.Now().Before(until) {
 				number := c.requestCount.Add(1)
 				response, err := newCall(number).Send(context.Background(), fmt.Sprintf("request-%d", number), c.hosts[c.names[i%len(c.names)]].settings.CallerAddress)
+				time.Sleep(20 * time.Millisecond)
 				if err != nil {
 					continue
 				}
 				mu.Lock()
 				statuses[response.Status]++
 				mu.Unlock()
-				time.Sleep(20 * time.Millisecond)
 			}
 		})
 	}
@@ -118,6 +118,20 @@
 	require.Empty(t, c.executionsOf(response.RequestID))
 }
 
+func TestLimitHoldsWhileOwnersAreLost(t *testing.T) {
+	c := newTestCluster(t, 5)
+	nameLimit(upstreamLimit, c.plainUpstreams[0])
+	startedAt := time.Now()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { c.sendConcurrently(limitedLoad, newLookup) })
+	for _, name := range []string{"host-0", "host-1", "host-2"} {
+		time.Sleep(limitedLoad / 4)
+		c.kill(name)
+	}
+	tasks.Wait()
+	require.LessOrEqual(t, maxArrivals(c.plainUpstreams[0], startedAt.Add(limitLearningTime)), int(maxLimitedArrivals))
+}
+
 func TestUpstreamIsUsedAgainOnceItNamesNoLimit(t *testing.T) {
 	c := newTestCluster(t, 3)
 	nameLimit(upstreamLimit, c.plainUpstreams[0])
