Count a turn once when its copies outlive its owner

Cause: a turn that was answered from memory is sent to the next owner with its tokens, though its owner had settled them and the watermark that the hosts report includes them; the next owner counted them twice.

Change: copies carry no settlement, as those of other hosts already did.

--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -155,7 +155,7 @@
 			continue
 		}
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
-			return reply.Durable || c.replicateDuringOutage(ctx, req, owner)
+			return reply.Durable || c.replicateDuringOutage(ctx, requestWithoutSettlement(req), owner)
 		}
 		c.requestOwnersRefresh()
 		topicconsumer.SleepContext(ctx, ownerRetryInterval)
@@ -179,6 +179,14 @@
 	}
 }
 
+// requestWithoutSettlement returns the request for a turn whose tokens its owner has settled: a later owner counts them by the
+// program's watermark, and would count them twice.
+func requestWithoutSettlement(req *fleetpb.EndTurnRequest) *fleetpb.EndTurnRequest {
+	return &fleetpb.EndTurnRequest{
+		Workspace: req.Workspace, Program: req.Program, Kept: req.Kept, Line: req.Line, Upstream: req.Upstream, Cached: req.Cached,
+	}
+}
+
 const (
 	// outageCopies is the number of staying hosts that have a turn in memory while the store is down, including its owner,
 	// so that three may fail before the store is up again. A smaller cluster has it on all of them.
