Do not hold a broken first turn to a free place

A stream that broke off and is resumed by the host belongs to a program that has begun; it was refused like a new one while limits are exhausted and its upstream had no free place.

--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// isFirstTurn reports whether the request is the first turn of a program.
+// isFirstTurn reports whether the request is the first turn of a program and no upstream has begun it.
 func (req *proxiedRequest) isFirstTurn() bool {
-	return req.turn.Request != nil && !req.beginResult.ContinuesProgram
+	return req.turn.Request != nil && !req.beginResult.ContinuesProgram && req.attempts.Executed == 0
 }
 
 // tryAcquireUpstream returns the upstream with the least cost that admits the request now, or nil and after how long to ask
