Keep generated test failures out of the repository

Evidence: the tests of core/tokenbudget pass; without the bound on undurable tokens the property test still fails (2501 of 2500 when it was written).

--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500"} {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "500", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
