--- a/io/cluster/handover_test.go
+++ b/io/cluster/handover_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cardamomward/core/tokenbudget"
 	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/reverseproxy"
 	"cardamomward/platform"
 )
 
@@ -61,3 +63,27 @@
 	storeTurn(t, c, newKeptTurn("first", ""))
 	require.Empty(t, s.writer.pendingRecords(), "the turn is durable")
 }
+
+func TestTokensOfTurnAnsweredDuringOutageAreCountedOnceByNextOwner(t *testing.T) {
+	const maxTokens, usedTokens = 100, 50
+	c, store := newTestCluster(t)
+	join(t, c)
+	store.beforeAppend = func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") }
+	c.LastStoreResponse = func() time.Time { return time.Time{} }
+	turn := newTurn("first", "")
+	turn.Request.TokenBudget, turn.Request.MaxTokens, turn.Deadline = 1000, maxTokens, time.Now().Add(400*time.Millisecond)
+	require.Equal(t, reverseproxy.TurnAllowed, c.BeginTurn(t.Context(), turn).Status)
+	c.EndTurn(t.Context(), turn, reverseproxy.TurnResult{Output: []byte("done\n"), OutputTokens: usedTokens, IsComplete: true})
+	// The next owner knows the watermark that was reported when the turn began, and receives the copies of the turn.
+	s := c.slots[0]
+	s.mu.Lock()
+	s.ledger = tokenbudget.Ledger{}
+	s.ledger.RaiseTo(testProgram, tokenbudget.Count{Tokens: maxTokens}, time.Now().Add(time.Minute))
+	s.mu.Unlock()
+	require.Never(t, func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		return s.ledger.Count(testProgram).Tokens != maxTokens
+	}, 3*settleRetryInterval, 10*time.Millisecond)
+}
