--- a/io/gatewayhost/limit_test.go
+++ b/io/gatewayhost/limit_test.go
@@ -72,6 +72,14 @@
 	return standin.NewTurnRequest("/draft/", "secret", fmt.Sprintf("program-%d", number), "", fmt.Sprintf("body-%d", number))
 }
 
+// exhaustLimit makes an engine name a limit of zero, and returns once host-0 knows it.
+func (c *testCluster) exhaustLimit(engine *standin.Upstream) {
+	nameLimit(0, engine)
+	for len(engine.Arrivals()) == 0 || c.do("host-0", newDraft(c.requestCount.Add(1))).Header.Get("Server-Limit") == "" {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // maxArrivals returns the most requests that arrived at an upstream in a window after a time.
 func maxArrivals(upstream *standin.Upstream, after time.Time) int {
 	arrivals := slices.DeleteFunc(upstream.Arrivals(), func(at time.Time) bool { return at.Before(after) })
@@ -150,10 +158,7 @@
 	c := newTestCluster(t, 1)
 	begun := newDraft(0)
 	c.doUntilStatus("host-0", begun, http.StatusOK)
-	nameLimit(0, c.engines[0])
-	for len(c.engines[0].Arrivals()) == 0 || c.do("host-0", newDraft(c.requestCount.Add(1))).Header.Get("Server-Limit") == "" {
-		time.Sleep(20 * time.Millisecond)
-	}
+	c.exhaustLimit(c.engines[0])
 	c.slowStreams(300 * time.Millisecond)
 	var tasks sync.WaitGroup
 	var mu sync.Mutex
@@ -183,6 +188,27 @@
 	}
 }
 
+func TestBrokenFirstTurnIsResumedWhereThereIsNoFreePlaceWhileLimitsAreExhausted(t *testing.T) {
+	const places = 16
+	c := newTestCluster(t, 1)
+	c.exhaustLimit(c.engines[0])
+	c.slowStreams(500 * time.Millisecond)
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	for range places {
+		tasks.Go(func() { c.do("host-0", newDraft(c.requestCount.Add(1))) })
+		time.Sleep(10 * time.Millisecond)
+	}
+	breaking := c.addEngines(standin.InitialVersion, 1)[0]
+	breaking.EventInterval = 0
+	breaking.BreakStreamsAtEvent(3)
+	time.Sleep(registrationDelay / 2)
+	response := c.do("host-0", newDraft(c.requestCount.Add(1)))
+	require.Len(t, breaking.ExecutedRequests(), 1, "the stream begins at the upstream with free places")
+	require.False(t, response.Truncated)
+	require.Equal(t, wholeStream, response.Body)
+}
+
 // statusesOf returns the statuses that occurred, sorted.
 func statusesOf(counts map[int]int) []int {
 	var statuses []int
