Count what becomes of each lease of a workspace's rate

The bucket filled up to the burst while requests of earlier leases lay unused at hosts and came back later, so both were admitted. A host that lost a call to the owner forgot what it had used, and its whole lease returned. And each host asked for one request more than it expected, from an estimate that two quick requests drove up: of 300 hosts, each with a request a minute, half of the rate was thrown away.

Change: requests that may be returned keep their room in the bucket; leases are numbered, so that a lost call is settled once; a lease takes a host's share of the bucket at most; demand is a decayed count.

--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -11,7 +11,9 @@
 	// LeaseDuration is how long granted requests may be used, counted from when they were asked for.
 	LeaseDuration = 400 * time.Millisecond
 	// returnWindow is how long after a grant its unused requests may still be returned.
-	returnWindow = 3 * time.Second
+	returnWindow = 2 * time.Second
+	// zeroRateRetryDelay is the retry delay of a workspace whose rate is zero.
+	zeroRateRetryDelay = 3 * time.Second
 	// initialLevelSeconds is the initial level of a new owner's bucket, in seconds of the rate. The previous owner may
 	// just have granted the whole burst, and only a tenth of the rate over the window may be admitted in excess.
 	initialLevelSeconds = 0.4
@@ -46,10 +48,21 @@
 	return Limit{Rate: l.Rate * factor, Burst: l.Burst * factor}
 }
 
-// grant is the latest number of requests that a host got.
+// grant is the lease that a host got last, and the one that it settled with it.
 type grant struct {
-	requests  int64
-	grantedAt time.Time
+	lease, previous LeaseNumber
+	requests        int64
+	// returnable is the number of requests that are kept free in the bucket until they are returned or returnWindow ends.
+	returnable int64
+	// isRecent is set until returnWindow ends.
+	isRecent bool
+}
+
+// returnDeadline is the end of a grant's returnWindow.
+type returnDeadline struct {
+	host  id.Host
+	lease LeaseNumber
+	at    time.Time
 }
 
 // Allocator is the owner's side of a workspace's quota; its zero value starts at its first use.
@@ -63,7 +76,12 @@
 	// level is the number of requests in the bucket.
 	level    float64
 	filledAt time.Time
-	grants   map[id.Host]grant
+	grants   map[id.Host]*grant
+	// returnable is the sum over all grants, holders the number of recent ones, and returnDeadlines are those of the grants in
+	// the order of time.
+	returnable      int64
+	holders         int
+	returnDeadlines []returnDeadline
 	// programLevel is the number of requests that may still be promised to new programs.
 	programLevel float64
 	// requests, programStarts and recentProgramStarts are decayed counts from which the requests per program are estimated.
@@ -75,48 +93,119 @@
 	unmetCountedAt map[id.Host]time.Time
 }
 
-// Allocate returns the unused part of a host's last grant to the bucket, where used is the number of requests that the host
-// has admitted since, and grants up to want requests. If none is available, it returns when to ask again.
-func (a *Allocator) Allocate(now time.Time, limit Limit, host id.Host, used, want int64) (granted int64, retryAfter time.Duration) {
+// Allocate settles a host's last lease and grants a new one of up to renewal.Want requests. If none is available, it returns
+// when to ask again. A renewal that is older than the host's last one is ignored.
+func (a *Allocator) Allocate(now time.Time, limit Limit, host id.Host, renewal Renewal) (granted int64, retryAfter time.Duration) {
 	a.refill(now, limit)
-	a.recordDemand(now, float64(used), 0)
-	if a.grants == nil {
-		a.grants = make(map[id.Host]grant)
+	if last, ok := a.grants[host]; ok && renewal.Lease <= last.lease {
+		return 0, LeaseDuration
 	}
-	if last, ok := a.grants[host]; ok {
-		if unused := last.requests - used; unused > 0 && now.Sub(last.grantedAt) < returnWindow {
-			a.level = min(limit.Burst, a.level+float64(unused))
-		} else if unused < 0 {
-			a.level += float64(unused)
-		}
-		delete(a.grants, host)
-	} else {
-		a.level -= float64(used)
+	a.settle(now, host, renewal)
+	a.level = min(a.maxLevel(limit), a.level)
+	if a.level >= 1 {
+		granted = min(renewal.Want, max(1, a.fairShare(host)))
 	}
-	granted = min(want, int64(math.Floor(a.level)))
+	a.recordGrant(now, host, renewal, granted)
 	if granted > 0 {
-		a.level -= float64(granted)
-		a.grants[host] = grant{requests: granted, grantedAt: now}
-
 		return granted, 0
 	}
-	if want > 0 {
+	if renewal.Want > 0 {
 		a.recordUnmetDemand(now, host)
 	}
 	if limit.Rate <= 0 {
-		return 0, returnWindow
+		return 0, zeroRateRetryDelay
 	}
 
 	return 0, time.Duration((1 - a.level) / limit.Rate * float64(time.Second))
 }
 
+// fairShare returns a host's part of the bucket among the hosts that have lately got requests: what lies unused in a large lease
+// is missing where others ask.
+func (a *Allocator) fairShare(host id.Host) int64 {
+	holders := a.holders
+	if last, ok := a.grants[host]; !ok || !last.isRecent {
+		holders++
+	}
+
+	return int64(a.level / float64(holders))
+}
+
+// settle returns the unused requests of a host's last lease to the bucket. A host that lost the reply to its last renewal
+// settles the lease before that one again: it has used none of the requests that it does not know of.
+func (a *Allocator) settle(now time.Time, host id.Host, renewal Renewal) {
+	last, ok := a.grants[host]
+	used := renewal.Used
+	switch {
+	case !ok || renewal.Settles == 0 || (renewal.Settles != last.lease && renewal.Settles != last.previous):
+		a.level -= float64(used)
+		a.recordDemand(now, float64(used), 0)
+
+		return
+	case renewal.Settles == last.previous:
+		used = 0
+	}
+	a.recordDemand(now, float64(used), 0)
+	a.level += float64(min(last.requests-used, last.returnable))
+	a.endGrant(last)
+}
+
+// recordGrant takes granted requests out of the bucket. The first one is used at once, by the request that asked; the others
+// may be returned.
+func (a *Allocator) recordGrant(now time.Time, host id.Host, renewal Renewal, granted int64) {
+	if a.grants == nil {
+		a.grants = make(map[id.Host]*grant)
+	}
+	if last, ok := a.grants[host]; ok {
+		a.endGrant(last)
+	}
+	next := &grant{lease: renewal.Lease, previous: renewal.Settles, requests: granted, returnable: max(0, granted-1), isRecent: granted > 0}
+	a.grants[host] = next
+	if granted == 0 {
+		return
+	}
+	a.level -= float64(granted)
+	a.returnable += next.returnable
+	a.holders++
+	a.returnDeadlines = append(a.returnDeadlines, returnDeadline{host: host, lease: next.lease, at: now.Add(returnWindow)})
+}
+
+// endGrant ends the time in which a grant's requests may be returned.
+func (a *Allocator) endGrant(g *grant) {
+	a.returnable -= g.returnable
+	if g.isRecent {
+		a.holders--
+	}
+	g.returnable, g.isRecent = 0, false
+}
+
+// endOldGrants ends the grants whose returnWindow has passed.
+func (a *Allocator) endOldGrants(now time.Time) {
+	expired := 0
+	for _, deadline := range a.returnDeadlines {
+		if deadline.at.After(now) {
+			break
+		}
+		expired++
+		if g := a.grants[deadline.host]; g != nil && g.lease == deadline.lease {
+			a.endGrant(g)
+		}
+	}
+	a.returnDeadlines = a.returnDeadlines[expired:]
+}
+
+// maxLevel returns the limit of the bucket's level. Requests that may be returned keep their room in the bucket, else a
+// burst could be admitted from the bucket and again from unused leases.
+func (a *Allocator) maxLevel(limit Limit) float64 {
+	return limit.Burst - float64(a.returnable)
+}
+
 // AdmitProgram admits the first request of a program if the rate covers all requests that the program is expected to
 // need, and otherwise returns when to ask again: a program that is refused midway wastes the requests it has used.
 func (a *Allocator) AdmitProgram(now time.Time, limit Limit) (ok bool, retryAfter time.Duration) {
 	a.refill(now, limit)
 	neededRequests := min(a.estimateRequestsPerProgram(now), a.maxProgramLevel(limit))
 	if limit.Rate <= 0 {
-		return false, returnWindow
+		return false, zeroRateRetryDelay
 	}
 	if missingRequests := max(neededRequests-a.programLevel, 1-a.level); missingRequests > 0 {
 		return false, time.Duration(missingRequests / limit.Rate * float64(time.Second))
@@ -167,6 +256,7 @@
 }
 
 func (a *Allocator) refill(now time.Time, limit Limit) {
+	a.endOldGrants(now)
 	if a.filledAt.IsZero() {
 		a.filledAt = now
 		a.level = min(limit.Burst, limit.Rate*initialLevelSeconds+initialSlackShare*a.SlackRequests)
@@ -180,6 +270,6 @@
 		a.programLevel += elapsed * limit.Rate * programRateShare
 		a.filledAt = now
 	}
-	a.level = min(limit.Burst, a.level)
+	a.level = min(a.maxLevel(limit), a.level)
 	a.programLevel = min(a.maxProgramLevel(limit), a.programLevel)
 }
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -8,17 +8,33 @@
 )
 
 const (
-	// demandSmoothing is the weight of the newest interval in the moving average of a host's demand.
-	demandSmoothing = 0.3
+	// demandWindow is the time constant of the moving average of a host's demand.
+	demandWindow = time.Second
 	// demandHeadroom is the factor between the expected demand during one lease and the requests asked for.
 	demandHeadroom = 1.2
 	// fallbackBurstSeconds is the burst of a host that cannot reach the owner, in seconds of its share of the rate.
 	fallbackBurstSeconds = 0.5
 )
 
+// LeaseNumber identifies a lease among those that a host has asked for, and grows with time; zero is no lease.
+type LeaseNumber int64
+
+// Renewal is a host's request for its next lease, and its account of the last one.
+type Renewal struct {
+	// Lease is the lease that is asked for.
+	Lease LeaseNumber
+	// Settles is the last lease that the host received, and Used the number of its requests that were admitted.
+	Settles LeaseNumber
+	Used    int64
+	// Want is the number of requests that the host expects to admit with the next lease, the one that waits included.
+	Want int64
+}
+
 // Client is a host's side of a workspace's quota; its zero value holds no requests.
 type Client struct {
-	// remaining and used count the requests of the current lease; arrivals counts all requests since the last renewal.
+	// lease is the last lease that was received. remaining and used count its requests, and arrivals all requests since the
+	// last renewal.
+	lease           LeaseNumber
 	remaining       int64
 	used            int64
 	expiresAt       time.Time
@@ -41,28 +57,26 @@
 	return true
 }
 
-// BeginRenewal returns the requests that were used of the last lease and those wanted for the next one. It ends the
-// current lease, because its unused requests return to the owner.
-func (c *Client) BeginRenewal(now time.Time) (used, want int64) {
-	if elapsed := now.Sub(c.renewedAt).Seconds(); !c.renewedAt.IsZero() && elapsed > 0 {
-		rate := float64(c.arrivals) / elapsed
-		c.demandPerSecond += demandSmoothing * (rate - c.demandPerSecond)
-	}
-	c.renewedAt, c.arrivals, c.renewing = now, 0, true
-	used = c.used
-	c.remaining, c.used = 0, 0
+// BeginRenewal returns the next renewal. It ends the current lease, because its unused requests return to the owner.
+func (c *Client) BeginRenewal(now time.Time) Renewal {
+	c.demandPerSecond *= math.Exp(-max(0, now.Sub(c.renewedAt)).Seconds() / demandWindow.Seconds())
+	c.demandPerSecond += float64(c.arrivals) / demandWindow.Seconds()
+	c.renewedAt, c.arrivals, c.renewing, c.remaining = now, 0, true, 0
 
-	return used, int64(math.Ceil(c.demandPerSecond*LeaseDuration.Seconds()*demandHeadroom)) + 1
+	return Renewal{
+		Lease: max(c.lease+1, LeaseNumber(now.UnixNano())), Settles: c.lease, Used: c.used,
+		Want: int64(c.demandPerSecond*LeaseDuration.Seconds()*demandHeadroom) + 1,
+	}
 }
 
-// CompleteRenewal starts a lease of the granted requests, which runs from the time at which they were asked for.
-func (c *Client) CompleteRenewal(askedAt time.Time, requests int64) {
+// CompleteRenewal starts the lease of the granted requests, which runs from the time at which they were asked for.
+func (c *Client) CompleteRenewal(askedAt time.Time, renewal Renewal, requests int64) {
 	c.renewing = false
-	c.remaining = requests
+	c.lease, c.remaining, c.used = renewal.Lease, requests, 0
 	c.expiresAt = askedAt.Add(LeaseDuration)
 }
 
-// AbortRenewal ends a renewal that the owner did not answer.
+// AbortRenewal ends a renewal that the owner did not answer. The last lease is settled again with the next one.
 func (c *Client) AbortRenewal() { c.renewing = false }
 
 // IsRenewing reports whether a renewal is in progress.
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -31,17 +31,17 @@
 
 func TestAllocateReturnsUnusedRequestsToBucket(t *testing.T) {
 	allocator := quota.Allocator{StartFull: true}
-	granted, _ := allocator.Allocate(start, limit, "h", 0, 30)
+	granted, _ := allocator.Allocate(start, limit, "h", quota.Renewal{Lease: 1, Want: 30})
 	require.EqualValues(t, 30, granted)
-	granted, _ = allocator.Allocate(start, limit, "h", 10, 40)
+	granted, _ = allocator.Allocate(start, limit, "h", quota.Renewal{Lease: 2, Settles: 1, Used: 10, Want: 40})
 	require.EqualValues(t, 30, granted, "20 unused requests return to the 10 that were left")
 }
 
 func TestAllocateStartsBelowBurstForNewOwner(t *testing.T) {
 	var allocator quota.Allocator
-	granted, _ := allocator.Allocate(start, limit, "h", 0, 100)
+	granted, _ := allocator.Allocate(start, limit, "h", quota.Renewal{Lease: 1, Want: 100})
 	require.EqualValues(t, 20, granted)
-	granted, retryAfter := allocator.Allocate(start, limit, "i", 0, 100)
+	granted, retryAfter := allocator.Allocate(start, limit, "i", quota.Renewal{Lease: 1, Want: 100})
 	require.Zero(t, granted)
 	require.Positive(t, retryAfter)
 }
@@ -53,6 +53,7 @@
 	allocator := quota.Allocator{StartFull: true}
 	dueRequests := map[int]int{}
 	started, refusedStarts, refusedMidway, admitted := 0, 0, 0, 0
+	lease := quota.LeaseNumber(0)
 	for tick := range 600 {
 		now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
 		if tick%(20/programsPerSecond) == 0 {
@@ -67,8 +68,10 @@
 			}
 		}
 		for range dueRequests[tick] {
-			if granted, _ := allocator.Allocate(now, limit, id.Host(fmt.Sprint(tick%12)), 0, 1); granted == 1 {
-				allocator.Allocate(now, limit, id.Host(fmt.Sprint(tick%12)), 1, 0)
+			host := id.Host(fmt.Sprint(tick % 12))
+			lease += 2
+			if granted, _ := allocator.Allocate(now, limit, host, quota.Renewal{Lease: lease - 1, Settles: lease - 2, Want: 1}); granted == 1 {
+				allocator.Allocate(now, limit, host, quota.Renewal{Lease: lease, Settles: lease - 1, Used: 1})
 				admitted++
 			} else {
 				refusedMidway++
@@ -99,9 +102,9 @@
 				index := rapid.IntRange(0, len(hosts)-1).Draw(rt, "host")
 				host := &hosts[index]
 				if !host.TryAcquire(now) {
-					used, want := host.BeginRenewal(now)
-					granted, _ := allocator.Allocate(now, limit, id.Host(fmt.Sprint(index)), used, want)
-					host.CompleteRenewal(now, granted)
+					renewal := host.BeginRenewal(now)
+					granted, _ := allocator.Allocate(now, limit, id.Host(fmt.Sprint(index)), renewal)
+					host.CompleteRenewal(now, renewal, granted)
 					if !host.TryAcquire(now) {
 						continue
 					}
@@ -123,15 +126,16 @@
 func TestTryAcquireFailsAfterLeaseExpires(t *testing.T) {
 	var client quota.Client
 	require.False(t, client.TryAcquire(start))
-	used, want := client.BeginRenewal(start)
-	require.Zero(t, used)
-	require.EqualValues(t, 1, want)
+	renewal := client.BeginRenewal(start)
+	require.Zero(t, renewal.Used)
+	require.EqualValues(t, 1, renewal.Want)
 	require.True(t, client.IsRenewing())
-	client.CompleteRenewal(start, 3)
+	client.CompleteRenewal(start, renewal, 3)
 	require.True(t, client.TryAcquire(start.Add(quota.LeaseDuration)))
 	require.False(t, client.TryAcquire(start.Add(quota.LeaseDuration+time.Millisecond)))
-	used, _ = client.BeginRenewal(start.Add(time.Second))
-	require.EqualValues(t, 1, used)
+	next := client.BeginRenewal(start.Add(time.Second))
+	require.EqualValues(t, 1, next.Used)
+	require.Equal(t, renewal.Lease, next.Settles)
 	client.AbortRenewal()
 	require.False(t, client.IsRenewing())
 }
--- a/io/cluster/quota.go
+++ b/io/cluster/quota.go
@@ -127,12 +127,13 @@
 // renewLease requests a new lease from the owner. The caller holds the lock, which is released during the call.
 func (c *Cluster) renewLease(ctx context.Context, q *workspaceQuota, workspace id.Workspace, limit quota.Limit) {
 	requestedAt := c.Now()
-	used, want := q.client.BeginRenewal(requestedAt)
+	renewal := q.client.BeginRenewal(requestedAt)
 	q.renewalDone = make(chan struct{})
 	defer close(q.renewalDone)
 	q.mu.Unlock()
 	reply, ok := c.requestLease(context.WithoutCancel(ctx), &fleetpb.AdmitRequest{
-		Host: string(c.Settings.Name), Workspace: string(workspace), Used: used, Want: want, Rate: limit.Rate, Burst: limit.Burst,
+		Host: string(c.Settings.Name), Workspace: string(workspace), Rate: limit.Rate, Burst: limit.Burst,
+		Lease: int64(renewal.Lease), Settles: int64(renewal.Settles), Used: renewal.Used, Want: renewal.Want,
 	})
 	q.mu.Lock()
 	now := c.Now()
@@ -143,7 +144,7 @@
 
 		return
 	}
-	q.client.CompleteRenewal(requestedAt, reply.Allowed)
+	q.client.CompleteRenewal(requestedAt, renewal, reply.Allowed)
 	if reply.Allowed == 0 {
 		q.retryDelay = time.Duration(reply.RetryMillis) * time.Millisecond
 		q.exhaustedUntil = now.Add(min(q.retryDelay, quota.LeaseDuration/4))
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -260,7 +260,9 @@
 
 		return reply, nil
 	}
-	granted, retry := s.quotaAllocator(id.Workspace(req.Workspace)).Allocate(now, limit, id.Host(req.Host), req.Used, req.Want)
+	granted, retry := s.quotaAllocator(id.Workspace(req.Workspace)).Allocate(now, limit, id.Host(req.Host), quota.Renewal{
+		Lease: quota.LeaseNumber(req.Lease), Settles: quota.LeaseNumber(req.Settles), Used: req.Used, Want: req.Want,
+	})
 
 	return &fleetpb.AdmitReply{
 		Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: granted, RetryMillis: retry.Milliseconds(),
