Keep a rate while its owner changes several times in a window

Cause: each new owner's bucket began with 0.4 s of the rate and 5 requests, meant to allow four changes in a window; two changes use up what the users' bound leaves.

Change: 0.1 s of the rate and 5 requests, so that four changes stay within a tenth of the rate over the window and the slack.

Evidence: TestRateHoldsWhileOwnersChangeInTurn admitted 359 requests of 339 before, 314 after (rate 50, burst 40, an owner each 1.25 s). TestAllocateStartsBelowBurstForNewOwner asked for the level of before, 20, which breaks the bound at two changes; it asks for 5 now.

--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -14,12 +14,10 @@
 	returnWindow = 2 * time.Second
 	// zeroRateRetryDelay is the retry delay of a workspace whose rate is zero.
 	zeroRateRetryDelay = 3 * time.Second
-	// initialLevelSeconds is the initial level of a new owner's bucket, in seconds of the rate. The previous owner may
-	// just have granted the whole burst, and only a tenth of the rate over the window may be admitted in excess.
-	initialLevelSeconds = 0.4
-	// initialSlackShare is the part of SlackRequests that is added to the initial level, so that four changes of the
-	// owner in one window stay within SlackRequests.
-	initialSlackShare = 0.25
+	// excessSeconds and excessSlackShare bound what one change of the owner may admit in excess, in seconds of the rate
+	// and as a part of SlackRequests. Four changes in one window stay within half a second of the rate and SlackRequests.
+	excessSeconds    = 0.1
+	excessSlackShare = 0.25
 	// programBurstSeconds is the part of the rate, in seconds, that may be promised to new programs in advance, since the requests
 	// of a program are spread over time.
 	programBurstSeconds = 0.2
@@ -48,6 +46,11 @@
 	return Limit{Rate: l.Rate * factor, Burst: l.Burst * factor}
 }
 
+// changeExcess returns how many requests may be admitted in excess because the bucket has lost its owner.
+func (l Limit) changeExcess(slackRequests float64) float64 {
+	return excessSeconds*l.Rate + excessSlackShare*slackRequests
+}
+
 // grant is the lease that a host got last, and the one that it settled with it.
 type grant struct {
 	lease, previous LeaseNumber
@@ -259,7 +262,7 @@
 	a.endOldGrants(now)
 	if a.filledAt.IsZero() {
 		a.filledAt = now
-		a.level = min(limit.Burst, limit.Rate*initialLevelSeconds+initialSlackShare*a.SlackRequests)
+		a.level = min(limit.Burst, limit.changeExcess(a.SlackRequests))
 		a.programLevel = a.maxProgramLevel(limit)
 		if a.StartFull {
 			a.level = limit.Burst
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -40,7 +40,7 @@
 func TestAllocateStartsBelowBurstForNewOwner(t *testing.T) {
 	var allocator quota.Allocator
 	granted, _ := allocator.Allocate(start, limit, "h", quota.Renewal{Lease: 1, Want: 100})
-	require.EqualValues(t, 20, granted)
+	require.EqualValues(t, 5, granted)
 	granted, retryAfter := allocator.Allocate(start, limit, "i", quota.Renewal{Lease: 1, Want: 100})
 	require.Zero(t, granted)
 	require.Positive(t, retryAfter)
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -155,3 +155,25 @@
 	granted, _ = allocator.Allocate(start, limit, "h", quota.Renewal{Lease: 2, Want: 40})
 	require.EqualValues(t, 10, granted)
 }
+
+// Owners change several times in a window while hosts are stopped in turn, and each change may admit a little in excess.
+func TestRateHoldsWhileOwnersChangeInTurn(t *testing.T) {
+	const slackRequests, changeInterval = 20, 125
+	for _, fast := range []quota.Limit{limit, {Rate: 200, Burst: 40}, {Rate: 5, Burst: 5}} {
+		random := rand.New(rand.NewPCG(11, uint64(fast.Rate)))
+		f := newFleet(12)
+		f.limit = fast
+		for step := range 2000 {
+			now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+			if step%changeInterval == changeInterval-1 {
+				f.allocator = &quota.Allocator{SlackRequests: slackRequests}
+			}
+			for range 1 + int(fast.Rate/20) {
+				f.send(now, random.IntN(len(f.hosts)), false, false)
+			}
+		}
+		bound := int((fast.Rate*quotaWindow.Seconds()+fast.Burst)*1.1 + slackRequests)
+		require.LessOrEqual(t, f.mostInWindow(quotaWindow), bound, "%+v", fast)
+		t.Logf("%+v: %d of %d", fast, f.mostInWindow(quotaWindow), bound)
+	}
+}
