Admit the rate, not a request a host, while its owner is lost

Cause: a host that cannot reach the owner of a rate took a first request from a full bucket of its own. That is one request a host, whatever the rate: 300 of 300 hosts admit 300 requests at once for a workspace of 5 a second.

Change: the bucket of a host starts when the owner becomes unreachable, at a level that each host draws, so that all hosts together admit the rate from then on, and at once what one change of the owner may admit in excess.

Evidence: TestFallbackAdmitsRateOverManyHosts admitted 300 and 830 requests in 2 s at a rate of 50 on 300 and 830 hosts before; 120 and 87 after, 109 on 12 hosts.

--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"cardamomward/core/ratelimit"
 )
 
 const (
@@ -42,7 +40,9 @@
 	demandPerSecond float64
 	arrivals        int64
 	renewing        bool
-	fallback        ratelimit.Bucket
+	// fallbackLevel and fallbackFilledAt are the bucket of a host that cannot reach the owner; the time is zero while it can.
+	fallbackLevel    float64
+	fallbackFilledAt time.Time
 }
 
 // TryAcquire admits a request if the current lease has requests left.
@@ -71,7 +71,7 @@
 
 // CompleteRenewal starts the lease of the granted requests, which runs from the time at which they were asked for.
 func (c *Client) CompleteRenewal(askedAt time.Time, renewal Renewal, requests int64) {
-	c.renewing = false
+	c.renewing, c.fallbackFilledAt = false, time.Time{}
 	c.lease, c.remaining, c.used = renewal.Lease, requests, 0
 	c.expiresAt = askedAt.Add(LeaseDuration)
 }
@@ -82,10 +82,25 @@
 // IsRenewing reports whether a renewal is in progress.
 func (c *Client) IsRenewing() bool { return c.renewing }
 
-// TryAcquireFallback admits a request on the host's own share of the rate, for use while the owner is unreachable.
-func (c *Client) TryAcquireFallback(now time.Time, share Limit) bool {
-	burst := max(1, share.Rate*fallbackBurstSeconds)
-	taken, _ := c.fallback.Take(now, share.Rate, burst, 1)
+// TryAcquireFallback admits a request on the host's own share of the rate, for use while the owner is unreachable. Its
+// bucket starts at initialLevel when the owner becomes unreachable.
+func (c *Client) TryAcquireFallback(now time.Time, share Limit, initialLevel float64) bool {
+	if c.fallbackFilledAt.IsZero() {
+		c.fallbackLevel, c.fallbackFilledAt = initialLevel, now
+	}
+	elapsed := max(0, now.Sub(c.fallbackFilledAt).Seconds())
+	c.fallbackLevel = min(max(1, initialLevel, share.Rate*fallbackBurstSeconds), c.fallbackLevel+elapsed*share.Rate)
+	c.fallbackFilledAt = now
+	if c.fallbackLevel < 1 {
+		return false
+	}
+	c.fallbackLevel--
+
+	return true
+}
 
-	return taken == 1
+// InitialFallbackLevel returns the level at which a host's fallback bucket starts. The hosts draw a number from 0 to 1 each, so
+// that together they admit the rate, and at once no more than one change of the owner may admit in excess.
+func InitialFallbackLevel(limit Limit, slackRequests float64, hosts int, draw float64) float64 {
+	return draw + min(1, limit.changeExcess(slackRequests)/float64(max(1, hosts)))
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -144,7 +144,7 @@
 	var client quota.Client
 	admitted := 0
 	for tick := range 1000 {
-		if client.TryAcquireFallback(start.Add(time.Duration(tick)*10*time.Millisecond), limit.Scale(1.0/12)) {
+		if client.TryAcquireFallback(start.Add(time.Duration(tick)*10*time.Millisecond), limit.Scale(1.0/12), 0) {
 			admitted++
 		}
 	}
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -147,6 +147,28 @@
 	}
 }
 
+// The hosts that cannot reach the owner admit the rate together, not a request each.
+func TestFallbackAdmitsRateOverManyHosts(t *testing.T) {
+	for _, hosts := range []int{12, 300, 830} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			clients := make([]quota.Client, hosts)
+			admitted, random := 0, rand.New(rand.NewPCG(10, uint64(hosts)))
+			share := limit.Scale(1 / float64(hosts))
+			for step := range 200 {
+				now := start.Add(time.Duration(step) * 10 * time.Millisecond)
+				for range 10 * hosts / 12 {
+					initialLevel := quota.InitialFallbackLevel(limit, 20, hosts, random.Float64())
+					if clients[random.IntN(hosts)].TryAcquireFallback(now, share, initialLevel) {
+						admitted++
+					}
+				}
+			}
+			t.Logf("%d admitted in 2 s at a rate of 50", admitted)
+			require.LessOrEqual(t, admitted, int(2*limit.Rate+limit.Burst))
+		})
+	}
+}
+
 // A host that restarts knows nothing of its last lease, so what it may have used of it must not return to the bucket.
 func TestRestartedHostDoesNotReturnItsLastLease(t *testing.T) {
 	allocator := quota.Allocator{StartFull: true}
--- a/io/cluster/quota.go
+++ b/io/cluster/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -99,8 +100,12 @@
 // admitWithoutLease admits a request within this host's fallback share of the rate while the owner is unreachable, and
 // otherwise rejects it.
 func (c *Cluster) admitWithoutLease(q *workspaceQuota, now time.Time, limit quota.Limit) (bool, time.Duration) {
-	if q.isOwnerUnreachable && q.client.TryAcquireFallback(now, limit.Scale(1/float64(c.peers.hostCount()))) {
-		return true, 0
+	if q.isOwnerUnreachable {
+		hosts := c.peers.hostCount()
+		initialLevel := quota.InitialFallbackLevel(limit, c.Settings.Bounds.RateSlackRequests, hosts, rand.Float64())
+		if q.client.TryAcquireFallback(now, limit.Scale(1/float64(hosts)), initialLevel) {
+			return true, 0
+		}
 	}
 
 	return false, min(maxRetryDelay, max(q.retryDelay, q.exhaustedUntil.Sub(now)))
