Charge forgotten turns after a loss of all hosts, and run on in an outage

Cause: while the store took no writes, a program might run until the turns that were not durable, each at its longest, reached a quarter of its budget.

Change: before its next turn, a program may have spent a quarter of its budget beyond the durable watermark once records could not be written for 1.5 s. A new owner charges that quarter, once, to each program whose count was last written before a majority of hosts started, or that nobody knows, unless the newest record is too young for such an outage. Tokens that are only charged neither delay a turn nor refuse it while others run.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -16,7 +16,7 @@
 	Admit Decision = iota
 	// Exhausted refuses the turn, because its maximum exceeds what is left of the budget.
 	Exhausted
-	// AwaitDurable asks the caller to make the program's watermark durable before it tries again.
+	// AwaitDurable asks the caller to make the program's watermark durable, if there is one, before it tries again.
 	AwaitDurable
 	// AlreadySettled refuses a turn that was settled before it was reserved: its caller does not wait for it any more.
 	AlreadySettled
@@ -25,8 +25,8 @@
 const (
 	// settlementGracePeriod is the time after its deadline at which an unsettled turn is charged its whole reservation.
 	settlementGracePeriod = 3 * time.Second
-	// undurableBudgetDivisor divides a budget into the part that may be admitted beyond the durable watermark while the
-	// platform's store is unavailable.
+	// undurableBudgetDivisor divides a budget into the part that may be spent beyond the durable watermark while the
+	// platform's store is unavailable, and that is charged after a loss of all hosts.
 	undurableBudgetDivisor = 4
 	// maxSettledAttempts bounds the settled attempts that an account remembers to ignore a repeated settlement.
 	maxSettledAttempts = 32
@@ -51,6 +51,8 @@
 	Program   id.Program
 	Tokens    id.Tokens
 	ExpiresAt time.Time
+	// WrittenAt is when a restored watermark was written.
+	WrittenAt time.Time
 }
 
 type reservation struct {
@@ -66,10 +68,25 @@
 	settledAttempts     []string
 	expiresAt           time.Time
 	hasDurableWatermark bool
+	// writtenAt is when the watermark that was restored was written; zero if none was.
+	writtenAt time.Time
+	// lossTokens are charged for turns that may have been forgotten; hasDurableLoss is set once a watermark with them is durable.
+	lossTokens     id.Tokens
+	hasDurableLoss bool
+	// isComplete is set if no turns of the program can have been forgotten, or they have been charged.
+	isComplete bool
 }
 
 // Ledger keeps the token accounts of the programs of a slot at the slot's owner; its zero value is empty.
-type Ledger struct{ accounts map[id.Program]*account }
+type Ledger struct {
+	accounts map[id.Program]*account
+	// rememberedSince is since when turns are known though they are not durable; zero if all are.
+	rememberedSince time.Time
+}
+
+// AssumeLoss makes the ledger charge each program once for the turns that may have been admitted before a time, beyond its
+// durable watermark: all hosts that knew of them may have failed.
+func (l *Ledger) AssumeLoss(before time.Time) { l.rememberedSince = before }
 
 // Reserve reserves the maximum of a turn and returns the decision and the watermark to make durable, whose tokens are
 // zero if there is none. While the platform's store is unavailable, a part of the budget is admitted by the count in memory
@@ -83,17 +100,20 @@
 	if _, reserved := a.reservations[turn.Attempt]; reserved {
 		return Admit, a.watermark(turn.Program)
 	}
-	committedTokens := a.settledTokens + a.reservedTokens()
+	l.chargeLoss(a, turn)
+	committedTokens := a.committedTokens()
 	switch {
 	case slices.Contains(a.settledAttempts, turn.Attempt):
 		return AlreadySettled, Watermark{}
+	case committedTokens+turn.MaxTokens > turn.BudgetTokens && a.awaitsSettlement(turn):
+		return AwaitDurable, Watermark{}
 	case committedTokens+turn.MaxTokens > turn.BudgetTokens:
-		if committedTokens <= a.durableTokens {
+		if a.undurableTokens() <= 0 {
 			return Exhausted, Watermark{}
 		}
 
 		return Exhausted, a.watermark(turn.Program)
-	case committedTokens > a.durableTokens && (!storeUnavailable || !a.mayExceedDurable(turn)):
+	case a.undurableTokens() > 0 && (!storeUnavailable || !a.mayExceedDurable(turn.BudgetTokens)):
 		return AwaitDurable, a.watermark(turn.Program)
 	}
 	if a.reservations == nil {
@@ -104,10 +124,32 @@
 	return Admit, a.watermark(turn.Program)
 }
 
+// chargeLoss charges a program, once, for the turns that may have been forgotten.
+func (l *Ledger) chargeLoss(a *account, turn Turn) {
+	if !a.isComplete && a.writtenAt.Before(l.rememberedSince) {
+		a.lossTokens = maxUndurableTokens(turn.BudgetTokens)
+	}
+	a.isComplete = true
+}
+
+// maxUndurableTokens returns how many tokens beyond the durable watermark a program may have while the platform's store is
+// unavailable, before its next turn.
+func maxUndurableTokens(budget id.Tokens) id.Tokens { return budget / undurableBudgetDivisor }
+
+// awaitsSettlement reports whether a turn may fit once the running ones have settled, and would fit now but for the tokens that are
+// charged for a loss: these may not have been spent, so they alone do not exhaust a budget.
+func (a *account) awaitsSettlement(turn Turn) bool {
+	reservedTokens := a.reservedTokens()
+
+	return a.lossTokens > 0 && reservedTokens > 0 &&
+		a.settledTokens+reservedTokens+turn.MaxTokens <= turn.BudgetTokens &&
+		a.settledTokens+a.lossTokens+turn.MaxTokens <= turn.BudgetTokens
+}
+
 // mayExceedDurable reports whether a turn may be admitted though earlier ones are not durable: a loss of all hosts makes a
-// program's undurable tokens available to it once more.
-func (a *account) mayExceedDurable(turn Turn) bool {
-	return a.settledTokens+a.reservedTokens()+turn.MaxTokens-a.durableTokens <= turn.BudgetTokens/undurableBudgetDivisor
+// program's undurable tokens available to it once more, but for those that are charged then.
+func (a *account) mayExceedDurable(budget id.Tokens) bool {
+	return a.undurableTokens() <= maxUndurableTokens(budget)
 }
 
 // Settle replaces the reservation of a turn by the tokens that it generated; repeated settlements are ignored.
@@ -130,27 +172,29 @@
 	if !ok {
 		return
 	}
-	a.durableTokens, a.hasDurableWatermark = watermark.Tokens, true
+	a.durableTokens, a.hasDurableWatermark, a.hasDurableLoss = watermark.Tokens, true, true
 }
 
 // Restore opens an account at a durable watermark.
 func (l *Ledger) Restore(watermark Watermark) {
 	a := l.account(watermark.Program)
-	a.settledTokens, a.durableTokens, a.hasDurableWatermark, a.expiresAt = watermark.Tokens, watermark.Tokens, true, watermark.ExpiresAt
+	a.settledTokens, a.durableTokens, a.hasDurableWatermark = watermark.Tokens, watermark.Tokens, true
+	a.expiresAt, a.writtenAt = watermark.ExpiresAt, watermark.WrittenAt
 }
 
 // RaiseTo raises a program's token count to at least the given one, which other hosts have reported. It returns the
 // watermark to make durable, whose tokens are zero if there is none.
 func (l *Ledger) RaiseTo(program id.Program, count Count, expiresAt time.Time) Watermark {
 	a := l.account(program)
-	if committedTokens := a.settledTokens + a.reservedTokens(); count.Tokens > committedTokens {
+	a.isComplete = true
+	if committedTokens := a.committedTokens(); count.Tokens > committedTokens {
 		a.settledTokens += count.Tokens - committedTokens
 	}
 	a.durableTokens = max(a.durableTokens, count.Durable)
 	if expiresAt.After(a.expiresAt) {
 		a.expiresAt = expiresAt
 	}
-	if a.settledTokens+a.reservedTokens() <= a.durableTokens {
+	if a.committedTokens() <= a.durableTokens {
 		return Watermark{}
 	}
 
@@ -181,12 +225,14 @@
 		return Count{}
 	}
 
-	return Count{Tokens: a.settledTokens + a.reservedTokens(), Durable: a.durableTokens}
+	return Count{Tokens: a.committedTokens(), Durable: a.durableTokens}
 }
 
 // HasUsage reports whether a program has settled or reserved tokens.
 func (l *Ledger) HasUsage(program id.Program) bool {
-	return l.Count(program).Tokens > 0
+	a, ok := l.accounts[program]
+
+	return ok && a.committedTokens() > a.lossTokens
 }
 
 // Len returns the number of accounts.
@@ -214,8 +260,24 @@
 	return sum
 }
 
+// committedTokens returns the tokens that count as spent.
+func (a *account) committedTokens() id.Tokens {
+	return a.settledTokens + a.reservedTokens() + a.lossTokens
+}
+
+// undurableTokens returns the tokens beyond the durable watermark. Tokens that are charged for a loss would be charged again after
+// the next one, so no turn waits until they are durable.
+func (a *account) undurableTokens() id.Tokens {
+	undurable := a.committedTokens() - a.durableTokens
+	if !a.hasDurableLoss {
+		undurable -= a.lossTokens
+	}
+
+	return undurable
+}
+
 func (a *account) watermark(program id.Program) Watermark {
-	return Watermark{Program: program, Tokens: a.settledTokens + a.reservedTokens(), ExpiresAt: a.expiresAt}
+	return Watermark{Program: program, Tokens: a.committedTokens(), ExpiresAt: a.expiresAt}
 }
 
 func (a *account) settleOverdue(now time.Time) {
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -267,6 +267,16 @@
 	return now.Sub(c.LastStoreResponse()) > storeContactTimeout && !c.peers.hasPeerReachedStore(now)
 }
 
+// lastStoreResponse returns when the store last responded to this host or to a peer that it has heard since.
+func (c *Cluster) lastStoreResponse() time.Time {
+	last := c.peers.lastStoreResponse()
+	if own := c.LastStoreResponse(); own.After(last) {
+		return own
+	}
+
+	return last
+}
+
 // hearsMajority reports whether this host receives heartbeats from a majority of the owners; it is always true for a host
 // that owns no slot. A minority could be separated by a network partition while the other owners continue.
 func (c *Cluster) hearsMajority(now time.Time) bool {
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +28,9 @@
 	c := srv.cluster
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
-	reply := &fleetpb.RecallReply{Complete: c.remembersAllPrograms(c.Now())}
-	for program, count := range c.programWatermarks.Recent(c.Now(), budgetRetention) {
+	now := c.Now()
+	reply := &fleetpb.RecallReply{Complete: c.remembersAllPrograms(now), AgeMillis: now.Sub(c.peers.startedAt).Milliseconds()}
+	for program, count := range c.programWatermarks.Recent(now, budgetRetention) {
 		if c.hashSlot(string(program)) == int(req.Slot) {
 			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(count.Tokens), Durable: int64(count.Durable)})
 		}
@@ -60,6 +62,35 @@
 	return 2*complete > len(replies)
 }
 
+const (
+	// clockSkewMargin bounds how much the clocks of two hosts differ.
+	clockSkewMargin = 500 * time.Millisecond
+	// minRestartDelay is the least time between the end of a process and the start of the next one on its host.
+	minRestartDelay = 200 * time.Millisecond
+)
+
+// rememberedSince returns since when a majority of the hosts that were asked remember the counts of programs, or zero if
+// they remember those of all programs. Turns that were admitted before, and that are not durable, may be forgotten.
+func rememberedSince(now time.Time, replies []*fleetpb.RecallReply) time.Time {
+	if rememberAllPrograms(replies) {
+		return time.Time{}
+	}
+	ages := make([]int64, 0, len(replies))
+	for _, reply := range replies {
+		if reply.GetComplete() {
+			ages = append(ages, budgetRetention.Milliseconds())
+		} else {
+			ages = append(ages, reply.GetAgeMillis())
+		}
+	}
+	slices.Sort(ages)
+	if len(ages) == 0 {
+		return now
+	}
+
+	return now.Add(-time.Duration(ages[(len(ages)-1)/2]) * time.Millisecond)
+}
+
 // collectInMemoryState collects the state of a slot that all hosts have in memory. The entry of a host that does not
 // respond within stateTransferTimeout is nil.
 func (c *Cluster) collectInMemoryState(ctx context.Context, slot int) []*fleetpb.RecallReply {
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -315,6 +315,20 @@
 	return false
 }
 
+// lastStoreResponse returns when the store last responded to a peer.
+func (p *peerTable) lastStoreResponse() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last time.Time
+	for _, other := range p.byHost {
+		if other.storeRespondedAt.After(last) {
+			last = other.storeRespondedAt
+		}
+	}
+
+	return last
+}
+
 // liveHostShare returns the fraction of the known hosts that are live, this host included. The others may admit
 // requests on their own share of a rate, unless they have left.
 func (p *peerTable) liveHostShare(now time.Time) float64 {
--- a/io/cluster/recordwriter.go
+++ b/io/cluster/recordwriter.go
@@ -247,6 +247,14 @@
 	return !w.failingSince.IsZero() && now.Sub(w.failingSince) > storeContactTimeout
 }
 
+// lastFailureStart returns since when writes have failed; zero if the last one succeeded.
+func (w *recordWriter) lastFailureStart() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.failingSince
+}
+
 func (w *recordWriter) isCurrentEpoch(epoch int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -62,6 +62,8 @@
 	confirmationRequests int
 	// servingSince is when the slot began to serve.
 	servingSince time.Time
+	// newestRecordAt is when the newest of the records that were read was written, by the clock of the host that wrote it.
+	newestRecordAt time.Time
 	// isNew is set if no owner has stored anything in the slot before.
 	isNew  bool
 	ledger tokenbudget.Ledger
@@ -138,12 +140,25 @@
 
 // isDurabilityUnavailable reports whether the slot's records cannot become durable now, while this host hears a
 // majority of the owners; the caller holds the lock.
-func (s *slot) isDurabilityUnavailable(now time.Time) bool {
-	if !s.isPartial && !s.writer.isStuck(now) && !s.cluster.isStoreSilent(now) {
-		return false
+func (s *slot) isDurabilityUnavailable(now time.Time) bool { return s.outageDuration(now) > 0 }
+
+// outageDuration returns for how long the slot's records could not become durable, or zero if they can now or this host does not
+// hear a majority of the owners. The caller holds the lock.
+func (s *slot) outageDuration(now time.Time) time.Duration {
+	var since time.Time
+	switch {
+	case s.isPartial:
+		since = s.servingSince.Add(-storeContactTimeout)
+	case s.writer.isStuck(now):
+		since = s.writer.lastFailureStart()
+	case s.cluster.isStoreSilent(now):
+		since = s.cluster.lastStoreResponse()
+	}
+	if since.IsZero() || !s.cluster.hearsMajority(now) {
+		return 0
 	}
 
-	return s.cluster.hearsMajority(now)
+	return max(1, now.Sub(since))
 }
 
 // ensureServing reports whether this host may serve the slot now. It starts acting for a stopped owner, and stops once
@@ -203,7 +218,7 @@
 	s.isPartial, s.knowsAllPrograms = false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
-	s.pendingTurns = nil
+	s.pendingTurns, s.newestRecordAt = nil, time.Time{}
 }
 
 // holdUnwrittenTurns keeps turns that did not become durable in memory and sends them to the next owner. The caller holds
@@ -335,6 +350,7 @@
 	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
 	s.mergeInMemoryState(now, contents.replies)
+	s.chargeForgottenTurns(now, contents.replies)
 	s.knowsAllPrograms = true
 	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
 	s.notifyChanged()
@@ -345,6 +361,21 @@
 		"programs", s.ledger.Len(), "turns", s.turns.Len(), "first", contents.isNew, "took", now.Sub(contents.startedAt))
 }
 
+// undurableTurnsAfter is how long records cannot become durable before more than one turn of a program is admitted by the count in
+// memory.
+const undurableTurnsAfter = 1500 * time.Millisecond
+
+// chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if a majority of the hosts has
+// been started since the newest record was written, and that is long enough ago for such an outage.
+func (s *slot) chargeForgottenTurns(now time.Time, replies []*fleetpb.RecallReply) {
+	since := rememberedSince(now, replies)
+	if since.IsZero() || since.Sub(s.newestRecordAt) < undurableTurnsAfter+minRestartDelay {
+		return
+	}
+	s.ledger.AssumeLoss(since.Add(clockSkewMargin))
+	s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
+}
+
 func (s *slot) restoreRecord(now time.Time, record platform.Record) {
 	var value fleetpb.Record
 	if err := proto.Unmarshal(record.Value, &value); err != nil {
@@ -355,15 +386,23 @@
 	switch kind := value.Kind.(type) {
 	case *fleetpb.Record_Budget:
 		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
+		s.recordWrittenAt(written)
 		s.ledger.Restore(tokenbudget.Watermark{
 			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
-			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis),
+			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written,
 		})
 	case *fleetpb.Record_Turn:
+		s.recordWrittenAt(time.UnixMilli(kind.Turn.EndedUnixMillis))
 		s.turns.Add(toStoredTurn(kind.Turn, restoredExpiry(now, time.UnixMilli(kind.Turn.EndedUnixMillis), kind.Turn.RetentionMillis)))
 	}
 }
 
+func (s *slot) recordWrittenAt(written time.Time) {
+	if written.After(s.newestRecordAt) {
+		s.newestRecordAt = written
+	}
+}
+
 // restoredExpiry returns the expiry of a record by the time of its write. That is by the writer's clock, which may differ
 // from this host's, so a time in the future counts as now.
 func restoredExpiry(now, written time.Time, retentionMillis int64) time.Time {
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -79,7 +79,7 @@
 	}
 	for {
 		now := s.cluster.Now()
-		decision, watermark := s.ledger.Reserve(now, turn, s.isDurabilityUnavailable(now))
+		decision, watermark := s.ledger.Reserve(now, turn, s.outageDuration(now) >= undurableTurnsAfter)
 		switch decision {
 		case tokenbudget.Exhausted:
 			if watermark.Tokens > 0 {
@@ -92,7 +92,9 @@
 
 			return fleetpb.Outcome_OUTCOME_OK, int64(watermark.Tokens)
 		case tokenbudget.AwaitDurable:
-			s.writeWatermark(now, watermark, true)
+			if watermark.Tokens > 0 {
+				s.writeWatermark(now, watermark, true)
+			}
 		case tokenbudget.AlreadySettled:
 			return fleetpb.Outcome_OUTCOME_UNSURE, 0
 		}
