Count a store that has never responded as unavailable again

Cause: took the zero time of a host that has had no response yet for a store that responds, so that such a host no longer ran on in an outage.

Change: only a store that responds ends the outage.

--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -153,8 +153,10 @@
 		since = s.writer.lastFailureStart()
 	case s.cluster.isStoreSilent(now):
 		since = s.cluster.lastStoreResponse()
+	default:
+		return 0
 	}
-	if since.IsZero() || !s.cluster.hearsMajority(now) {
+	if !s.cluster.hearsMajority(now) {
 		return 0
 	}
 
