Store turns that are larger than a record of the store in parts

Change: such a record is split; the turn is durable with its last part, a new owner puts the parts together, and drops those of a turn that was never stored whole.

--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -69,7 +69,9 @@
 	ledger tokenbudget.Ledger
 	turns  turnstore.Store
 	// pendingTurns holds, for each turn whose write is queued, the channel that is closed when it is durable.
-	pendingTurns    map[string]<-chan struct{}
+	pendingTurns map[string]<-chan struct{}
+	// turnPartCounts holds the number of parts of each turn that is stored in several records.
+	turnPartCounts  map[string]int
 	locations       affinity.Locations
 	quotaAllocators map[id.Workspace]*quota.Allocator
 	limitBuckets    map[id.Upstream]*ratelimit.Bucket
@@ -220,7 +222,7 @@
 	s.isPartial, s.knowsAllPrograms = false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
-	s.pendingTurns, s.newestRecordAt = nil, time.Time{}
+	s.pendingTurns, s.turnPartCounts, s.newestRecordAt = nil, nil, time.Time{}
 }
 
 // holdUnwrittenTurns keeps turns that did not become durable in memory and sends them to the next owner. The caller holds
@@ -346,11 +348,13 @@
 	}
 	s.discardState()
 	now := s.cluster.Now()
+	var parts turnParts
 	for _, record := range contents.records {
-		s.restoreRecord(now, record)
+		s.restoreRecord(now, record, &parts)
 	}
 	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
+	s.removeIncompleteTurns(&parts)
 	s.mergeInMemoryState(now, contents.replies)
 	s.chargeForgottenTurns(now, contents.replies)
 	s.knowsAllPrograms = true
@@ -378,9 +382,18 @@
 	s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
 }
 
-func (s *slot) restoreRecord(now time.Time, record platform.Record) {
+func (s *slot) restoreRecord(now time.Time, record platform.Record, parts *turnParts) {
 	var value fleetpb.Record
-	if err := proto.Unmarshal(record.Value, &value); err != nil {
+	err := proto.Unmarshal(record.Value, &value)
+	if part := value.GetPart(); err == nil && part != nil {
+		whole, ok := s.restoreTurnPart(parts, part)
+		if !ok {
+			return
+		}
+		value.Reset()
+		err = proto.Unmarshal(whole, &value)
+	}
+	if err != nil {
 		s.cluster.Logger.Error(err, "record-refused", "slot", s.index, "key", record.Key, "offset", record.Offset)
 
 		return
@@ -445,7 +458,7 @@
 		s.writer.enqueue(pendingRecord{record: platform.Record{Key: budgetKeyPrefix + string(program)}}, false)
 	}
 	for _, turn := range s.turns.RemoveExpired(now) {
-		s.writer.enqueue(pendingRecord{record: platform.Record{Key: turnKeyPrefix + turn}}, false)
+		s.removeTurnRecords(turn)
 	}
 }
 
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -196,14 +196,24 @@
 		kept = turnWithoutTranscript(kept)
 	}
 	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Turn{Turn: kept}})
+	var records []platform.Record
+	if err == nil {
+		records, err = s.cluster.turnRecords(kept.Id, value)
+	}
 	if err != nil {
 		s.cluster.Logger.Error(err, "turn-lost", "turn", kept.Id)
 
 		return durable
 	}
 	s.turns.Add(toStoredTurn(kept, now.Add(time.Duration(kept.RetentionMillis)*time.Millisecond+retentionMargin)))
-	record := platform.Record{Key: turnKeyPrefix + kept.Id, Value: value}
-	s.writer.enqueue(pendingRecord{record: record, turn: kept, onDurable: func() {
+	last := len(records) - 1
+	if last > 0 {
+		s.setTurnPartCount(kept.Id, len(records))
+	}
+	for _, record := range records[:last] {
+		s.writer.enqueue(pendingRecord{record: record}, true)
+	}
+	s.writer.enqueue(pendingRecord{record: records[last], turn: kept, onDurable: func() {
 		close(durable)
 		delete(s.pendingTurns, kept.Id)
 	}}, true)
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -245,6 +245,34 @@
 	storeTurn(t, c, newKeptTurn("small", ""))
 }
 
+func TestOversizedTurnIsContinuedByNextOwner(t *testing.T) {
+	c, store := newTestCluster(t)
+	store.maxRecordBytes = 1 << 10
+	c.Settings.Store.MaxRecordBytes = store.maxRecordBytes
+	join(t, c)
+	large := newKeptTurn("large", "")
+	large.Input = slices.Repeat([]byte("word "), store.maxRecordBytes)
+	storeTurn(t, c, large)
+	epoch := c.slots[0].epoch
+	appendTurn(t, c, store, epoch+100, newKeptTurn("other", ""))
+	store.mu.Lock()
+	store.generation = epoch + 101
+	store.mu.Unlock()
+	c.renewMembership(t.Context())
+	join(t, c)
+	begun := c.BeginTurn(t.Context(), newTurn("next", "large"))
+	require.Equal(t, reverseproxy.TurnAllowed, begun.Status)
+	require.Contains(t, string(begun.PriorTranscript), string(large.Input))
+	s := c.slots[0]
+	s.removeExpired(time.Now().Add(time.Hour))
+	require.Eventually(t, func() bool { return !s.writer.hasPending() }, testTimeout, 10*time.Millisecond)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for index := range 3 {
+		require.Empty(t, store.partition(s.partition()).records[turnPartKey("large", index)].Value, "the parts of an expired turn are deleted")
+	}
+}
+
 func TestSlotIsReloadedAfterAnotherHostOwnedItBetweenRenewals(t *testing.T) {
 	c, store := newTestCluster(t)
 	join(t, c)
