Read topics that rarely change with long polls

Change: reads of the configuration and of the list of hosts wait for 3 s; entries are rewritten each minute; upstreams are read each 1.5 s at most in large fleets, and at least three times in a drain timeout. A read after a failure does not wait, so that the end of an outage is noticed sooner than before.

--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -30,11 +30,13 @@
 	// forgetPeerAfter is how long a silent peer still counts as a host that may admit requests.
 	forgetPeerAfter = 15 * time.Second
 	// announceInterval is how often this host's entry is rewritten.
-	announceInterval = 10 * time.Second
+	announceInterval = time.Minute
 	// announceRetryInterval is the retry interval of writes of this host's entry that the store did not answer.
 	announceRetryInterval = 100 * time.Millisecond
 	// hostListReadInterval is the interval of reads of the hosts' entries.
 	hostListReadInterval = 200 * time.Millisecond
+	// hostListLongPoll is how long a read of the hosts' entries waits for a change.
+	hostListLongPoll = 3 * time.Second
 	// heartbeatsPerOwnerList is the number of heartbeats of which one contains the owners of all slots.
 	heartbeatsPerOwnerList = 8
 	// maxHeartbeatBytes bounds a received heartbeat.
@@ -117,7 +119,7 @@
 // run exchanges heartbeats and consumes the list of hosts until ctx ends.
 func (p *peerTable) run(ctx context.Context, conn net.PacketConn) {
 	consumer := &topicconsumer.Consumer{
-		Store: p.cluster.Store, Logger: p.cluster.Logger, Now: p.cluster.Now, ReadPause: hostListReadInterval, ScalePause: p.scaleInterval,
+		Store: p.cluster.Store, Logger: p.cluster.Logger, Now: p.cluster.Now, LongPoll: hostListLongPoll, ReadPause: hostListReadInterval, ScalePause: p.scaleInterval,
 		Partition:   platform.Partition{Topic: platform.CompactedTopic(hostTopicName)},
 		ApplyRecord: p.applyRecord, OnListed: p.markHostListRead,
 		OnResponse: func(time.Duration) { p.cluster.RecordStoreResponse() },
@@ -358,8 +360,8 @@
 	return pause * time.Duration(max(1, min(maxIntervalScale, p.hostCount()/hostsPerScaleStep)))
 }
 
-// maxIntervalScale bounds the scale, since hosts must learn soon that an upstream is draining.
-const maxIntervalScale = 4
+// maxIntervalScale bounds the scale, since hosts must learn soon what changes.
+const maxIntervalScale = 6
 
 // livePeers returns the addresses of the peers that are heard, or were listed too recently to be expected to have been
 // heard.
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -18,6 +18,9 @@
 // upstreamReadPause separates the reads of upstream registrations, which are many and change often.
 const upstreamReadPause = 250 * time.Millisecond
 
+// configurationLongPoll is how long a read of the configuration waits for the next version.
+const configurationLongPoll = 3 * time.Second
+
 // Watcher keeps the newest configuration and upstream registrations that this host has read.
 type Watcher struct {
 	Store  *platform.Store
@@ -75,7 +78,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	configurationConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.ConfigurationTopic},
-		ApplyRecord: w.applyConfiguration, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
+		LongPoll: configurationLongPoll, ApplyRecord: w.applyConfiguration, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
 	}
 	upstreamConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -68,7 +68,7 @@
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
 		HasConfig: func() bool { return h.discovery.Config() != nil },
 	})
-	h.discovery.ScalePause = h.cluster.ScaleInterval
+	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
@@ -163,6 +163,19 @@
 	}
 }
 
+// drainTimeoutShare is the part of an upstream's drain timeout that may pass before this host reads that it is draining.
+const drainTimeoutShare = 1.0 / 3
+
+// scaleUpstreamReadPause lengthens the pause between reads of upstream registrations with the number of hosts.
+func (h *Host) scaleUpstreamReadPause(pause time.Duration) time.Duration {
+	scaled := h.cluster.ScaleInterval(pause)
+	if limit := time.Duration(drainTimeoutShare * float64(h.settings.Bounds.DrainTimeout)); limit > pause {
+		scaled = min(scaled, limit)
+	}
+
+	return scaled
+}
+
 func (h *Host) isUpstreamListed(upstream id.Upstream) bool {
 	_, listed := h.discovery.GetUpstream(upstream)
 
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// longPollTimeout is how long the store may hold a read open until there are records.
-	longPollTimeout = time.Second
+	// defaultLongPoll is how long the store may hold a read open until there are records.
+	defaultLongPoll = time.Second
 	// longPollMargin is how much longer a read may take before its connection counts as dead.
 	longPollMargin = time.Second
 	// listPageTimeout limits the read of each page of a listing.
@@ -29,6 +29,9 @@
 	Partition platform.Partition
 	Logger    logr.Logger
 	Now       func() time.Time
+	// LongPoll is how long the store may hold a read open until there are records; zero means a second. A read on a connection that
+	// has gone silent is noticed a second later.
+	LongPoll time.Duration
 	// ReadPause is the pause between reads. ScalePause returns the pause to use instead, such as a longer one on a large
 	// cluster; it may be nil.
 	ReadPause  time.Duration
@@ -74,9 +77,10 @@
 	if !c.isListed {
 		return c.listPartition(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, longPollTimeout+longPollMargin)
+	wait := c.nextWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+longPollMargin)
 	defer cancel()
-	page, err := c.Store.Read(ctx, c.Partition, c.nextOffset, longPollTimeout)
+	page, err := c.Store.Read(ctx, c.Partition, c.nextOffset, wait)
 	if errorx.IsOfType(err, platform.ErrExpired) {
 		c.isListed = false
 
@@ -94,6 +98,19 @@
 	return nil
 }
 
+// nextWait returns how long the store may hold the next read open. After a failure it is zero, so that the end of an outage is
+// noticed soon.
+func (c *Consumer) nextWait() time.Duration {
+	switch {
+	case !c.failedSince.IsZero():
+		return 0
+	case c.LongPoll > 0:
+		return c.LongPoll
+	default:
+		return defaultLongPoll
+	}
+}
+
 // listPartition applies the newest record of each key; it ignores a listing that is older than the records already read.
 func (c *Consumer) listPartition(ctx context.Context) error {
 	records, endOffset, err := c.Store.ListNewestRecords(ctx, c.Partition, listPageTimeout)
