Let a slot's own writes show that no other owner has written

Cause: an unknown turn is reported as missing only if every slot is compared with the store, and a comparison failed if its owner wrote meanwhile. Grows with slots x requests of this kind.

Change: a batch that the store has appended directly behind the owner's records shows, from when it was first sent, that no other owner has written. A busy slot waits for its next write in place of a read.

--- a/io/cluster/confirmation.go
+++ b/io/cluster/confirmation.go
@@ -111,12 +111,57 @@
 	outdated
 )
 
+const (
+	// ownWriteWait is how long a comparison waits for a pending write to show that no other host has written.
+	ownWriteWait = 2 * writeLinger
+	// maxComparisons bounds the reads of a comparison that this owner's writes disturb.
+	maxComparisons = 3
+)
+
 // compareWithStore reports whether the partition ends where this owner's records end, including those of a write that is in
-// progress.
+// progress. On a busy slot the next write shows it without a read.
 func (w *recordWriter) compareWithStore(ctx context.Context) completeness {
+	startedAt := w.slot.cluster.Now()
+	result := completenessUnknown
+	for range maxComparisons {
+		if w.hasPending() && w.slot.awaitOwnWrite(ctx, startedAt) {
+			return upToDate
+		}
+		var disturbed bool
+		if result, disturbed = w.readEnd(ctx); !disturbed {
+			return result
+		}
+		if w.isConfirmedSince(startedAt) {
+			return upToDate
+		}
+	}
+
+	return result
+}
+
+// awaitOwnWrite waits up to ownWriteWait for a write that began at a time or later, and reports whether it showed that the
+// partition has no records of other owners.
+func (s *slot) awaitOwnWrite(ctx context.Context, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for until := s.cluster.Now().Add(ownWriteWait); ; {
+		if s.writer.isConfirmedSince(since) {
+			return true
+		}
+		remaining := until.Sub(s.cluster.Now())
+		if remaining <= 0 || ctx.Err() != nil || s.state == unowned {
+			return false
+		}
+		s.awaitChange(ctx, remaining)
+	}
+}
+
+// readEnd compares the end of the partition with that of this owner's records; disturbed is set if a write of this owner ended
+// meanwhile, so that the result is not known.
+func (w *recordWriter) readEnd(ctx context.Context) (result completeness, disturbed bool) {
 	epoch, endOffset, inFlightBefore := w.snapshot()
 	if epoch == 0 {
-		return completenessUnknown
+		return completenessUnknown, false
 	}
 	var page platform.RecordPage
 	err := w.slot.cluster.callStore(ctx, func(ctx context.Context) (err error) {
@@ -126,12 +171,14 @@
 	})
 	epochAfter, endAfter, inFlightAfter := w.snapshot()
 	switch {
-	case err != nil || epochAfter != epoch || endAfter != endOffset:
-		return completenessUnknown
+	case err != nil || epochAfter != epoch:
+		return completenessUnknown, false
+	case endAfter != endOffset:
+		return completenessUnknown, true
 	case page.NextOffset == endOffset, holdsBatch(page, endOffset, inFlightBefore), holdsBatch(page, endOffset, inFlightAfter):
-		return upToDate
+		return upToDate, false
 	default:
-		return outdated
+		return outdated, false
 	}
 }
 
--- a/io/cluster/confirmation_test.go
+++ b/io/cluster/confirmation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +13,7 @@
 
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/reverseproxy"
+	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
 )
 
@@ -129,6 +132,55 @@
 	require.LessOrEqual(t, hooked.reads.Load(), int64(3*maxConfirmations))
 }
 
+// keepWriting writes turns to the first slot until the test ends, as the programs of a busy slot do.
+func keepWriting(t *testing.T, c *Cluster) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		s := c.slots[0]
+		for i := 0; ctx.Err() == nil; i++ {
+			s.mu.Lock()
+			s.storeTurn(time.Now(), newKeptTurn(fmt.Sprintf("busy-%d", i), ""))
+			s.mu.Unlock()
+			topicconsumer.SleepContext(ctx, 5*time.Millisecond)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		tasks.Wait()
+	})
+}
+
+func TestUnknownTurnOfBusySlotIsReportedAsMissing(t *testing.T) {
+	c, store := newTestCluster(t)
+	join(t, c)
+	serveForLong(c)
+	keepWriting(t, c)
+	// Reads take long enough for writes to end meanwhile.
+	hooked := &hookedStore{fakeStore: store, beforeRead: func() error {
+		time.Sleep(20 * time.Millisecond)
+
+		return nil
+	}}
+	c.store = hooked
+	for range 20 {
+		require.Equal(t, reverseproxy.PreviousTurnNotFound, c.BeginTurn(t.Context(), newTurn("second", "elsewhere")).Status)
+	}
+	require.LessOrEqual(t, hooked.reads.Load(), int64(20), "a read for each unknown turn at most")
+}
+
+func TestWriteThatBeganBeforeShowsNothingOfOtherOwners(t *testing.T) {
+	c, store := newTestCluster(t)
+	join(t, c)
+	serveForLong(c)
+	storeTurn(t, c, newKeptTurn("first", ""))
+	require.False(t, c.slots[0].writer.isConfirmedSince(time.Now()))
+	appendTurn(t, c, store, 100, newKeptTurn("elsewhere", ""))
+	require.NotEqual(t, reverseproxy.PreviousTurnNotFound, c.BeginTurn(t.Context(), newTurn("second", "elsewhere")).Status,
+		"another owner has stored the turn")
+}
+
 func TestTurnIsNotReportedAsMissingWhileDrainingHostIsSilent(t *testing.T) {
 	c, _ := newTestCluster(t)
 	join(t, c)
--- a/io/cluster/recordwriter.go
+++ b/io/cluster/recordwriter.go
@@ -46,7 +46,10 @@
 	sequence int64
 	// endOffset is the end of the partition after the records that were read and written in this epoch.
 	endOffset int64
-	queue     []pendingRecord
+	// confirmedAt is when the newest batch was first sent that the store appended directly behind the records of this epoch: no
+	// other owner had written then, and the store takes no batch of an earlier epoch.
+	confirmedAt time.Time
+	queue       []pendingRecord
 	// inFlight are the records of the call in progress.
 	inFlight  []pendingRecord
 	hasUrgent bool
@@ -63,16 +66,28 @@
 func (w *recordWriter) startEpoch(epoch, endOffset int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.epoch, w.sequence, w.endOffset = epoch, 0, endOffset
+	w.epoch, w.sequence, w.endOffset, w.confirmedAt = epoch, 0, endOffset, time.Time{}
 }
 
-// advanceEnd records that a batch of the current epoch has been written at an offset.
-func (w *recordWriter) advanceEnd(epoch, offset int64, records int) {
+// advanceEnd records that a batch of the current epoch, which was first sent at a time, has been written at an offset.
+func (w *recordWriter) advanceEnd(epoch, offset int64, records int, sentAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.epoch == epoch {
-		w.endOffset = offset + int64(records)
+	if w.epoch != epoch {
+		return
+	}
+	if offset == w.endOffset {
+		w.confirmedAt = sentAt
 	}
+	w.endOffset = offset + int64(records)
+}
+
+// isConfirmedSince reports whether a write that began at a time or later showed that no other owner has written.
+func (w *recordWriter) isConfirmedSince(since time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.epoch != 0 && !w.confirmedAt.Before(since)
 }
 
 // snapshot returns the current epoch, the end of the partition as far as this writer knows, and the records that it may
@@ -193,6 +208,7 @@
 // writeBatch retries a call until it succeeds; its sequence number makes retries idempotent. It returns false if the
 // slot was lost or ctx ended.
 func (w *recordWriter) writeBatch(ctx context.Context, batch []pendingRecord, size int, call platform.AppendBatch) bool {
+	sentAt := w.slot.cluster.Now()
 	for ctx.Err() == nil && w.isCurrentEpoch(call.Epoch) {
 		var offset int64
 		err := w.slot.cluster.callStoreWithSize(ctx, size, func(ctx context.Context) (err error) {
@@ -204,7 +220,7 @@
 			return false
 		}
 		if err == nil {
-			w.advanceEnd(call.Epoch, offset, len(batch))
+			w.advanceEnd(call.Epoch, offset, len(batch), sentAt)
 			w.slot.completeBatch(call.Epoch, batch)
 
 			return true
