Answer requests that have begun to arrive when a host stops

Cause: at the end of its drain period a host closed each connection without a request in progress, and a request was in progress only once its handler had begun. Requests that the kernel had received, or of which a part had been read, were cut off without an answer.

Change: a connection is idle only if no byte has arrived since its last response.

--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // listener tracks its accepted connections, so that a server can inspect and close them.
@@ -21,6 +23,26 @@
 
 	listener   *listener
 	remoteAddr string
+	// requestBegunNanos is when the first byte was read since the last response, in nanoseconds since the Unix epoch; zero if
+	// none was.
+	requestBegunNanos atomic.Int64
+}
+
+// Read reads from the connection and notes when a request begins.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.requestBegunNanos.CompareAndSwap(0, time.Now().UnixNano())
+	}
+
+	return n, err
+}
+
+// Write writes a part of a response to the connection.
+func (c *conn) Write(p []byte) (int, error) {
+	c.requestBegunNanos.Store(0)
+
+	return c.Conn.Write(p)
 }
 
 // Accept waits for the next connection and tracks it.
@@ -53,19 +75,28 @@
 	}
 }
 
-// closeIdle closes the connections for which isBusy returns false.
+// closeIdle closes the connections for which isBusy returns false, but for those on which a request has begun to arrive.
 func (l *listener) closeIdle(isBusy func(remote string) bool) {
+	l.closeMatching(func(c *conn) bool {
+		return !isBusy(c.remoteAddr) && c.requestBegunNanos.Load() == 0 && !c.hasUnreadBytes()
+	})
+}
+
+// closeMatching closes the connections for which match returns true, and returns their number.
+func (l *listener) closeMatching(match func(c *conn) bool) int {
 	l.mu.Lock()
-	var idle []*conn
-	for remote, c := range l.conns {
-		if !isBusy(remote) {
-			idle = append(idle, c)
+	var matching []*conn
+	for _, c := range l.conns {
+		if match(c) {
+			matching = append(matching, c)
 		}
 	}
 	l.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range matching {
 		c.Close() //nolint:errcheck // the connection is given up
 	}
+
+	return len(matching)
 }
 
 // isClosedByPeer reports whether the peer has closed its connection, or the connection is no longer tracked.
@@ -79,23 +110,39 @@
 
 // isClosedByPeer peeks at the socket without consuming data.
 func (c *conn) isClosedByPeer() bool {
+	bytes, err := c.peek()
+
+	return bytes == 0 && !isWouldBlock(err)
+}
+
+// hasUnreadBytes reports whether the peer has sent bytes that were not read yet.
+func (c *conn) hasUnreadBytes() bool {
+	bytes, _ := c.peek()
+
+	return bytes > 0
+}
+
+// peek returns how many of the next bytes, at most one, have arrived.
+func (c *conn) peek() (bytes int, err error) {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, syscall.EAGAIN
 	}
 	control, err := raw.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
 	}
-	closed := false
+	var peekErr error
 	err = control.Control(func(fd uintptr) {
 		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		wouldBlock := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-		closed = !wouldBlock && (err != nil || n == 0)
+		bytes, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 
-	return err != nil || closed
+	return max(0, bytes), errors.Join(err, peekErr)
+}
+
+func isWouldBlock(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 }
 
 // Close closes the connection and stops tracking it.
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -114,7 +114,8 @@
 	return err
 }
 
-// StopAccepting stops accepting connections and closes those for which isBusy returns false.
+// StopAccepting stops accepting connections and closes those for which isBusy returns false and on which no request has begun to
+// arrive.
 func (s *Server) StopAccepting(isBusy func(remote string) bool) {
 	s.listener.Close() //nolint:errcheck // the server is about to end
 	s.listener.closeIdle(isBusy)
