Close connections whose request does not arrive within 30 s

Cause: the time in which a request must arrive was counted anew with each byte, so a caller that sent a byte now and then held its connection, and what it had sent, for ever.

Change: a request that is not whole 30 s after its first byte is given up with its connection, and counted in a log line.

Evidence: TestRequestThatArrivesByteByByteDoesNotHoldItsConnection; there was no such limit before.

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -33,6 +33,8 @@
 	// sent.
 	idlePollInterval = 20 * time.Millisecond
 	flushDelay       = 50 * time.Millisecond
+	// requestReadTimeout is how long a request may take to arrive.
+	requestReadTimeout = 30 * time.Second
 	// maxBodyBytes limits a request's body before the configured limit applies.
 	maxBodyBytes = 16 << 20
 	// maxHeaderBytes limits a request's header before the configured limit applies.
@@ -86,7 +88,6 @@
 	defer tasks.Wait()
 	defer cancel()
 	tasks.Go(func() { h.discovery.Run(ctx) })
-	tasks.Go(func() { h.cleanUpLoop(ctx) })
 	clusterResult := make(chan error, 1)
 	tasks.Go(func() { clusterResult <- h.cluster.Run(ctx) })
 	servers, err := h.listen()
@@ -96,6 +97,7 @@
 	for _, s := range servers {
 		s.Start()
 	}
+	tasks.Go(func() { h.cleanUpLoop(ctx, servers) })
 	h.logger.Info("started", "host", h.settings.Name, "callers", h.settings.CallerAddress)
 	select {
 	case <-ctx.Done():
@@ -148,7 +150,7 @@
 	return servers, nil
 }
 
-func (h *Host) cleanUpLoop(ctx context.Context) {
+func (h *Host) cleanUpLoop(ctx context.Context, servers []*httpx.Server) {
 	ticker := time.NewTicker(cleanUpInterval)
 	defer ticker.Stop()
 	for {
@@ -159,6 +161,11 @@
 			h.upstreamClient.CloseExpired(h.now())
 			h.proxy.RemoveUnlistedStats()
 			h.cluster.RemoveUnlistedLimits(h.isUpstreamListed)
+			for _, s := range servers {
+				if closed := s.CloseStalledRequests(h.now().Add(-requestReadTimeout), h.proxy.HasActiveRequest); closed > 0 {
+					h.logger.Info("requests-stalled", "address", s.Address(), "connections", closed)
+				}
+			}
 		}
 	}
 }
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -82,6 +82,15 @@
 	})
 }
 
+// closeStalled closes the connections for which isBusy returns false and on which a request began to arrive before a time.
+func (l *listener) closeStalled(before time.Time, isBusy func(remote string) bool) int {
+	return l.closeMatching(func(c *conn) bool {
+		begun := c.requestBegunNanos.Load()
+
+		return begun != 0 && begun < before.UnixNano() && !isBusy(c.remoteAddr)
+	})
+}
+
 // closeMatching closes the connections for which match returns true, and returns their number.
 func (l *listener) closeMatching(match func(c *conn) bool) int {
 	l.mu.Lock()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -121,6 +121,12 @@
 	s.listener.closeIdle(isBusy)
 }
 
+// CloseStalledRequests closes the connections for which isBusy returns false and on which a request began to arrive before a time, and
+// returns their number: a peer that sends a byte now and then would hold its connection for ever.
+func (s *Server) CloseStalledRequests(before time.Time, isBusy func(remote string) bool) int {
+	return s.listener.closeStalled(before, isBusy)
+}
+
 // Abort closes the listener and all connections at once.
 func (s *Server) Abort() {
 	s.listener.Close() //nolint:errcheck // the server is given up
--- a/io/httpx/server_test.go
+++ b/io/httpx/server_test.go
@@ -87,3 +87,20 @@
 		requireAnswer(t, conn, "second")
 	}
 }
+
+func TestRequestThatArrivesByteByByteDoesNotHoldItsConnection(t *testing.T) {
+	server := startServer(t)
+	dripping, waiting := dial(t, server), dial(t, server)
+	begun := time.Now()
+	for _, b := range []byte(firstRequest[:10]) {
+		send(t, dripping, string(b))
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.Zero(t, server.CloseStalledRequests(begun, isNeverBusy))
+	require.Zero(t, server.CloseStalledRequests(time.Now(), func(string) bool { return true }))
+	require.Equal(t, 1, server.CloseStalledRequests(time.Now(), isNeverBusy))
+	requireClosed(t, dripping)
+	send(t, waiting, firstRequest)
+	requireAnswer(t, waiting, "first")
+	require.Zero(t, server.CloseStalledRequests(time.Now(), isNeverBusy), "a connection without a request is not stalled")
+}
