Refuse an answer without a name on a connection that was used before

Cause: an answer that named no request was taken for the one that was waited for, though it may be a late copy of an earlier answer on a connection that is in use again.

Change: only the first answer of a connection may go without a name, and such a connection is not used again.

Evidence: TestLateCopyOfAnswerIsNotTakenForNextAnswer; with the condition taken out the next caller gets "old" for "second". Named copies, copies behind an interim head and pieces were told apart before. TestConnectionOfUnnamedAnswerIsNotReused.

--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -121,10 +121,9 @@
 	}
 	exchange, err := p.UpstreamClient.Send(ctx, now, upstreamclient.Request{
 		Address: instance.Address, Method: req.Method, Head: head, Body: req.Body, Deadline: req.deadline, ProbeAfter: probeAfter,
-		IsResponse: func(status int, header http.Header) bool {
-			responseTo := platform.DecodeResponseHead(status, header).RequestID
-
-			return responseTo == "" || responseTo == req.ID
+		ID: req.ID,
+		ResponseID: func(status int, header http.Header) string {
+			return platform.DecodeResponseHead(status, header).RequestID
 		},
 	})
 	if err != nil {
--- a/io/upstreamclient/endless_test.go
+++ b/io/upstreamclient/endless_test.go
@@ -58,7 +58,7 @@
 			now := time.Now()
 			_, err := client.Send(context.Background(), now, upstreamclient.Request{
 				Address: listener.Addr().String(), Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
-				Deadline: now.Add(5 * time.Second), IsResponse: func(int, http.Header) bool { return true },
+				Deadline: now.Add(5 * time.Second), ResponseID: func(int, http.Header) string { return "" },
 			})
 			require.ErrorContains(t, err, "lost")
 			require.Less(t, time.Since(now), 2*time.Second)
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -37,8 +37,10 @@
 	// ProbeAfter is how long the upstream may send nothing before it is probed; the exchange fails with ErrUnreachable
 	// if the probe fails. Zero disables probes.
 	ProbeAfter time.Duration
-	// IsResponse reports from the status and header of a response whether it belongs to this request.
-	IsResponse func(status int, header http.Header) bool
+	// ID identifies the request, and ResponseID returns from the status and header of a response the id of the request that it
+	// belongs to, or an empty string if it names none.
+	ID         string
+	ResponseID func(status int, header http.Header) string
 }
 
 // Exchange is a request that was sent and the response whose header was received.
@@ -53,6 +55,8 @@
 	writeResult     <-chan error
 	stopCancelWatch func() bool
 	closed          bool
+	// isUnnamed is set if the response names no request.
+	isUnnamed bool
 
 	watchdog watchdog
 }
@@ -125,7 +129,7 @@
 		if err != nil {
 			return err
 		}
-		if req.IsResponse(resp.StatusCode, resp.Header) {
+		if x.belongsToRequest(req, resp) {
 			x.resp, x.Status, x.Header, x.Body = resp, resp.StatusCode, resp.Header, resp.Body
 
 			return nil
@@ -139,6 +143,15 @@
 	}
 }
 
+// belongsToRequest reports whether a response belongs to the request. One that names no request may be a late copy of an earlier
+// response, unless it is the first one of its connection.
+func (x *Exchange) belongsToRequest(req Request, resp *http.Response) bool {
+	responseID := req.ResponseID(resp.StatusCode, resp.Header)
+	x.isUnnamed = responseID == ""
+
+	return responseID == req.ID || (x.isUnnamed && !x.conn.reused)
+}
+
 // readFinalHead reads the head of the next response that is not an interim one.
 func (x *Exchange) readFinalHead(method string) (*http.Response, error) {
 	defer x.conn.source.removeLimit()
@@ -170,7 +183,7 @@
 		return
 	}
 	x.watchdog.stop()
-	if !x.stopCancelWatch() || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
+	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
 		x.closed = true
 		x.client.closeConn(x.conn)
 
--- a/io/upstreamclient/exchange_test.go
+++ b/io/upstreamclient/exchange_test.go
@@ -59,8 +59,8 @@
 	return upstreamclient.Request{
 		Address: listener.Addr().String(), Method: http.MethodPost,
 		Head: []byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"), Body: []byte("ab"),
-		Deadline:   time.Now().Add(10 * time.Second),
-		IsResponse: func(_ int, h http.Header) bool { return h.Get("Request-Id") == "mine" },
+		Deadline: time.Now().Add(10 * time.Second),
+		ID:       "mine", ResponseID: func(_ int, h http.Header) string { return h.Get("Request-Id") },
 	}
 }
 
@@ -94,6 +94,54 @@
 	require.EqualValues(t, 2, client.DialCount)
 }
 
+// The server sends the answer to the first request once more, a moment after the second request, and then the second answer.
+func TestLateCopyOfAnswerIsNotTakenForNextAnswer(t *testing.T) {
+	unnamed := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
+	for name, copied := range map[string]string{
+		"named":                     formatResponse("earlier", "old"),
+		"named, after interim head": "HTTP/1.1 103 Early Hints\r\n\r\n" + formatResponse("earlier", "old"),
+		"unnamed":                   unnamed,
+		"a piece":                   "old\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener := startServer(t, func(n int) string {
+				if n == 1 {
+					return formatResponse("mine", "first")
+				}
+				time.Sleep(20 * time.Millisecond)
+
+				return copied + formatResponse("mine", "second")
+			})
+			var client upstreamclient.Client
+			for _, expected := range []string{"first", "second"} {
+				x, err := client.Send(context.Background(), time.Now(), newRequest(listener))
+				if err != nil {
+					require.True(t, errorx.IsOfType(err, upstreamclient.ErrResponseLost), err)
+
+					continue
+				}
+				body, err := io.ReadAll(x.Body)
+				require.NoError(t, err)
+				require.Equal(t, expected, string(body))
+				x.Finish(time.Now())
+			}
+		})
+	}
+}
+
+func TestConnectionOfUnnamedAnswerIsNotReused(t *testing.T) {
+	listener := startServer(t, func(int) string { return "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone" })
+	var client upstreamclient.Client
+	for range 2 {
+		x, err := client.Send(context.Background(), time.Now(), newRequest(listener))
+		require.NoError(t, err)
+		_, err = io.ReadAll(x.Body)
+		require.NoError(t, err)
+		x.Finish(time.Now())
+	}
+	require.EqualValues(t, 2, client.DialCount)
+}
+
 func TestResponsesToOtherRequestsAreRejected(t *testing.T) {
 	listener := startServer(t, func(int) string { return strings.Repeat(formatResponse("another", "x"), 5) })
 	var client upstreamclient.Client
