Do not count comments of a stream as events

Cause: a comment between two events counted as an event of a turn: it was charged its tokens, put an empty line into the retained turn, so that the next turn's prompt was not the one that its caller had seen, and restarted the time after which a silent upstream is probed.

Change: comments are forwarded with the event that follows them, 64 KB of them at most, and count as nothing.

Evidence: TestCommentsOfStreamAreForwardedButAreNoOutput got "one;\nword-1\n\nword-2..." as the prompt of the next turn before.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -358,6 +358,18 @@
 	require.Equal(t, "one;"+output+"two;"+output+"five;", c.executionsOf(third.RequestID)[0].Body)
 }
 
+func TestCommentsOfStreamAreForwardedButAreNoOutput(t *testing.T) {
+	const words = 5
+	c := newTestCluster(t, 1)
+	for _, engine := range c.engines {
+		engine.SetComments(true)
+	}
+	first := c.doUntilStatus("host-0", standin.NewTurnRequest("/chat/", "secret", "p", "", "one;"), http.StatusOK)
+	require.Equal(t, words+1, strings.Count(first.Body, ": keep-alive\n\n"), "the body is the upstream's")
+	second := c.doUntilStatus("host-0", standin.NewTurnRequest("/chat/", "secret", "p", first.RequestID, "two;"), http.StatusOK)
+	require.Equal(t, "one;word-1\nword-2\nword-3\nword-4\nword-5\ntwo;", c.executionsOf(second.RequestID)[0].Body)
+}
+
 func TestRetainedTurnsSurviveOwnerLossDuringStoreOutage(t *testing.T) {
 	c := newTestCluster(t, 4)
 	c.store.SetFaults(standin.Faults{Down: true})
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -19,7 +19,13 @@
 	"cardamomward/platform"
 )
 
-var errStreamAborted = errors.New("event stream to the caller was aborted")
+var (
+	errStreamAborted    = errors.New("event stream to the caller was aborted")
+	errCommentsTooLarge = errors.New("the upstream sends comments without an event")
+)
+
+// maxCommentBytes bounds the comments between two events; they are forwarded with the event that follows.
+const maxCommentBytes = 64 << 10
 
 // eventWriter forwards events as a chunked body; after an abort it does not write the chunk that marks the end of the body.
 type eventWriter struct {
@@ -45,6 +51,18 @@
 	}
 }
 
+// send writes bytes and flushes them to the caller.
+func (w *eventWriter) send(data []byte) error {
+	if _, err := w.Write(data); err != nil {
+		return errStreamAborted
+	}
+	if err := w.Flush(); err != nil {
+		return errStreamAborted
+	}
+
+	return nil
+}
+
 // Finalize ends the body, or returns an error if the stream was aborted.
 func (w *eventWriter) Finalize() error {
 	if w.aborted {
@@ -112,18 +130,22 @@
 func (p *Proxy) forwardEvents(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) (*eventWriter, error) {
 	events := upstreamclient.NewEventReader(sent.Body)
 	req.firstEventAt, req.tokensAtFirstEvent = time.Time{}, req.outputTokens
+	var comments []byte
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			if writer == nil {
-				writer = p.startStream(ctx, c, sent)
-			}
-
-			return writer, nil
+			return p.endStream(ctx, c, sent, writer, comments)
 		}
 		if err != nil {
 			return writer, err
 		}
+		if event.IsComment() {
+			if comments = append(comments, event.Raw...); len(comments) > maxCommentBytes {
+				return writer, errCommentsTooLarge
+			}
+
+			continue
+		}
 		sent.RecordProgress()
 		if !isAfterEvent(event.ID, req.lastSentEventID) {
 			continue
@@ -132,12 +154,10 @@
 		if writer == nil {
 			writer = p.startStream(ctx, c, sent)
 		}
-		if _, err := writer.Write(event.Raw); err != nil {
-			return writer, errStreamAborted
-		}
-		if err := writer.Flush(); err != nil {
-			return writer, errStreamAborted
+		if err := writer.send(append(comments, event.Raw...)); err != nil {
+			return writer, err
 		}
+		comments = comments[:0]
 		req.recordEvent(event)
 		if req.firstEventAt.IsZero() {
 			req.firstEventAt, req.tokensAtFirstEvent = p.Now(), req.outputTokens
@@ -145,6 +165,18 @@
 	}
 }
 
+// endStream forwards what follows the last event of a stream, and starts the response if the stream had no event.
+func (p *Proxy) endStream(ctx context.Context, c *app.RequestContext, sent *sentRequest, writer *eventWriter, comments []byte) (*eventWriter, error) {
+	if writer == nil {
+		writer = p.startStream(ctx, c, sent)
+	}
+	if len(comments) == 0 {
+		return writer, nil
+	}
+
+	return writer, writer.send(comments)
+}
+
 // recordCompletion records the location of a turn whose stream is complete, and a latency sample of its upstream.
 func (p *Proxy) recordCompletion(req *proxiedRequest, sent *sentRequest) {
 	req.location = affinity.Location{Upstream: sent.instance.ID, CachedTokens: req.ownPromptTokens() + req.outputTokens}
--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -22,6 +22,9 @@
 	Data []byte
 }
 
+// IsComment reports whether the event has neither an id nor data, as comments that keep a connection open.
+func (e Event) IsComment() bool { return e.ID == "" && e.Data == nil }
+
 // EventReader splits a response body into complete server-sent events.
 type EventReader struct{ r *bufio.Reader }
 
