--- /dev/null
+++ b/io/cluster/slotload_test.go
@@ -0,0 +1,55 @@
+package cluster
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/platform"
+)
+
+// slowStore answers each listing late, or the first ones never.
+type slowStore struct {
+	*fakeStore
+
+	delay      time.Duration
+	unanswered int64
+	listings   atomic.Int64
+}
+
+func (s *slowStore) ListNewestRecords(ctx context.Context, p platform.Partition, timeout time.Duration) ([]platform.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	delay := s.delay
+	if s.listings.Add(1) <= s.unanswered {
+		delay = time.Hour
+	}
+	select {
+	case <-ctx.Done():
+		return nil, 0, platform.ErrInDoubt.Wrap(ctx.Err(), "list")
+	case <-time.After(delay):
+		return s.fakeStore.ListNewestRecords(ctx, p, timeout)
+	}
+}
+
+func TestSlotIsLoadedAsSoonAsBusyStoreAnswers(t *testing.T) {
+	const delay = 700 * time.Millisecond
+	c, store := newTestCluster(t)
+	c.Settings.LinkBytesPerSecond = 75e6
+	slow := &slowStore{fakeStore: store, delay: delay}
+	c.store = slow
+	c.renewMembership(t.Context())
+	require.Eventually(t, c.isServing, delay+300*time.Millisecond, 5*time.Millisecond)
+	require.LessOrEqual(t, slow.listings.Load(), int64(maxHedgedCalls))
+}
+
+func TestSlotIsLoadedSoonIfAnswersAreLost(t *testing.T) {
+	c, store := newTestCluster(t)
+	c.Settings.LinkBytesPerSecond = 75e6
+	c.store = &slowStore{fakeStore: store, unanswered: 2}
+	c.renewMembership(t.Context())
+	require.Eventually(t, c.isServing, 800*time.Millisecond, 5*time.Millisecond)
+}
