Grant leases to a host whose clock was set back

Cause: leases are numbered by time, and a renewal with a lower number than the last one counts as a late call. A host that asked in vain before its clock was set back, or that started again with such a clock, got no part of a rate until its clock had caught up.

Change: the numbers of a process only grow, and the first renewal of a process is never taken for a late call.

Evidence: TestLeasesAreGrantedAfterClockIsSetBack.

--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -97,10 +97,11 @@
 }
 
 // Allocate settles a host's last lease and grants a new one of up to renewal.Want requests. If none is available, it returns
-// when to ask again. A renewal that is older than the host's last one is ignored.
+// when to ask again. A renewal that is older than the host's last one is ignored, unless the host has just started, since its
+// clock may have been set back.
 func (a *Allocator) Allocate(now time.Time, limit Limit, host id.Host, renewal Renewal) (granted int64, retryAfter time.Duration) {
 	a.refill(now, limit)
-	if last, ok := a.grants[host]; ok && renewal.Lease <= last.lease {
+	if last, ok := a.grants[host]; ok && renewal.Settles != 0 && renewal.Lease <= last.lease {
 		return 0, LeaseDuration
 	}
 	a.settle(now, host, renewal)
--- a/core/quota/client.go
+++ b/core/quota/client.go
@@ -30,8 +30,9 @@
 
 // Client is a host's side of a workspace's quota; its zero value holds no requests.
 type Client struct {
-	// lease is the last lease that was received. remaining and used count its requests, and arrivals all requests since the
-	// last renewal.
+	// requested is the last lease that was asked for, and lease the last one that was received. remaining and used count its
+	// requests, and arrivals all requests since the last renewal.
+	requested       LeaseNumber
 	lease           LeaseNumber
 	remaining       int64
 	used            int64
@@ -62,9 +63,10 @@
 	c.demandPerSecond *= math.Exp(-max(0, now.Sub(c.renewedAt)).Seconds() / demandWindow.Seconds())
 	c.demandPerSecond += float64(c.arrivals) / demandWindow.Seconds()
 	c.renewedAt, c.arrivals, c.renewing, c.remaining = now, 0, true, 0
+	c.requested = max(c.requested+1, LeaseNumber(now.UnixNano()))
 
 	return Renewal{
-		Lease: max(c.lease+1, LeaseNumber(now.UnixNano())), Settles: c.lease, Used: c.used,
+		Lease: c.requested, Settles: c.lease, Used: c.used,
 		Want: int64(c.demandPerSecond*LeaseDuration.Seconds()*demandHeadroom) + 1,
 	}
 }
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -178,6 +178,33 @@
 	require.EqualValues(t, 10, granted)
 }
 
+func TestLeasesAreGrantedAfterClockIsSetBack(t *testing.T) {
+	for name, restart := range map[string]bool{"same process": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			allocator := quota.Allocator{StartFull: true}
+			var host quota.Client
+			for step := range 6 {
+				now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+				if step >= 3 {
+					now = now.Add(-2 * time.Second)
+				}
+				if step == 3 && restart {
+					host = quota.Client{}
+				}
+				renewal := host.BeginRenewal(now)
+				granted, _ := allocator.Allocate(start.Add(time.Duration(step)*100*time.Millisecond), limit, "h", renewal)
+				require.Positive(t, granted, "step %d", step)
+				if step == 2 {
+					host.AbortRenewal()
+
+					continue
+				}
+				host.CompleteRenewal(now, renewal, granted)
+			}
+		})
+	}
+}
+
 // Owners change several times in a window while hosts are stopped in turn, and each change may admit a little in excess.
 func TestRateHoldsWhileOwnersChangeInTurn(t *testing.T) {
 	const slackRequests, changeInterval = 20, 125
