Move the loading of a slot to a file of its own

Change: functions moved to slotload.go; a field of an account is named for what it says. Evidence: the tests of io/cluster and core/tokenbudget pass with the race detector.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -73,8 +73,8 @@
 	// lossTokens are charged for turns that may have been forgotten; hasDurableLoss is set once a watermark with them is durable.
 	lossTokens     id.Tokens
 	hasDurableLoss bool
-	// isComplete is set if no turns of the program can have been forgotten, or they have been charged.
-	isComplete bool
+	// isLossSettled is set if no turns of the program can have been forgotten, or they have been charged.
+	isLossSettled bool
 }
 
 // Ledger keeps the token accounts of the programs of a slot at the slot's owner; its zero value is empty.
@@ -126,10 +126,10 @@
 
 // chargeLoss charges a program, once, for the turns that may have been forgotten.
 func (l *Ledger) chargeLoss(a *account, turn Turn) {
-	if !a.isComplete && a.writtenAt.Before(l.rememberedSince) {
+	if !a.isLossSettled && a.writtenAt.Before(l.rememberedSince) {
 		a.lossTokens = maxUndurableTokens(turn.BudgetTokens)
 	}
-	a.isComplete = true
+	a.isLossSettled = true
 }
 
 // maxUndurableTokens returns how many tokens beyond the durable watermark a program may have while the platform's store is
@@ -186,7 +186,7 @@
 // watermark to make durable, whose tokens are zero if there is none.
 func (l *Ledger) RaiseTo(program id.Program, count Count, expiresAt time.Time) Watermark {
 	a := l.account(program)
-	a.isComplete = true
+	a.isLossSettled = true
 	if committedTokens := a.committedTokens(); count.Tokens > committedTokens {
 		a.settledTokens += count.Tokens - committedTokens
 	}
--- /dev/null
+++ b/io/cluster/slotload.go
@@ -0,0 +1,199 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
+
+	"cardamomward/core/id"
+	"cardamomward/core/tokenbudget"
+	"cardamomward/core/turnstore"
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/topicconsumer"
+	"cardamomward/platform"
+)
+
+// loadRecords fences the previous owner, reads its records and starts serving. If the partition does not respond for
+// storeContactTimeout, the slot is served from the hosts' in-memory state meanwhile.
+func (s *slot) loadRecords(ctx context.Context, epoch int64) {
+	startedAt, servesInMemoryState := s.cluster.Now(), false
+	for ctx.Err() == nil && s.ownsInEpoch(epoch) {
+		contents, err := s.readRecords(ctx, epoch)
+		if err == nil {
+			contents.startedAt = startedAt
+			s.startServing(ctx, epoch, contents)
+
+			return
+		}
+		s.cluster.Logger.Error(err, "slot-load-failed", "slot", s.index, "epoch", epoch)
+		if errorx.IsOfType(err, platform.ErrFenced) {
+			s.releaseFenced(epoch)
+
+			return
+		}
+		if !servesInMemoryState && !contents.isFenced && s.cluster.Now().Sub(startedAt) > storeContactTimeout {
+			servesInMemoryState = true
+			go s.serveFromInMemoryState(ctx)
+		}
+		topicconsumer.SleepContext(ctx, minOwnersReadInterval)
+	}
+}
+
+// slotContents is what a new owner has read from the store and collected from the hosts for a slot.
+type slotContents struct {
+	records   []platform.Record
+	replies   []*fleetpb.RecallReply
+	startedAt time.Time
+	// isFenced is set once the partition has accepted the new epoch, which shows that it is up.
+	isFenced bool
+	// endOffset is the end of the partition.
+	endOffset int64
+	// isNew is set if no owner has stored anything in the slot before.
+	isNew bool
+}
+
+const (
+	// maxListDuration bounds the time in which a new owner reads the records of a slot, before it starts again.
+	maxListDuration = 1500 * time.Millisecond
+	// maxInMemoryStateAge is how old the hosts' in-memory state may be when a slot begins to be served: its previous owner may have
+	// admitted turns meanwhile.
+	maxInMemoryStateAge = 400 * time.Millisecond
+)
+
+// readRecords fences the previous owner, then reads its records and collects the hosts' in-memory state in parallel.
+func (s *slot) readRecords(ctx context.Context, epoch int64) (slotContents, error) {
+	claim := platform.AppendBatch{Partition: s.partition(), Producer: ownerProducer, Epoch: epoch}
+	err := s.cluster.callStore(ctx, func(ctx context.Context) error {
+		_, err := s.cluster.store.Append(ctx, claim)
+
+		return err
+	})
+	if err != nil {
+		return slotContents{}, err
+	}
+	fencedAt := s.cluster.Now()
+	replies := make(chan []*fleetpb.RecallReply, 1)
+	go func() { replies <- s.cluster.collectInMemoryState(ctx, s.index) }()
+	contents, err := s.listRecords(ctx)
+	if err != nil {
+		return contents, err
+	}
+	if contents.replies = <-replies; s.cluster.Now().Sub(fencedAt) > maxInMemoryStateAge {
+		contents.replies = s.cluster.collectInMemoryState(ctx, s.index)
+	}
+
+	return contents, nil
+}
+
+// listRecords reads the slot's records. A read that takes long is repeated without giving it up: after a loss of all hosts the store
+// answers late, because all of them read at once.
+func (s *slot) listRecords(ctx context.Context) (slotContents, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxListDuration)
+	defer cancel()
+	contents, err := hedge(ctx, s.cluster.storeCallTimeout(maxPageBytes), func(ctx context.Context) (slotContents, error) {
+		records, end, err := s.cluster.store.ListNewestRecords(ctx, s.partition(), maxListDuration)
+
+		return slotContents{records: records, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0}, err
+	})
+	contents.isFenced = true
+
+	return contents, err
+}
+
+// startServing restores the contents and serves the slot.
+func (s *slot) startServing(ctx context.Context, epoch int64, contents slotContents) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != epoch || s.isActingOwner || (s.state != loading && !s.isPartial) {
+		return
+	}
+	s.discardState()
+	now := s.cluster.Now()
+	var parts turnParts
+	for _, record := range contents.records {
+		s.restoreRecord(now, record, &parts)
+	}
+	s.turns.ExtendRetention()
+	s.writer.startEpoch(epoch, contents.endOffset)
+	s.removeIncompleteTurns(&parts)
+	s.mergeInMemoryState(now, contents.replies)
+	s.chargeForgottenTurns(now, contents.replies)
+	s.knowsAllPrograms = true
+	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
+	s.notifyChanged()
+	if !s.unconfirmedSince.IsZero() {
+		go s.confirm(ctx, epoch)
+	}
+	s.cluster.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(contents.records),
+		"programs", s.ledger.Len(), "turns", s.turns.Len(), "first", contents.isNew, "took", now.Sub(contents.startedAt))
+}
+
+// undurableTurnsAfter is how long records cannot become durable before more than one turn of a program is admitted by the count in
+// memory.
+const undurableTurnsAfter = 1500 * time.Millisecond
+
+// chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if a majority of the hosts has
+// been started since the newest record was written, and that is long enough ago for such an outage.
+func (s *slot) chargeForgottenTurns(now time.Time, replies []*fleetpb.RecallReply) {
+	since := rememberedSince(now, replies)
+	if since.IsZero() || since.Sub(s.newestRecordAt) < undurableTurnsAfter+minRestartDelay {
+		return
+	}
+	s.ledger.AssumeLoss(since.Add(clockSkewMargin))
+	s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
+}
+
+func (s *slot) restoreRecord(now time.Time, record platform.Record, parts *turnParts) {
+	var value fleetpb.Record
+	err := proto.Unmarshal(record.Value, &value)
+	if part := value.GetPart(); err == nil && part != nil {
+		whole, ok := s.restoreTurnPart(parts, part)
+		if !ok {
+			return
+		}
+		value.Reset()
+		err = proto.Unmarshal(whole, &value)
+	}
+	if err != nil {
+		s.cluster.Logger.Error(err, "record-refused", "slot", s.index, "key", record.Key, "offset", record.Offset)
+
+		return
+	}
+	switch kind := value.Kind.(type) {
+	case *fleetpb.Record_Budget:
+		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
+		s.recordWrittenAt(written)
+		s.ledger.Restore(tokenbudget.Watermark{
+			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
+			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written,
+		})
+	case *fleetpb.Record_Turn:
+		s.recordWrittenAt(time.UnixMilli(kind.Turn.EndedUnixMillis))
+		s.turns.Add(toStoredTurn(kind.Turn, restoredExpiry(now, time.UnixMilli(kind.Turn.EndedUnixMillis), kind.Turn.RetentionMillis)))
+	}
+}
+
+func (s *slot) recordWrittenAt(written time.Time) {
+	if written.After(s.newestRecordAt) {
+		s.newestRecordAt = written
+	}
+}
+
+// restoredExpiry returns the expiry of a record by the time of its write. That is by the writer's clock, which may differ
+// from this host's, so a time in the future counts as now.
+func restoredExpiry(now, written time.Time, retentionMillis int64) time.Time {
+	if written.After(now) {
+		written = now
+	}
+
+	return written.Add(time.Duration(retentionMillis)*time.Millisecond + retentionMargin)
+}
+
+func toStoredTurn(kept *fleetpb.KeptTurn, expires time.Time) *turnstore.Turn {
+	return &turnstore.Turn{
+		ID: kept.Id, Workspace: id.Workspace(kept.Workspace), PreviousID: kept.Previous,
+		PriorTranscript: kept.Base, Input: kept.Input, Output: kept.Output, ExpiresAt: expires,
+	}
+}
