Do not report turns as missing that a loss of all hosts may have taken

Cause: a turn that was answered from memory in an outage is gone if all hosts are lost before the store takes it. The next owner said 404, which promises that there was no such turn.

Change: where the counts of programs are in doubt after such a loss, so are turns: 503.

Evidence: TestForgottenTurnsAreChargedOnlyAfterOutage, which now asks for both, fails without the condition.

--- a/io/cluster/forgottenturns_test.go
+++ b/io/cluster/forgottenturns_test.go
@@ -57,6 +57,8 @@
 				Program: testProgram, Attempt: "a", BudgetTokens: budget, MaxTokens: maxTokens, Deadline: now.Add(time.Second), Retention: time.Minute,
 			}, false)
 			require.Equal(t, durable+test.charged+maxTokens, watermark.Tokens)
+			s.state, s.servingSince = serving, now.Add(-authoritativeAfter)
+			require.Equal(t, test.charged == 0, s.isAuthoritative(now), "a turn that nobody knows is reported as missing only if none can be forgotten")
 		})
 	}
 }
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -61,6 +61,8 @@
 	servingSince time.Time
 	// newestRecordAt is when the newest of the records that were read was written, by the clock of the host that wrote it.
 	newestRecordAt time.Time
+	// turnsInDoubtUntil is until when turns that were answered may be unknown to all hosts and to the store; zero if none can be.
+	turnsInDoubtUntil time.Time
 	// isNew is set if no owner has stored anything in the slot before.
 	isNew  bool
 	ledger tokenbudget.Ledger
@@ -219,7 +221,7 @@
 	s.isPartial, s.knowsAllPrograms = false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
-	s.pendingTurns, s.turnPartCounts, s.newestRecordAt = nil, nil, time.Time{}
+	s.pendingTurns, s.turnPartCounts, s.newestRecordAt, s.turnsInDoubtUntil = nil, nil, time.Time{}, time.Time{}
 }
 
 // holdUnwrittenTurns keeps turns that did not become durable in memory and sends them to the next owner. The caller holds
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -135,13 +135,15 @@
 const undurableTurnsAfter = 1500 * time.Millisecond
 
 // chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if a majority of the hosts has
-// been started since the newest record was written, and that is long enough ago for such an outage.
+// been started since the newest record was written, and that is long enough ago for such an outage. Turns that nobody knows may
+// have been answered then.
 func (s *slot) chargeForgottenTurns(now time.Time, replies []*fleetpb.RecallReply) {
 	since := rememberedSince(now, replies)
 	if since.IsZero() || since.Sub(s.newestRecordAt) < undurableTurnsAfter+minRestartDelay {
 		return
 	}
 	s.ledger.AssumeLoss(since.Add(clockSkewMargin))
+	s.turnsInDoubtUntil = now.Add(budgetRetention)
 	s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
 }
 
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -249,7 +249,7 @@
 
 // isAuthoritative reports whether a turn that is not in this slot does not exist; the caller holds the lock.
 func (s *slot) isAuthoritative(now time.Time) bool {
-	return s.state == serving && !s.isPartial && s.unconfirmedSince.IsZero() && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
+	return s.state == serving && !s.isPartial && s.unconfirmedSince.IsZero() && !now.Before(s.turnsInDoubtUntil) && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
 }
 
 // Admit grants a lease of a workspace's rate, or admits the start of a program.
