--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -110,12 +110,13 @@
 	}
 }
 
-// serveForLong makes the slot's owner authoritative.
+// serveForLong makes the slot's owner authoritative, as if it had served for longer than turns can be in doubt.
 func serveForLong(c *Cluster) {
+	const served = 2 * budgetRetention
 	s := c.slots[0]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.servingSince = s.servingSince.Add(-time.Minute)
+	s.servingSince, s.turnsInDoubtUntil = s.servingSince.Add(-served), s.turnsInDoubtUntil.Add(-served)
 }
 
 func TestDurableTurnIsStoredAfterUnansweredLeave(t *testing.T) {
