Forward comments between events at once

Cause: held each comment until the next event, also those with which an upstream keeps the caller's connection in use during a pause.

Change: only comments before the first event wait, since the response does not start without one.

Evidence: TestCommentBetweenEventsIsForwardedAtOnce took the whole interval between two events before.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -370,6 +370,23 @@
 	require.Equal(t, "one;word-1\nword-2\nword-3\nword-4\nword-5\ntwo;", c.executionsOf(second.RequestID)[0].Body)
 }
 
+func TestCommentBetweenEventsIsForwardedAtOnce(t *testing.T) {
+	const interval = time.Second
+	c := newTestCluster(t, 1)
+	c.doUntilStatus("host-0", standin.NewTurnRequest("/chat/", "secret", "p", "", "one;"), http.StatusOK)
+	for _, engine := range c.engines {
+		engine.SetComments(true)
+		engine.EventInterval = interval
+	}
+	request := standin.NewTurnRequest("/chat/", "secret", "q", "", "one;")
+	// The first comment and event, and the comment half an interval later.
+	request.DisconnectAfterEvents = 3
+	sentAt := time.Now()
+	response := c.do("host-0", request)
+	require.Equal(t, 2, strings.Count(response.Body, ": keep-alive\n\n"))
+	require.Less(t, time.Since(sentAt), interval*9/10)
+}
+
 func TestRetainedTurnsSurviveOwnerLossDuringStoreOutage(t *testing.T) {
 	c := newTestCluster(t, 4)
 	c.store.SetFaults(standin.Faults{Down: true})
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -24,7 +24,7 @@
 	errCommentsTooLarge = errors.New("the upstream sends comments without an event")
 )
 
-// maxCommentBytes bounds the comments between two events; they are forwarded with the event that follows.
+// maxCommentBytes bounds the comments before the first event.
 const maxCommentBytes = 64 << 10
 
 // eventWriter forwards events as a chunked body; after an abort it does not write the chunk that marks the end of the body.
@@ -140,8 +140,8 @@
 			return writer, err
 		}
 		if event.IsComment() {
-			if comments = append(comments, event.Raw...); len(comments) > maxCommentBytes {
-				return writer, errCommentsTooLarge
+			if comments, err = p.forwardComment(writer, comments, event.Raw); err != nil {
+				return writer, err
 			}
 
 			continue
@@ -165,6 +165,19 @@
 	}
 }
 
+// forwardComment forwards a comment, which keeps the caller's connection in use, or adds it to those that wait for the first
+// event: the response does not start without one.
+func (p *Proxy) forwardComment(writer *eventWriter, waiting, comment []byte) ([]byte, error) {
+	if writer != nil {
+		return waiting, writer.send(comment)
+	}
+	if waiting = append(waiting, comment...); len(waiting) > maxCommentBytes {
+		return waiting, errCommentsTooLarge
+	}
+
+	return waiting, nil
+}
+
 // endStream forwards what follows the last event of a stream, and starts the response if the stream had no event.
 func (p *Proxy) endStream(ctx context.Context, c *app.RequestContext, sent *sentRequest, writer *eventWriter, comments []byte) (*eventWriter, error) {
 	if writer == nil {
