--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -19,8 +19,8 @@
 // storeContactTimeout, the slot is served from the hosts' in-memory state meanwhile.
 func (s *slot) loadRecords(ctx context.Context, epoch int64) {
 	startedAt, servesInMemoryState := s.cluster.Now(), false
-	for ctx.Err() == nil && s.ownsInEpoch(epoch) {
-		contents, err := s.readRecords(ctx, epoch)
+	for attempt := 1; ctx.Err() == nil && s.ownsInEpoch(epoch); attempt++ {
+		contents, err := s.readRecords(ctx, epoch, attempt)
 		if err == nil {
 			contents.startedAt = startedAt
 			s.startServing(ctx, epoch, contents)
@@ -55,15 +55,17 @@
 }
 
 const (
-	// maxListDuration bounds the time in which a new owner reads the records of a slot, before it starts again.
-	maxListDuration = 1500 * time.Millisecond
+	// minPageTimeout is how long the first attempt waits for a page of records at least: after a loss of all hosts the store answers
+	// late, because all of them read at once.
+	minPageTimeout = 800 * time.Millisecond
 	// maxInMemoryStateAge is how old the hosts' in-memory state may be when a slot begins to be served: its previous owner may have
 	// admitted turns meanwhile.
 	maxInMemoryStateAge = 400 * time.Millisecond
 )
 
-// readRecords fences the previous owner, then reads its records and collects the hosts' in-memory state in parallel.
-func (s *slot) readRecords(ctx context.Context, epoch int64) (slotContents, error) {
+// readRecords fences the previous owner, then reads its records and collects the hosts' in-memory state in parallel. Each
+// attempt allows more time for a page, so that a busy host succeeds eventually.
+func (s *slot) readRecords(ctx context.Context, epoch int64, attempt int) (slotContents, error) {
 	claim := platform.AppendBatch{Partition: s.partition(), Producer: ownerProducer, Epoch: epoch}
 	err := s.cluster.callStore(ctx, func(ctx context.Context) error {
 		_, err := s.cluster.store.Append(ctx, claim)
@@ -76,30 +78,19 @@
 	fencedAt := s.cluster.Now()
 	replies := make(chan []*fleetpb.RecallReply, 1)
 	go func() { replies <- s.cluster.collectInMemoryState(ctx, s.index) }()
-	contents, err := s.listRecords(ctx)
+	pageTimeout := time.Duration(attempt) * max(minPageTimeout, s.cluster.storeCallTimeout(maxPageBytes))
+	records, end, err := s.cluster.store.ListNewestRecords(ctx, s.partition(), pageTimeout)
 	if err != nil {
-		return contents, err
+		return slotContents{isFenced: true}, err
 	}
-	if contents.replies = <-replies; s.cluster.Now().Sub(fencedAt) > maxInMemoryStateAge {
-		contents.replies = s.cluster.collectInMemoryState(ctx, s.index)
+	inMemoryState := <-replies
+	if s.cluster.Now().Sub(fencedAt) > maxInMemoryStateAge {
+		inMemoryState = s.cluster.collectInMemoryState(ctx, s.index)
 	}
 
-	return contents, nil
-}
-
-// listRecords reads the slot's records. A read that takes long is repeated without giving it up: after a loss of all hosts the store
-// answers late, because all of them read at once.
-func (s *slot) listRecords(ctx context.Context) (slotContents, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxListDuration)
-	defer cancel()
-	contents, err := hedge(ctx, s.cluster.storeCallTimeout(maxPageBytes), func(ctx context.Context) (slotContents, error) {
-		records, end, err := s.cluster.store.ListNewestRecords(ctx, s.partition(), maxListDuration)
-
-		return slotContents{records: records, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0}, err
-	})
-	contents.isFenced = true
-
-	return contents, err
+	return slotContents{
+		records: records, replies: inMemoryState, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
+	}, nil
 }
 
 // startServing restores the contents and serves the slot.
