--- a/command/demo/demo.go
+++ b/command/demo/demo.go
@@ -32,7 +32,7 @@
 	demoTimeout = 15 * time.Second
 	// publishTimeout bounds the wait until the settings are in force on all hosts.
 	publishTimeout = 5 * time.Second
-	// locationTTL is how long callers may use the address of a host; it is short so that the demo ends soon.
+	// locationTTL is the cache lifetime of a host's address at callers; it is short so that the demo ends soon.
 	locationTTL = 500 * time.Millisecond
 	// verbositySilent disables log events.
 	verbositySilent = -1
--- a/command/demo/runner.go
+++ b/command/demo/runner.go
@@ -27,7 +27,7 @@
 	out      io.Writer
 	fleet    *fleet.Fleet
 	writeErr error
-	// retryDeadline is when refused steps are no longer retried.
+	// retryDeadline is the end of the retries of refused steps.
 	retryDeadline time.Time
 }
 
--- a/command/settings/publish.go
+++ b/command/settings/publish.go
@@ -27,7 +27,7 @@
 	JSON        bool
 }
 
-// defaultPublishTimeout is how long publish waits until the settings are in force on all hosts.
+// defaultPublishTimeout is the time limit for settings to be in force on all hosts.
 const defaultPublishTimeout = 7 * time.Second
 
 // NewCmdPublish returns the command that publishes settings.
--- a/core/affinity/cache_index.go
+++ b/core/affinity/cache_index.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// cacheTTL is how long an upstream is assumed to cache a part after it last read it.
+	// cacheTTL is the assumed lifetime of a part in an upstream's cache after its last read.
 	cacheTTL = 20 * time.Second
 	// announceInterval is the age from which a repeated read of a part is announced to other hosts again.
 	announceInterval = 3 * time.Second
--- a/core/cacheaware/balancer.go
+++ b/core/cacheaware/balancer.go
@@ -11,7 +11,7 @@
 
 // LoadReport is the load that an upstream reports.
 type LoadReport struct {
-	// MaxConcurrentCalls is how many calls the upstream runs at a time; zero if it is unknown.
+	// MaxConcurrentCalls is the concurrency of the upstream; zero if it is unknown.
 	MaxConcurrentCalls int
 	RunningCalls       int
 	QueuedCalls        int
@@ -53,7 +53,7 @@
 
 // Balancer picks among the upstreams of one service; its zero value has none and is ready to use.
 type Balancer struct {
-	// HostCount is how many hosts send calls to the same upstreams; zero means one.
+	// HostCount is the number of hosts that send calls to the same upstreams; zero means one.
 	HostCount int
 
 	upstreams map[id.Upstream]*upstreamState
--- a/core/cacheaware/pick.go
+++ b/core/cacheaware/pick.go
@@ -20,7 +20,7 @@
 	Urgent bool
 	// ContinuesProgram is true if earlier turns of the program have left its own prefix in the cache of some upstream.
 	ContinuesProgram bool
-	// WaitTime is how long the call has waited for an upstream.
+	// WaitTime is the call's time in the queue so far.
 	WaitTime time.Duration
 }
 
--- a/core/crashcount/counter.go
+++ b/core/crashcount/counter.go
@@ -9,7 +9,7 @@
 const (
 	// blockThreshold is the number of processes that a request must have crashed to be blocked.
 	blockThreshold = 3
-	// retention is how long a crash is counted.
+	// retention is the period in which a crash counts.
 	retention = 90 * time.Second
 )
 
--- a/core/eligibility/eligibility.go
+++ b/core/eligibility/eligibility.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// idleTimeout is how long a member may own no slot before it leaves the group.
+	// idleTimeout is the time limit of a membership without a slot.
 	idleTimeout = 2 * time.Second
 	// largeHostRatio is the fraction of the largest host's cores that a host needs to count as large.
 	largeHostRatio = 0.5
--- a/core/enginegc/collector.go
+++ b/core/enginegc/collector.go
@@ -24,7 +24,7 @@
 	EngineRun string
 	// Programs are the programs whose memory the engine holds.
 	Programs []id.Program
-	// LogReadAt is when the log was last read.
+	// LogReadAt is the time of the last read of the log.
 	LogReadAt time.Time
 	// IsOpen reports whether a program is open according to the log; other programs are closed.
 	IsOpen func(id.Program) bool
--- a/core/expiry/tracker.go
+++ b/core/expiry/tracker.go
@@ -11,7 +11,7 @@
 // Program is the state of an open program at a sweep.
 type Program struct {
 	ID id.Program
-	// Lease is how long the program may have no activity; zero means that it never expires.
+	// Lease is the lifetime of the program without activity; zero means that it never expires.
 	Lease time.Duration
 	// LastRecord is the log position of the program's latest record.
 	LastRecord id.Position
--- a/core/fairqueue/queue.go
+++ b/core/fairqueue/queue.go
@@ -17,7 +17,7 @@
 	Urgent  bool
 	// EstimatedTokens is charged when the call is served and corrected by SettleCost.
 	EstimatedTokens id.Tokens
-	// AttainedTokens is how many tokens the program has been served so far.
+	// AttainedTokens is the service that the program has received so far.
 	AttainedTokens id.Tokens
 }
 
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -19,7 +19,7 @@
 	// LastUpstream is where this affinity key last ran; CachedOwnTokens are the own prompt tokens that it caches.
 	LastUpstream    id.Upstream
 	CachedOwnTokens id.Tokens
-	// ExpectedOutputTokens is how many tokens the request is expected to generate.
+	// ExpectedOutputTokens is the estimate of the tokens that the request generates.
 	ExpectedOutputTokens id.Tokens
 }
 
--- a/core/projection/programs.go
+++ b/core/projection/programs.go
@@ -32,7 +32,7 @@
 	State statechart.State
 	// EndReason says why the program has ended; it is empty while the program is open.
 	EndReason string
-	// LeaseMillis is how long the program stays open without a call, in milliseconds.
+	// LeaseMillis is the lifetime of the program without a call, in milliseconds.
 	LeaseMillis int64
 	// Turns are in the order of their numbers, which start at 1.
 	Turns []*recordpb.Turn
--- a/core/quota/allocator.go
+++ b/core/quota/allocator.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// LeaseDuration is how long granted requests may be used, counted from when they were asked for.
+	// LeaseDuration is the lifetime of granted requests, counted from when they were asked for.
 	LeaseDuration = 400 * time.Millisecond
-	// returnWindow is how long after a grant its unused requests may still be returned.
+	// returnWindow is the period after a grant in which its unused requests may be returned.
 	returnWindow = 2 * time.Second
 	// zeroRateRetryDelay is the retry delay of a workspace whose rate is zero.
 	zeroRateRetryDelay = 3 * time.Second
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// maxQueueTime is how long a request waits for the rate at its host.
+// maxQueueTime is the time limit of a request that waits for the rate at its host.
 const maxQueueTime = 400 * time.Millisecond
 
 // waitingRequest is a request that has got no part of the rate yet.
--- a/core/ratelimit/pool.go
+++ b/core/ratelimit/pool.go
@@ -11,7 +11,7 @@
 	// Requests is the number of requests that may be admitted until Lease has passed since the host asked.
 	Requests int64
 	Lease    time.Duration
-	// RetryAfter is when to ask again after an empty grant.
+	// RetryAfter is the retry delay after an empty grant.
 	RetryAfter time.Duration
 }
 
--- a/core/ratelimit/split.go
+++ b/core/ratelimit/split.go
@@ -26,7 +26,7 @@
 	// PoolRate and PoolBurst limit the owner's pool, in requests per second and requests.
 	PoolRate  float64
 	PoolBurst float64
-	// Lease is how long a grant may be used, counted from before it was asked for.
+	// Lease is the lifetime of a grant, counted from before it was asked for.
 	Lease time.Duration
 }
 
--- a/core/routing/route.go
+++ b/core/routing/route.go
@@ -47,7 +47,7 @@
 	MaxAttempts int
 	// RetainsContext is set if turns carry only their new input, and the scheduler prepends the retained transcript.
 	RetainsContext bool
-	// Retention is how long the transcript of a turn is retained.
+	// Retention is the retention of a turn's transcript.
 	Retention time.Duration
 	// Public routes need no API key.
 	Public bool
@@ -124,6 +124,6 @@
 	BodyBytes   int
 	// HeaderTimeout is the longest time in which the header of a request may arrive.
 	HeaderTimeout time.Duration
-	// IdleTimeout is how long a caller's connection may stay open without a request.
+	// IdleTimeout is the time limit of a caller's connection without a request.
 	IdleTimeout time.Duration
 }
--- a/core/settings/fleet.go
+++ b/core/settings/fleet.go
@@ -41,7 +41,7 @@
 	// Weight is the workspace's share of the engines relative to other workspaces.
 	Weight   float64
 	Priority Priority
-	// ProgramLease is how long a program stays open without a call.
+	// ProgramLease is the lifetime of a program without a call.
 	ProgramLease time.Duration
 	// Services are the services that the workspace's programs may call.
 	Services []id.Service
--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -41,7 +41,7 @@
 	BudgetTokens id.Tokens
 	MaxTokens    id.Tokens
 	Deadline     time.Time
-	// Retention is how long the account is kept after the turn.
+	// Retention is the retention of the account after the turn.
 	Retention time.Duration
 }
 
@@ -51,7 +51,7 @@
 	Program   id.Program
 	Tokens    id.Tokens
 	ExpiresAt time.Time
-	// WrittenAt is when a restored watermark was written.
+	// WrittenAt is the write time of a restored watermark.
 	WrittenAt time.Time
 }
 
@@ -68,7 +68,7 @@
 	settledAttempts     []string
 	expiresAt           time.Time
 	hasDurableWatermark bool
-	// writtenAt is when the watermark that was restored was written; zero if none was.
+	// writtenAt is the write time of the restored watermark; zero if none was restored.
 	writtenAt time.Time
 	// lossTokens are charged for turns that may have been forgotten; hasDurableLoss is set once a watermark with them is durable.
 	lossTokens     id.Tokens
@@ -80,7 +80,7 @@
 // Ledger keeps the token accounts of the programs of a slot at the slot's owner; its zero value is empty.
 type Ledger struct {
 	accounts map[id.Program]*account
-	// rememberedSince is since when turns are known though they are not durable; zero if all are.
+	// rememberedSince is the start of the period whose turns are known though they are not durable; zero if all are known.
 	rememberedSince time.Time
 }
 
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -70,10 +70,10 @@
 
 func TestTurnsAreAdmittedFromMemoryWhileStoreIsUnavailable(t *testing.T) {
 	var l tokenbudget.Ledger
-	l.Reserve(start, largeTurn("a"), true)
-	l.Reserve(start, largeTurn("b"), true)
-	decision, _ := l.Reserve(start, largeTurn("c"), true)
-	require.Equal(t, tokenbudget.Admit, decision)
+	for _, attempt := range []string{"a", "b", "c"} {
+		decision, _ := l.Reserve(start, largeTurn(attempt), true)
+		require.Equal(t, tokenbudget.Admit, decision, attempt)
+	}
 	decision, watermark := l.Reserve(start, largeTurn("d"), true)
 	require.Equal(t, tokenbudget.AwaitDurable, decision, "a quarter of the budget and a turn may be spent undurably")
 	l.MarkDurable(watermark)
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -16,7 +16,7 @@
 	PriorTranscript []byte
 	Input           []byte
 	Output          []byte
-	// ExpiresAt is when the turn may be removed.
+	// ExpiresAt is the end of the turn's retention.
 	ExpiresAt time.Time
 }
 
--- a/core/upstreamlimit/index.go
+++ b/core/upstreamlimit/index.go
@@ -10,7 +10,7 @@
 	// minRate is the rate at which an upstream with a lower limit gets requests, in requests per second: only its responses
 	// show that the limit has ended.
 	minRate = 0.25
-	// gossipDuration is how long a host reports what it has received from an upstream itself.
+	// gossipDuration is the period in which a host reports its own statements of an upstream.
 	gossipDuration = 1500 * time.Millisecond
 	// unlistedRetention is how long the statement of an upstream is kept that is not registered: registrations can be lost while
 	// the upstream serves.
@@ -19,7 +19,7 @@
 	maxGossiped = 64
 )
 
-// Statement is what a response of an upstream says of the upstream's limit.
+// Statement is a limit that an upstream has named in a response.
 type Statement struct {
 	Upstream id.Upstream
 	// Incarnation identifies the process that made the statement.
@@ -27,7 +27,7 @@
 	// IsLimited is set if the response names a limit, and Rate is that limit in requests per second.
 	IsLimited bool
 	Rate      float64
-	// ReceivedAt is when a host received the response.
+	// ReceivedAt is the arrival time of the response at a host.
 	ReceivedAt time.Time
 }
 
--- a/core/upstreamstats/tracker.go
+++ b/core/upstreamstats/tracker.go
@@ -12,7 +12,7 @@
 	latencyWeight = 0.15
 	// failureHalfLife is the half-life of a failure in the failure score.
 	failureHalfLife = 3 * time.Second
-	// latencyTTL is how long an average is used without a new sample.
+	// latencyTTL is the lifetime of an average without a new sample.
 	latencyTTL = 6 * time.Second
 )
 
--- a/io/caller/protocol.go
+++ b/io/caller/protocol.go
@@ -27,7 +27,7 @@
 type HostLocation struct {
 	Host    id.Host `json:"host"`
 	Address string  `json:"address"`
-	// ValidForMillis is how long the location may be cached, in milliseconds.
+	// ValidForMillis is the cache lifetime of the location, in milliseconds.
 	ValidForMillis int64 `json:"for-ms"`
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -55,7 +55,7 @@
 	defaultTimeout = 2 * time.Minute
 	// maxTimeout bounds the timeout header.
 	maxTimeout = 10 * time.Minute
-	// ownerChangeTimeout is how long a request waits at the host that received it while its slot changes owners.
+	// ownerChangeTimeout is the time limit for a request to wait at the host that received it while its slot changes owners.
 	ownerChangeTimeout = 8 * time.Second
 )
 
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -83,7 +83,7 @@
 	leaseDuration        time.Duration
 	storeTimeout         storeTimeout
 	directPath           directPath
-	// leaseExpiryNanos is when the membership's lease expires, in nanoseconds since the Unix epoch; zero before the
+	// leaseExpiryNanos is the expiry of the membership's lease, in nanoseconds since the Unix epoch; zero before the
 	// first lease.
 	leaseExpiryNanos atomic.Int64
 	isLeaving        atomic.Bool
@@ -211,7 +211,7 @@
 	return c.peers.hasStopped(member)
 }
 
-// ownerCheckInterval is how often calls to an owner check whether another host has become the acting owner.
+// ownerCheckInterval is the interval of the checks of calls to an owner for another acting owner.
 const ownerCheckInterval = 100 * time.Millisecond
 
 // withOwnerContext returns a context that ends when a member stops being a slot's owner.
@@ -316,9 +316,9 @@
 }
 
 const (
-	// expireInterval is how often expired state is removed.
+	// expireInterval is the interval of removals of expired state.
 	expireInterval = 2 * time.Second
-	// storeContactTimeout is how long the store may go without a response before it counts as unreachable.
+	// storeContactTimeout is the silence of the store after which it counts as unreachable.
 	storeContactTimeout = 700 * time.Millisecond
 )
 
--- a/io/cluster/confirmation.go
+++ b/io/cluster/confirmation.go
@@ -112,7 +112,7 @@
 )
 
 const (
-	// ownWriteWait is how long a comparison waits for a pending write to show that no other host has written.
+	// ownWriteWait is the time limit of a comparison for a pending write to show that no other host has written.
 	ownWriteWait = 2 * writeLinger
 	// maxComparisons bounds the reads of a comparison that this owner's writes disturb.
 	maxComparisons = 3
--- a/io/cluster/eviction.go
+++ b/io/cluster/eviction.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// isolationTimeout is how long no peer has been heard before a host counts as isolated.
+	// isolationTimeout is the silence of all peers after which a host counts as isolated.
 	isolationTimeout = eviction.SilenceTimeout
 	// newOwnerDelay is how long it takes until the other owners know of a new owner and send it every heartbeat. A new
 	// owner evicts nobody before.
@@ -20,7 +20,7 @@
 	processPauseThreshold = 300 * time.Millisecond
 	// evictionRetryInterval is the retry interval of evictions that the store did not answer.
 	evictionRetryInterval = 150 * time.Millisecond
-	// evictionGossipDuration is how long an eviction is repeated in heartbeats, since some are lost.
+	// evictionGossipDuration is the period in which heartbeats repeat an eviction, since some are lost.
 	evictionGossipDuration = 1500 * time.Millisecond
 )
 
--- a/io/cluster/forgottenturns_test.go
+++ b/io/cluster/forgottenturns_test.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -62,3 +63,40 @@
 		})
 	}
 }
+
+// A host that has just started may find the store silent before its first response.
+func TestOutageLastsSinceLastResponseOfStore(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		lastResponse time.Time
+		least, most  time.Duration
+	}{
+		"responds":        {lastResponse: now.Add(-100 * time.Millisecond)},
+		"silent":          {lastResponse: now.Add(-2 * time.Second), least: 2 * time.Second, most: 2 * time.Second},
+		"never responded": {lastResponse: time.Time{}, least: time.Hour, most: math.MaxInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := newTestCluster(t)
+			c.LastStoreResponse = func() time.Time { return test.lastResponse }
+			s := c.slots[0]
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			duration := s.outageDuration(now)
+			require.GreaterOrEqual(t, duration, test.least)
+			require.LessOrEqual(t, duration, test.most)
+			require.Equal(t, test.most > 0, s.isDurabilityUnavailable(now))
+		})
+	}
+}
+
+func TestOutageOfPartitionLastsSinceItsFirstFailure(t *testing.T) {
+	c, _ := newTestCluster(t)
+	s, now := c.slots[0], time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Zero(t, s.outageDuration(now))
+	s.writer.failingSince = now.Add(-storeContactTimeout / 2)
+	require.Zero(t, s.outageDuration(now), "a short failure is no outage")
+	s.writer.failingSince = now.Add(-3 * time.Second)
+	require.Equal(t, 3*time.Second, s.outageDuration(now))
+}
--- a/io/cluster/handover.go
+++ b/io/cluster/handover.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// handOverInterval is how often a draining host looks for turns that only it may have.
+	// handOverInterval is the interval of a draining host's searches for turns that only it may have.
 	handOverInterval = 100 * time.Millisecond
 	// handOverConcurrency bounds the turns that are copied at the same time.
 	handOverConcurrency = 16
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -29,13 +29,13 @@
 	baseSilenceTimeout = time.Second
 	// forgetPeerAfter is how long a silent peer still counts as a host that may admit requests.
 	forgetPeerAfter = 15 * time.Second
-	// announceInterval is how often this host's entry is rewritten.
+	// announceInterval is the interval of rewrites of this host's entry.
 	announceInterval = time.Minute
 	// announceRetryInterval is the retry interval of writes of this host's entry that the store did not answer.
 	announceRetryInterval = 100 * time.Millisecond
 	// hostListReadInterval is the interval of reads of the hosts' entries.
 	hostListReadInterval = 200 * time.Millisecond
-	// hostListLongPoll is how long a read of the hosts' entries waits for a change.
+	// hostListLongPoll is the long-poll wait of reads of the hosts' entries.
 	hostListLongPoll = 3 * time.Second
 	// heartbeatsPerOwnerList is the number of heartbeats of which one contains the owners of all slots.
 	heartbeatsPerOwnerList = 8
@@ -65,7 +65,7 @@
 	isEvicted bool
 	// hasBeenMember is set if the peer's process has been a member of the group.
 	hasBeenMember bool
-	// storeRespondedAt is when the store last responded to the peer, by this host's clock.
+	// storeRespondedAt is the time of the store's last response to the peer, by this host's clock.
 	storeRespondedAt time.Time
 	runningRequests  map[id.Upstream]int
 }
@@ -93,7 +93,7 @@
 	// lastTickAt is when the last heartbeat was due, and resumedAt when this process last resumed after a pause.
 	lastTickAt time.Time
 	resumedAt  time.Time
-	// ownerSince is when this host began to own slots; zero while it owns none.
+	// ownerSince is the start of this host's ownership of slots; zero while it owns none.
 	ownerSince time.Time
 	// gossipedEvictions maps the members that this host has evicted to the time until which its heartbeats report them.
 	gossipedEvictions map[string]time.Time
--- a/io/cluster/quota.go
+++ b/io/cluster/quota.go
@@ -30,7 +30,7 @@
 	client quota.Client
 	// renewalDone is closed when the renewal in progress has ended.
 	renewalDone chan struct{}
-	// exhaustedUntil is when the owner may grant requests again.
+	// exhaustedUntil is the earliest time of the owner's next grant.
 	exhaustedUntil     time.Time
 	retryDelay         time.Duration
 	isOwnerUnreachable bool
--- a/io/cluster/recordwriter.go
+++ b/io/cluster/recordwriter.go
@@ -16,7 +16,7 @@
 const (
 	// ownerProducer is the producer name of a slot's owner in its partition; owners differ by epoch.
 	ownerProducer = "owner"
-	// writeLinger is how long a record that no request waits for may wait for others to share a call with.
+	// writeLinger is the batching delay of a record that no request waits for.
 	writeLinger = 100 * time.Millisecond
 	// urgentWriteLinger is the same for a record that a request waits for.
 	urgentWriteLinger = 3 * time.Millisecond
@@ -53,7 +53,7 @@
 	// inFlight are the records of the call in progress.
 	inFlight  []pendingRecord
 	hasUrgent bool
-	// failingSince is when writes began to fail; zero if the last one succeeded.
+	// failingSince is the start time of the present failures of writes; zero if the last one succeeded.
 	failingSince time.Time
 	wakeSignal   chan struct{}
 }
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -32,9 +32,9 @@
 const (
 	// maxPageBytes bounds the record data in a page of the platform's store, whose encoding is a third longer.
 	maxPageBytes = 4 << 20 / 3
-	// locationRetention is how long after a program's last turn its locations are kept.
+	// locationRetention is the retention of a program's locations, counted from its last turn.
 	locationRetention = 15 * time.Second
-	// retentionMargin is how much longer than requested records are retained.
+	// retentionMargin is the retention of records beyond the requested one.
 	retentionMargin = 10 * time.Second
 )
 
@@ -57,11 +57,11 @@
 	unconfirmedSince time.Time
 	// confirmationRequests counts the times when a confirmation became necessary.
 	confirmationRequests int
-	// servingSince is when the slot began to serve.
+	// servingSince is the start time of serving.
 	servingSince time.Time
-	// newestRecordAt is when the newest of the records that were read was written, by the clock of the host that wrote it.
+	// newestRecordAt is the write time of the newest record that was read, by the clock of the host that wrote it.
 	newestRecordAt time.Time
-	// turnsInDoubtUntil is until when turns that were answered may be unknown to all hosts and to the store; zero if none can be.
+	// turnsInDoubtUntil is the end of the period in which answered turns may be unknown to all hosts and to the store; zero if there is none.
 	turnsInDoubtUntil time.Time
 	// isNew is set if no owner has stored anything in the slot before.
 	isNew  bool
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// slotContents is what a new owner has read from the store and collected from the hosts for a slot.
+// slotContents is the stored records of a slot and the state that hosts have of it in memory.
 type slotContents struct {
 	records   []platform.Record
 	replies   []*fleetpb.RecallReply
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -20,7 +20,7 @@
 	// maxDurableWait bounds how long the end of a turn waits for the turn to become durable before its outcome is
 	// reported as uncertain.
 	maxDurableWait = 1500 * time.Millisecond
-	// outageCheckInterval is how often waiting calls check whether the store has gone down.
+	// outageCheckInterval is the interval of the checks of waiting calls for an outage of the store.
 	outageCheckInterval = 200 * time.Millisecond
 )
 
--- a/io/cluster/storerelay.go
+++ b/io/cluster/storerelay.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// maxRelayStoreAge is how old the store's last response to a peer may be for the peer to relay calls.
+	// maxRelayStoreAge is the age limit of the store's last response to a peer that relays calls.
 	maxRelayStoreAge = 600 * time.Millisecond
 	// defaultRelayTimeout bounds a relayed call whose sender gives no timeout.
 	defaultRelayTimeout = 2 * time.Second
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -230,13 +230,21 @@
 	require.Eventually(t, func() bool { return store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first") }, testTimeout, 20*time.Millisecond)
 }
 
-func TestOversizedTurnDoesNotBlockSlot(t *testing.T) {
-	c, store := newTestCluster(t)
+// newOversizedTurn lets the host serve its slot in a store that takes small records, and returns a turn of several of them.
+func newOversizedTurn(t *testing.T, c *Cluster, store *fakeStore) *fleetpb.KeptTurn {
+	t.Helper()
 	store.maxRecordBytes = 1 << 10
 	c.Settings.Store.MaxRecordBytes = store.maxRecordBytes
 	join(t, c)
 	large := newKeptTurn("large", "")
 	large.Input = slices.Repeat([]byte("word "), store.maxRecordBytes)
+
+	return large
+}
+
+func TestOversizedTurnDoesNotBlockSlot(t *testing.T) {
+	c, store := newTestCluster(t)
+	large := newOversizedTurn(t, c, store)
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	_, err := (&slotServer{cluster: c}).EndTurn(ctx, &fleetpb.EndTurnRequest{
@@ -248,11 +256,7 @@
 
 func TestOversizedTurnIsContinuedByNextOwner(t *testing.T) {
 	c, store := newTestCluster(t)
-	store.maxRecordBytes = 1 << 10
-	c.Settings.Store.MaxRecordBytes = store.maxRecordBytes
-	join(t, c)
-	large := newKeptTurn("large", "")
-	large.Input = slices.Repeat([]byte("word "), store.maxRecordBytes)
+	large := newOversizedTurn(t, c, store)
 	storeTurn(t, c, large)
 	epoch := c.slots[0].epoch
 	appendTurn(t, c, store, epoch+100, newKeptTurn("other", ""))
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// limitOwnerRetryDelay is how long this host does not ask the owner of an upstream's limit after it did not respond.
+	// limitOwnerRetryDelay is the retry delay of an owner of an upstream's limit that did not respond.
 	limitOwnerRetryDelay = 200 * time.Millisecond
 	// limitBurstSeconds is the burst of an upstream's limit, in seconds of its rate.
 	limitBurstSeconds = 0.5
@@ -24,7 +24,7 @@
 	minAdmitRetryDelay = 20 * time.Millisecond
 )
 
-// upstreamLimits is what this host knows of the limits of upstreams.
+// upstreamLimits is the limits of upstreams that this host has received or was told of.
 type upstreamLimits struct {
 	mu    sync.Mutex
 	index upstreamlimit.Index
--- a/io/cluster/upstreamstate.go
+++ b/io/cluster/upstreamstate.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// readGossipDuration is how long the read of a prompt part by an upstream is repeated in heartbeats, since some are lost.
+// readGossipDuration is the period in which heartbeats repeat an upstream's read of a prompt part, since some are lost.
 const readGossipDuration = 350 * time.Millisecond
 
 // gossipedRead is the read of a prompt part by an upstream, which the heartbeats report until gossipUntil.
@@ -112,7 +112,7 @@
 	c.crashCounter.Record(now, crash)
 }
 
-// crashGossipDuration is how long a crash is repeated in heartbeats, since some are lost.
+// crashGossipDuration is the period in which heartbeats repeat a crash, since some are lost.
 const crashGossipDuration = 2 * time.Second
 
 // gossipedCrash is a crash that the heartbeats report until gossipUntil.
--- a/io/daemon/config.go
+++ b/io/daemon/config.go
@@ -18,11 +18,11 @@
 	// LogAddress and HostListAddress are the addresses of the platform's services.
 	LogAddress      string
 	HostListAddress string
-	// AppendLinger is how long an append waits for more records.
+	// AppendLinger is the batching delay of an append.
 	AppendLinger time.Duration
 	// LogRetention is the minimum time that the log retains records; snapshots are due before half of it has passed.
 	LogRetention time.Duration
-	// LocationTTL is how long callers may cache the address of the host to use.
+	// LocationTTL is the cache lifetime of the address of the host to use, at callers.
 	LocationTTL time.Duration
 	// DrainTimeout bounds a graceful shutdown.
 	DrainTimeout time.Duration
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -31,9 +31,9 @@
 	dialTimeout = time.Second
 	// maxIdleConnsPerAddress bounds the idle connections to each address.
 	maxIdleConnsPerAddress = 64
-	// disconnectCheckInterval is how often the host looks for callers that have disconnected.
+	// disconnectCheckInterval is the interval of the checks for callers that have disconnected.
 	disconnectCheckInterval = 250 * time.Millisecond
-	// announceInterval is how often the host updates its entry in the platform's list.
+	// announceInterval is the interval of updates of the host's entry in the platform's list.
 	announceInterval = 2 * time.Second
 )
 
--- a/io/daemon/peers.go
+++ b/io/daemon/peers.go
@@ -45,7 +45,7 @@
 	return resp, nil
 }
 
-// maxPeersAsked is how many peers are asked for control records in one read.
+// maxPeersAsked is the number of peers asked for control records in one read.
 const maxPeersAsked = 3
 
 // readControlFromPeers reads control records from a few random live peers and returns the newest page.
--- a/io/daemon/slots.go
+++ b/io/daemon/slots.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// slotReconcileInterval is how often the host claims and releases slots.
+	// slotReconcileInterval is the interval of claims and releases of slots.
 	slotReconcileInterval = 200 * time.Millisecond
 	// slotChangeTimeout bounds one round of claims and releases.
 	slotChangeTimeout = 3 * time.Second
--- a/io/daemon/snapshots.go
+++ b/io/daemon/snapshots.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// snapshotInterval is how often the host checks for slots that are due for a snapshot.
+	// snapshotInterval is the interval of the checks for slots that are due for a snapshot.
 	snapshotInterval = time.Second
 	// maxSnapshotsPerInterval and maxSnapshotBytesPerInterval bound the snapshots of one interval.
 	maxSnapshotsPerInterval     = 512
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -18,7 +18,7 @@
 // upstreamReadPause separates the reads of upstream registrations, which are many and change often.
 const upstreamReadPause = 250 * time.Millisecond
 
-// configurationLongPoll is how long a read of the configuration waits for the next version.
+// configurationLongPoll is the long-poll wait of reads of the configuration.
 const configurationLongPoll = 3 * time.Second
 
 // Watcher keeps the newest configuration and upstream registrations that this host has read.
@@ -30,7 +30,7 @@
 	ScalePause func(time.Duration) time.Duration
 
 	config atomic.Pointer[routing.Config]
-	// lastStoreResponse is when the store last responded, in nanoseconds since the Unix epoch.
+	// lastStoreResponse is the time of the store's last response, in nanoseconds since the Unix epoch.
 	lastStoreResponse atomic.Int64
 
 	mu       sync.Mutex
--- a/io/engineclient/pool.go
+++ b/io/engineclient/pool.go
@@ -90,7 +90,7 @@
 	u.observer.CacheChanged(u, events, false)
 }
 
-// failureBackoff is how long an upstream gets no new calls after a failure.
+// failureBackoff is the pause in new calls to an upstream after a failure.
 const failureBackoff = 500 * time.Millisecond
 
 // Available reports whether the upstream takes new calls: it is neither leaving, nor reserved, nor in backoff.
@@ -104,7 +104,7 @@
 	return true
 }
 
-// downAfter is how long an engine may fail before calls stop waiting for it.
+// downAfter is the duration of an engine's failures after which calls stop waiting for it.
 const downAfter = 3 * time.Second
 
 // IsLeavingOrDown reports whether calls should not wait for the upstream: it is leaving, or it has failed and has sent no
--- a/io/executor/executor.go
+++ b/io/executor/executor.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// maxLogStaleness is how long after its last contact with the log a host still accepts requests.
+	// maxLogStaleness is the age limit of a host's last contact with the log for accepting requests.
 	maxLogStaleness = 4 * time.Second
 	// commitTimeout bounds the wait for the log to confirm a record.
 	commitTimeout = 5 * time.Second
--- a/io/executor/isolation.go
+++ b/io/executor/isolation.go
@@ -22,7 +22,7 @@
 	isolationRetryAfter = 5 * time.Second
 	// reserveRetryInterval is the pause between two attempts to reserve an upstream.
 	reserveRetryInterval = 100 * time.Millisecond
-	// reservationPropagationDelay is how long other hosts take to learn of a reservation.
+	// reservationPropagationDelay is the propagation delay of a reservation to other hosts.
 	reservationPropagationDelay = 500 * time.Millisecond
 	// maxReservationReuse bounds how long one reservation is reused for further suspects.
 	maxReservationReuse = 10 * time.Second
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// cleanUpInterval is how often idle connections and statistics of unregistered upstreams are removed.
+	// cleanUpInterval is the interval of removals of idle connections and of statistics of unregistered upstreams.
 	cleanUpInterval = time.Second
 	// stopAcceptingMargin is how long before the end of the grace period a draining host stops accepting requests, and
 	// abortMargin how long before it the requests in progress are aborted.
@@ -33,7 +33,7 @@
 	// sent.
 	idlePollInterval = 20 * time.Millisecond
 	flushDelay       = 50 * time.Millisecond
-	// requestReadTimeout is how long a request may take to arrive.
+	// requestReadTimeout is the time limit for a whole request to arrive.
 	requestReadTimeout = 30 * time.Second
 	// maxBodyBytes limits a request's body before the configured limit applies.
 	maxBodyBytes = 16 << 20
--- a/io/gatewayhost/limit_test.go
+++ b/io/gatewayhost/limit_test.go
@@ -24,7 +24,7 @@
 	limitLearningTime = time.Second
 	// maxLimitedArrivals is the most that may arrive in limitWindow.
 	maxLimitedArrivals = 1.5*4*upstreamLimit + 5
-	// limitedLoad is how long the tests send requests.
+	// limitedLoad is the duration of the tests' load.
 	limitedLoad = limitLearningTime + limitWindow + time.Second
 )
 
--- a/io/gatewayhost/stress_test.go
+++ b/io/gatewayhost/stress_test.go
@@ -31,9 +31,9 @@
 )
 
 const (
-	// stressSettleTimeout is how long after the last fault each program must be able to continue.
+	// stressSettleTimeout is the time limit after the last fault for each program to continue.
 	stressSettleTimeout = 15 * time.Second
-	// stressDurableWait is how long after the last fault all turns must be durable.
+	// stressDurableWait is the time limit after the last fault for all turns to be durable.
 	stressDurableWait = 3 * time.Second
 	// stressRetention is the retention of the test configuration's routes.
 	stressRetention = time.Minute
--- a/io/gatewayhost/version_test.go
+++ b/io/gatewayhost/version_test.go
@@ -22,7 +22,7 @@
 	newerVersion = "v2"
 	// streamCount is the number of streams of a test; the rules bound shares from 12 on.
 	streamCount = 24
-	// callerDeadline is how long a caller tries to take up a stream.
+	// callerDeadline is the time limit of a caller for taking up a stream.
 	callerDeadline = 3 * time.Second
 	// registrationDelay is enough for all hosts to read a registration.
 	registrationDelay = time.Second
--- a/io/globalratelimit/bucket_owner.go
+++ b/io/globalratelimit/bucket_owner.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// maxLogReadAge is how long after its last read from the log an owner may grant requests.
+	// maxLogReadAge is the age limit of an owner's last read from the log for granting requests.
 	maxLogReadAge = 3 * time.Second
 	// clockDriftMargin allows for clocks that run at different speeds and for responses in flight.
 	clockDriftMargin = 250 * time.Millisecond
@@ -85,7 +85,7 @@
 	SelfID    id.Host
 	SlotID    id.Slot
 	SlotState projection.SlotState
-	// LogReadAt is when this host last read from the log.
+	// LogReadAt is the time of this host's last read from the log.
 	LogReadAt time.Time
 	// ReleasedLevel is the bucket's level that the previous owner released, in requests.
 	ReleasedLevel float64
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -21,7 +21,7 @@
 const (
 	// defaultReadTimeout bounds the time to read a request.
 	defaultReadTimeout = 20 * time.Second
-	// defaultIdleTimeout is how long an idle connection is kept open.
+	// defaultIdleTimeout is the time limit of an idle connection.
 	defaultIdleTimeout = 2 * time.Minute
 )
 
@@ -49,7 +49,7 @@
 	MaxHeaderBytes int
 	// ReadTimeout bounds the time to read a request; zero means 20 s.
 	ReadTimeout time.Duration
-	// IdleTimeout is how long an idle connection is kept open; zero means 2 min.
+	// IdleTimeout is the time limit of an idle connection; zero means 2 min.
 	IdleTimeout time.Duration
 	// Forwarding configures the server as a proxy: nothing is added to responses, no body is parsed, and a handler's
 	// context is cancelled when the peer closes the connection.
--- a/io/logfmt/asyncwriter.go
+++ b/io/logfmt/asyncwriter.go
@@ -11,7 +11,7 @@
 const (
 	// maxQueuedLines bounds the lines that are queued for writing.
 	maxQueuedLines = 4096
-	// flushInterval is how often queued lines are written, in one batch.
+	// flushInterval is the interval of writes of queued lines, in one batch.
 	flushInterval = 50 * time.Millisecond
 	// dropReportInterval is the shortest time between two reports of dropped lines.
 	dropReportInterval = time.Second
--- a/io/operatorapi/protocol.go
+++ b/io/operatorapi/protocol.go
@@ -23,7 +23,7 @@
 	BaseVersion id.Position `json:"base"`
 	Document    string      `json:"document"`
 	Author      string      `json:"author"`
-	// WaitMillis is how long to wait for every live host to have the new version in force.
+	// WaitMillis is the time limit for the new version to be in force on every live host.
 	WaitMillis int64 `json:"wait-ms"`
 }
 
--- a/io/operatorapi/server.go
+++ b/io/operatorapi/server.go
@@ -92,7 +92,7 @@
 	return apierror.New(apierror.SettingsInvalid, "the settings have %d findings:\n%s", len(findings), strings.Join(lines, "\n"))
 }
 
-// awaitPollInterval is how often the status of the hosts is polled.
+// awaitPollInterval is the polling interval of the hosts' status.
 const awaitPollInterval = 50 * time.Millisecond
 
 // hostCondition reports whether a live host has reached the awaited state.
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -21,7 +21,7 @@
 	heartbeatInterval = 400 * time.Millisecond
 	// heartbeatTimeout bounds one heartbeat and one read of the platform's list.
 	heartbeatTimeout = time.Second
-	// hostListInterval is how often the platform's list is read.
+	// hostListInterval is the interval of reads of the platform's list.
 	hostListInterval = time.Second
 )
 
@@ -29,9 +29,9 @@
 type Member struct {
 	platformclient.HostEntry
 
-	// LastHeartbeat is when the last heartbeat at the member's present address was received; zero means never.
+	// LastHeartbeat is the arrival time of the last heartbeat at the member's present address; zero means never.
 	LastHeartbeat time.Time `json:"heard"`
-	// FirstListedAt is when this host first read the member from the platform's list.
+	// FirstListedAt is the time of this host's first read of the member from the platform's list.
 	FirstListedAt time.Time `json:"first-listed"`
 	// AnnouncedLeaving is set if the member's last heartbeat said that it is leaving, which the list may not show yet.
 	AnnouncedLeaving bool        `json:"says-leaving"`
--- a/io/peer/turn_stream.go
+++ b/io/peer/turn_stream.go
@@ -43,9 +43,9 @@
 	turnPath = "/turns"
 	// maxEventBytes bounds one event of a streamed turn.
 	maxEventBytes = 32 << 20
-	// streamKeepaliveInterval is how often a stream sends a keepalive comment.
+	// streamKeepaliveInterval is the interval of a stream's keepalive comments.
 	streamKeepaliveInterval = time.Second
-	// streamSilenceTimeout is how long a stream may send no event and no keepalive.
+	// streamSilenceTimeout is the time limit between events or keepalives of a stream.
 	streamSilenceTimeout = 4 * time.Second
 )
 
--- a/io/platformclient/fakelog_test.go
+++ b/io/platformclient/fakelog_test.go
@@ -27,7 +27,7 @@
 	down, unreachable bool
 	// readsDown rejects reads only.
 	readsDown bool
-	// lostResponses is how many of the next appends take effect without a response.
+	// lostResponses is the number of next appends that take effect without a response.
 	lostResponses int
 	// responseDelay delays each response.
 	responseDelay time.Duration
--- a/io/platformclient/fallback_log.go
+++ b/io/platformclient/fallback_log.go
@@ -14,7 +14,7 @@
 	slowReadGrace = 300 * time.Millisecond
 	// peerPollInterval is the pause between two reads from peers.
 	peerPollInterval = 250 * time.Millisecond
-	// logFailureWindow is how long after a failure of the log reads ask peers without delay.
+	// logFailureWindow is the period after a failure of the log in which reads ask peers without delay.
 	logFailureWindow = 10 * time.Second
 	// maxCachedEntries bounds the entries that a host caches for its peers.
 	maxCachedEntries = 4096
--- a/io/platformclient/fallback_log_test.go
+++ b/io/platformclient/fallback_log_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// peerRoundTrip is how long a read from a peer takes.
+// peerRoundTrip is the duration of a read from a peer.
 const peerRoundTrip = 100 * time.Microsecond
 
 // newFallbackPair returns two hosts that read from each other, with ages in whole milliseconds as in the RPC.
--- a/io/platformclient/journal.go
+++ b/io/platformclient/journal.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// longPollWait is how long one read waits at the log for new entries.
+	// longPollWait is the long-poll wait of one read of the log.
 	longPollWait = time.Second
 	// responseGrace is how much longer than longPollWait the response may take.
 	responseGrace = 2 * time.Second
@@ -59,7 +59,7 @@
 type JournalOptions struct {
 	Log    Log
 	Stream id.Stream
-	// Linger is how long an append waits for more records to batch.
+	// Linger is the batching delay of an append.
 	Linger time.Duration
 	// MinAppendInterval returns the minimum time between two appends of this host; nil means zero.
 	MinAppendInterval func() time.Duration
@@ -111,7 +111,7 @@
 type JournalStatus struct {
 	Stream     id.Stream `json:"stream"`
 	NextOffset id.Offset `json:"next-offset"`
-	// LogReadAt is when the latest read that reached the end of the stream was sent.
+	// LogReadAt is the send time of the latest read that reached the end of the stream.
 	LogReadAt time.Time `json:"heard"`
 	// CaughtUp is set once the journal has read up to the end of the stream, until the next retention gap.
 	CaughtUp bool `json:"caught-up"`
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -45,7 +45,7 @@
 	Request   *inbound.Request
 	Workspace id.Workspace
 	Deadline  time.Time
-	// Retention is how long the turn can be continued from if it is retained.
+	// Retention is the period in which the turn can be continued from if it is retained.
 	Retention time.Duration
 	// RetainsContext is set if the turn continues from a retained transcript and is retained itself.
 	RetainsContext bool
@@ -83,7 +83,7 @@
 	Status BeginStatus
 	// PriorTranscript is the transcript up to the previous turn.
 	PriorTranscript []byte
-	// LastLocation is where a turn with the same affinity key last ran; it is empty if none is known.
+	// LastLocation is the location of the last turn with the same affinity key; it is empty if none is known.
 	LastLocation affinity.Location
 	// ContinuesProgram is set if the program has had a turn before.
 	ContinuesProgram bool
@@ -98,7 +98,7 @@
 	OutputTokens id.Tokens
 	// IsComplete is set if the caller received the whole response.
 	IsComplete bool
-	// Location is where the turn ran; it is empty if no upstream completed it.
+	// Location is the upstream and cache of the turn; it is empty if no upstream completed it.
 	Location affinity.Location
 }
 
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -93,7 +93,7 @@
 	return &errorResponse{status: http.StatusBadGateway, reason: reason}
 }
 
-// stallTimeout is how long an upstream may send nothing before a retryable request probes whether it can be reached.
+// stallTimeout is the silence of an upstream after which a retryable request probes whether it can be reached.
 const stallTimeout = 700 * time.Millisecond
 
 // sendOnce sends the request to one upstream; reason is set if the upstream cannot be reached any more.
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// defaultLongPoll is how long the store may hold a read open until there are records.
+	// defaultLongPoll is the long-poll wait of reads whose consumer sets none.
 	defaultLongPoll = time.Second
-	// longPollMargin is how much longer a read may take before its connection counts as dead.
+	// longPollMargin is the time limit of a read beyond its long-poll wait; then its connection counts as dead.
 	longPollMargin = time.Second
 	// listPageTimeout limits the read of each page of a listing.
 	listPageTimeout = 3 * time.Second
 	// retryInterval is the pause between calls while the store fails.
 	retryInterval = 150 * time.Millisecond
-	// minOutageDuration is how long calls must have failed for the next success to count as the end of an outage.
+	// minOutageDuration is the duration of failures after which a success counts as the end of an outage.
 	minOutageDuration = time.Second
 )
 
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -34,7 +34,7 @@
 	EngineConfig engine.Config
 	// FailureDomains are assigned to the hosts round-robin; if empty, three domains are used.
 	FailureDomains []id.FailureDomain
-	// LocationTTL is how long callers may cache the address of a program's owner.
+	// LocationTTL is the cache lifetime of the address of a program's owner, at callers.
 	LocationTTL time.Duration
 	// LogRetention is the retention of the log that the hosts are configured with.
 	LogRetention time.Duration
