Show that hosts without links to upstreams serve no callers

The stand-in network gets links that refuse or reset connections, and hosts take the function with which they connect to upstreams.

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -45,6 +45,8 @@
 type Host struct {
 	// MetricsPort is the port of the metrics server; zero means none.
 	MetricsPort int
+	// DialUpstream connects to an upstream; nil means a TCP connection.
+	DialUpstream upstreamclient.DialFunc
 
 	settings *platform.HostSettings
 	logger   logr.Logger
@@ -84,6 +86,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	h.upstreamClient.Dial = h.DialUpstream
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -19,8 +19,10 @@
 
 	"cardamomward/core/id"
 	"cardamomward/io/gatewayhost"
+	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
 	"cardamomward/platform/standin"
+	"cardamomward/standin/netsim"
 )
 
 // waitTimeout limits how long a test waits for a condition.
@@ -40,6 +42,8 @@
 	adjustSettings []func(*testCluster, *platform.HostSettings)
 	// newLogger returns the logger of a host; nil discards the logs.
 	newLogger func(name string) logr.Logger
+	// network holds the links between hosts and upstreams.
+	network netsim.Network
 	// runsProcesses runs each host in a process of its own; processOutput returns where its logs go and may be nil.
 	runsProcesses bool
 	processOutput func(name string) io.Writer
@@ -83,6 +87,7 @@
 	for _, upstream := range append(append([]*standin.Upstream(nil), c.engines...), c.plainUpstreams...) {
 		t.Cleanup(upstream.Close)
 		upstream.Register(c.store, "ready")
+		c.network.SetAddressName(upstream.Address(), upstream.ID)
 	}
 	for i := range hosts {
 		name := fmt.Sprintf("host-%d", i)
@@ -129,6 +134,7 @@
 		logger = c.newLogger(name)
 	}
 	h.instance = gatewayhost.New(h.settings, logger, time.Now)
+	h.instance.DialUpstream = upstreamclient.DialFunc(c.network.DialerFrom(name))
 	h.drain = func() { h.instance.Drain(context.Background()) }
 	go func(running *gatewayhost.Host, done chan struct{}) {
 		defer close(done)
--- a/io/upstreamclient/client.go
+++ b/io/upstreamclient/client.go
@@ -40,8 +40,14 @@
 	readBufferBytes = 2048
 )
 
+// DialFunc connects to an address, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client pools the connections to all upstreams; its zero value is ready to use.
 type Client struct {
+	// Dial connects to an upstream; nil means a TCP connection.
+	Dial DialFunc
+
 	mu             sync.Mutex
 	idleConns      map[string][]*conn
 	openConnCounts map[string]int
@@ -80,8 +86,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	inner, err := dialer.DialContext(ctx, "tcp", address)
+	inner, err := c.connect(ctx, address, dialTimeout)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
 	}
@@ -99,8 +104,7 @@
 
 // IsReachable reports whether an upstream accepts a new connection, which is closed at once.
 func (c *Client) IsReachable(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	probe, err := dialer.DialContext(ctx, "tcp", address)
+	probe, err := c.connect(ctx, address, probeTimeout)
 	if err != nil {
 		return false
 	}
@@ -109,6 +113,17 @@
 	return true
 }
 
+func (c *Client) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext
+	}
+
+	return dial(ctx, "tcp", address)
+}
+
 // OpenConnCount returns the number of open connections to an upstream, idle or in use.
 func (c *Client) OpenConnCount(address string) int {
 	c.mu.Lock()
--- a/standin/netsim/network.go
+++ b/standin/netsim/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
 // link is one direction between two named endpoints.
@@ -15,6 +16,7 @@
 	mu            sync.Mutex
 	nameByAddress map[string]string
 	cutLinks      map[link]bool
+	refusedLinks  map[link]bool
 	conns         map[*conn]struct{}
 }
 
@@ -44,10 +46,39 @@
 	}
 }
 
+// RefuseLink refuses new connections between two endpoints; open ones live on.
+func (n *Network) RefuseLink(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refusedLinks == nil {
+		n.refusedLinks = make(map[link]bool)
+	}
+	n.refusedLinks[link{a, b}] = true
+	n.refusedLinks[link{b, a}] = true
+}
+
+// ResetLink refuses new connections between two endpoints and closes those that are open.
+func (n *Network) ResetLink(a, b string) {
+	n.RefuseLink(a, b)
+	n.mu.Lock()
+	var open []*conn
+	for c := range n.conns {
+		if n.refusedLinks[link{c.from, c.to}] {
+			open = append(open, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range open {
+		c.Close()
+	}
+}
+
 // RestoreLink lets new connections between two endpoints through again.
 func (n *Network) RestoreLink(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	delete(n.refusedLinks, link{a, b})
+	delete(n.refusedLinks, link{b, a})
 	delete(n.cutLinks, link{a, b})
 	delete(n.cutLinks, link{b, a})
 }
@@ -66,8 +97,11 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		n.mu.Lock()
 		to := n.nameByAddress[address]
-		isCut := n.cutLinks[link{from, to}]
+		isCut, isRefused := n.cutLinks[link{from, to}], n.refusedLinks[link{from, to}]
 		n.mu.Unlock()
+		if isRefused {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
 		if isCut {
 			// A lost packet causes no error: the dial ends with its context.
 			<-ctx.Done()
