Relay connections to upstreams through peers while a host's own links fail

Cause: a host that reaches callers, store and peers counted as whole, though it had no path to upstreams; it had no other way than its own links, and learned of their loss anew with each request. The class: a partial partition, where A reaches B and B reaches C but A does not reach C.

Change: core/reachability tracks which direct paths fail. A new connection races the direct path, with a head start of 0.1 s, against one that a peer relays by HTTP CONNECT (io/relay); paths that are known to fail are avoided and probed each 0.25 s. Bytes that stay unacknowledged for 0.2 s start a test of the path. Only the bytes of a connection are relayed, so keys, rates, budgets, retries and limits are decided once, at the host that has the request. Relays dial only on their own links. Lost responses count as crashes, and their upstreams as ended, only if other hosts do not reach the upstream either, and as ended only if it refuses connections: silence is no end.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -120,6 +120,17 @@
 	return instance, ok
 }
 
+// HasAddress reports whether an upstream is registered at an address, including draining ones.
+func (r *Registry) HasAddress(address string) bool {
+	for _, instance := range r.entries {
+		if instance.Address == address {
+			return true
+		}
+	}
+
+	return false
+}
+
 // Len returns the number of upstreams, including draining ones.
 func (r *Registry) Len() int { return len(r.entries) }
 
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -61,6 +61,8 @@
 	RecordStoreResponse func()
 	// HasConfig reports whether this host has read a configuration; until then, callers are directed to other hosts.
 	HasConfig func() bool
+	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
+	IsPartitionedFromUpstreams func() bool
 }
 
 // Cluster is this host's node of the cluster.
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -60,6 +60,7 @@
 func (p *peerTable) buildHeartbeat(now time.Time) ([]byte, []*net.UDPAddr) {
 	current := p.cluster.ownership.Load()
 	crashes := p.cluster.crashesToGossip(now)
+	isPartitioned := p.cluster.IsPartitionedFromUpstreams()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
@@ -68,6 +69,7 @@
 		StoreAgeMillis: now.Sub(p.cluster.lastDirectResponse()).Milliseconds(), Generation: current.generation,
 	}
 	heartbeat.Loads = p.upstreamLoads(now)
+	heartbeat.Partitioned = isPartitioned
 	for _, crash := range crashes {
 		heartbeat.Crashes = append(heartbeat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Fingerprint), Process: crash.Process})
 	}
@@ -174,6 +176,7 @@
 	sender.isEvicted, sender.hasBeenMember = false, heartbeat.Member
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
 	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
+	sender.isPartitioned = heartbeat.Partitioned
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -47,6 +47,7 @@
 type hostEntry struct {
 	CallerAddress string           `json:"callers"`
 	PeerAddress   string           `json:"peer"`
+	RelayAddress  string           `json:"relay"`
 	FailureDomain id.FailureDomain `json:"failure-domain"`
 	CPUCores      float64          `json:"cpu-share"`
 }
@@ -68,6 +69,9 @@
 	// storeRespondedAt is the time of the store's last response to the peer, by this host's clock.
 	storeRespondedAt time.Time
 	runningRequests  map[id.Upstream]int
+	// isPartitioned is set while the peer's links to upstreams fail, and relayBusyUntil after it refused to relay a connection.
+	isPartitioned  bool
+	relayBusyUntil time.Time
 }
 
 // peerTable tracks the other hosts and exchanges heartbeats with them.
@@ -108,7 +112,7 @@
 	return &peerTable{
 		cluster: c, startedAt: c.Now(), byHost: make(map[id.Host]*peer),
 		selfEntry: hostEntry{
-			CallerAddress: c.Settings.CallerAddress, PeerAddress: c.self, FailureDomain: c.Settings.FailureDomain, CPUCores: c.Settings.CPUCores,
+			CallerAddress: c.Settings.CallerAddress, PeerAddress: c.self, RelayAddress: c.RelayAddress(), FailureDomain: c.Settings.FailureDomain, CPUCores: c.Settings.CPUCores,
 		},
 		gossipedEvictions: make(map[string]time.Time),
 		hostListRead:      make(chan struct{}), announceSignal: make(chan struct{}, 1),
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -40,7 +40,7 @@
 		Settings: &platform.HostSettings{Name: id.Host(ip), IP: ip, PeerPorts: [2]int{7780, 7780}, Store: platform.StoreSettings{
 			Partitions: 1, MinLeaseDuration: time.Hour,
 		}},
-		Store: platform.NewStore("127.0.0.1:1"), Logger: logr.Discard(), Now: time.Now,
+		Store: platform.NewStore("127.0.0.1:1"), Logger: logr.Discard(), Now: time.Now, IsPartitionedFromUpstreams: func() bool { return false },
 		LastStoreResponse: time.Now, RecordStoreResponse: func() {}, HasConfig: func() bool { return true },
 	})
 	c.store, store.parts = store, []platform.Partition{c.slots[0].partition()}
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -68,6 +68,14 @@
 	return w.registry.Get(upstream)
 }
 
+// IsUpstreamAddress reports whether an upstream is registered at an address.
+func (w *Watcher) IsUpstreamAddress(address string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.registry.HasAddress(address)
+}
+
 // LastStoreResponse returns when the store last responded to this host.
 func (w *Watcher) LastStoreResponse() time.Time { return time.Unix(0, w.lastStoreResponse.Load()) }
 
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -16,6 +16,7 @@
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
 	"cardamomward/io/httpx"
+	"cardamomward/io/relay"
 	"cardamomward/io/reverseproxy"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/io/upstreamclient"
@@ -56,6 +57,7 @@
 	upstreamClient  *upstreamclient.Client
 	cluster         *cluster.Cluster
 	proxy           *reverseproxy.Proxy
+	relay           *relay.Server
 	metrics         reverseproxy.Metrics
 	draining        atomic.Bool
 	drainPeriodOver chan struct{}
@@ -66,12 +68,18 @@
 	h := &Host{settings: settings, logger: logger, now: now, drainPeriodOver: make(chan struct{})}
 	store := platform.NewStore(settings.Store.Address)
 	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now}
-	h.upstreamClient = &upstreamclient.Client{}
+	h.upstreamClient = &upstreamclient.Client{Logger: logger, Now: now}
 	h.cluster = cluster.New(cluster.Options{
 		Settings: settings, Store: store, Logger: logger, Now: now,
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
-		HasConfig: func() bool { return h.discovery.Config() != nil },
+		HasConfig:                  func() bool { return h.discovery.Config() != nil },
+		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 	})
+	h.upstreamClient.Relays = h.cluster
+	h.relay = &relay.Server{
+		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, IsUpstream: h.discovery.IsUpstreamAddress,
+		MaxConns: h.maxRelayedConns(), Logger: logger,
+	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
@@ -97,6 +105,15 @@
 	if err != nil {
 		return err
 	}
+	relayListener, err := net.Listen("tcp4", h.cluster.RelayAddress())
+	if err != nil {
+		for _, s := range servers {
+			s.Abort()
+		}
+
+		return err
+	}
+	tasks.Go(func() { h.relay.Serve(ctx, relayListener) })
 	for _, s := range servers {
 		s.Start()
 	}
@@ -217,7 +234,9 @@
 	for _, s := range servers {
 		s.StopAccepting(h.proxy.HasActiveRequest)
 	}
-	isDone := func() bool { return h.proxy.IsIdle() && h.cluster.CountTurnsToHandOver() == 0 }
+	isDone := func() bool {
+		return h.proxy.IsIdle() && h.relay.ConnCount() == 0 && h.cluster.CountTurnsToHandOver() == 0
+	}
 	for until := h.now().Add(stopAcceptingMargin - abortMargin); h.now().Before(until) && !isDone(); {
 		topicconsumer.SleepContext(ctx, idlePollInterval)
 	}
@@ -232,6 +251,35 @@
 	return h.draining.Load() || h.cluster.IsIsolated(h.now())
 }
 
+const (
+	// relayedConnBytes is the memory that a relayed connection takes at most, and relayMemoryShare the share of the host's memory for
+	// all of them.
+	relayedConnBytes = 64 << 10
+	relayMemoryShare = 0.25
+	// relayFileShare is the share of the host's open files for relayed connections, which take two each.
+	relayFileShare = 0.25
+	// defaultMaxRelayedConns applies to hosts whose limits are unknown.
+	defaultMaxRelayedConns = 512
+)
+
+// maxRelayedConns returns the number of connections that this host relays at the same time.
+func (h *Host) maxRelayedConns() int {
+	limit := defaultMaxRelayedConns
+	if h.settings.MemoryBytes > 0 {
+		limit = min(limit, int(relayMemoryShare*float64(h.settings.MemoryBytes))/relayedConnBytes)
+	}
+	if h.settings.MaxOpenFiles > 0 {
+		limit = min(limit, int(relayFileShare*float64(h.settings.MaxOpenFiles))/2)
+	}
+
+	return limit
+}
+
+// canRelay reports whether this host relays connections of other hosts to upstreams.
+func (h *Host) canRelay() bool {
+	return !h.draining.Load() && !h.upstreamClient.IsPartitioned()
+}
+
 // isReady reports whether the host can serve callers.
 func (h *Host) isReady() bool {
 	return !h.draining.Load() && h.discovery.Config() != nil
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -59,11 +59,15 @@
 	pause, resume func()
 }
 
+var nextPortMu sync.Mutex
+
 // nextPort stays below the kernel's ephemeral port range, so that no outgoing connection takes the port of a killed host.
 var nextPort = 20_000 + os.Getpid()%50*200
 
 func freePort(t *testing.T) int {
 	t.Helper()
+	nextPortMu.Lock()
+	defer nextPortMu.Unlock()
 	for {
 		nextPort++
 		listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort)))
@@ -111,7 +115,7 @@
 		c.storeLinks[name] = storeLink
 		h = &host{settings: &platform.HostSettings{
 			Name: id.Host(name), IP: "127.0.0.1", FailureDomain: "zone-a", CallerAddress: newAddress(), ReadinessAddress: newAddress(), ResolveAddress: newAddress(),
-			PeerPorts: [2]int{port, port + 1}, FirstStart: true, CPUCores: 1,
+			PeerPorts: [2]int{port, freePort(c.t)}, FirstStart: true, CPUCores: 1,
 			Store:  platform.StoreSettings{Address: storeLink.Address(), Partitions: 12, MaxCallBytes: 1 << 20, MinLeaseDuration: time.Second},
 			Bounds: platform.Bounds{GracePeriod: 4 * time.Second, ResolveTTL: 5 * time.Second},
 		}}
--- a/io/gatewayhost/partition_test.go
+++ b/io/gatewayhost/partition_test.go
@@ -80,6 +80,7 @@
 	for name, fault := range linkFaults {
 		for kind, newCall := range map[string]func(int64) standin.CallerRequest{"plain": newOrder, "stream": newDraft} {
 			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
 				c := newTestCluster(t, 4)
 				partitioned := c.names[:3]
 				c.partition(fault, c.allUpstreams(), partitioned...)
--- /dev/null
+++ b/io/relay/client.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+)
+
+var (
+	errs = errorx.NewNamespace("relay")
+
+	// ErrBusy is the type of errors of a host that does not relay now.
+	ErrBusy = errs.NewType("busy")
+	// ErrUnknownUpstream is the type of errors of a host that does not know the upstream.
+	ErrUnknownUpstream = errs.NewType("unknown-upstream")
+	// ErrUpstream is the type of errors of a host that cannot connect to the upstream either.
+	ErrUpstream = errs.NewType("upstream")
+)
+
+// Dial connects to an upstream through the host that listens on an address.
+func Dial(ctx context.Context, relay, upstream string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	conn, err := dialer.DialContext(ctx, "tcp", relay)
+	if err != nil {
+		return nil, ErrBusy.Wrap(err, "connect to relay %s", relay)
+	}
+	if err := requestConnection(ctx, conn, relay, upstream); err != nil {
+		conn.Close()
+
+		return nil, err
+	}
+
+	return conn, nil
+}
+
+func requestConnection(ctx context.Context, conn net.Conn, relay, upstream string) error {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", upstream, upstream); err != nil {
+		return ErrBusy.Wrap(err, "request a connection from relay %s", relay)
+	}
+	reader := bufio.NewReaderSize(conn, 512) //nolint:mnd // the response is short
+	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		return ErrBusy.Wrap(err, "read the response of relay %s", relay)
+	}
+	resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusBadGateway:
+		return ErrUpstream.New("relay %s cannot connect to %s", relay, upstream)
+	case resp.StatusCode == http.StatusForbidden:
+		return ErrUnknownUpstream.New("relay %s does not know %s", relay, upstream)
+	case resp.StatusCode != http.StatusOK:
+		return ErrBusy.New("relay %s responds with status %d", relay, resp.StatusCode)
+	case reader.Buffered() > 0 || !stop():
+		return ErrBusy.Wrap(ctx.Err(), "relay %s responded too late or sent further bytes", relay)
+	}
+
+	return nil
+}
--- /dev/null
+++ b/io/relay/relay_test.go
@@ -0,0 +1,145 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/io/relay"
+)
+
+const testTimeout = 5 * time.Second
+
+// listen starts a listener that handles each connection.
+func listen(t *testing.T, handle func(conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() }) //nolint:errcheck // the test is over
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+
+	return listener.Addr().String()
+}
+
+// newRelay starts a relay with free places, which a test may change before the first connection.
+func newRelay(t *testing.T, change func(*relay.Server)) (*relay.Server, string) {
+	t.Helper()
+	server := &relay.Server{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		},
+		IsAvailable: func() bool { return true }, IsUpstream: func(string) bool { return true }, MaxConns: 4,
+	}
+	change(server)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); server.Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done })
+
+	return server, listener.Addr().String()
+}
+
+func dial(t *testing.T, relayAddress, upstream string) net.Conn {
+	t.Helper()
+	conn, err := relay.Dial(t.Context(), relayAddress, upstream)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+
+	return conn
+}
+
+func TestBytesPassInBothDirectionsUntilUpstreamEnds(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		request := make([]byte, len("request"))
+		if _, err := io.ReadFull(conn, request); err == nil {
+			conn.Write(append([]byte("response to "), request...)) //nolint:errcheck // the test reads it
+		}
+	})
+	_, address := newRelay(t, func(*relay.Server) {})
+	conn := dial(t, address, upstream)
+	_, err := conn.Write([]byte("request"))
+	require.NoError(t, err)
+	response, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "response to request", string(response))
+}
+
+func TestResponseThatUpstreamBreaksOffDoesNotLookComplete(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		conn.Write([]byte("half")) //nolint:errcheck // the test reads it
+		time.Sleep(50 * time.Millisecond)
+		conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // Close resets the connection
+		conn.Close()
+	})
+	_, address := newRelay(t, func(*relay.Server) {})
+	_, err := io.ReadAll(dial(t, address, upstream))
+	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
+}
+
+func TestUpstreamSeesThatCallerHasCanceled(t *testing.T) {
+	canceled := make(chan struct{})
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		io.Copy(io.Discard, conn) //nolint:errcheck // any end is the caller's
+		close(canceled)
+	})
+	server, address := newRelay(t, func(*relay.Server) {})
+	conn := dial(t, address, upstream)
+	require.Equal(t, 1, server.ConnCount())
+	conn.Close()
+	select {
+	case <-canceled:
+	case <-time.After(testTimeout):
+		require.Fail(t, "the upstream's connection is still open")
+	}
+	require.Eventually(t, func() bool { return server.ConnCount() == 0 }, testTimeout, time.Millisecond)
+}
+
+func TestRelayRefusesWhatItCannotRelay(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) }) //nolint:errcheck // any end is the caller's
+	for name, test := range map[string]struct {
+		change func(*relay.Server)
+		want   interface{ String() string }
+	}{
+		"unavailable":       {func(s *relay.Server) { s.IsAvailable = func() bool { return false } }, relay.ErrBusy},
+		"full":              {func(s *relay.Server) { s.MaxConns = 0 }, relay.ErrBusy},
+		"unknown upstream":  {func(s *relay.Server) { s.IsUpstream = func(string) bool { return false } }, relay.ErrUnknownUpstream},
+		"upstream is ended": {func(s *relay.Server) { s.Dial = refuse }, relay.ErrUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, address := newRelay(t, test.change)
+			_, err := relay.Dial(t.Context(), address, upstream)
+			require.ErrorContains(t, err, test.want.String())
+			require.Zero(t, server.ConnCount())
+		})
+	}
+}
+
+func refuse(context.Context, string) (net.Conn, error) { return nil, io.ErrUnexpectedEOF }
+
+func TestPlaceIsFreeAgainAfterConnectionEnds(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) }) //nolint:errcheck // any end is the caller's
+	server, address := newRelay(t, func(s *relay.Server) { s.MaxConns = 1 })
+	first := dial(t, address, upstream)
+	_, err := relay.Dial(t.Context(), address, upstream)
+	require.ErrorContains(t, err, relay.ErrBusy.String())
+	first.Close()
+	require.Eventually(t, func() bool { return server.ConnCount() == 0 }, testTimeout, time.Millisecond)
+	dial(t, address, upstream)
+}
--- /dev/null
+++ b/io/relay/server.go
@@ -0,0 +1,174 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// requestTimeout bounds the arrival of a CONNECT request.
+	requestTimeout = time.Second
+	// dialTimeout bounds the connection to the upstream.
+	dialTimeout = 300 * time.Millisecond
+	// copyBufferBytes is the size of the buffer of each direction of a connection.
+	copyBufferBytes = 4 << 10
+)
+
+// keepAlive detects dead peers within a few seconds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// Server relays connections of other hosts to upstreams.
+type Server struct {
+	// Dial connects to an upstream on this host's own links; connections are never relayed twice.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// IsAvailable reports whether this host accepts further connections, and IsUpstream whether an address belongs to a registered
+	// upstream.
+	IsAvailable func() bool
+	IsUpstream  func(address string) bool
+	// MaxConns limits the connections that are relayed at the same time.
+	MaxConns int
+	Logger   logr.Logger
+
+	connCount atomic.Int64
+	conns     sync.WaitGroup
+}
+
+// ConnCount returns the number of connections that are relayed now.
+func (s *Server) ConnCount() int { return int(s.connCount.Load()) }
+
+// Serve relays the connections of a listener until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) {
+	stop := context.AfterFunc(ctx, func() { listener.Close() }) //nolint:errcheck // the listener is not used any more
+	defer stop()
+	defer s.conns.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.Logger.Error(err, "relay-accept-failed")
+			time.Sleep(requestTimeout)
+
+			continue
+		}
+		s.conns.Go(func() { s.serveConn(ctx, conn) })
+	}
+}
+
+func (s *Server) serveConn(ctx context.Context, caller net.Conn) {
+	defer caller.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { caller.Close() })()
+	enableKeepAlive(caller)
+	if err := caller.SetDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return
+	}
+	req, err := http.ReadRequest(bufio.NewReaderSize(caller, 512)) //nolint:mnd // a CONNECT request is short
+	if err != nil {
+		return
+	}
+	upstream, status := s.connect(ctx, req)
+	if upstream == nil {
+		fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+
+		return
+	}
+	defer s.connCount.Add(-1)
+	defer upstream.Close()
+	defer context.AfterFunc(ctx, func() { upstream.Close() })()
+	if _, err := fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status)); err != nil {
+		return
+	}
+	if err := caller.SetDeadline(time.Time{}); err != nil {
+		return
+	}
+	splice(caller, upstream)
+}
+
+// connect connects to the upstream of a CONNECT request, or returns the status of the refusal. A connection counts as relayed.
+func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, int) {
+	address := req.Host
+	switch {
+	case req.Method != http.MethodConnect:
+		return nil, http.StatusMethodNotAllowed
+	case !s.IsAvailable():
+		return nil, http.StatusServiceUnavailable
+	case !s.IsUpstream(address):
+		return nil, http.StatusForbidden
+	}
+	if s.connCount.Add(1) > int64(s.MaxConns) {
+		s.connCount.Add(-1)
+		s.Logger.Info("relay-full", "address", address, "conns", s.MaxConns)
+
+		return nil, http.StatusServiceUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	upstream, err := s.Dial(ctx, address)
+	if err != nil {
+		s.connCount.Add(-1)
+		s.Logger.Info("relay-dial-failed", "address", address, "error", err)
+
+		return nil, http.StatusBadGateway
+	}
+	enableKeepAlive(upstream)
+
+	return upstream, http.StatusOK
+}
+
+// splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
+// reset, so that a response that it breaks off does not look complete.
+func splice(caller, upstream net.Conn) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		copyBytes(upstream, caller) //nolint:errcheck // any end is the caller's
+		// The caller never closes only its sending direction: it has canceled its request.
+		upstream.Close()
+	}()
+	if err := copyBytes(caller, upstream); err != nil {
+		reset(caller)
+	} else {
+		closeWrite(caller)
+	}
+	<-done
+}
+
+// copyBytes copies until the end or an error. It hides the connections' other methods, since their splice(2) is not available
+// everywhere.
+func copyBytes(dst io.Writer, src io.Reader) error {
+	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBufferBytes))
+
+	return err
+}
+
+func enableKeepAlive(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetKeepAliveConfig(keepAlive) //nolint:errcheck // the connection works without it
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // Close ends the connection in any case
+	}
+	conn.Close()
+}
+
+func closeWrite(conn net.Conn) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		conn.Close()
+	}
+}
--- a/io/reverseproxy/retry.go
+++ b/io/reverseproxy/retry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"cardamomward/core/id"
+	"cardamomward/core/reachability"
 	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
 )
@@ -34,8 +36,39 @@
 	return again
 }
 
-// findEndReason returns why an upstream that lost a request counts as ended: it was replaced since it was chosen, or cannot be
-// reached. A missing registration shows neither: upstreams that leave continue to run.
+// diagnoseLoss returns why an upstream that lost a request counts as ended, and records a crash unless the link to it is at fault.
+// Requests that are not retried do not wait for the diagnosis.
+func (p *Proxy) diagnoseLoss(ctx context.Context, req *proxiedRequest, instance *registry.Instance) endReason {
+	if ctx.Err() != nil {
+		return ""
+	}
+	mayBeCrash := p.isBeforeDeadline(req)
+	if !req.route.IsRetryable() {
+		if mayBeCrash {
+			go p.recordCrash(context.WithoutCancel(ctx), req.fingerprint, instance)
+		}
+
+		return ""
+	}
+	reason := p.findEndReason(ctx, req, instance)
+	if mayBeCrash && !p.UpstreamClient.IsPathBroken(instance.Address) {
+		p.Crashes.RecordCrash(req.fingerprint, instance)
+	}
+
+	return reason
+}
+
+// recordCrash records that an upstream failed before its response to a request was complete, unless other hosts reach it while
+// this one does not.
+func (p *Proxy) recordCrash(ctx context.Context, fingerprint id.Fingerprint, instance *registry.Instance) {
+	p.UpstreamClient.Diagnose(ctx, instance.Address)
+	if !p.UpstreamClient.IsPathBroken(instance.Address) {
+		p.Crashes.RecordCrash(fingerprint, instance)
+	}
+}
+
+// findEndReason returns why an upstream that lost a request counts as ended: it was replaced since it was chosen, or
+// refuses connections. Silence shows neither, nor does a missing registration: upstreams that leave continue to run.
 func (p *Proxy) findEndReason(ctx context.Context, req *proxiedRequest, instance *registry.Instance) endReason {
 	if !req.route.IsRetryable() {
 		return ""
@@ -44,7 +77,7 @@
 	switch {
 	case ok && (current.Incarnation != instance.Incarnation || current.Address != instance.Address):
 		return replaced
-	case !p.UpstreamClient.IsReachable(ctx, instance.Address) && ctx.Err() == nil:
+	case p.UpstreamClient.Diagnose(ctx, instance.Address) == reachability.Refused && ctx.Err() == nil:
 		return unreachable
 	default:
 		return ""
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -46,7 +46,7 @@
 		if errResp != nil {
 			return nil, errResp
 		}
-		sent, outcome, reason := p.sendOnce(ctx, req, instance)
+		sent, outcome := p.sendOnce(ctx, req, instance)
 		req.attempts.Record(outcome)
 		p.Metrics.countSend(outcome.String())
 		if outcome == retrypolicy.Answered {
@@ -55,11 +55,9 @@
 		if ctx.Err() != nil {
 			return nil, failedUpstreamResponse(req, "caller-gone")
 		}
-		if outcome == retrypolicy.Lost && p.isBeforeDeadline(req) {
-			p.Crashes.RecordCrash(req.fingerprint, instance)
-		}
-		if outcome == retrypolicy.Lost && reason == "" {
-			reason = p.findEndReason(ctx, req, instance)
+		reason := endReason("")
+		if outcome == retrypolicy.Lost {
+			reason = p.diagnoseLoss(ctx, req, instance)
 		}
 		if !p.shouldRetry(req, instance, outcome, reason) {
 			return nil, p.noUpstreamResponse(req)
@@ -96,8 +94,8 @@
 // stallTimeout is the silence of an upstream after which a retryable request probes whether it can be reached.
 const stallTimeout = 700 * time.Millisecond
 
-// sendOnce sends the request to one upstream; reason is set if the upstream cannot be reached any more.
-func (p *Proxy) sendOnce(ctx context.Context, req *proxiedRequest, instance *registry.Instance) (sent *sentRequest, outcome retrypolicy.Outcome, reason endReason) {
+// sendOnce sends the request to one upstream.
+func (p *Proxy) sendOnce(ctx context.Context, req *proxiedRequest, instance *registry.Instance) (*sentRequest, retrypolicy.Outcome) {
 	now := p.Now()
 	if req.excludedUpstreams == nil {
 		req.excludedUpstreams = make(map[id.Upstream]struct{})
@@ -133,25 +131,22 @@
 		}
 		p.Logger.Info("send-failed", "request", req.ID, "upstream", instance.ID, "error", err)
 		if errorx.IsOfType(err, upstreamclient.ErrNotSent) {
-			return nil, retrypolicy.NotSent, unreachable
-		}
-		if errorx.IsOfType(err, upstreamclient.ErrUnreachable) {
-			reason = unreachable
+			return nil, retrypolicy.NotSent
 		}
 
-		return nil, retrypolicy.Lost, reason
+		return nil, retrypolicy.Lost
 	}
-	sent = &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
+	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
 	p.recordLimit(sent)
-	if outcome = sent.classifyOutcome(); outcome != retrypolicy.Answered {
+	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
 		p.recordFailure(instance)
 
-		return nil, outcome, ""
+		return nil, outcome
 	}
 
-	return sent, retrypolicy.Answered, ""
+	return sent, retrypolicy.Answered
 }
 
 // headCapacity is the initial buffer capacity for a request's header, in bytes.
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -102,11 +102,10 @@
 			return
 		}
 		if ctx.Err() == nil && p.isBeforeDeadline(req) {
-			p.Crashes.RecordCrash(req.fingerprint, sent.instance)
 			p.recordFailure(sent.instance)
 		}
 		p.abortExchange(sent)
-		reason := p.findEndReason(ctx, req, sent.instance)
+		reason := p.diagnoseLoss(ctx, req, sent.instance)
 		p.Logger.Info("stream-broken", "request", req.ID, "upstream", sent.instance.ID, "after", req.lastSentEventID, "error", err)
 		if ctx.Err() != nil || errors.Is(err, errStreamAborted) || !p.mayResume(req, sent.instance, reason) {
 			p.endTurn(ctx, req, false)
--- a/io/upstreamclient/client.go
+++ b/io/upstreamclient/client.go
@@ -8,7 +8,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/joomcode/errorx"
+
+	"cardamomward/core/reachability"
 )
 
 var (
@@ -45,12 +48,23 @@
 
 // Client pools the connections to all upstreams; its zero value is ready to use.
 type Client struct {
-	// Dial connects to an upstream; nil means a TCP connection.
+	// Dial connects to an upstream directly; nil means a TCP connection.
 	Dial DialFunc
+	// Relays connects to upstreams through other hosts; nil means that there are none.
+	Relays RelayDialer
+	Logger logr.Logger
+	// Now returns the present time; nil means time.Now.
+	Now func() time.Time
 
 	mu             sync.Mutex
 	idleConns      map[string][]*conn
 	openConnCounts map[string]int
+	// exchanges are those in progress.
+	exchanges map[*Exchange]struct{}
+
+	pathsMu sync.Mutex
+	paths   reachability.Tracker
+
 	// DialCount is the number of connections established so far.
 	DialCount int64
 }
@@ -62,7 +76,7 @@
 		if candidate == nil {
 			return c.dial(ctx, address)
 		}
-		if now.Before(candidate.expiresAt) && candidate.isOpenAndIdle() {
+		if c.isUsable(candidate, now) {
 			candidate.reused = true
 
 			return candidate, nil
@@ -86,9 +100,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*conn, error) {
-	inner, err := c.connect(ctx, address, dialTimeout)
-	if err != nil {
-		return nil, ErrNotSent.Wrap(err, "connect to %s", address)
+	result := c.connect(ctx, address)
+	if result.err != nil {
+		return nil, ErrNotSent.Wrap(result.err, "connect to %s", address)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -99,29 +113,7 @@
 	c.openConnCounts[address]++
 	c.DialCount++
 
-	return newConn(inner, address), nil
-}
-
-// IsReachable reports whether an upstream accepts a new connection, which is closed at once.
-func (c *Client) IsReachable(ctx context.Context, address string) bool {
-	probe, err := c.connect(ctx, address, probeTimeout)
-	if err != nil {
-		return false
-	}
-	probe.Close()
-
-	return true
-}
-
-func (c *Client) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	dial := c.Dial
-	if dial == nil {
-		dial = (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext
-	}
-
-	return dial(ctx, "tcp", address)
+	return newConn(result.conn, address, result.relay), nil
 }
 
 // OpenConnCount returns the number of open connections to an upstream, idle or in use.
@@ -155,14 +147,15 @@
 	}
 }
 
-// CloseExpired closes the connections whose idle timeout has passed.
+// CloseExpired closes the connections whose idle timeout has passed or whose relay is leaving, and forgets old failures of paths.
 func (c *Client) CloseExpired(now time.Time) {
 	var expired []*conn
 	c.mu.Lock()
 	for address, list := range c.idleConns {
 		remaining := list[:0]
 		for _, candidate := range list {
-			if now.Before(candidate.expiresAt) {
+			isRelayGone := candidate.relay != "" && !c.Relays.IsRelayAvailable(candidate.relay)
+			if now.Before(candidate.expiresAt) && !isRelayGone {
 				remaining = append(remaining, candidate)
 			} else {
 				expired = append(expired, candidate)
@@ -178,6 +171,9 @@
 	for _, candidate := range expired {
 		c.closeConn(candidate)
 	}
+	c.pathsMu.Lock()
+	defer c.pathsMu.Unlock()
+	c.paths.RemoveExpired(now)
 }
 
 // parseKeepAlive returns how long a connection may be idle, from the upstream's Keep-Alive header.
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -13,17 +13,19 @@
 type conn struct {
 	net.Conn
 
-	address   string
+	address string
+	// relay is the host that relays the connection; empty if it is direct.
+	relay     Relay
 	source    *limitedReader
 	reader    *bufio.Reader
 	expiresAt time.Time
 	reused    bool
 }
 
-func newConn(inner net.Conn, address string) *conn {
+func newConn(inner net.Conn, address string, relay Relay) *conn {
 	source := &limitedReader{inner: inner}
 
-	return &conn{Conn: inner, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+	return &conn{Conn: inner, address: address, relay: relay, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 var errHeadTooLarge = errors.New("the head of the response is too large")
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -59,6 +59,7 @@
 	isUnnamed bool
 
 	watchdog watchdog
+	stall    stallDetector
 }
 
 // Send sends a request and reads the status and header of its response. Errors are of type ErrNotSent or
@@ -75,7 +76,11 @@
 	}
 	x := &Exchange{client: c, conn: conn}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { conn.Close() })
-	x.watchdog.start(req.ProbeAfter, func() bool { return c.IsReachable(ctx, conn.address) }, func() { conn.Close() })
+	c.addExchange(x)
+	x.watchdog.start(req.ProbeAfter, func() bool { return c.isAlive(ctx, conn) }, func() { conn.Close() })
+	if conn.relay == "" && c.Relays != nil {
+		x.stall.start(ctx, conn.Conn, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
+	}
 	if err := x.write(req); err != nil {
 		x.Abort()
 
@@ -86,10 +91,30 @@
 
 		return nil, x.ErrorType().Wrap(err, "read the response header of %s", req.Address)
 	}
+	x.stall.stop()
 
 	return x, nil
 }
 
+func (c *Client) addExchange(x *Exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchanges == nil {
+		c.exchanges = make(map[*Exchange]struct{})
+	}
+	c.exchanges[x] = struct{}{}
+}
+
+// end stops what watches the exchange.
+func (x *Exchange) end() {
+	x.closed = true
+	x.watchdog.stop()
+	x.stall.stop()
+	x.client.mu.Lock()
+	defer x.client.mu.Unlock()
+	delete(x.client.exchanges, x)
+}
+
 // RecordProgress restarts the silence timeout, since the upstream has sent data.
 func (x *Exchange) RecordProgress() { x.watchdog.recordProgress() }
 
@@ -171,8 +196,7 @@
 	if x.closed {
 		return
 	}
-	x.closed = true
-	x.watchdog.stop()
+	x.end()
 	x.stopCancelWatch()
 	x.client.closeConn(x.conn)
 }
@@ -182,21 +206,18 @@
 	if x.closed {
 		return
 	}
-	x.watchdog.stop()
+	x.end()
 	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
-		x.closed = true
 		x.client.closeConn(x.conn)
 
 		return
 	}
 	idleTimeout := parseKeepAlive(x.Header.Get("Keep-Alive"))
 	if idleTimeout <= 0 {
-		x.closed = true
 		x.client.closeConn(x.conn)
 
 		return
 	}
-	x.closed = true
 	x.client.releaseConn(x.conn, now, idleTimeout)
 }
 
--- a/io/upstreamclient/watchdog.go
+++ b/io/upstreamclient/watchdog.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// check makes the watchdog probe now.
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.timer != nil && !w.stopped {
+		w.timer.Reset(0)
+	}
+}
+
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
