Test partitions from one service, of all hosts, and under load, and record dials that relays give up

A host without traffic did not learn that its links fail: the dial that it made as a relay ended by the caller's deadline and was not recorded, so that in a partition of all hosts each request waited 0.5 s for relays (TestRequestsAreRefusedWhileNoHostReachesUpstreams: 504 ms of 500). Dials that had relayDelay or more now count. The stand-in network can pause links, and its silent connections keep their deadlines.

--- a/io/gatewayhost/partition_test.go
+++ b/io/gatewayhost/partition_test.go
@@ -98,3 +98,171 @@
 func newOrder(int64) standin.CallerRequest {
 	return standin.CallerRequest{Path: "/order/", APIKey: "secret"}
 }
+
+func TestHostPartitionedFromOneServiceServesBoth(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.partition((*netsim.Network).CutLink, c.plainUpstreams, "host-0")
+	c.sendToHost("host-0", time.Second, newOrder)
+	c.requireServed(partitionLoad, newOrder, "host-0")
+	c.requireServed(partitionLoad, newDraft, "host-0")
+}
+
+func TestHostUsesItsOwnLinksAgainAfterPartition(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.partition((*netsim.Network).CutLink, c.allUpstreams(), "host-0")
+	c.sendToHost("host-0", time.Second, newOrder)
+	c.requireServed(time.Second, newOrder, "host-0")
+	require.Positive(t, c.network.ConnCount("host-1"), "the peer relays connections")
+	c.partition((*netsim.Network).RestoreLink, c.allUpstreams(), "host-0")
+	require.Eventually(t, func() bool {
+		c.requireServed(100*time.Millisecond, newOrder, "host-0")
+
+		return c.network.ConnCount("host-0") > 0 && c.network.ConnCount("host-1") == 0
+	}, waitTimeout, time.Millisecond)
+}
+
+func TestRequestsAreRefusedWhileNoHostReachesUpstreams(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newTestCluster(t, 3)
+			c.partition(fault, c.allUpstreams(), c.names...)
+			c.sendToHost("host-0", partitionDetectionTime, newOrder)
+			for range 5 {
+				sentAt := time.Now()
+				response := c.do("host-0", newOrder(0))
+				if response.Status == http.StatusOK && name == "refused" {
+					continue // An open connection lives on.
+				}
+				require.Less(t, time.Since(sentAt), 500*time.Millisecond)
+				require.Equal(t, http.StatusServiceUnavailable, response.Status)
+				require.NotEmpty(t, response.Header.Get("Retry-After"))
+				require.Empty(t, c.executionsOf(response.RequestID))
+			}
+		})
+	}
+}
+
+func TestOrdersRunAtMostOnceWhileLinksFailAndRecover(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 3)
+	for _, upstream := range c.plainUpstreams {
+		upstream.ResponseDelay = 20 * time.Millisecond
+	}
+	var mu sync.Mutex
+	statuses := make(map[string]int)
+	var tasks sync.WaitGroup
+	until := time.Now().Add(4 * time.Second)
+	for i := range 9 {
+		tasks.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				request := fmt.Sprintf("order-%d-%d", i, n)
+				response, err := newOrder(0).Send(context.Background(), request, c.hosts[c.names[i%3]].settings.CallerAddress)
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				statuses[request] = response.Status
+				mu.Unlock()
+			}
+		})
+	}
+	for step := 0; time.Now().Before(until); step++ {
+		host := c.names[step%len(c.names)]
+		fault := []linkFault{(*netsim.Network).CutLink, (*netsim.Network).ResetLink, (*netsim.Network).RefuseLink}[step%len(linkFaults)]
+		c.partition(fault, c.allUpstreams(), host)
+		time.Sleep(400 * time.Millisecond)
+		c.partition((*netsim.Network).RestoreLink, c.allUpstreams(), host)
+	}
+	tasks.Wait()
+	served := 0
+	for request, status := range statuses {
+		executions := len(c.executionsOf(request))
+		require.LessOrEqual(t, executions, 1, request)
+		switch status {
+		case http.StatusOK:
+			served++
+			require.Equal(t, 1, executions, request)
+		case http.StatusServiceUnavailable:
+			require.Zero(t, executions, "%s was refused", request)
+		}
+	}
+	require.Greater(t, 3*served, 2*len(statuses))
+}
+
+func TestSilentUpstreamIsNotTakenForEnded(t *testing.T) {
+	t.Parallel()
+	const silence = 1200 * time.Millisecond
+	c := newTestCluster(t, 2)
+	standin.Configuration{Version: 2, APIKeys: []string{"secret"}, MaxAttempts: 1}.WriteToStore(c.store)
+	time.Sleep(registrationDelay)
+	c.slowStreams(100 * time.Millisecond)
+	done := make(chan standin.CallerResponse)
+	go func() {
+		response, _ := newDraft(0).Send(context.Background(), "silenced", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // the executions count
+		done <- response
+	}()
+	require.Eventually(t, func() bool { return len(c.executionsOf("silenced")) == 1 }, waitTimeout, time.Millisecond)
+	c.partition((*netsim.Network).PauseLink, c.allUpstreams(), c.names...)
+	time.Sleep(silence)
+	c.partition((*netsim.Network).ResumeLink, c.allUpstreams(), c.names...)
+	<-done
+	require.Len(t, c.executionsOf("silenced"), 1, "the route allows one attempt")
+}
+
+func TestStreamOnOpenConnectionGoesOnWhileNewOnesAreRefused(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.slowStreams(time.Second)
+	done := make(chan standin.CallerResponse)
+	go func() {
+		request := newDraft(0)
+		request.Header["Time-Remaining-Ms"] = "10000"
+		response, _ := request.Send(context.Background(), "slow", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // an error leaves the body empty
+		done <- response
+	}()
+	require.Eventually(t, func() bool { return len(c.executionsOf("slow")) == 1 }, waitTimeout, time.Millisecond)
+	c.partition((*netsim.Network).RefuseLink, c.allUpstreams(), "host-0")
+	<-done
+	require.Len(t, c.executionsOf("slow"), 1, "the stream was not given up")
+}
+
+func TestStreamsThroughStoppingRelayAreWhole(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 3)
+	c.partition((*netsim.Network).CutLink, c.allUpstreams(), "host-0")
+	c.sendToHost("host-0", time.Second, newOrder)
+	c.slowStreams(100 * time.Millisecond)
+	var tasks sync.WaitGroup
+	for i := range 8 {
+		tasks.Go(func() {
+			for n := range 8 {
+				request := fmt.Sprintf("relayed-%d-%d", i, n)
+				response, err := newDraft(int64(i*100+n)).Send(context.Background(), request, c.hosts["host-0"].settings.CallerAddress)
+				require.NoError(t, err)
+				require.Equal(t, wholeStream, response.Body, "%s: status %d", request, response.Status)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.hosts["host-1"].drain()
+	tasks.Wait()
+	<-c.hosts["host-1"].done
+}
+
+func TestRelayedStreamIsCanceledWithItsCaller(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2)
+	c.partition((*netsim.Network).CutLink, c.allUpstreams(), "host-0")
+	c.sendToHost("host-0", time.Second, newOrder)
+	c.slowStreams(500 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	go newDraft(0).Send(ctx, "left", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // the caller leaves
+	require.Eventually(t, func() bool { return len(c.executionsOf("left")) == 1 }, waitTimeout, time.Millisecond)
+	running := func() int { return c.engines[0].RunningRequests() + c.engines[1].RunningRequests() }
+	require.Equal(t, 1, running())
+	cancel()
+	require.Eventually(t, func() bool { return running() == 0 }, 500*time.Millisecond, time.Millisecond)
+}
--- a/io/upstreamclient/path.go
+++ b/io/upstreamclient/path.go
@@ -112,7 +112,8 @@
 	}
 }
 
-// dialDirectly connects on the direct path and records the result, unless the caller has left.
+// dialDirectly connects on the direct path and records the result, unless the caller has left. A caller's own deadline says nothing
+// of the path before relayDelay.
 func (c *Client) dialDirectly(ctx context.Context, address string, timeout time.Duration) dialResult {
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -120,11 +121,13 @@
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: keepAliveInterval}).DialContext
 	}
+	startedAt := c.now()
 	conn, err := dial(dialCtx, "tcp", address)
 	switch {
 	case err == nil:
 		c.recordDirect(address, reachability.Connected)
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil && c.now().Sub(startedAt) < relayDelay:
 	case errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded):
 		c.recordDirect(address, reachability.TimedOut)
 	default:
--- a/standin/netsim/network.go
+++ b/standin/netsim/network.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // link is one direction between two named endpoints.
@@ -17,7 +18,9 @@
 	nameByAddress map[string]string
 	cutLinks      map[link]bool
 	refusedLinks  map[link]bool
-	conns         map[*conn]struct{}
+	// pausedLinks has a channel for each paused link, which is closed when the pause ends.
+	pausedLinks map[link]chan struct{}
+	conns       map[*conn]struct{}
 }
 
 // SetAddressName sets the name of the endpoint that listens on an address.
@@ -89,6 +92,56 @@
 	n.RestoreLink(a, b)
 }
 
+// PauseLink holds all data between two endpoints until ResumeLink, and new connections as well; nothing is lost.
+func (n *Network) PauseLink(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.pausedLinks == nil {
+		n.pausedLinks = make(map[link]chan struct{})
+	}
+	resumed := make(chan struct{})
+	n.pausedLinks[link{a, b}], n.pausedLinks[link{b, a}] = resumed, resumed
+}
+
+// ResumeLink ends a pause.
+func (n *Network) ResumeLink(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if resumed, ok := n.pausedLinks[link{a, b}]; ok {
+		close(resumed)
+	}
+	delete(n.pausedLinks, link{a, b})
+	delete(n.pausedLinks, link{b, a})
+}
+
+// awaitResume waits while a link is paused, until done is closed.
+func (n *Network) awaitResume(l link, done <-chan struct{}) {
+	n.mu.Lock()
+	resumed, isPaused := n.pausedLinks[l]
+	n.mu.Unlock()
+	if !isPaused {
+		return
+	}
+	select {
+	case <-resumed:
+	case <-done:
+	}
+}
+
+// ConnCount returns the number of open connections that an endpoint has dialed.
+func (n *Network) ConnCount(from string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for c := range n.conns {
+		if c.from == from {
+			count++
+		}
+	}
+
+	return count
+}
+
 // DialFunc dials an address, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -99,6 +152,7 @@
 		to := n.nameByAddress[address]
 		isCut, isRefused := n.cutLinks[link{from, to}], n.refusedLinks[link{from, to}]
 		n.mu.Unlock()
+		n.awaitResume(link{from, to}, ctx.Done())
 		if isRefused {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 		}
@@ -144,6 +198,47 @@
 	silenced    chan struct{}
 	closeOnce   sync.Once
 	closed      chan struct{}
+
+	mu           sync.Mutex
+	readDeadline time.Time
+}
+
+// SetDeadline sets the deadlines, which also end reads of a silent connection.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = t
+	c.mu.Unlock()
+
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline sets the read deadline, which also ends reads of a silent connection.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = t
+	c.mu.Unlock()
+
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaitClose blocks until the connection is closed or its read deadline has passed.
+func (c *conn) awaitClose() error {
+	c.mu.Lock()
+	deadline := c.readDeadline
+	c.mu.Unlock()
+	if deadline.IsZero() {
+		<-c.closed
+
+		return net.ErrClosed
+	}
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-c.closed:
+		return net.ErrClosed
+	case <-timer.C:
+		return os.ErrDeadlineExceeded
+	}
 }
 
 func (c *conn) markSilent() { c.silenceOnce.Do(func() { close(c.silenced) }) }
@@ -157,18 +252,15 @@
 	}
 }
 
-// Read blocks until Close on a silent connection and discards data that arrives later.
+// Read blocks until Close or the deadline on a silent connection and discards data that arrives later.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.isSilent() {
-		<-c.closed
-
-		return 0, net.ErrClosed
+		return 0, c.awaitClose()
 	}
 	n, err := c.Conn.Read(b)
+	c.network.awaitResume(link{c.to, c.from}, c.closed)
 	if c.isSilent() {
-		<-c.closed
-
-		return 0, net.ErrClosed
+		return 0, c.awaitClose()
 	}
 
 	return n, err
@@ -179,6 +271,7 @@
 	if c.isSilent() {
 		return len(b), nil
 	}
+	c.network.awaitResume(link{c.from, c.to}, c.closed)
 
 	return c.Conn.Write(b)
 }
