Take an upstream for crashed only if a relay cannot connect either

Cause: the memory of a recent failure did not say whether all paths had been tried. It now holds only attempts that failed on all of them. The metrics show relayed connections and whether links to upstreams fail, and explain shows upstreams-partitioned. Measured: TestLostLinksAreNotTakenForCrashesOfUpstreams/reset failed before and passes in three runs with the race detector.

--- a/core/logfilter/filter.go
+++ b/core/logfilter/filter.go
@@ -16,7 +16,7 @@
 // hostWideEvents are the log events that concern every request on the host that logs them.
 var hostWideEvents = map[string]bool{
 	"started": true, "draining": true, "stopped": true, "store-lost": true, "store-regained": true, "store-way": true,
-	"owner-evicted": true, "lines-dropped": true,
+	"owner-evicted": true, "lines-dropped": true, "upstreams-partitioned": true,
 }
 
 // requestScope holds the values by which lines related to a request are found, collected from the request's own lines.
--- a/core/reachability/tracker.go
+++ b/core/reachability/tracker.go
@@ -39,7 +39,9 @@
 	failedAt time.Time
 	// isRelayed is set if another host has connected to the upstream since the direct path failed.
 	isRelayed bool
-	probedAt  time.Time
+	// unreachableAt is the time of the latest attempt that failed on all paths.
+	unreachableAt time.Time
+	probedAt      time.Time
 }
 
 // Tracker tracks which direct paths fail; its zero value tracks none.
@@ -131,11 +133,17 @@
 	return false
 }
 
-// RecentFailure returns how the direct path to an upstream has just failed, and false if it has not or another host has
-// connected to the upstream since.
+// RecordUnreachable records that an attempt to connect to an upstream has failed on all paths.
+func (t *Tracker) RecordUnreachable(now time.Time, address Address) {
+	if state, ok := t.upstreams[address]; ok {
+		state.unreachableAt = now
+	}
+}
+
+// RecentFailure returns how the direct path to an upstream has failed if all paths have just failed, else false.
 func (t *Tracker) RecentFailure(now time.Time, address Address) (Result, bool) {
 	state, ok := t.upstreams[address]
-	if !ok || state.isRelayed || now.Sub(state.failedAt) >= recentFailureAge {
+	if !ok || now.Sub(state.unreachableAt) >= recentFailureAge {
 		return Connected, false
 	}
 
--- a/core/reachability/tracker_test.go
+++ b/core/reachability/tracker_test.go
@@ -71,6 +71,19 @@
 	require.False(t, tracker.IsPartitioned(start), "a probe is no failure")
 }
 
+func TestUpstreamIsUnreachableOnlyIfAllPathsHaveJustFailed(t *testing.T) {
+	var tracker reachability.Tracker
+	tracker.RecordDirect(start, "a", reachability.Refused)
+	_, failed := tracker.RecentFailure(start, "a")
+	require.False(t, failed, "a relay may still connect")
+	tracker.RecordUnreachable(start, "a")
+	result, failed := tracker.RecentFailure(start, "a")
+	require.True(t, failed)
+	require.Equal(t, reachability.Refused, result)
+	_, failed = tracker.RecentFailure(start.Add(time.Second), "a")
+	require.False(t, failed, "the attempt is old")
+}
+
 func TestOldFailuresAreForgotten(t *testing.T) {
 	var tracker reachability.Tracker
 	for _, address := range []reachability.Address{"a", "b"} {
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -53,4 +54,9 @@
 	if err := h.metrics.WriteText(c); err != nil {
 		h.logger.Error(err, "metrics-failed")
 	}
+	partitioned := 0
+	if h.upstreamClient.IsPartitioned() {
+		partitioned = 1
+	}
+	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\n", h.relay.ConnCount(), partitioned)
 }
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -42,6 +42,8 @@
 	adjustSettings []func(*testCluster, *platform.HostSettings)
 	// newLogger returns the logger of a host; nil discards the logs.
 	newLogger func(name string) logr.Logger
+	// servesMetrics makes each host serve its metrics.
+	servesMetrics bool
 	// network holds the links between hosts and upstreams.
 	network netsim.Network
 	// runsProcesses runs each host in a process of its own; processOutput returns where its logs go and may be nil.
@@ -138,6 +140,9 @@
 		logger = c.newLogger(name)
 	}
 	h.instance = gatewayhost.New(h.settings, logger, time.Now)
+	if c.servesMetrics {
+		h.instance.MetricsPort = freePort(c.t)
+	}
 	h.instance.DialUpstream = upstreamclient.DialFunc(c.network.DialerFrom(name))
 	h.drain = func() { h.instance.Drain(context.Background()) }
 	go func(running *gatewayhost.Host, done chan struct{}) {
@@ -191,6 +196,18 @@
 	return string(body)
 }
 
+// metrics returns the metrics of a host.
+func (c *testCluster) metrics(name string) string {
+	c.t.Helper()
+	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", c.hosts[name].instance.MetricsPort)) //nolint:noctx // a test
+	require.NoError(c.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+
+	return string(body)
+}
+
 func (c *testCluster) do(name string, call standin.CallerRequest) standin.CallerResponse {
 	c.t.Helper()
 	request := fmt.Sprintf("request-%d", c.requestCount.Add(1))
--- a/io/gatewayhost/logs_test.go
+++ b/io/gatewayhost/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -43,6 +44,14 @@
 	return ""
 }
 
+// contains reports whether a line of an event was logged.
+func (r *logRecorder) contains(event string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return slices.ContainsFunc(r.lines, func(line string) bool { return strings.Contains(line, `"msg"="`+event+`"`) })
+}
+
 func TestLostAttemptIsLoggedWithWhyItsUpstreamCountsAsEnded(t *testing.T) {
 	for name, tt := range map[string]struct {
 		fail func(*standin.Upstream)
--- a/io/gatewayhost/partition_test.go
+++ b/io/gatewayhost/partition_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cardamomward/platform"
 	"cardamomward/platform/standin"
 	"cardamomward/standin/netsim"
 )
@@ -192,6 +193,40 @@
 	require.Greater(t, 3*served, 2*len(statuses))
 }
 
+func TestLostLinksAreNotTakenForCrashesOfUpstreams(t *testing.T) {
+	for name, fault := range linkFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var logs logRecorder
+			c := newTestCluster(t, 2, func(c *testCluster, _ *platform.HostSettings) { c.newLogger = logs.newLogger })
+			c.slowStreams(200 * time.Millisecond)
+			var tasks sync.WaitGroup
+			for i := range 6 {
+				tasks.Go(func() {
+					newDraft(int64(i)).Send(context.Background(), fmt.Sprintf("linked-%d", i), c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // the log counts
+				})
+			}
+			require.Eventually(t, func() bool {
+				return c.engines[0].RunningRequests()+c.engines[1].RunningRequests() == 6
+			}, waitTimeout, time.Millisecond)
+			c.partition(fault, c.allUpstreams(), "host-0")
+			tasks.Wait()
+			require.False(t, logs.contains("answer-broke-off"))
+		})
+	}
+}
+
+func TestMetricsShowPartitionAndRelayedConnections(t *testing.T) {
+	t.Parallel()
+	c := newTestCluster(t, 2, func(c *testCluster, _ *platform.HostSettings) { c.servesMetrics = true })
+	require.Contains(t, c.metrics("host-0"), "upstreams-partitioned 0\n")
+	c.partition((*netsim.Network).CutLink, c.allUpstreams(), "host-0")
+	c.sendToHost("host-0", time.Second, newOrder)
+	c.requireServed(500*time.Millisecond, newOrder, "host-0")
+	require.Contains(t, c.metrics("host-0"), "upstreams-partitioned 1\n")
+	require.Regexp(t, "relayed-conns [1-9]", c.metrics("host-1"))
+}
+
 func TestSilentUpstreamIsNotTakenForEnded(t *testing.T) {
 	t.Parallel()
 	const silence = 1200 * time.Millisecond
@@ -201,7 +236,7 @@
 	c.slowStreams(100 * time.Millisecond)
 	done := make(chan standin.CallerResponse)
 	go func() {
-		response, _ := newDraft(0).Send(context.Background(), "silenced", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // the executions count
+		response, _ := newDraft(0).Send(context.Background(), "silenced", c.hosts["host-0"].settings.CallerAddress)
 		done <- response
 	}()
 	require.Eventually(t, func() bool { return len(c.executionsOf("silenced")) == 1 }, waitTimeout, time.Millisecond)
@@ -220,7 +255,7 @@
 	go func() {
 		request := newDraft(0)
 		request.Header["Time-Remaining-Ms"] = "10000"
-		response, _ := request.Send(context.Background(), "slow", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // an error leaves the body empty
+		response, _ := request.Send(context.Background(), "slow", c.hosts["host-0"].settings.CallerAddress)
 		done <- response
 	}()
 	require.Eventually(t, func() bool { return len(c.executionsOf("slow")) == 1 }, waitTimeout, time.Millisecond)
--- a/io/upstreamclient/path.go
+++ b/io/upstreamclient/path.go
@@ -51,17 +51,37 @@
 	if c.Relays == nil || !c.avoidsDirectPath(address) {
 		return c.race(ctx, address)
 	}
+
+	return c.connectRelayed(ctx, address)
+}
+
+// connectRelayed opens a connection through a relay, or directly as a last resort.
+func (c *Client) connectRelayed(ctx context.Context, address string) dialResult {
 	c.probeDirectPath(ctx, address)
 	result := c.dialRelayed(ctx, address)
 	if result.err == nil || ctx.Err() != nil {
 		return result
 	}
 
-	return c.dialDirectly(ctx, address, relayDelay)
+	result = c.dialDirectly(ctx, address, relayDelay)
+	if result.err != nil && ctx.Err() == nil {
+		c.recordUnreachable(address)
+	}
+
+	return result
 }
 
 // race connects directly and, after the head start of the direct path, through a relay; the first connection wins.
 func (c *Client) race(ctx context.Context, address string) dialResult {
+	result := c.raceDials(ctx, address)
+	if result.err != nil && ctx.Err() == nil {
+		c.recordUnreachable(address)
+	}
+
+	return result
+}
+
+func (c *Client) raceDials(ctx context.Context, address string) dialResult {
 	if c.Relays == nil {
 		return c.dialDirectly(ctx, address, dialTimeout)
 	}
@@ -200,7 +220,7 @@
 	return reachability.TimedOut
 }
 
-// recentFailure returns how the direct path to an upstream has just failed, unless another host has connected to it.
+// recentFailure returns how the direct path to an upstream has failed if all paths have just failed.
 func (c *Client) recentFailure(address string) (reachability.Result, bool) {
 	c.pathsMu.Lock()
 	defer c.pathsMu.Unlock()
@@ -282,6 +302,10 @@
 	c.updatePaths(address, result.String(), func(now time.Time) { c.paths.RecordDirect(now, reachability.Address(address), result) })
 }
 
+func (c *Client) recordUnreachable(address string) {
+	c.updatePaths(address, "unreachable", func(now time.Time) { c.paths.RecordUnreachable(now, reachability.Address(address)) })
+}
+
 func (c *Client) recordRelayed(address string) {
 	c.updatePaths(address, "relayed", func(time.Time) { c.paths.RecordRelayed(reachability.Address(address)) })
 }
