Watch for unacknowledged bytes from the end of the write

The watch began before the request was written: one that took longer than 0.1 s to prepare was not watched.

--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -78,14 +78,14 @@
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { conn.Close() })
 	c.addExchange(x)
 	x.watchdog.start(req.ProbeAfter, func() bool { return c.isAlive(ctx, conn) }, func() { conn.Close() })
-	if conn.relay == "" && c.Relays != nil {
-		x.stall.start(ctx, conn.Conn, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
-	}
 	if err := x.write(req); err != nil {
 		x.Abort()
 
 		return nil, x.ErrorType().Wrap(err, "send the request to %s", req.Address)
 	}
+	if conn.relay == "" && c.Relays != nil {
+		x.stall.start(ctx, conn.Conn, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
+	}
 	if err := x.readHead(req); err != nil {
 		x.Abort()
 
