Record requests of the stand-in engine and check their connections in one step

TestTurnsResumeFaultyStreams failed once beside load with 17 chat requests where 16 are expected. The stand-in counted a request, and checked after that whether its connection was silenced; the test silences connections as soon as the count is right, so a request could be counted and then held without running. The engine truly had not run it, and the host was right to run it again.

--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -99,24 +99,36 @@
 func (s *Server) recordRequest(ctx context.Context, c *app.RequestContext) {
 	request := ReceivedRequest{Path: string(c.Request.RequestURI()), Headers: make(map[string]string), Body: string(c.Request.Body())}
 	c.Request.Header.VisitAll(func(key, value []byte) { request.Headers[string(key)] = string(value) })
+	if s.recordUnlessSilent(request, c.RemoteAddr().String()) {
+		c.Next(ctx)
+
+		return
+	}
+	holdConn(ctx)
+}
+
+// recordUnlessSilent records a request and that its connection is open, and returns false if the connection was silenced. A
+// request that is recorded before its connection is silenced runs.
+func (s *Server) recordUnlessSilent(request ReceivedRequest, address string) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if len(s.received) < maxReceivedRequests {
 		s.received = append(s.received, request)
 	}
-	s.mu.Unlock()
-	if s.isConnSilent(c) {
-		holdConn(ctx)
 
-		return
-	}
-	c.Next(ctx)
+	return !s.checkSilenceLocked(address)
 }
 
 // isConnSilent reports whether the request's connection was silenced, and otherwise records that it is open.
 func (s *Server) isConnSilent(c *app.RequestContext) bool {
-	address := c.RemoteAddr().String()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+
+	return s.checkSilenceLocked(c.RemoteAddr().String())
+}
+
+// checkSilenceLocked is isConnSilent for an address; the caller holds the lock.
+func (s *Server) checkSilenceLocked(address string) bool {
 	if s.silentByConnAddress[address] {
 		return true
 	}
