Watch for unacknowledged bytes until the write has ended

Cause: large requests are written in the background; if that write had not begun when the watch looked first, there were no unacknowledged bytes and the watch ended. It now goes on until all is written and acknowledged. Trial: with 150 ms before the background write the test fails on the code before and passes on this one. The test's request gets 3 s instead of 1 s, so that a starved machine has time for the write; what it checks stays. Measured: five runs of the package with the race detector pass.

--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -60,6 +61,8 @@
 
 	watchdog watchdog
 	stall    stallDetector
+	// isWritten is set once the whole request was passed to the connection, or that failed.
+	isWritten atomic.Bool
 }
 
 // Send sends a request and reads the status and header of its response. Errors are of type ErrNotSent or
@@ -84,7 +87,7 @@
 		return nil, x.ErrorType().Wrap(err, "send the request to %s", req.Address)
 	}
 	if conn.relay == "" && c.Relays != nil {
-		x.stall.start(ctx, conn.Conn, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
+		x.stall.start(ctx, conn.Conn, x.isWritten.Load, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
 	}
 	if err := x.readHead(req); err != nil {
 		x.Abort()
@@ -135,12 +138,14 @@
 	x.writeResult = done
 	if len(message) < asyncWriteThresholdBytes {
 		_, err := x.conn.Write(message)
+		x.isWritten.Store(true)
 		done <- err
 
 		return err
 	}
 	go func() {
 		_, err := x.conn.Write(message)
+		x.isWritten.Store(true)
 		done <- err
 	}()
 
--- a/io/upstreamclient/path_test.go
+++ b/io/upstreamclient/path_test.go
@@ -107,7 +107,7 @@
 	defer listener.Close() //nolint:errcheck // a test
 	req := newRequest(listener)
 	req.Body = make([]byte, 16<<20) // More than the buffers of both ends, so that a part is not acknowledged.
-	req.Deadline = time.Now().Add(time.Second)
+	req.Deadline = time.Now().Add(3 * time.Second)
 	client := paths.newClient()
 	_, err = client.Send(t.Context(), time.Now(), req)
 	require.Error(t, err)
--- a/io/upstreamclient/stall.go
+++ b/io/upstreamclient/stall.go
@@ -21,17 +21,19 @@
 	stopped bool
 }
 
-// start calls onStall once if bytes stay unacknowledged without progress for writeStallTimeout.
-func (d *stallDetector) start(ctx context.Context, conn net.Conn, onStall func(ctx context.Context)) {
+// start calls onStall once if bytes stay unacknowledged without progress for writeStallTimeout. It watches until all bytes are
+// written and acknowledged.
+func (d *stallDetector) start(ctx context.Context, conn net.Conn, isWritten func() bool, onStall func(ctx context.Context)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	unacknowledged := 0
 	d.timer = time.AfterFunc(writeStallTimeout, func() {
+		wasWritten := isWritten()
 		bytes := unacknowledgedBytes(conn)
-		if bytes == 0 {
+		if bytes == 0 && wasWritten {
 			return
 		}
-		if bytes == unacknowledged {
+		if bytes > 0 && bytes == unacknowledged {
 			onStall(ctx)
 
 			return
