--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -82,13 +82,17 @@
 
 func TestResponseThatUpstreamBreaksOffDoesNotLookComplete(t *testing.T) {
 	upstream := listen(t, func(conn net.Conn) {
+		io.ReadFull(conn, make([]byte, len("request"))) //nolint:errcheck // the response follows in any case
 		conn.Write([]byte("half")) //nolint:errcheck // the test reads it
 		time.Sleep(50 * time.Millisecond)
 		conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // Close resets the connection
 		conn.Close()
 	})
 	_, address := newRelay(t, func(*relay.Server) {})
-	_, err := io.ReadAll(dial(t, address, upstream))
+	conn := dial(t, address, upstream)
+	_, err := conn.Write([]byte("request"))
+	require.NoError(t, err)
+	_, err = io.ReadAll(conn)
 	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
 }
 
