--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -83,7 +83,7 @@
 func TestResponseThatUpstreamBreaksOffDoesNotLookComplete(t *testing.T) {
 	upstream := listen(t, func(conn net.Conn) {
 		io.ReadFull(conn, make([]byte, len("request"))) //nolint:errcheck // the response follows in any case
-		conn.Write([]byte("half")) //nolint:errcheck // the test reads it
+		conn.Write([]byte("half"))                      //nolint:errcheck // the test reads it
 		time.Sleep(50 * time.Millisecond)
 		conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // Close resets the connection
 		conn.Close()
