Test that a slot is kept while its owner writes and the slot is compared

TestSlotIsKeptIfItsOwnerWritesWhileItIsChecked checked nothing: it looked at the epoch before the comparison in the background had read, and its hook stored a turn, which a slot that awaits confirmation does not do. It now lets the owner's writer write a record during each read, waits until the slot serves again, and requires that it was read.

--- a/io/cluster/confirmation_test.go
+++ b/io/cluster/confirmation_test.go
@@ -46,18 +46,29 @@
 	c, store := newTestCluster(t)
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
-	epoch := c.slots[0].epoch
-	hooked := &hookedStore{fakeStore: store, beforeRead: func() error {
-		storeTurn(t, c, newKeptTurn("second", "first"))
+	s := c.slots[0]
+	epoch := s.epoch
+	hooked := &hookedStore{fakeStore: store}
+	hooked.beforeRead = func() error {
+		key := fmt.Sprint("written-during-read-", hooked.reads.Load())
+		written := make(chan struct{})
+		s.mu.Lock()
+		s.writer.enqueue(pendingRecord{
+			record: platform.Record{Key: key, Value: []byte("own")}, onDurable: func() { close(written) },
+		}, true)
+		s.mu.Unlock()
+		<-written
 
 		return nil
-	}}
+	}
 	c.store = hooked
 	store.skipGenerations()
 	c.renewMembership(t.Context())
-	c.slots[0].mu.Lock()
-	defer c.slots[0].mu.Unlock()
-	require.Equal(t, epoch, c.slots[0].epoch, "only its owner has written")
+	require.Eventually(t, c.isServing, testTimeout, time.Millisecond, "the check has ended")
+	require.Positive(t, hooked.reads.Load(), "the slot was compared with the store")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	require.Equal(t, epoch, s.epoch, "only its owner has written")
 }
 
 func TestSlotIsKeptIfCheckHasNoResponse(t *testing.T) {
