Share the start of requests in the tests of partitions

Cause: the same lines started a request and waited for its run in three tests. Change: startRequest.

--- a/io/gatewayhost/partition_test.go
+++ b/io/gatewayhost/partition_test.go
@@ -227,6 +227,19 @@
 	require.Regexp(t, "relayed-conns [1-9]", c.metrics("host-1"))
 }
 
+// startRequest sends a request to host-0 and returns once an upstream runs it; the channel is closed when it has ended.
+func (c *testCluster) startRequest(ctx context.Context, id string, call standin.CallerRequest) <-chan struct{} {
+	c.t.Helper()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		call.Send(ctx, id, c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // tests look at what upstreams ran
+	}()
+	require.Eventually(c.t, func() bool { return len(c.executionsOf(id)) == 1 }, waitTimeout, time.Millisecond)
+
+	return done
+}
+
 func TestSilentUpstreamIsNotTakenForEnded(t *testing.T) {
 	t.Parallel()
 	const silence = 1200 * time.Millisecond
@@ -234,12 +247,7 @@
 	standin.Configuration{Version: 2, APIKeys: []string{"secret"}, MaxAttempts: 1}.WriteToStore(c.store)
 	time.Sleep(registrationDelay)
 	c.slowStreams(100 * time.Millisecond)
-	done := make(chan standin.CallerResponse)
-	go func() {
-		response, _ := newDraft(0).Send(context.Background(), "silenced", c.hosts["host-0"].settings.CallerAddress)
-		done <- response
-	}()
-	require.Eventually(t, func() bool { return len(c.executionsOf("silenced")) == 1 }, waitTimeout, time.Millisecond)
+	done := c.startRequest(context.Background(), "silenced", newDraft(0))
 	c.partition((*netsim.Network).PauseLink, c.allUpstreams(), c.names...)
 	time.Sleep(silence)
 	c.partition((*netsim.Network).ResumeLink, c.allUpstreams(), c.names...)
@@ -251,14 +259,9 @@
 	t.Parallel()
 	c := newTestCluster(t, 2)
 	c.slowStreams(time.Second)
-	done := make(chan standin.CallerResponse)
-	go func() {
-		request := newDraft(0)
-		request.Header["Time-Remaining-Ms"] = "10000"
-		response, _ := request.Send(context.Background(), "slow", c.hosts["host-0"].settings.CallerAddress)
-		done <- response
-	}()
-	require.Eventually(t, func() bool { return len(c.executionsOf("slow")) == 1 }, waitTimeout, time.Millisecond)
+	request := newDraft(0)
+	request.Header["Time-Remaining-Ms"] = "10000"
+	done := c.startRequest(context.Background(), "slow", request)
 	c.partition((*netsim.Network).RefuseLink, c.allUpstreams(), "host-0")
 	<-done
 	require.Len(t, c.executionsOf("slow"), 1, "the stream was not given up")
@@ -294,8 +297,7 @@
 	c.sendToHost("host-0", time.Second, newOrder)
 	c.slowStreams(500 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
-	go newDraft(0).Send(ctx, "left", c.hosts["host-0"].settings.CallerAddress) //nolint:errcheck // the caller leaves
-	require.Eventually(t, func() bool { return len(c.executionsOf("left")) == 1 }, waitTimeout, time.Millisecond)
+	c.startRequest(ctx, "left", newDraft(0))
 	running := func() int { return c.engines[0].RunningRequests() + c.engines[1].RunningRequests() }
 	require.Equal(t, 1, running())
 	cancel()
