--- a/command/gateway/gateway.go
+++ b/command/gateway/gateway.go
@@ -5,11 +5,13 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
 
 	"cardamomward/command/cmdutil"
+	"cardamomward/core/gatewaysettings"
 	"cardamomward/io/gatewayhost"
 	"cardamomward/io/logfmt"
 	"cardamomward/platform"
@@ -20,6 +22,8 @@
 	Factory *cmdutil.Factory
 	// SettingsFile is the platform's settings file of the host.
 	SettingsFile string
+	// GatewaySettingsFile is the YAML file with the settings of the gateway's optional parts; empty disables them.
+	GatewaySettingsFile string
 	// Verbosity is the highest level of log events to write.
 	Verbosity int
 	// MetricsPort is the port on which the host serves its metrics as text; zero disables them.
@@ -39,6 +43,7 @@
 				Name: "settings", Usage: "file with the platform's settings of the host", Destination: &opts.SettingsFile,
 				Sources: cli.EnvVars(platform.SettingsFileEnvVar),
 			},
+			&cli.StringFlag{Name: "gateway-settings", Usage: "YAML file with the settings of optional parts", Destination: &opts.GatewaySettingsFile},
 			&cli.IntFlag{Name: "metrics-port", Usage: "serve counters as text on this port of the host", Destination: &opts.MetricsPort},
 			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Destination: &opts.Verbosity},
 		},
@@ -57,12 +62,17 @@
 	if err != nil {
 		return cmdutil.NewUsageError("%v", err)
 	}
+	gatewaySettings, err := loadGatewaySettings(opts.GatewaySettingsFile)
+	if err != nil {
+		return err
+	}
 	out := logfmt.NewAsyncWriter(opts.Factory.IOStreams.Out)
 	defer out.Close() //nolint:errcheck // Close always returns nil
 	logger := logfmt.New(out, opts.Factory.Now, opts.Verbosity)
 	gatewayhost.LimitMemory(settings.MemoryBytes)
 	host := gatewayhost.New(settings, logger, opts.Factory.Now)
 	host.MetricsPort = opts.MetricsPort
+	host.Configure(gatewaySettings)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -79,3 +89,25 @@
 
 	return host.Run(ctx)
 }
+
+// loadGatewaySettings reads the settings of the gateway's optional parts; without a file all of them are disabled.
+func loadGatewaySettings(file string) (*gatewaysettings.Settings, error) {
+	if file == "" {
+		return &gatewaysettings.Settings{}, nil
+	}
+	source, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, cmdutil.NewUsageError("read the gateway settings: %v", err)
+	}
+	settings, findings := gatewaysettings.Parse(file, source)
+	if len(findings) > 0 {
+		lines := make([]string, 0, len(findings))
+		for _, finding := range findings {
+			lines = append(lines, finding.String())
+		}
+
+		return nil, cmdutil.NewUsageError("%s", strings.Join(lines, "\n"))
+	}
+
+	return settings, nil
+}
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/go-logr/logr"
 
+	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
@@ -49,9 +50,10 @@
 	// DialUpstream connects to an upstream; nil means a TCP connection.
 	DialUpstream upstreamclient.DialFunc
 
-	settings *platform.HostSettings
-	logger   logr.Logger
-	now      func() time.Time
+	settings        *platform.HostSettings
+	gatewaySettings *gatewaysettings.Settings
+	logger          logr.Logger
+	now             func() time.Time
 
 	discovery       *discovery.Watcher
 	upstreamClient  *upstreamclient.Client
@@ -65,7 +67,7 @@
 
 // New returns a host with the given settings; Run starts it.
 func New(settings *platform.HostSettings, logger logr.Logger, now func() time.Time) *Host {
-	h := &Host{settings: settings, logger: logger, now: now, drainPeriodOver: make(chan struct{})}
+	h := &Host{settings: settings, gatewaySettings: &gatewaysettings.Settings{}, logger: logger, now: now, drainPeriodOver: make(chan struct{})}
 	store := platform.NewStore(settings.Store.Address)
 	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now}
 	h.upstreamClient = &upstreamclient.Client{Logger: logger, Now: now}
@@ -89,6 +91,9 @@
 	return h
 }
 
+// Configure sets the settings of the gateway's optional parts; it must be called before Run.
+func (h *Host) Configure(settings *gatewaysettings.Settings) { h.gatewaySettings = settings }
+
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
 // cannot listen.
 func (h *Host) Run(ctx context.Context) error {
