Do not take the upstreams of the moment for those that began a stream

Cause: a host took the registrations that it sees for those that were in force when a stream began. A version was forgotten with its last registration, a listing shows no past, and Last-Event-Id was forwarded to any upstream where a route is not resumable. Unknown streams were refused with Retry-After whether or not a host could know.

Change: core/streamorigin.History keeps the processes whose registrations were read, and since when none was missed. A caller that names no attempt, or resumes on a route that is not resumable, is served only if the service has had one version for the route's timeout plus 30 s since a complete listing. A recorded version is trusted only if no later process contradicts it and none can have been missed. unknown-stream has Retry-After only while another host may know.

--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -383,6 +383,20 @@
 	return members
 }
 
+// listedPeers returns the addresses of the peers that have not left, silent ones included until they are forgotten.
+func (p *peerTable) listedPeers(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []string
+	for _, other := range p.byHost {
+		if !other.hasLeft && now.Sub(laterOf(other.lastHeardAt, other.listedAt)) <= forgetPeerAfter {
+			members = append(members, other.PeerAddress)
+		}
+	}
+
+	return members
+}
+
 // stayingPeers returns the addresses of the live peers that are not draining.
 func (p *peerTable) stayingPeers(now time.Time) []string {
 	p.mu.Lock()
--- a/io/cluster/streamorigin.go
+++ b/io/cluster/streamorigin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -33,11 +34,11 @@
 	c.peers.sendDatagram(data, streamorigin.SelectKeepers(attempt, c.peers.livePeers(c.Now()), streamKeepers))
 }
 
-// FindStreamOrigin returns where the stream of an attempt began, and false if neither this host nor one of the peers that
-// keep it knows.
-func (c *Cluster) FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, bool) {
+// FindStreamOrigin returns where the stream of an attempt began if this host or one of the peers that keep it knows. It is unknown
+// once all peers that may keep it have answered that they do not know.
+func (c *Cluster) FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, streamorigin.Knowledge) {
 	if origin, ok := c.lookupStreamOrigin(attempt); ok {
-		return origin, true
+		return origin, streamorigin.Known
 	}
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
@@ -48,20 +49,43 @@
 			reply, err := c.peerClient(member).FindStream(ctx, &fleetpb.FindStreamRequest{Attempt: string(attempt)})
 			if err != nil {
 				c.Logger.V(1).Info("find-stream-failed", "request", attempt, "peer", member, "error", err)
+				reply = nil
 			}
 			replies <- reply
 		}()
 	}
+	known := c.knowledgeWithout(attempt, keepers)
 	for range keepers {
-		if reply := <-replies; reply.GetOrigin() != nil {
+		reply := <-replies
+		if reply == nil {
+			known = streamorigin.Unanswered
+		}
+		if reply.GetOrigin() != nil {
 			origin := decodeStreamOrigin(reply.Origin)
 			c.storeStreamOrigin(attempt, origin)
 
-			return origin, true
+			return origin, streamorigin.Known
+		}
+	}
+
+	return streamorigin.Origin{}, known
+}
+
+// knowledgeWithout returns what is known of a stream's origin if no peer that is asked knows it. Silent peers that may keep it, and
+// those of a list that has not been read, may know it.
+func (c *Cluster) knowledgeWithout(attempt streamorigin.Attempt, asked []string) streamorigin.Knowledge {
+	select {
+	case <-c.peers.hostListRead:
+	default:
+		return streamorigin.Unanswered
+	}
+	for _, keeper := range streamorigin.SelectKeepers(attempt, c.peers.listedPeers(c.Now()), queriedStreamKeepers) {
+		if !slices.Contains(asked, keeper) {
+			return streamorigin.Unanswered
 		}
 	}
 
-	return streamorigin.Origin{}, false
+	return streamorigin.Unknown
 }
 
 // FindStream returns where a stream began if this host remembers it.
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -11,6 +11,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
+	"cardamomward/core/streamorigin"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
 )
@@ -35,6 +36,7 @@
 
 	mu       sync.Mutex
 	registry registry.Registry
+	history  streamorigin.History
 	// upstreamsListed is set once all registrations have been listed.
 	upstreamsListed bool
 }
@@ -51,13 +53,27 @@
 	return w.registry.Available(service)
 }
 
-// SoleVersion returns the software version of all upstreams of a service, and false if they have several versions or there
-// are none.
-func (w *Watcher) SoleVersion(service id.Service) (id.SoftwareVersion, bool) {
+// SoleVersion returns the software version of all upstreams of a service, and whether they have had no other for a period.
+func (w *Watcher) SoleVersion(service id.Service, period time.Duration) (id.SoftwareVersion, streamorigin.Knowledge) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.upstreamsListed {
+		return "", streamorigin.Unanswered
+	}
+	version, ok := w.registry.SoleVersion(service)
+	if !ok {
+		return "", streamorigin.Unknown
+	}
+
+	return version, w.history.VerifySoleVersion(w.Now(), service, version, period)
+}
+
+// VerifyOrigin reports whether the registrations confirm the version of a stream's origin.
+func (w *Watcher) VerifyOrigin(origin streamorigin.Origin) streamorigin.Knowledge {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return w.registry.SoleVersion(service)
+	return w.history.Verify(origin)
 }
 
 // GetUpstream returns a registered upstream, and false if it is not registered.
@@ -124,18 +140,21 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(record.Value) == 0 {
-		w.registry.Remove(now, id.Upstream(record.Key))
+		w.removeUpstream(now, id.Upstream(record.Key))
 		w.Logger.Info("upstream-removed", "upstream", record.Key, "offset", record.Offset)
 
 		return
 	}
 	instance, err := platform.DecodeUpstream(record.Key, record.Value)
 	if err != nil {
-		w.registry.Remove(now, id.Upstream(record.Key))
+		w.removeUpstream(now, id.Upstream(record.Key))
 		w.Logger.Error(err, "upstream-refused", "upstream", record.Key, "offset", record.Offset)
 
 		return
 	}
+	w.history.RecordProcess(now, instance.ID, streamorigin.Process{
+		Service: instance.Service, Incarnation: instance.Incarnation, Version: instance.Version,
+	})
 	if !w.registry.Put(instance) || !w.upstreamsListed {
 		return
 	}
@@ -143,6 +162,12 @@
 		"draining", instance.Draining, "offset", record.Offset)
 }
 
+// removeUpstream removes an upstream; the caller holds the lock.
+func (w *Watcher) removeUpstream(now time.Time, upstream id.Upstream) {
+	w.registry.Remove(now, upstream)
+	w.history.RecordRemoval(now, upstream)
+}
+
 // removeUnlistedUpstreams removes the upstreams that a complete listing does not contain.
 func (w *Watcher) removeUnlistedUpstreams(keys map[string]struct{}) {
 	listed := make(map[id.Upstream]struct{}, len(keys))
@@ -152,6 +177,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.registry.RemoveUnlisted(w.Now(), listed)
+	w.history.RecordListing(w.Now(), listed)
 	if !w.upstreamsListed {
 		w.upstreamsListed = true
 		w.Logger.Info("upstreams-listed", "upstreams", w.registry.Len())
@@ -162,10 +188,11 @@
 // registrations meanwhile.
 func (w *Watcher) recordResponseAfterOutage(outage time.Duration) {
 	w.RecordStoreResponse()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history.RecordRead(w.Now())
 	if outage == 0 {
 		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.registry.DeferRemovals(w.Now())
 }
--- a/io/gatewayhost/rejoined_test.go
+++ b/io/gatewayhost/rejoined_test.go
@@ -201,3 +201,25 @@
 		require.Empty(t, c.executionsOf(response.RequestID), "a 503 means that the request was not executed")
 	}
 }
+
+func TestStreamThatLostHostMayKnowIsRefusedWithRetryAfter(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.serveBothVersions()
+	streams := c.newStreams()
+	c.receiveEvents(streams, 2, c.names...)
+	c.kill("host-1")
+	c.restart(0, "host-0", "host-2")
+	c.doUntilStatus("host-0", newLookup(0), http.StatusOK)
+	requireRetryAfter := func() {
+		for _, stream := range streams {
+			response, err := c.attempt("host-0", stream, 0)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.Status)
+			require.NotEmpty(t, response.Header.Get("Retry-After"), "the answer of host-1 is missing")
+		}
+	}
+	requireRetryAfter()
+	// The lost host is not asked any more.
+	time.Sleep(3 * time.Second)
+	requireRetryAfter()
+}
--- a/io/reverseproxy/origin.go
+++ b/io/reverseproxy/origin.go
@@ -17,15 +17,21 @@
 // resolveOrigin determines where an interrupted stream began that the caller resumes, and returns an error response if
 // that is unknown or no upstream of that version is available.
 func (p *Proxy) resolveOrigin(ctx context.Context, req *proxiedRequest) *errorResponse {
-	if req.LastEventID == "" || !req.isResumable() {
+	if req.LastEventID == "" || req.route.Kind != routing.Stream {
 		return nil
 	}
-	origin, ok := p.findOrigin(ctx, req)
-	ok = ok && !p.isOriginUncertain(origin)
-	p.Logger.Info("stream-resumed", "request", req.ID, "resumes", req.ResumedAttempt, "after", req.LastEventID, "known", ok,
+	origin, known := p.findOrigin(ctx, req)
+	if known == streamorigin.Known {
+		known = p.Discovery.VerifyOrigin(origin)
+	}
+	p.Logger.Info("stream-resumed", "request", req.ID, "resumes", req.ResumedAttempt, "after", req.LastEventID, "known", known.String(),
 		"version", origin.Version, "upstream", origin.Upstream)
-	if !ok {
+	switch known {
+	case streamorigin.Unknown:
+		return notExecutedResponse("unknown-stream", 0)
+	case streamorigin.Unanswered:
 		return notExecutedResponse("unknown-stream", retryDelay)
+	case streamorigin.Known:
 	}
 	req.origin = &origin
 	if service, listed := req.config.Services[origin.Service]; listed && req.route.HasService(origin.Service) {
@@ -34,28 +40,23 @@
 	if len(p.eligibleUpstreams(req)) == 0 {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: "version-gone"}
 	}
-	p.Streams.RecordStreamOrigin(streamorigin.Attempt(req.ID), origin)
+	if req.isResumable() {
+		p.Streams.RecordStreamOrigin(streamorigin.Attempt(req.ID), origin)
+	}
 
 	return nil
 }
 
 // findOrigin returns where the stream began that the caller resumes. If the caller does not name the attempt that began
-// it, the origin is known only while all upstreams of the service have one version.
-func (p *Proxy) findOrigin(ctx context.Context, req *proxiedRequest) (streamorigin.Origin, bool) {
-	if req.ResumedAttempt != "" {
+// it, or the route's streams are not recorded, the origin is known only if the service has had one version for longer than a
+// stream lives.
+func (p *Proxy) findOrigin(ctx context.Context, req *proxiedRequest) (streamorigin.Origin, streamorigin.Knowledge) {
+	if req.ResumedAttempt != "" && req.isResumable() {
 		return p.Streams.FindStreamOrigin(ctx, streamorigin.Attempt(req.ResumedAttempt))
 	}
-	version, ok := p.Discovery.SoleVersion(req.service.Name)
-
-	return streamorigin.Origin{Service: req.service.Name, Version: version, StartedAt: req.startedAt}, ok
-}
-
-// isOriginUncertain reports whether the upstream where a stream began has been restarted with another version, and the stream
-// may have begun after that.
-func (p *Proxy) isOriginUncertain(origin streamorigin.Origin) bool {
-	current, ok := p.Discovery.GetUpstream(origin.Upstream)
+	version, known := p.Discovery.SoleVersion(req.service.Name, streamorigin.SoleVersionPeriod(req.routeTimeout()))
 
-	return ok && origin.IsUncertain(current.Incarnation, current.Version)
+	return streamorigin.Origin{Service: req.service.Name, Version: version, StartedAt: req.startedAt}, known
 }
 
 // recordOrigin records where the request's stream begins, before its first event is forwarded.
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -25,8 +25,10 @@
 	Config() *routing.Config
 	// AvailableUpstreams returns the upstreams of a service that may receive new requests.
 	AvailableUpstreams(service id.Service) []*registry.Instance
-	// SoleVersion returns the software version of all upstreams of a service, and false if they have several.
-	SoleVersion(service id.Service) (id.SoftwareVersion, bool)
+	// SoleVersion returns the software version of all upstreams of a service, and whether they have had no other for a period.
+	SoleVersion(service id.Service, period time.Duration) (id.SoftwareVersion, streamorigin.Knowledge)
+	// VerifyOrigin reports whether the registrations confirm the version of a stream's origin.
+	VerifyOrigin(origin streamorigin.Origin) streamorigin.Knowledge
 	// GetUpstream returns a registered upstream, and false if it is not registered.
 	GetUpstream(upstream id.Upstream) (*registry.Instance, bool)
 }
@@ -115,8 +117,8 @@
 type StreamTracker interface {
 	// RecordStreamOrigin remembers where the stream of an attempt began.
 	RecordStreamOrigin(attempt streamorigin.Attempt, origin streamorigin.Origin)
-	// FindStreamOrigin returns where the stream of an attempt began, and false if no host that is asked knows.
-	FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, bool)
+	// FindStreamOrigin returns where the stream of an attempt began if this host or one that is asked knows.
+	FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, streamorigin.Knowledge)
 }
 
 // CrashTracker counts upstream crashes per request fingerprint.
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -167,11 +168,13 @@
 	return &errorResponse{status: http.StatusTooManyRequests, reason: "over-rate", retryAfter: retryAfter}
 }
 
+// routeTimeout returns the longest life of a request of the route.
+func (req *proxiedRequest) routeTimeout() time.Duration {
+	return cmp.Or(max(0, req.route.Timeout), defaultTimeout)
+}
+
 func (req *proxiedRequest) setDeadline() {
-	timeout := defaultTimeout
-	if req.route.Timeout > 0 {
-		timeout = req.route.Timeout
-	}
+	timeout := req.routeTimeout()
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
 	}
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -15,6 +15,7 @@
 	"cardamomward/core/affinity"
 	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
+	"cardamomward/core/streamorigin"
 	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
 )
@@ -118,7 +119,7 @@
 
 // mayResume reports whether the host may resume a broken stream at another upstream.
 func (p *Proxy) mayResume(req *proxiedRequest, instance *registry.Instance, reason endReason) bool {
-	if req.origin != nil && p.isOriginUncertain(*req.origin) {
+	if req.origin != nil && p.Discovery.VerifyOrigin(*req.origin) != streamorigin.Known {
 		return false
 	}
 
