Stop using upstreams that announce their shutdown in a response

Cause: a host learned from the store alone that an upstream shuts down, so that it sent requests to upstreams that had left while the store was down or the host was cut off from it.

Change: platform decodes Server-Leaving in signed responses, in those that were not executed, and in 429 and 503. core/leaving keeps the processes that have announced their shutdown, from the earliest response at any host. Such an upstream is used only if no other can serve the request, and not after the drain timeout; it is checked when it is chosen and again when its admission has been awaited. Peers are told in a datagram of its own for 1.5 s. The state ends with the process.

Without RemoveUnlistedLeaving in cleanUpLoop no test would fail: it only frees memory, and that line was not tried.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -117,7 +117,8 @@
 	streamOriginsMu sync.Mutex
 	streamOrigins   streamorigin.Index
 
-	limits upstreamLimits
+	limits  upstreamLimits
+	leaving leavingUpstreams
 
 	crashesMu       sync.Mutex
 	crashCounter    crashcount.Counter
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -30,11 +30,15 @@
 		p.evictSilentOwners(ctx)
 		data, targets := p.buildHeartbeat(p.cluster.Now())
 		limits := p.buildLimits(p.cluster.Now())
+		leaving := p.buildLeaving(p.cluster.Now())
 		for _, target := range targets {
 			conn.WriteTo(data, target) //nolint:errcheck // a lost heartbeat is followed by the next
 			if limits != nil {
 				conn.WriteTo(limits, target) //nolint:errcheck // the next heartbeat repeats them
 			}
+			if leaving != nil {
+				conn.WriteTo(leaving, target) //nolint:errcheck // the next heartbeat repeats them
+			}
 		}
 	}
 }
@@ -156,6 +160,9 @@
 	for _, limit := range heartbeat.Limits {
 		p.cluster.recordPeerLimit(decodeUpstreamLimit(now, limit))
 	}
+	for _, reported := range heartbeat.Leaving {
+		p.cluster.recordPeerLeaving(now, reported)
+	}
 	for _, origin := range heartbeat.Streams {
 		p.cluster.storeStreamOrigin(streamorigin.Attempt(origin.Attempt), decodeStreamOrigin(origin))
 	}
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -58,5 +58,6 @@
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
-	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\n", h.relay.ConnCount(), partitioned)
+	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nupstreams-leaving %d\n", h.relay.ConnCount(), partitioned,
+		h.cluster.AnnouncedShutdowns())
 }
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -86,6 +86,7 @@
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
+		Shutdowns: h.cluster,
 	}
 
 	return h
@@ -186,6 +187,7 @@
 			h.upstreamClient.CloseExpired(h.now())
 			h.proxy.RemoveUnlistedStats()
 			h.cluster.RemoveUnlistedLimits(h.isUpstreamListed)
+			h.cluster.RemoveUnlistedLeaving(h.discovery.GetUpstream)
 			for _, s := range servers {
 				if closed := s.CloseStalledRequests(h.now().Add(-requestReadTimeout), h.proxy.HasActiveRequest); closed > 0 {
 					h.logger.Info("requests-stalled", "address", s.Address(), "connections", closed)
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -1,11 +1,13 @@
 package reverseproxy
 
 import (
+	"slices"
 	"time"
 
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
 	"cardamomward/core/leastcost"
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 )
 
@@ -52,8 +54,26 @@
 	return max(0, req.PromptTokens-req.PromptParts[0].Tokens)
 }
 
-// chooseUpstream returns the available upstream with the least estimated cost, or nil if all are excluded.
-func (p *Proxy) chooseUpstream(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
+// chooseUpstream returns the available upstream with the least estimated cost, or nil if all are excluded, and the use on which it was
+// chosen. One that has announced its shutdown is chosen only if there is no other.
+func (p *Proxy) chooseUpstream(req *proxiedRequest, excluded map[id.Upstream]struct{}) (*registry.Instance, leaving.Use) {
+	eligible := p.eligibleUpstreams(req)
+	isLeaving := func(instance *registry.Instance) bool {
+		return p.Shutdowns.UpstreamUse(instance) != leaving.Unrestricted
+	}
+	if !slices.ContainsFunc(eligible, isLeaving) {
+		return p.chooseAmong(req, eligible, excluded), leaving.Unrestricted
+	}
+	staying := slices.DeleteFunc(slices.Clone(eligible), isLeaving)
+	if chosen := p.chooseAmong(req, staying, excluded); chosen != nil {
+		return chosen, leaving.Unrestricted
+	}
+
+	return p.chooseAmong(req, eligible, excluded), leaving.LastResort
+}
+
+// chooseAmong returns the candidate with the least estimated cost, or nil if all are excluded.
+func (p *Proxy) chooseAmong(req *proxiedRequest, candidates []*registry.Instance, excluded map[id.Upstream]struct{}) *registry.Instance {
 	request := req.balancerRequest()
 	part, shared := req.sharedPromptPart()
 	now := p.Now()
@@ -69,7 +89,7 @@
 		}
 	}
 
-	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, excluded)
+	return leastcost.ChooseUpstream(candidates, request, stateOf, excluded)
 }
 
 // RemoveUnlistedStats removes the statistics of upstreams that are not registered any more.
--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -16,6 +16,8 @@
 	maxLimitWait = 400 * time.Millisecond
 	// limitWaitShare is the fraction of a request's remaining time that it may wait, so that a refused caller has time to retry.
 	limitWaitShare = 0.3
+	// maxRepeatedChoices bounds how often an upstream is chosen again whose use has changed; further ones are excluded.
+	maxRepeatedChoices = 2
 )
 
 // acquireUpstream returns the upstream with the least cost that admits the request, or an error response if there is none.
@@ -59,9 +61,10 @@
 	excluded := maps.Clone(req.excludedUpstreams)
 	var limited []id.Upstream
 	retryAfter := time.Duration(0)
+	choicesLeft := maxRepeatedChoices
 	needsPlace := req.isFirstTurn() && p.isAnyLimitExhausted(req)
 	for {
-		instance := p.chooseUpstream(req, excluded)
+		instance, use := p.chooseUpstream(req, excluded)
 		if instance == nil {
 			p.logLimited(req, limited, "")
 
@@ -73,15 +76,24 @@
 			return nil, retryDelay
 		}
 		ok, wait := p.Limits.AdmitToUpstream(ctx, instance)
-		if ok {
+		if ok && p.Shutdowns.UpstreamUse(instance) == use {
 			p.logLimited(req, limited, instance.ID)
 
 			return instance, 0
 		}
+		if ok && choicesLeft > 0 {
+			// The upstream has announced its shutdown, or its drain timeout has expired, while its admission was awaited.
+			choicesLeft--
+
+			continue
+		}
 		if excluded == nil {
 			excluded = make(map[id.Upstream]struct{})
 		}
 		excluded[instance.ID] = struct{}{}
+		if ok {
+			continue
+		}
 		limited = append(limited, instance.ID)
 		if retryAfter == 0 || wait < retryAfter {
 			retryAfter = wait
--- a/io/reverseproxy/origin.go
+++ b/io/reverseproxy/origin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
@@ -72,9 +74,9 @@
 }
 
 // eligibleUpstreams returns the available upstreams that may get the request: those of the stream's version once it has
-// begun, none if that version is not known.
+// begun, none if that version is not known. Upstreams that have shut down are not among them, even where the store says otherwise.
 func (p *Proxy) eligibleUpstreams(req *proxiedRequest) []*registry.Instance {
-	available := p.Discovery.AvailableUpstreams(req.service.Name)
+	available := p.usableUpstreams(p.Discovery.AvailableUpstreams(req.service.Name))
 	if req.origin == nil {
 		return available
 	}
@@ -90,3 +92,13 @@
 
 	return eligible
 }
+
+// usableUpstreams returns the upstreams without those whose drain timeout has expired since they announced their shutdown.
+func (p *Proxy) usableUpstreams(available []*registry.Instance) []*registry.Instance {
+	hasShutDown := func(instance *registry.Instance) bool { return p.Shutdowns.UpstreamUse(instance) == leaving.Never }
+	if !slices.ContainsFunc(available, hasShutDown) {
+		return available
+	}
+
+	return slices.DeleteFunc(slices.Clone(available), hasShutDown)
+}
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -11,6 +11,7 @@
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
@@ -139,6 +140,14 @@
 	AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration)
 }
 
+// ShutdownTracker remembers which upstreams have announced that they shut down.
+type ShutdownTracker interface {
+	// RecordLeaving records that a response announces the shutdown of an upstream.
+	RecordLeaving(instance *registry.Instance)
+	// UpstreamUse returns whether an upstream may be used after an announcement of its shutdown.
+	UpstreamUse(instance *registry.Instance) leaving.Use
+}
+
 // LoadTracker counts the requests of all hosts at each upstream and tracks which prompt parts upstreams cache.
 type LoadTracker interface {
 	// RunningRequests returns how many requests of all hosts run at an upstream.
@@ -161,6 +170,7 @@
 	Streams        StreamTracker
 	Loads          LoadTracker
 	Limits         UpstreamLimiter
+	Shutdowns      ShutdownTracker
 	Logger         logr.Logger
 	Now            func() time.Time
 	// Metrics is optional.
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -138,6 +138,9 @@
 	}
 	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
 	p.recordLimit(sent)
+	if sent.responseHead.IsLeaving {
+		p.Shutdowns.RecordLeaving(instance)
+	}
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
