Count server errors as failures of an upstream and share them between hosts

Cause: a signed response with a server error counted as an answer. An upstream that fails all requests while its health check passes had no failures, no latency and no running requests, so each host took it for the fastest and most idle one, and most load went there.

Change: server errors other than 504 add to the failure score of the upstream and are no latency sample. Hosts report their decayed error scores in heartbeats, and the highest report of a live peer counts, so that one host's error is known to all within a few heartbeats. Lost connections are not reported: the links of the host may be at fault.

--- a/core/upstreamstats/tracker.go
+++ b/core/upstreamstats/tracker.go
@@ -12,6 +12,8 @@
 	latencyWeight = 0.15
 	// failureHalfLife is the half-life of a failure in the failure score.
 	failureHalfLife = 3 * time.Second
+	// minErrorScore is the error score below which hosts do not report an upstream to each other.
+	minErrorScore = 0.2
 	// latencyTTL is the lifetime of an average without a new sample.
 	latencyTTL = 6 * time.Second
 )
@@ -22,6 +24,9 @@
 	sampledAt     time.Time
 	failureScore  float64
 	failedAt      time.Time
+	// errorScore is the part of the failures that are server errors.
+	errorScore float64
+	erredAt    time.Time
 }
 
 // Tracker keeps the statistics of upstreams; its zero value is empty.
@@ -58,6 +63,26 @@
 	r.failedAt = now
 }
 
+// RecordError adds a response with a server error to an upstream's failure score and error score.
+func (t *Tracker) RecordError(now time.Time, upstream id.Upstream) {
+	t.RecordFailure(now, upstream)
+	r := t.stats[upstream]
+	r.errorScore = decay(now, r.errorScore, r.erredAt) + 1
+	r.erredAt = now
+}
+
+// Errors returns the upstreams whose error score is at least minErrorScore, with their scores, for the exchange between hosts.
+func (t *Tracker) Errors(now time.Time) map[id.Upstream]float64 {
+	scores := make(map[id.Upstream]float64)
+	for upstream, r := range t.stats {
+		if score := decay(now, r.errorScore, r.erredAt); score >= minErrorScore {
+			scores[upstream] = score
+		}
+	}
+
+	return scores
+}
+
 // MillisPerUnit returns an upstream's average in milliseconds per unit of work. Without recent samples it returns the
 // average of the service, and the fallback if there is none.
 func (t *Tracker) MillisPerUnit(now time.Time, service id.Service, upstream id.Upstream, fallback float64) float64 {
@@ -82,11 +107,16 @@
 }
 
 func (r *upstreamStats) decayedFailureScore(now time.Time) float64 {
-	if r.failureScore == 0 {
+	return decay(now, r.failureScore, r.failedAt)
+}
+
+// decay returns a score that was last changed at a time in the past.
+func decay(now time.Time, score float64, changedAt time.Time) float64 {
+	if score == 0 {
 		return 0
 	}
 
-	return r.failureScore * math.Exp2(-now.Sub(r.failedAt).Seconds()/failureHalfLife.Seconds())
+	return score * math.Exp2(-now.Sub(changedAt).Seconds()/failureHalfLife.Seconds())
 }
 
 func (t *Tracker) getOrCreate(upstream id.Upstream) *upstreamStats {
--- a/core/upstreamstats/tracker_test.go
+++ b/core/upstreamstats/tracker_test.go
@@ -42,3 +42,15 @@
 	tracker.RemoveUnlisted(func(id.Upstream) bool { return false })
 	require.Zero(t, tracker.FailureScore(start, "a"))
 }
+
+func TestErrorsCountAsFailuresAndAreReportedUntilTheyDecay(t *testing.T) {
+	var tracker upstreamstats.Tracker
+	tracker.RecordFailure(start, "lost")
+	tracker.RecordError(start, "a")
+	tracker.RecordError(start, "a")
+	require.InDelta(t, 2, tracker.FailureScore(start, "a"), 0.01)
+	reported := tracker.Errors(start.Add(3 * time.Second))
+	require.Len(t, reported, 1, "lost connections may be the host's own fault and are not reported")
+	require.InDelta(t, 1, reported["a"], 0.01)
+	require.Empty(t, tracker.Errors(start.Add(12*time.Second)))
+}
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -63,6 +63,8 @@
 	HasConfig func() bool
 	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
 	IsPartitionedFromUpstreams func() bool
+	// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host; it may be nil.
+	UpstreamErrors func() map[id.Upstream]float64
 }
 
 // Cluster is this host's node of the cluster.
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -16,6 +16,9 @@
 	"cardamomward/io/fleet/fleetpb"
 )
 
+// maxPeerErrorScore bounds the effect of the errors that one peer reports.
+const maxPeerErrorScore = 8
+
 // heartbeatLoop sends heartbeats until ctx ends and evicts owners that have stopped sending theirs.
 func (p *peerTable) heartbeatLoop(ctx context.Context, conn net.PacketConn) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -61,6 +64,10 @@
 	current := p.cluster.ownership.Load()
 	crashes := p.cluster.crashesToGossip(now)
 	isPartitioned := p.cluster.IsPartitionedFromUpstreams()
+	var errorScores map[id.Upstream]float64
+	if p.cluster.UpstreamErrors != nil {
+		errorScores = p.cluster.UpstreamErrors()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
@@ -68,7 +75,7 @@
 		Host: string(p.cluster.Settings.Name), Sequence: p.sequence, Draining: p.isDraining || !p.cluster.HasConfig(), Left: p.hasLeft,
 		StoreAgeMillis: now.Sub(p.cluster.lastDirectResponse()).Milliseconds(), Generation: current.generation,
 	}
-	heartbeat.Loads = p.upstreamLoads(now)
+	heartbeat.Loads = p.upstreamLoads(now, errorScores)
 	heartbeat.Partitioned = isPartitioned
 	for _, crash := range crashes {
 		heartbeat.Crashes = append(heartbeat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Fingerprint), Process: crash.Process})
@@ -178,8 +185,15 @@
 	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
 	sender.isPartitioned = heartbeat.Partitioned
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
+	sender.upstreamErrors = nil
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
+		if score := min(load.Errors, maxPeerErrorScore); score > 0 {
+			if sender.upstreamErrors == nil {
+				sender.upstreamErrors = make(map[id.Upstream]float64)
+			}
+			sender.upstreamErrors[id.Upstream(load.Upstream)] = score
+		}
 		for _, part := range load.Parts {
 			p.cachedParts.RecordRead(now, id.Upstream(load.Upstream), affinity.PromptPartHash(part))
 		}
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -69,6 +69,8 @@
 	// storeRespondedAt is the time of the store's last response to the peer, by this host's clock.
 	storeRespondedAt time.Time
 	runningRequests  map[id.Upstream]int
+	// upstreamErrors holds the error scores of upstreams that the peer reports.
+	upstreamErrors map[id.Upstream]float64
 	// isPartitioned is set while the peer's links to upstreams fail, and relayBusyUntil after it refused to relay a connection.
 	isPartitioned  bool
 	relayBusyUntil time.Time
@@ -104,6 +106,7 @@
 	byHost            map[id.Host]*peer
 	localRequests     map[id.Upstream]int
 	remoteRequests    map[id.Upstream]int
+	remoteErrors      map[id.Upstream]float64
 	cachedParts       affinity.CacheIndex
 	gossipedReads     []gossipedRead
 }
@@ -116,7 +119,7 @@
 		},
 		gossipedEvictions: make(map[string]time.Time),
 		hostListRead:      make(chan struct{}), announceSignal: make(chan struct{}, 1),
-		localRequests: make(map[id.Upstream]int), remoteRequests: make(map[id.Upstream]int),
+		localRequests: make(map[id.Upstream]int), remoteRequests: make(map[id.Upstream]int), remoteErrors: make(map[id.Upstream]float64),
 	}
 }
 
@@ -294,9 +297,11 @@
 	return baseSilenceTimeout * time.Duration(max(1, rounds))
 }
 
-// sumRemoteRequests sums the running requests of live peers by upstream; the caller holds the lock.
+// sumRemoteRequests sums the running requests of live peers by upstream, and takes the highest of their error scores; the
+// caller holds the lock.
 func (p *peerTable) sumRemoteRequests(now time.Time) {
 	clear(p.remoteRequests)
+	clear(p.remoteErrors)
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
 		if now.Sub(other.lastHeardAt) > limit {
@@ -305,6 +310,9 @@
 		for upstream, running := range other.runningRequests {
 			p.remoteRequests[upstream] += running
 		}
+		for upstream, score := range other.upstreamErrors {
+			p.remoteErrors[upstream] = max(p.remoteErrors[upstream], score)
+		}
 	}
 }
 
--- a/io/cluster/upstreamstate.go
+++ b/io/cluster/upstreamstate.go
@@ -21,6 +21,14 @@
 	return c.peers.localRequests[upstream] + c.peers.remoteRequests[upstream]
 }
 
+// PeerErrors returns the highest error score that another live host reports for an upstream.
+func (c *Cluster) PeerErrors(upstream id.Upstream) float64 {
+	c.peers.mu.Lock()
+	defer c.peers.mu.Unlock()
+
+	return c.peers.remoteErrors[upstream]
+}
+
 // AddRunningRequests adds to this host's running requests at an upstream.
 func (c *Cluster) AddRunningRequests(upstream id.Upstream, delta int) {
 	c.peers.mu.Lock()
@@ -59,9 +67,9 @@
 	return c.peers.cachedParts.IsCached(c.Now(), upstream, part)
 }
 
-// upstreamLoads returns this host's running requests and recent reads by upstream, for a heartbeat; the caller holds
-// the lock.
-func (p *peerTable) upstreamLoads(now time.Time) []*fleetpb.UpstreamLoad {
+// upstreamLoads returns this host's running requests, recent reads and recent errors by upstream, for a heartbeat; the caller
+// holds the lock.
+func (p *peerTable) upstreamLoads(now time.Time, errorScores map[id.Upstream]float64) []*fleetpb.UpstreamLoad {
 	loads := make(map[id.Upstream]*fleetpb.UpstreamLoad, len(p.localRequests))
 	load := func(upstream id.Upstream) *fleetpb.UpstreamLoad {
 		l, ok := loads[upstream]
@@ -80,6 +88,9 @@
 		l := load(read.upstream)
 		l.Parts = append(l.Parts, uint64(read.part))
 	}
+	for upstream, score := range errorScores {
+		load(upstream).Errors = score
+	}
 
 	return slices.Collect(maps.Values(loads))
 }
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -76,6 +76,7 @@
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
 		HasConfig:                  func() bool { return h.discovery.Config() != nil },
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
+		UpstreamErrors:             func() map[id.Upstream]float64 { return h.proxy.UpstreamErrors() },
 	})
 	h.upstreamClient.Relays = h.cluster
 	h.relay = &relay.Server{
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -63,7 +63,7 @@
 		return leastcost.UpstreamState{
 			RunningRequests:    p.Loads.RunningRequests(instance.ID),
 			UnitLatencyMS:      p.stats.MillisPerUnit(now, instance.Service, instance.ID, defaultUnitLatencyMS),
-			FailureScore:       p.stats.FailureScore(now, instance.ID),
+			FailureScore:       p.stats.FailureScore(now, instance.ID) + p.Loads.PeerErrors(instance.ID),
 			CachesSharedPrefix: shared && p.Loads.CachesPromptPart(instance.ID, part),
 			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
 		}
@@ -90,6 +90,22 @@
 	p.stats.RecordFailure(p.Now(), instance.ID)
 }
 
+// recordError adds a server error to an upstream's statistics. Without it an upstream that fails all requests looks fast and idle,
+// and attracts most of the load.
+func (p *Proxy) recordError(instance *registry.Instance) {
+	p.statsMu.Lock()
+	defer p.statsMu.Unlock()
+	p.stats.RecordError(p.Now(), instance.ID)
+}
+
+// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host.
+func (p *Proxy) UpstreamErrors() map[id.Upstream]float64 {
+	p.statsMu.Lock()
+	defer p.statsMu.Unlock()
+
+	return p.stats.Errors(p.Now())
+}
+
 // recordLatency adds a latency sample of an upstream: the time per token since the first event for engines, else the time
 // of the whole request. The sample is corrected for the slowdown by other running requests.
 func (p *Proxy) recordLatency(req *proxiedRequest, instance *registry.Instance, duration time.Duration, tokens id.Tokens) {
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -143,6 +143,8 @@
 	RunningRequests(upstream id.Upstream) int
 	// AddRunningRequests changes the number of this host's requests at an upstream.
 	AddRunningRequests(upstream id.Upstream, delta int)
+	// PeerErrors returns the highest error score that another live host reports for an upstream.
+	PeerErrors(upstream id.Upstream) float64
 	// RecordPromptPartRead records that an upstream reads a prompt part, which puts the part in its cache.
 	RecordPromptPartRead(upstream id.Upstream, part affinity.PromptPartHash)
 	// CachesPromptPart reports whether an upstream is assumed to have a prompt part in its cache.
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -146,9 +146,19 @@
 		return nil, outcome
 	}
 
+	if sent.isServerError() {
+		p.recordError(instance)
+	}
+
 	return sent, retrypolicy.Answered
 }
 
+// isServerError reports whether the upstream failed to process the request. A response at the deadline says nothing of the
+// upstream.
+func (sent *sentRequest) isServerError() bool {
+	return sent.Status >= http.StatusInternalServerError && sent.Status != http.StatusGatewayTimeout
+}
+
 // headCapacity is the initial buffer capacity for a request's header, in bytes.
 const headCapacity = 1024
 
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -32,7 +32,9 @@
 		}
 		body, err := p.readBody(sent)
 		if err == nil {
-			p.recordLatency(req, sent.instance, p.Now().Sub(sentAt), 0)
+			if !sent.isServerError() {
+				p.recordLatency(req, sent.instance, p.Now().Sub(sentAt), 0)
+			}
 			p.finishExchange(sent)
 			p.writeResponse(c, req, sent, body)
 
