Evacuate a failure domain on the operator's key

Cause: an operator who empties a failure domain had no way to keep requests away from its upstreams; draining states belong to the upstreams themselves.

Change: the key evacuate/ZONE of the configuration's topic excludes the upstreams of a domain from every choice, a last check follows once the connection is open, and relays begin no request into such a domain. The configuration is used only once its first listing is complete, so that a host knows the evacuations before it serves. Reads of the topic wait 1.5 s instead of 3 s, so that one on a silent connection ends within 2.7 s.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,9 +1,11 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"cardamomward/core/evacuation"
 	"cardamomward/core/id"
 )
 
@@ -31,6 +33,9 @@
 type Registry struct {
 	entries   map[id.Upstream]*Instance
 	byService map[id.Service][]*Instance
+	// evacuated are the upstreams that could serve if their failure domain were not evacuated.
+	evacuated   map[id.Service][]*Instance
+	evacuations evacuation.Set
 	// graceEndsAt is when removals that were read after an outage take effect.
 	graceEndsAt     time.Time
 	pendingRemovals map[id.Upstream]struct{}
@@ -95,6 +100,59 @@
 // Available returns the upstreams of a service that may get new requests, sorted by id; callers must not change the slice.
 func (r *Registry) Available(service id.Service) []*Instance { return r.byService[service] }
 
+// Evacuated returns the upstreams of a service that get no new requests only because their failure domain is evacuated, sorted
+// by id; callers must not change the slice.
+func (r *Registry) Evacuated(service id.Service) []*Instance { return r.evacuated[service] }
+
+// Evacuate excludes the upstreams of a failure domain, present and future ones, and reports whether they were not excluded
+// before.
+func (r *Registry) Evacuate(now time.Time, domain id.FailureDomain) bool {
+	if !r.evacuations.Put(now, domain) {
+		return false
+	}
+	r.rebuildIndex()
+
+	return true
+}
+
+// EndEvacuation makes the upstreams of a failure domain available again and reports whether they were excluded.
+func (r *Registry) EndEvacuation(now time.Time, domain id.FailureDomain) bool {
+	if !r.evacuations.Remove(now, domain) {
+		return false
+	}
+	r.rebuildIndex()
+
+	return true
+}
+
+// EndUnlistedEvacuations ends, as EndEvacuation does, the evacuations that a complete listing lacks, and returns their domains.
+func (r *Registry) EndUnlistedEvacuations(now time.Time, listed map[id.FailureDomain]struct{}) []id.FailureDomain {
+	ended := r.evacuations.RemoveUnlisted(now, listed)
+	if len(ended) > 0 {
+		r.rebuildIndex()
+	}
+
+	return ended
+}
+
+// IsEvacuated reports whether a failure domain is evacuated.
+func (r *Registry) IsEvacuated(domain id.FailureDomain) bool { return r.evacuations.Contains(domain) }
+
+// EvacuationCount returns the number of evacuated failure domains.
+func (r *Registry) EvacuationCount() int { return r.evacuations.Len() }
+
+// CountInDomain returns the number of upstreams in a failure domain, including draining ones.
+func (r *Registry) CountInDomain(domain id.FailureDomain) int {
+	count := 0
+	for _, instance := range r.entries {
+		if instance.FailureDomain == domain {
+			count++
+		}
+	}
+
+	return count
+}
+
 // SoleVersion returns the software version of all upstreams of a service, draining ones included, and false if they have
 // several versions or there are none.
 func (r *Registry) SoleVersion(service id.Service) (id.SoftwareVersion, bool) {
@@ -120,15 +178,21 @@
 	return instance, ok
 }
 
-// HasAddress reports whether an upstream is registered at an address, including draining ones.
-func (r *Registry) HasAddress(address string) bool {
+// DomainOfAddress returns the failure domain of the upstream that is registered at an address, including draining ones, and false
+// if there is none. If there are several, one in an evacuated domain comes first.
+func (r *Registry) DomainOfAddress(address string) (id.FailureDomain, bool) {
+	var domain id.FailureDomain
+	found := false
 	for _, instance := range r.entries {
-		if instance.Address == address {
-			return true
+		if instance.Address != address {
+			continue
+		}
+		if !found || r.IsEvacuated(instance.FailureDomain) {
+			domain, found = instance.FailureDomain, true
 		}
 	}
 
-	return false
+	return domain, found
 }
 
 // Len returns the number of upstreams, including draining ones.
@@ -137,18 +201,22 @@
 // rebuildIndex allocates new slices, since Available has handed out the old ones.
 func (r *Registry) rebuildIndex() {
 	r.byService = make(map[id.Service][]*Instance, len(r.byService))
+	r.evacuated = make(map[id.Service][]*Instance)
 	for _, instance := range r.entries {
-		if !instance.Draining {
+		switch {
+		case instance.Draining:
+		case r.evacuations.Contains(instance.FailureDomain):
+			r.evacuated[instance.Service] = append(r.evacuated[instance.Service], instance)
+		default:
 			r.byService[instance.Service] = append(r.byService[instance.Service], instance)
 		}
 	}
-	for _, list := range r.byService {
-		slices.SortFunc(list, func(a, b *Instance) int {
-			if a.ID < b.ID {
-				return -1
-			}
-
-			return 1
-		})
+	sortByID(r.byService)
+	sortByID(r.evacuated)
+}
+
+func sortByID(lists map[id.Service][]*Instance) {
+	for _, list := range lists {
+		slices.SortFunc(list, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -74,3 +74,43 @@
 	_, ok = r.SoleVersion("engines")
 	require.False(t, ok, "a stream may have begun at the draining upstream")
 }
+
+func TestUpstreamsOfEvacuatedDomainGetNoNewWork(t *testing.T) {
+	var r registry.Registry
+	r.Put(&registry.Instance{ID: "a", Service: "s", FailureDomain: "zone-a"})
+	require.True(t, r.Evacuate(start, "zone-a"))
+	require.False(t, r.Evacuate(start, "zone-a"))
+	r.Put(&registry.Instance{ID: "b", Service: "s", FailureDomain: "zone-b"})
+	r.Put(&registry.Instance{ID: "c", Service: "s", FailureDomain: "zone-a"})
+	r.Put(&registry.Instance{ID: "d", Service: "s", FailureDomain: "zone-a", Draining: true})
+	require.Equal(t, []id.Upstream{"b"}, availableIDs(&r), "upstreams that register during the evacuation are excluded")
+	require.Len(t, r.Evacuated("s"), 2)
+	require.Equal(t, 3, r.CountInDomain("zone-a"))
+	require.True(t, r.EndEvacuation(start, "zone-a"))
+	require.Equal(t, []id.Upstream{"a", "b", "c"}, availableIDs(&r))
+	require.Empty(t, r.Evacuated("s"))
+}
+
+func TestEvacuationMissingFromListingEnds(t *testing.T) {
+	var r registry.Registry
+	r.Put(&registry.Instance{ID: "a", Service: "s", FailureDomain: "zone-a"})
+	r.Put(&registry.Instance{ID: "b", Service: "s", FailureDomain: "zone-b"})
+	r.Evacuate(start, "zone-a")
+	r.Evacuate(start, "zone-b")
+	ended := r.EndUnlistedEvacuations(start, map[id.FailureDomain]struct{}{"zone-b": {}})
+	require.Equal(t, []id.FailureDomain{"zone-a"}, ended)
+	require.Equal(t, []id.Upstream{"a"}, availableIDs(&r))
+	require.Equal(t, 1, r.EvacuationCount())
+}
+
+func TestAddressThatIsReusedCountsAsEvacuated(t *testing.T) {
+	var r registry.Registry
+	r.Put(&registry.Instance{ID: "a", Service: "s", Address: "1", FailureDomain: "zone-a"})
+	r.Put(&registry.Instance{ID: "b", Service: "s", Address: "1", FailureDomain: "zone-b"})
+	r.Evacuate(start, "zone-b")
+	domain, ok := r.DomainOfAddress("1")
+	require.True(t, ok)
+	require.Equal(t, id.FailureDomain("zone-b"), domain)
+	_, ok = r.DomainOfAddress("2")
+	require.False(t, ok)
+}
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -415,16 +415,25 @@
 	return b
 }
 
-// CallerAddresses returns up to maxAddresses addresses that callers may connect to.
+// maxListedSilence is how long a peer may be silent and still be listed in the directory, which must not name a host that was killed
+// 6 s before. In a fleet of 830 hosts a peer is heard every 5.2 s on average, so that about 0.6 of the hosts are listed.
+const maxListedSilence = 5 * time.Second
+
+// CallerAddresses returns up to maxAddresses addresses that callers may connect to. An isolated host lists the peers that were heard
+// until it became isolated; it cannot know which of them have stopped since.
 func (c *Cluster) CallerAddresses(now time.Time, maxAddresses int) []string {
 	isolated := c.IsIsolated(now)
 	p := c.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	hosts := make([]endpoints.Host, 0, len(p.byHost)+1)
-	limit := p.silenceTimeout() / 2
+	limit := min(maxListedSilence, p.silenceTimeout()/2)
+	heardSince := now.Add(-limit)
+	if isolated {
+		heardSince = p.lastHeard().Add(-maxListedSilence)
+	}
 	for _, other := range p.byHost {
-		if !other.isDraining && (isolated || (!other.isEvicted && now.Sub(other.lastHeardAt) <= limit)) {
+		if !other.isDraining && (isolated || !other.isEvicted) && !other.lastHeardAt.Before(heardSince) {
 			hosts = append(hosts, endpoints.Host{Address: other.CallerAddress, CPUCores: other.CPUCores})
 		}
 	}
@@ -435,6 +444,16 @@
 	return endpoints.SelectAddresses(hosts, maxAddresses, rand.Uint64())
 }
 
+// lastHeard returns when the last heartbeat of any peer arrived, zero if none has; the caller holds the lock.
+func (p *peerTable) lastHeard() time.Time {
+	var last time.Time
+	for _, other := range p.byHost {
+		last = laterOf(last, other.lastHeardAt)
+	}
+
+	return last
+}
+
 // triggerRenewal makes the renewal loop renew the membership at once, since slots may have become free.
 func (c *Cluster) triggerRenewal() {
 	select {
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -18,8 +18,10 @@
 // upstreamReadPause separates the reads of upstream registrations, which are many and change often.
 const upstreamReadPause = 250 * time.Millisecond
 
-// configurationLongPoll is the long-poll wait of reads of the configuration.
-const configurationLongPoll = 3 * time.Second
+// configurationLongPoll is the long-poll wait of reads of the configuration and of the evacuations. With the margin and the retry
+// interval of a read, a read on a connection that has gone silent is replaced within 2.7 s, before the host counts as connected
+// to the store for 3 s and must know the evacuations.
+const configurationLongPoll = 1500 * time.Millisecond
 
 // Watcher keeps the newest configuration and upstream registrations that this host has read.
 type Watcher struct {
@@ -30,6 +32,10 @@
 	ScalePause func(time.Duration) time.Duration
 
 	config atomic.Pointer[routing.Config]
+	// unlistedConfig is the configuration read before the topic's first listing is complete. It is not used until the
+	// evacuations of the same listing are in force. Only the consumer's goroutine uses it and configListed.
+	unlistedConfig *routing.Config
+	configListed   bool
 	// lastStoreResponse is the time of the store's last response, in nanoseconds since the Unix epoch.
 	lastStoreResponse atomic.Int64
 
@@ -68,12 +74,12 @@
 	return w.registry.Get(upstream)
 }
 
-// IsUpstreamAddress reports whether an upstream is registered at an address.
-func (w *Watcher) IsUpstreamAddress(address string) bool {
+// DomainOfAddress returns the failure domain of the upstream that is registered at an address, and false if there is none.
+func (w *Watcher) DomainOfAddress(address string) (id.FailureDomain, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return w.registry.HasAddress(address)
+	return w.registry.DomainOfAddress(address)
 }
 
 // LastStoreResponse returns when the store last responded to this host.
@@ -86,7 +92,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	configurationConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.ConfigurationTopic},
-		LongPoll: configurationLongPoll, ApplyRecord: w.applyConfiguration, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
+		LongPoll: configurationLongPoll, ApplyRecord: w.applyOperatorRecord, OnListed: w.handleConfigurationListing, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
 	}
 	upstreamConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
@@ -98,6 +104,29 @@
 	tasks.Wait()
 }
 
+// applyOperatorRecord applies a record of the operator: a configuration or an evacuation.
+func (w *Watcher) applyOperatorRecord(record platform.Record) {
+	if domain, ok := platform.DecodeEvacuationKey(record.Key); ok {
+		w.applyEvacuation(domain, record)
+
+		return
+	}
+	w.applyConfiguration(record)
+}
+
+// handleConfigurationListing ends the evacuations that a complete listing lacks, and uses the configuration of the first one.
+func (w *Watcher) handleConfigurationListing(keys map[string]struct{}) {
+	w.endUnlistedEvacuations(keys)
+	if w.configListed {
+		return
+	}
+	w.configListed = true
+	if w.unlistedConfig != nil {
+		w.config.Store(w.unlistedConfig)
+		w.unlistedConfig = nil
+	}
+}
+
 // applyConfiguration replaces the configuration; it ignores versions that are not newer and values that cannot be decoded.
 func (w *Watcher) applyConfiguration(record platform.Record) {
 	if record.Key != platform.ConfigurationKey || len(record.Value) == 0 {
@@ -113,7 +142,11 @@
 	if current != nil && config.Version <= current.Version {
 		return
 	}
-	w.config.Store(config)
+	if w.configListed {
+		w.config.Store(config)
+	} else {
+		w.unlistedConfig = config
+	}
 	w.Logger.Info("configuration", "version", config.Version, "offset", record.Offset,
 		"routes", len(config.Routes), "workspaces", len(config.Workspaces))
 }
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -58,5 +58,5 @@
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
-	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\n", h.relay.ConnCount(), partitioned)
+	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned, h.discovery.EvacuationCount())
 }
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -79,8 +79,8 @@
 	})
 	h.upstreamClient.Relays = h.cluster
 	h.relay = &relay.Server{
-		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, IsUpstream: h.discovery.IsUpstreamAddress,
-		MaxConns: h.maxRelayedConns(), Logger: logger,
+		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, DomainOfAddress: h.discovery.DomainOfAddress,
+		IsEvacuated: h.discovery.IsEvacuated, MaxConns: h.maxRelayedConns(), Logger: logger,
 	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"cardamomward/core/id"
 	"cardamomward/io/relay"
 )
 
@@ -40,7 +42,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 		},
-		IsAvailable: func() bool { return true }, IsUpstream: func(string) bool { return true }, MaxConns: 4,
+		IsAvailable: func() bool { return true }, DomainOfAddress: func(string) (id.FailureDomain, bool) { return "zone-a", true }, IsEvacuated: func(id.FailureDomain) bool { return false }, MaxConns: 4,
 	}
 	change(server)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -121,9 +123,12 @@
 		change func(*relay.Server)
 		want   interface{ String() string }
 	}{
-		"unavailable":       {func(s *relay.Server) { s.IsAvailable = func() bool { return false } }, relay.ErrBusy},
-		"full":              {func(s *relay.Server) { s.MaxConns = 0 }, relay.ErrBusy},
-		"unknown upstream":  {func(s *relay.Server) { s.IsUpstream = func(string) bool { return false } }, relay.ErrUnknownUpstream},
+		"unavailable": {func(s *relay.Server) { s.IsAvailable = func() bool { return false } }, relay.ErrBusy},
+		"full":        {func(s *relay.Server) { s.MaxConns = 0 }, relay.ErrBusy},
+		"unknown upstream": {func(s *relay.Server) {
+			s.DomainOfAddress = func(string) (id.FailureDomain, bool) { return "", false }
+		}, relay.ErrUnknownUpstream},
+		"evacuated domain":  {func(s *relay.Server) { s.IsEvacuated = func(id.FailureDomain) bool { return true } }, relay.ErrUnknownUpstream},
 		"upstream is ended": {func(s *relay.Server) { s.Dial = refuse }, relay.ErrUpstream},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -147,3 +152,45 @@
 	require.Eventually(t, func() bool { return server.ConnCount() == 0 }, testTimeout, time.Millisecond)
 	dial(t, address, upstream)
 }
+
+func TestResponseOfEvacuatedDomainEndsAndNextRequestIsNotPassedOn(t *testing.T) {
+	requests := make(chan string, 4)
+	resume := make(chan struct{})
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		for {
+			request := make([]byte, len("request"))
+			if _, err := io.ReadFull(conn, request); err != nil {
+				return
+			}
+			requests <- string(request)
+			conn.Write([]byte("first half, ")) //nolint:errcheck // the test reads it
+			<-resume
+			conn.Write([]byte("second half")) //nolint:errcheck // the test reads it
+		}
+	})
+	var evacuated atomic.Bool
+	_, address := newRelay(t, func(s *relay.Server) {
+		s.IsEvacuated = func(id.FailureDomain) bool { return evacuated.Load() }
+	})
+	busy, idle := dial(t, address, upstream), dial(t, address, upstream)
+	_, err := busy.Write([]byte("req"))
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	evacuated.Store(true)
+	_, err = busy.Write([]byte("uest"))
+	require.NoError(t, err)
+	require.Equal(t, "request", <-requests, "a request that has begun is passed on to its end")
+	close(resume)
+	response := make([]byte, len("first half, second half"))
+	_, err = io.ReadFull(busy, response)
+	require.NoError(t, err)
+	require.Equal(t, "first half, second half", string(response))
+	for _, conn := range []net.Conn{busy, idle} {
+		_, err = conn.Write([]byte("request"))
+		require.NoError(t, err)
+		_, err = io.ReadAll(conn)
+		require.NotErrorIs(t, err, context.DeadlineExceeded)
+	}
+	require.Empty(t, requests)
+}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cardamomward/core/id"
 )
 
 const (
@@ -30,10 +33,13 @@
 type Server struct {
 	// Dial connects to an upstream on this host's own links; connections are never relayed twice.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// IsAvailable reports whether this host accepts further connections, and IsUpstream whether an address belongs to a registered
-	// upstream.
-	IsAvailable func() bool
-	IsUpstream  func(address string) bool
+	// IsAvailable reports whether this host accepts further connections, and DomainOfAddress returns the failure domain of the
+	// registered upstream at an address, and false if there is none.
+	IsAvailable     func() bool
+	DomainOfAddress func(address string) (id.FailureDomain, bool)
+	// IsEvacuated reports whether a failure domain is evacuated: its upstreams get no new requests, neither on new connections
+	// nor on open ones. The host at the other end may not know of the evacuation.
+	IsEvacuated func(domain id.FailureDomain) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
 	Logger   logr.Logger
@@ -78,7 +84,7 @@
 	if err != nil {
 		return
 	}
-	upstream, status := s.connect(ctx, req)
+	upstream, domain, status := s.connect(ctx, req)
 	if upstream == nil {
 		fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 
@@ -93,25 +99,27 @@
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(caller, upstream)
+	splice(caller, upstream, func() bool { return s.IsEvacuated(domain) })
 }
 
-// connect connects to the upstream of a CONNECT request, or returns the status of the refusal. A connection counts as relayed.
-func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, int) {
+// connect connects to the upstream of a CONNECT request and returns its failure domain, or the status of the refusal. A connection
+// counts as relayed.
+func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, id.FailureDomain, int) {
 	address := req.Host
+	domain, isUpstream := s.DomainOfAddress(address)
 	switch {
 	case req.Method != http.MethodConnect:
-		return nil, http.StatusMethodNotAllowed
+		return nil, "", http.StatusMethodNotAllowed
 	case !s.IsAvailable():
-		return nil, http.StatusServiceUnavailable
-	case !s.IsUpstream(address):
-		return nil, http.StatusForbidden
+		return nil, "", http.StatusServiceUnavailable
+	case !isUpstream || s.IsEvacuated(domain):
+		return nil, "", http.StatusForbidden
 	}
 	if s.connCount.Add(1) > int64(s.MaxConns) {
 		s.connCount.Add(-1)
 		s.Logger.Info("relay-full", "address", address, "conns", s.MaxConns)
 
-		return nil, http.StatusServiceUnavailable
+		return nil, "", http.StatusServiceUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -120,24 +128,26 @@
 		s.connCount.Add(-1)
 		s.Logger.Info("relay-dial-failed", "address", address, "error", err)
 
-		return nil, http.StatusBadGateway
+		return nil, "", http.StatusBadGateway
 	}
 	enableKeepAlive(upstream)
 
-	return upstream, http.StatusOK
+	return upstream, domain, http.StatusOK
 }
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
 // reset, so that a response that it breaks off does not look complete.
-func splice(caller, upstream net.Conn) {
+func splice(caller, upstream net.Conn, isEvacuated func() bool) {
 	done := make(chan struct{})
+	var answered atomic.Bool
+	answered.Store(true)
 	go func() {
 		defer close(done)
-		copyBytes(upstream, caller) //nolint:errcheck // any end is the caller's
+		copyBytes(&requestWriter{upstream, &answered, isEvacuated}, caller) //nolint:errcheck // any end is the caller's
 		// The caller never closes only its sending direction: it has canceled its request.
 		upstream.Close()
 	}()
-	if err := copyBytes(caller, upstream); err != nil {
+	if err := copyBytes(caller, &responseReader{upstream, &answered}); err != nil {
 		reset(caller)
 	} else {
 		closeWrite(caller)
@@ -145,6 +155,44 @@
 	<-done
 }
 
+// errEvacuated ends a connection whose caller sends a request after its upstream's domain has been evacuated.
+var errEvacuated = errors.New("the failure domain of the upstream is evacuated")
+
+// requestWriter passes on the caller's bytes. Bytes that follow those of a response are the next request's: requests are not
+// pipelined. None is begun once the domain is evacuated.
+type requestWriter struct {
+	io.Writer
+
+	// answered is set unless bytes of a request have passed since the last bytes of a response.
+	answered    *atomic.Bool
+	isEvacuated func() bool
+}
+
+func (w *requestWriter) Write(data []byte) (int, error) {
+	if w.answered.Load() && w.isEvacuated() {
+		return 0, errEvacuated
+	}
+	w.answered.Store(false)
+
+	return w.Writer.Write(data)
+}
+
+// responseReader reads the upstream's bytes.
+type responseReader struct {
+	io.Reader
+
+	answered *atomic.Bool
+}
+
+func (r *responseReader) Read(buf []byte) (int, error) {
+	n, err := r.Reader.Read(buf)
+	if n > 0 {
+		r.answered.Store(true)
+	}
+
+	return n, err
+}
+
 // copyBytes copies until the end or an error. It hides the connections' other methods, since their splice(2) is not available
 // everywhere.
 func copyBytes(dst io.Writer, src io.Reader) error {
--- a/io/reverseproxy/origin.go
+++ b/io/reverseproxy/origin.go
@@ -31,6 +31,9 @@
 	if service, listed := req.config.Services[origin.Service]; listed && req.route.HasService(origin.Service) {
 		req.service = service
 	}
+	if p.isEvacuated(req) {
+		return notExecutedResponse("evacuated", retryDelay)
+	}
 	if len(p.eligibleUpstreams(req)) == 0 {
 		return &errorResponse{status: http.StatusServiceUnavailable, reason: "version-gone"}
 	}
@@ -70,18 +73,28 @@
 	p.Streams.RecordStreamOrigin(streamorigin.Attempt(req.ID), *req.origin)
 }
 
-// eligibleUpstreams returns the available upstreams that may get the request: those of the stream's version once it has
-// begun, none if that version is not known.
+// eligibleUpstreams returns the available upstreams that may get the request.
 func (p *Proxy) eligibleUpstreams(req *proxiedRequest) []*registry.Instance {
-	available := p.Discovery.AvailableUpstreams(req.service.Name)
+	return req.filterByOrigin(p.Discovery.AvailableUpstreams(req.service.Name))
+}
+
+// isEvacuated reports whether no upstream may get the request only because failure domains are evacuated.
+func (p *Proxy) isEvacuated(req *proxiedRequest) bool {
+	evacuated := p.Discovery.EvacuatedUpstreams(req.service.Name)
+
+	return len(evacuated) > 0 && len(req.filterByOrigin(evacuated)) > 0 && len(p.eligibleUpstreams(req)) == 0
+}
+
+// filterByOrigin returns the upstreams of the stream's version once it has begun, none if that version is not known.
+func (req *proxiedRequest) filterByOrigin(upstreams []*registry.Instance) []*registry.Instance {
 	if req.origin == nil {
-		return available
+		return upstreams
 	}
 	if req.origin.Version == "" {
 		return nil
 	}
 	var eligible []*registry.Instance
-	for _, instance := range available {
+	for _, instance := range upstreams {
 		if instance.Service == req.origin.Service && instance.Version == req.origin.Version {
 			eligible = append(eligible, instance)
 		}
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -25,6 +25,11 @@
 	Config() *routing.Config
 	// AvailableUpstreams returns the upstreams of a service that may receive new requests.
 	AvailableUpstreams(service id.Service) []*registry.Instance
+	// EvacuatedUpstreams returns the upstreams of a service that receive no new requests only because their failure domain is
+	// evacuated.
+	EvacuatedUpstreams(service id.Service) []*registry.Instance
+	// IsEvacuated reports whether a failure domain is evacuated.
+	IsEvacuated(domain id.FailureDomain) bool
 	// SoleVersion returns the software version of all upstreams of a service, and false if they have several.
 	SoleVersion(service id.Service) (id.SoftwareVersion, bool)
 	// GetUpstream returns a registered upstream, and false if it is not registered.
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -136,6 +136,9 @@
 	if errResp := p.resolveOrigin(ctx, req); errResp != nil {
 		return errResp
 	}
+	if p.isEvacuated(req) {
+		return notExecutedResponse("evacuated", retryDelay)
+	}
 	if p.needsProgramOwner(req) {
 		if errResp := p.beginTurn(ctx, req); errResp != nil {
 			return errResp
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -77,6 +77,9 @@
 	if !p.Now().Before(req.deadline) {
 		return notExecutedResponse("deadline", retryDelay)
 	}
+	if p.isEvacuated(req) {
+		return notExecutedResponse("evacuated", retryDelay)
+	}
 
 	return notExecutedResponse("no-upstream", retryDelay)
 }
@@ -119,14 +122,14 @@
 	}
 	exchange, err := p.UpstreamClient.Send(ctx, now, upstreamclient.Request{
 		Address: instance.Address, Method: req.Method, Head: head, Body: req.Body, Deadline: req.deadline, ProbeAfter: probeAfter,
-		ID: req.ID,
+		ID: req.ID, MayWrite: func() bool { return !p.Discovery.IsEvacuated(instance.FailureDomain) },
 		ResponseID: func(status int, header http.Header) string {
 			return platform.DecodeResponseHead(status, header).RequestID
 		},
 	})
 	if err != nil {
 		p.Loads.AddRunningRequests(instance.ID, -1)
-		if ctx.Err() == nil && p.isBeforeDeadline(req) {
+		if ctx.Err() == nil && p.isBeforeDeadline(req) && !errorx.IsOfType(err, upstreamclient.ErrWithheld) {
 			p.recordFailure(instance)
 		}
 		p.Logger.Info("send-failed", "request", req.ID, "upstream", instance.ID, "error", err)
--- a/io/upstreamclient/client.go
+++ b/io/upstreamclient/client.go
@@ -19,6 +19,8 @@
 
 	// ErrNotSent is the type of errors for a request of which no byte was sent to the upstream.
 	ErrNotSent = errs.NewType("not-sent")
+	// ErrWithheld is the subtype of ErrNotSent for a request that Request.MayWrite has withheld.
+	ErrWithheld = ErrNotSent.NewSubtype("withheld")
 	// ErrResponseLost is the type of errors for a request that was sent and has no complete response: it may have run.
 	ErrResponseLost = errs.NewType("lost")
 	// ErrUnreachable is the subtype of ErrResponseLost for a request whose upstream became unreachable: it may have run,
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -38,6 +38,9 @@
 	// ProbeAfter is how long the upstream may send nothing before it is probed; the exchange fails with ErrUnreachable
 	// if the probe fails. Zero disables probes.
 	ProbeAfter time.Duration
+	// MayWrite is asked once a connection is open, which can take half a second, whether the request may still be sent; nil
+	// means that it may.
+	MayWrite func() bool
 	// ID identifies the request, and ResponseID returns from the status and header of a response the id of the request that it
 	// belongs to, or an empty string if it names none.
 	ID         string
@@ -72,6 +75,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.MayWrite != nil && !req.MayWrite() {
+		c.closeConn(conn)
+
+		return nil, ErrWithheld.New("the request to %s is not sent any more", req.Address)
+	}
 	if err := conn.SetDeadline(req.Deadline); err != nil {
 		c.closeConn(conn)
 
--- a/io/upstreamclient/exchange_test.go
+++ b/io/upstreamclient/exchange_test.go
@@ -219,3 +219,20 @@
 		require.True(t, strings.HasPrefix(string(data), string(passed)), "the raw events are a prefix of the input")
 	})
 }
+
+func TestRequestThatMayNotBeWrittenAnyMoreIsNotSent(t *testing.T) {
+	received := make(chan struct{}, 1)
+	listener := startServer(t, func(int) string {
+		received <- struct{}{}
+
+		return formatResponse("mine", "done")
+	})
+	var client upstreamclient.Client
+	req := newRequest(listener)
+	req.MayWrite = func() bool { return false }
+	_, err := client.Send(t.Context(), time.Now(), req)
+	require.True(t, errorx.IsOfType(err, upstreamclient.ErrWithheld))
+	require.True(t, errorx.IsOfType(err, upstreamclient.ErrNotSent))
+	require.Zero(t, client.OpenConnCount(req.Address))
+	require.Empty(t, received)
+}
