Count bytes by failure domain, charge crossings, and prefer nearby hosts

Cause: bytes between failure domains are expensive, and neither the choice of an upstream, nor the directory, nor the metrics knew of domains.

Change: core/traffic counts bytes by cause and crossing; placement.failure-domain-cost is a term of the cost in core/leastcost; placement.local-directory samples the directory's addresses by capacity (processor time or link, the scarcer) and prefers the caller's domain. Entries of hosts carry their bandwidth. All of it is off by default; the counters are always on.

Measured: the tests of the touched packages pass, those of the new file in io/gatewayhost with the race detector too. Lines removed by hand, and the tests that fail then: core/leastcost `+ state.FailureDomainCostMS`: TestChooseUpstreamStaysInFailureDomainUntilItsCostIsExceeded; core/endpoints call of scaleOtherDomains: TestNearbyAddressesStayInDomainWithItsShareOfCapacity; `weights[i] *= scale` to zero: TestNearbyAddressesLeaveDomainForWhatExceedsItsCapacity; min with the bandwidth: TestNearbyAddressesCountScarcerOfProcessorAndLink; `nearCount < minPreferredHosts`: TestNearbyAddressesOfSmallDomainsNameOtherHostsToo; `knownCores/totalCores`: TestNearbyAddressesCountHostsOfEarlierReleasesByProcessor; io/gatewayhost `h.proxy.FailureDomainCost =`: TestRequestsStayInTheFailureDomainOfTheHost; condition on LocalDirectory: TestDirectoryIgnoresTheFailureDomainUnlessEnabled; io/cluster `p.domains.put`, io/upstreamclient `established.counter =`: TestBytesAreCountedByCauseAndFailureDomain; PeerCounter, UpstreamCounter: TestRelayedBytesAreCountedAtBothHosts.

--- a/core/endpoints/endpoints.go
+++ b/core/endpoints/endpoints.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"slices"
+
+	"cardamomward/core/id"
 )
 
 const (
@@ -17,6 +19,9 @@
 	Address string
 	// CPUCores is the number of CPU cores that the host may use, which may be fractional.
 	CPUCores float64
+	// LinkBytesPerSecond is the bandwidth of the host's link; zero if unknown.
+	LinkBytesPerSecond float64
+	FailureDomain      id.FailureDomain
 }
 
 // SelectAddresses returns at most limit addresses that callers may connect to, shuffled by seed. Callers choose one at
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -33,6 +33,8 @@
 	FailureScore float64
 	// AdmissionDelayMS is the estimated time in milliseconds until its limit admits a request; zero if it has none.
 	AdmissionDelayMS float64
+	// FailureDomainCostMS is the cost of its failure domain in milliseconds: zero if it is that of the host.
+	FailureDomainCostMS float64
 	// CachesSharedPrefix is set if it probably caches the request's shared prompt tokens.
 	CachesSharedPrefix bool
 }
@@ -73,7 +75,7 @@
 func EstimateCostMS(candidate *registry.Instance, request Request, state UpstreamState) float64 {
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
-	cost := failurePenaltyMS * state.FailureScore
+	cost := failurePenaltyMS*state.FailureScore + state.FailureDomainCostMS
 	if candidate.ID != request.LastUpstream {
 		cost += state.AdmissionDelayMS
 	}
--- a/core/leastcost/leastcost_test.go
+++ b/core/leastcost/leastcost_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+func TestChooseUpstreamStaysInFailureDomainUntilItsCostIsExceeded(t *testing.T) {
+	running := map[id.Upstream]int{"u0": 4}
+	remote := func(instance *registry.Instance) leastcost.UpstreamState {
+		state := leastcost.UpstreamState{UnitLatencyMS: 1.2, CachesSharedPrefix: true, RunningRequests: running[instance.ID]}
+		if instance.ID != "u0" {
+			state.FailureDomainCostMS = 150
+		}
+
+		return state
+	}
+	for i := range 20 {
+		request := newTurnRequest("")
+		request.AffinityKey = fmt.Sprint(i)
+		require.Equal(t, id.Upstream("u0"), leastcost.ChooseUpstream(newEngines(3), request, remote, nil).ID)
+	}
+	running["u0"] = 14
+	require.NotEqual(t, id.Upstream("u0"), leastcost.ChooseUpstream(newEngines(3), newTurnRequest(""), remote, nil).ID, "a busy upstream of the domain is left")
+}
+
 func TestChooseUpstreamSpreadsKeysOverEqualUpstreams(t *testing.T) {
 	counts := map[id.Upstream]int{}
 	for i := range 3000 {
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -122,13 +122,20 @@
 
 // HasAddress reports whether an upstream is registered at an address, including draining ones.
 func (r *Registry) HasAddress(address string) bool {
+	_, ok := r.FindAddress(address)
+
+	return ok
+}
+
+// FindAddress returns the upstream that is registered at an address, including draining ones.
+func (r *Registry) FindAddress(address string) (*Instance, bool) {
 	for _, instance := range r.entries {
 		if instance.Address == address {
-			return true
+			return instance, true
 		}
 	}
 
-	return false
+	return nil, false
 }
 
 // Len returns the number of upstreams, including draining ones.
--- /dev/null
+++ b/core/traffic/doc.go
@@ -0,0 +1,2 @@
+// Package traffic counts the bytes that a host sends and receives, by cause and by whether they cross failure domains.
+package traffic
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -19,6 +19,7 @@
 	"cardamomward/core/quota"
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/tokenbudget"
+	"cardamomward/core/traffic"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/httpx"
 	"cardamomward/platform"
@@ -61,6 +62,8 @@
 	RecordStoreResponse func()
 	// HasConfig reports whether this host has read a configuration; until then, callers are directed to other hosts.
 	HasConfig func() bool
+	// Traffic counts the bytes between hosts; nil counts nothing.
+	Traffic *traffic.Counters
 	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
 	IsPartitionedFromUpstreams func() bool
 }
@@ -143,9 +146,9 @@
 		heldTurns:   make(map[string]*heldTurn),
 	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
-	c.httpClient = &http.Client{Transport: &http.Transport{
+	c.httpClient = &http.Client{Transport: &countingTransport{cluster: c, inner: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
-	}}
+	}}}
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
 	for index := range opts.Settings.Store.Partitions {
@@ -163,7 +166,7 @@
 	if err != nil {
 		return err
 	}
-	handler := adaptor.HertzHandler(fleetpb.NewSlotsServer(&slotServer{cluster: c}))
+	handler := adaptor.HertzHandler(c.countCalls(fleetpb.NewSlotsServer(&slotServer{cluster: c})))
 	server.NoRoute(handler)
 	server.Start()
 	defer server.Abort()
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -13,6 +13,7 @@
 	"cardamomward/core/crashcount"
 	"cardamomward/core/id"
 	"cardamomward/core/streamorigin"
+	"cardamomward/core/traffic"
 	"cardamomward/io/fleet/fleetpb"
 )
 
@@ -35,6 +36,7 @@
 			if limits != nil {
 				conn.WriteTo(limits, target) //nolint:errcheck // the next heartbeat repeats them
 			}
+			p.cluster.PeerTraffic(traffic.Heartbeat, target.String()).AddSent(len(data) + len(limits))
 		}
 	}
 }
@@ -133,10 +135,11 @@
 func (p *peerTable) receiveHeartbeats(conn net.PacketConn) {
 	buf := make([]byte, maxHeartbeatBytes)
 	for {
-		n, _, err := conn.ReadFrom(buf)
+		n, sender, err := conn.ReadFrom(buf)
 		if err != nil {
 			return
 		}
+		p.cluster.PeerTraffic(traffic.Heartbeat, sender.String()).AddReceived(n)
 		var heartbeat fleetpb.Beat
 		if err := proto.Unmarshal(buf[:n], &heartbeat); err != nil {
 			p.cluster.Logger.Error(err, "beat-refused")
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cardamomward/core/affinity"
-	"cardamomward/core/endpoints"
 	"cardamomward/core/id"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
@@ -50,6 +48,8 @@
 	RelayAddress  string           `json:"relay"`
 	FailureDomain id.FailureDomain `json:"failure-domain"`
 	CPUCores      float64          `json:"cpu-share"`
+	// LinkBytesPerSecond is absent in the entries of hosts of earlier releases.
+	LinkBytesPerSecond float64 `json:"link-bytes-per-second,omitempty"`
 }
 
 // peer is the state of another host as this host knows it.
@@ -105,6 +105,7 @@
 	localRequests     map[id.Upstream]int
 	remoteRequests    map[id.Upstream]int
 	cachedParts       affinity.CacheIndex
+	domains           peerDomains
 	gossipedReads     []gossipedRead
 }
 
@@ -113,6 +114,7 @@
 		cluster: c, startedAt: c.Now(), byHost: make(map[id.Host]*peer),
 		selfEntry: hostEntry{
 			CallerAddress: c.Settings.CallerAddress, PeerAddress: c.self, RelayAddress: c.RelayAddress(), FailureDomain: c.Settings.FailureDomain, CPUCores: c.Settings.CPUCores,
+			LinkBytesPerSecond: c.Settings.LinkBytesPerSecond,
 		},
 		gossipedEvictions: make(map[string]time.Time),
 		hostListRead:      make(chan struct{}), announceSignal: make(chan struct{}, 1),
@@ -157,6 +159,9 @@
 		if ok && !existing.hasLeft && p.cluster.Now().Sub(existing.lastHeardAt) <= p.silenceTimeout() {
 			return
 		}
+		if ok {
+			p.domains.remove(existing.hostEntry)
+		}
 		delete(p.byHost, host)
 		p.cluster.Logger.Info("host-withdrawn", "peer", host)
 
@@ -174,6 +179,7 @@
 
 		return
 	}
+	p.domains.put(entry)
 	// A host that has left announces itself again only in a new process, whose heartbeats are numbered anew.
 	if !ok || existing.hasLeft || existing.PeerAddress != entry.PeerAddress {
 		p.byHost[host] = &peer{hostEntry: entry, udpAddr: addr, listedAt: p.cluster.Now()}
@@ -415,26 +421,6 @@
 	return b
 }
 
-// CallerAddresses returns up to maxAddresses addresses that callers may connect to.
-func (c *Cluster) CallerAddresses(now time.Time, maxAddresses int) []string {
-	isolated := c.IsIsolated(now)
-	p := c.peers
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	hosts := make([]endpoints.Host, 0, len(p.byHost)+1)
-	limit := p.silenceTimeout() / 2
-	for _, other := range p.byHost {
-		if !other.isDraining && (isolated || (!other.isEvicted && now.Sub(other.lastHeardAt) <= limit)) {
-			hosts = append(hosts, endpoints.Host{Address: other.CallerAddress, CPUCores: other.CPUCores})
-		}
-	}
-	if !p.isDraining && !isolated && c.HasConfig() {
-		hosts = append(hosts, endpoints.Host{Address: p.selfEntry.CallerAddress, CPUCores: p.selfEntry.CPUCores})
-	}
-
-	return endpoints.SelectAddresses(hosts, maxAddresses, rand.Uint64())
-}
-
 // triggerRenewal makes the renewal loop renew the membership at once, since slots may have become free.
 func (c *Cluster) triggerRenewal() {
 	select {
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -76,6 +76,18 @@
 	return w.registry.HasAddress(address)
 }
 
+// FailureDomainOfAddress returns the failure domain of the upstream that is registered at an address, or an empty string.
+func (w *Watcher) FailureDomainOfAddress(address string) id.FailureDomain {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	instance, ok := w.registry.FindAddress(address)
+	if !ok {
+		return ""
+	}
+
+	return instance.FailureDomain
+}
+
 // LastStoreResponse returns when the store last responded to this host.
 func (w *Watcher) LastStoreResponse() time.Time { return time.Unix(0, w.lastStoreResponse.Load()) }
 
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"cardamomward/core/id"
 	"cardamomward/platform"
 )
 
@@ -34,7 +35,13 @@
 
 		return
 	}
-	addresses := h.cluster.CallerAddresses(h.now(), platform.MaxAddressesPerResponse)
+	var addresses []string
+	if h.gatewaySettings.Placement.LocalDirectory {
+		domain := id.FailureDomain(c.Query(platform.ResolveFailureDomainParam))
+		addresses = h.cluster.NearbyCallerAddresses(h.now(), domain, platform.MaxAddressesPerResponse)
+	} else {
+		addresses = h.cluster.CallerAddresses(h.now(), platform.MaxAddressesPerResponse)
+	}
 	if len(addresses) == 0 {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 
@@ -54,6 +61,9 @@
 	if err := h.metrics.WriteText(c); err != nil {
 		h.logger.Error(err, "metrics-failed")
 	}
+	if err := h.traffic.WriteText(c); err != nil {
+		h.logger.Error(err, "metrics-failed")
+	}
 	partitioned := 0
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
+	"cardamomward/core/traffic"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
 	"cardamomward/io/httpx"
@@ -61,6 +62,7 @@
 	proxy           *reverseproxy.Proxy
 	relay           *relay.Server
 	metrics         reverseproxy.Metrics
+	traffic         traffic.Counters
 	draining        atomic.Bool
 	drainPeriodOver chan struct{}
 }
@@ -72,27 +74,31 @@
 	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now}
 	h.upstreamClient = &upstreamclient.Client{Logger: logger, Now: now}
 	h.cluster = cluster.New(cluster.Options{
-		Settings: settings, Store: store, Logger: logger, Now: now,
+		Settings: settings, Store: store, Logger: logger, Now: now, Traffic: &h.traffic,
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
 		HasConfig:                  func() bool { return h.discovery.Config() != nil },
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 	})
-	h.upstreamClient.Relays = h.cluster
+	h.upstreamClient.Relays, h.upstreamClient.CounterFor = h.cluster, h.upstreamTraffic
 	h.relay = &relay.Server{
 		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, IsUpstream: h.discovery.IsUpstreamAddress,
-		MaxConns: h.maxRelayedConns(), Logger: logger,
+		MaxConns: h.maxRelayedConns(), Logger: logger, PeerCounter: h.relayedPeerTraffic, UpstreamCounter: h.relayedUpstreamTraffic,
 	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
+		FailureDomain: settings.FailureDomain,
 	}
 
 	return h
 }
 
 // Configure sets the settings of the gateway's optional parts; it must be called before Run.
-func (h *Host) Configure(settings *gatewaysettings.Settings) { h.gatewaySettings = settings }
+func (h *Host) Configure(settings *gatewaysettings.Settings) {
+	h.gatewaySettings = settings
+	h.proxy.FailureDomainCost = settings.Placement.FailureDomainCost
+}
 
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
 // cannot listen.
@@ -158,6 +164,8 @@
 	}
 	addServer(httpx.Options{
 		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true,
+		// Callers do not tell their failure domain in requests.
+		Traffic: h.traffic.Get(traffic.Caller, traffic.Unknown),
 	}, h.proxy.HandleRequest)
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -7,12 +7,16 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cardamomward/core/traffic"
 )
 
 // listener tracks its accepted connections, so that a server can inspect and close them.
 type listener struct {
 	net.Listener
 
+	counter *traffic.Counter
+
 	mu    sync.Mutex
 	conns map[string]*conn
 }
@@ -31,6 +35,7 @@
 // Read reads from the connection and notes when a request begins.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.listener.counter.AddReceived(n)
 	if n > 0 {
 		c.requestBegunNanos.CompareAndSwap(0, time.Now().UnixNano())
 	}
@@ -41,8 +46,10 @@
 // Write writes a part of a response to the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	c.requestBegunNanos.Store(0)
+	n, err := c.Conn.Write(p)
+	c.listener.counter.AddSent(n)
 
-	return c.Conn.Write(p)
+	return n, err
 }
 
 // Accept waits for the next connection and tracks it.
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"cardamomward/core/apierror"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -51,6 +52,8 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is the time limit of an idle connection; zero means 2 min.
 	IdleTimeout time.Duration
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *traffic.Counter
 	// Forwarding configures the server as a proxy: nothing is added to responses, no body is parsed, and a handler's
 	// context is cancelled when the peer closes the connection.
 	Forwarding bool
@@ -62,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner}
+	listener := &listener{Listener: inner, counter: opts.Traffic}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -36,7 +38,10 @@
 	IsUpstream  func(address string) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
-	Logger   logr.Logger
+	// PeerCounter and UpstreamCounter return the counters of the bytes of the two ends of a relayed connection; nil count nothing.
+	PeerCounter     func(remote net.Addr) *traffic.Counter
+	UpstreamCounter func(address string) *traffic.Counter
+	Logger          logr.Logger
 
 	connCount atomic.Int64
 	conns     sync.WaitGroup
@@ -93,7 +98,30 @@
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(caller, upstream)
+	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host))
+}
+
+func (s *Server) countPeer(conn net.Conn) end {
+	if s.PeerCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.PeerCounter(conn.RemoteAddr())}
+}
+
+func (s *Server) countUpstream(conn net.Conn, address string) end {
+	if s.UpstreamCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.UpstreamCounter(address)}
+}
+
+// end is one end of a relayed connection, with the counter of its bytes.
+type end struct {
+	net.Conn
+
+	counter *traffic.Counter
 }
 
 // connect connects to the upstream of a CONNECT request, or returns the status of the refusal. A connection counts as relayed.
@@ -129,7 +157,7 @@
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
 // reset, so that a response that it breaks off does not look complete.
-func splice(caller, upstream net.Conn) {
+func splice(caller, upstream end) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -138,21 +166,41 @@
 		upstream.Close()
 	}()
 	if err := copyBytes(caller, upstream); err != nil {
-		reset(caller)
+		reset(caller.Conn)
 	} else {
-		closeWrite(caller)
+		closeWrite(caller.Conn)
 	}
 	<-done
 }
 
 // copyBytes copies until the end or an error. It hides the connections' other methods, since their splice(2) is not available
 // everywhere.
-func copyBytes(dst io.Writer, src io.Reader) error {
-	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBufferBytes))
+func copyBytes(dst, src end) error {
+	_, err := io.CopyBuffer(countingWriter{dst}, countingReader{src}, make([]byte, copyBufferBytes))
 
 	return err
 }
 
+// countingWriter counts the bytes that are sent to an end.
+type countingWriter struct{ end end }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.end.Write(p)
+	w.end.counter.AddSent(n)
+
+	return n, err
+}
+
+// countingReader counts the bytes that are received from an end.
+type countingReader struct{ end end }
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.end.Read(p)
+	r.end.counter.AddReceived(n)
+
+	return n, err
+}
+
 func enableKeepAlive(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		tcp.SetKeepAliveConfig(keepAlive) //nolint:errcheck // the connection works without it
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -7,6 +7,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/leastcost"
 	"cardamomward/core/registry"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -66,12 +67,23 @@
 			FailureScore:       p.stats.FailureScore(now, instance.ID),
 			CachesSharedPrefix: shared && p.Loads.CachesPromptPart(instance.ID, part),
 			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
+
+			FailureDomainCostMS: p.failureDomainCostMS(instance),
 		}
 	}
 
 	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, excluded)
 }
 
+// failureDomainCostMS returns the cost in milliseconds of an upstream in another failure domain than the host's.
+func (p *Proxy) failureDomainCostMS(instance *registry.Instance) float64 {
+	if traffic.CrossingBetween(p.FailureDomain, instance.FailureDomain) != traffic.Across {
+		return 0
+	}
+
+	return p.FailureDomainCost.Seconds() * 1000
+}
+
 // RemoveUnlistedStats removes the statistics of upstreams that are not registered any more.
 func (p *Proxy) RemoveUnlistedStats() {
 	p.statsMu.Lock()
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -163,6 +163,9 @@
 	Now            func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
+	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
+	FailureDomain     id.FailureDomain
+	FailureDomainCost time.Duration
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
 	// isolated from the others.
 	ShouldCloseConnections func() bool
--- a/io/upstreamclient/client.go
+++ b/io/upstreamclient/client.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"cardamomward/core/reachability"
+	"cardamomward/core/traffic"
 )
 
 var (
@@ -53,6 +54,8 @@
 	// Relays connects to upstreams through other hosts; nil means that there are none.
 	Relays RelayDialer
 	Logger logr.Logger
+	// CounterFor returns the counter of the bytes of a connection to an upstream; nil counts nothing.
+	CounterFor func(address string, relay Relay) *traffic.Counter
 	// Now returns the present time; nil means time.Now.
 	Now func() time.Time
 
@@ -104,6 +107,7 @@
 	if result.err != nil {
 		return nil, ErrNotSent.Wrap(result.err, "connect to %s", address)
 	}
+	counter := c.counterFor(address, result.relay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.openConnCounts == nil {
@@ -113,7 +117,20 @@
 	c.openConnCounts[address]++
 	c.DialCount++
 
-	return newConn(result.conn, address, result.relay), nil
+	established := newConn(result.conn, address, result.relay)
+	established.counter = counter
+	established.source.counter = counter
+
+	return established, nil
+}
+
+// counterFor returns the counter of the bytes of a connection, or nil.
+func (c *Client) counterFor(address string, relay Relay) *traffic.Counter {
+	if c.CounterFor == nil {
+		return nil
+	}
+
+	return c.CounterFor(address, relay)
 }
 
 // OpenConnCount returns the number of open connections to an upstream, idle or in use.
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"cardamomward/core/traffic"
 )
 
 // conn is a connection to an upstream, which carries one request at a time.
@@ -16,6 +18,7 @@
 	address string
 	// relay is the host that relays the connection; empty if it is direct.
 	relay     Relay
+	counter   *traffic.Counter
 	source    *limitedReader
 	reader    *bufio.Reader
 	expiresAt time.Time
@@ -35,6 +38,7 @@
 	inner     io.Reader
 	isLimited bool
 	remaining int
+	counter   *traffic.Counter
 }
 
 // setLimit limits the bytes that are read before removeLimit is called.
@@ -44,13 +48,25 @@
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if !r.isLimited {
-		return r.inner.Read(p)
+		n, err := r.inner.Read(p)
+		r.counter.AddReceived(n)
+
+		return n, err
 	}
 	if r.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := r.inner.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	r.counter.AddReceived(n)
+
+	return n, err
+}
+
+// Write sends bytes to the upstream and counts them.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counter.AddSent(n)
 
 	return n, err
 }
