--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cardamomward/core/affinity"
-	"cardamomward/core/endpoints"
 	"cardamomward/core/id"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
@@ -50,6 +48,8 @@
 	RelayAddress  string           `json:"relay"`
 	FailureDomain id.FailureDomain `json:"failure-domain"`
 	CPUCores      float64          `json:"cpu-share"`
+	// LinkBytesPerSecond is absent in the entries of hosts of earlier releases.
+	LinkBytesPerSecond float64 `json:"link-bytes-per-second,omitempty"`
 }
 
 // peer is the state of another host as this host knows it.
@@ -108,6 +108,7 @@
 	remoteRequests    map[id.Upstream]int
 	remoteErrors      map[id.Upstream]float64
 	cachedParts       affinity.CacheIndex
+	domains           peerDomains
 	gossipedReads     []gossipedRead
 }
 
@@ -116,6 +117,7 @@
 		cluster: c, startedAt: c.Now(), byHost: make(map[id.Host]*peer),
 		selfEntry: hostEntry{
 			CallerAddress: c.Settings.CallerAddress, PeerAddress: c.self, RelayAddress: c.RelayAddress(), FailureDomain: c.Settings.FailureDomain, CPUCores: c.Settings.CPUCores,
+			LinkBytesPerSecond: c.Settings.LinkBytesPerSecond,
 		},
 		gossipedEvictions: make(map[string]time.Time),
 		hostListRead:      make(chan struct{}), announceSignal: make(chan struct{}, 1),
@@ -160,6 +162,9 @@
 		if ok && !existing.hasLeft && p.cluster.Now().Sub(existing.lastHeardAt) <= p.silenceTimeout() {
 			return
 		}
+		if ok {
+			p.domains.remove(existing.hostEntry)
+		}
 		delete(p.byHost, host)
 		p.cluster.Logger.Info("host-withdrawn", "peer", host)
 
@@ -177,6 +182,7 @@
 
 		return
 	}
+	p.domains.put(entry)
 	// A host that has left announces itself again only in a new process, whose heartbeats are numbered anew.
 	if !ok || existing.hasLeft || existing.PeerAddress != entry.PeerAddress {
 		p.byHost[host] = &peer{hostEntry: entry, udpAddr: addr, listedAt: p.cluster.Now()}
@@ -423,45 +429,6 @@
 	return b
 }
 
-// maxListedSilence is how long a peer may be silent and still be listed in the directory, which must not name a host that was killed
-// 6 s before. In a fleet of 830 hosts a peer is heard every 5.2 s on average, so that about 0.6 of the hosts are listed.
-const maxListedSilence = 5 * time.Second
-
-// CallerAddresses returns up to maxAddresses addresses that callers may connect to. An isolated host lists the peers that were heard
-// until it became isolated; it cannot know which of them have stopped since.
-func (c *Cluster) CallerAddresses(now time.Time, maxAddresses int) []string {
-	isolated := c.IsIsolated(now)
-	p := c.peers
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	hosts := make([]endpoints.Host, 0, len(p.byHost)+1)
-	limit := min(maxListedSilence, p.silenceTimeout()/2)
-	heardSince := now.Add(-limit)
-	if isolated {
-		heardSince = p.lastHeard().Add(-maxListedSilence)
-	}
-	for _, other := range p.byHost {
-		if !other.isDraining && (isolated || !other.isEvicted) && !other.lastHeardAt.Before(heardSince) {
-			hosts = append(hosts, endpoints.Host{Address: other.CallerAddress, CPUCores: other.CPUCores})
-		}
-	}
-	if !p.isDraining && !isolated && c.HasConfig() {
-		hosts = append(hosts, endpoints.Host{Address: p.selfEntry.CallerAddress, CPUCores: p.selfEntry.CPUCores})
-	}
-
-	return endpoints.SelectAddresses(hosts, maxAddresses, rand.Uint64())
-}
-
-// lastHeard returns when the last heartbeat of any peer arrived, zero if none has; the caller holds the lock.
-func (p *peerTable) lastHeard() time.Time {
-	var last time.Time
-	for _, other := range p.byHost {
-		last = laterOf(last, other.lastHeardAt)
-	}
-
-	return last
-}
-
 // triggerRenewal makes the renewal loop renew the membership at once, since slots may have become free.
 func (c *Cluster) triggerRenewal() {
 	select {
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -88,6 +88,13 @@
 	return w.registry.DomainOfAddress(address)
 }
 
+// FailureDomainOfAddress returns the failure domain of the upstream that is registered at an address, or an empty string.
+func (w *Watcher) FailureDomainOfAddress(address string) id.FailureDomain {
+	domain, _ := w.DomainOfAddress(address)
+
+	return domain
+}
+
 // LastStoreResponse returns when the store last responded to this host.
 func (w *Watcher) LastStoreResponse() time.Time { return time.Unix(0, w.lastStoreResponse.Load()) }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/id"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -42,7 +43,10 @@
 	IsEvacuated func(domain id.FailureDomain) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
-	Logger   logr.Logger
+	// PeerCounter and UpstreamCounter return the counters of the bytes of the two ends of a relayed connection; nil count nothing.
+	PeerCounter     func(remote net.Addr) *traffic.Counter
+	UpstreamCounter func(address string) *traffic.Counter
+	Logger          logr.Logger
 
 	connCount atomic.Int64
 	conns     sync.WaitGroup
@@ -99,7 +103,30 @@
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(caller, upstream, func() bool { return s.IsEvacuated(domain) })
+	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), func() bool { return s.IsEvacuated(domain) })
+}
+
+func (s *Server) countPeer(conn net.Conn) end {
+	if s.PeerCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.PeerCounter(conn.RemoteAddr())}
+}
+
+func (s *Server) countUpstream(conn net.Conn, address string) end {
+	if s.UpstreamCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.UpstreamCounter(address)}
+}
+
+// end is one end of a relayed connection, with the counter of its bytes.
+type end struct {
+	net.Conn
+
+	counter *traffic.Counter
 }
 
 // connect connects to the upstream of a CONNECT request and returns its failure domain, or the status of the refusal. A connection
@@ -137,20 +164,20 @@
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
 // reset, so that a response that it breaks off does not look complete.
-func splice(caller, upstream net.Conn, isEvacuated func() bool) {
+func splice(caller, upstream end, isEvacuated func() bool) {
 	done := make(chan struct{})
 	var answered atomic.Bool
 	answered.Store(true)
 	go func() {
 		defer close(done)
-		copyBytes(&requestWriter{upstream, &answered, isEvacuated}, caller) //nolint:errcheck // any end is the caller's
+		copyBytes(&requestWriter{countingWriter{upstream}, &answered, isEvacuated}, countingReader{caller}) //nolint:errcheck // any end is the caller's
 		// The caller never closes only its sending direction: it has canceled its request.
 		upstream.Close()
 	}()
-	if err := copyBytes(caller, &responseReader{upstream, &answered}); err != nil {
-		reset(caller)
+	if err := copyBytes(countingWriter{caller}, &responseReader{countingReader{upstream}, &answered}); err != nil {
+		reset(caller.Conn)
 	} else {
-		closeWrite(caller)
+		closeWrite(caller.Conn)
 	}
 	<-done
 }
@@ -196,11 +223,31 @@
 // copyBytes copies until the end or an error. It hides the connections' other methods, since their splice(2) is not available
 // everywhere.
 func copyBytes(dst io.Writer, src io.Reader) error {
-	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(dst, src, make([]byte, copyBufferBytes))
 
 	return err
 }
 
+// countingWriter counts the bytes that are sent to an end.
+type countingWriter struct{ end end }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.end.Write(p)
+	w.end.counter.AddSent(n)
+
+	return n, err
+}
+
+// countingReader counts the bytes that are received from an end.
+type countingReader struct{ end end }
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.end.Read(p)
+	r.end.counter.AddReceived(n)
+
+	return n, err
+}
+
 func enableKeepAlive(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		tcp.SetKeepAliveConfig(keepAlive) //nolint:errcheck // the connection works without it
