Refuse first turns at the gateway while upstreams are full

With overload.enabled, a host decides on each first turn of a program by the occupancy of the upstreams and the workspace's share, after the program's owner has said that it has had no turn; a refused turn gives its reservation back. Heartbeats carry the largest loads of workspaces and the rates of first turns, at most 8 KB a second to all recipients. Streams without a token budget count as first turns only if they name neither a program nor a session. Weights of unknown workspaces are logged once for each configuration.

The tests with three hosts and 96 programs on 32 slots pass: only first turns are refused, none of them reached an upstream, and with the setting off none is refused.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -105,6 +105,8 @@
 	peerClients   map[string]fleetpb.Slots
 	httpClient    *http.Client
 
+	workspaces workspaceLoads
+
 	quotasMu sync.Mutex
 	quotas   map[id.Workspace]*workspaceQuota
 
@@ -310,6 +312,7 @@
 			c.peers.cachedParts.RemoveExpired(now)
 			c.peers.mu.Unlock()
 			c.removeExpiredStreamOrigins(now)
+			c.workspaces.removeExpired(now)
 			c.heldMu.Lock()
 			c.programWatermarks.RemoveOlderThan(now, budgetRetention)
 			c.heldMu.Unlock()
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -78,6 +78,8 @@
 	}
 	heartbeat.Evicted = p.evictionsToGossip(now)
 	heartbeat.Member = p.cluster.leaseExpiryNanos.Load() != 0
+	targets := p.heartbeatTargets()
+	p.cluster.workspaces.addTo(heartbeat, now, len(targets))
 	data, err := proto.Marshal(heartbeat)
 	if err != nil {
 		p.cluster.Logger.Error(err, "beat-failed")
@@ -86,7 +88,7 @@
 	}
 	p.sumRemoteRequests(now)
 
-	return data, p.heartbeatTargets()
+	return data, targets
 }
 
 // heartbeatTargets returns the recipients of the next heartbeat; the caller holds the lock.
@@ -177,6 +179,7 @@
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
 	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
 	sender.isPartitioned = heartbeat.Partitioned
+	p.cluster.workspaces.recordReport(now, heartbeat)
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -14,6 +14,7 @@
 
 	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
+	"cardamomward/core/routing"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
 	"cardamomward/io/httpx"
@@ -55,13 +56,15 @@
 	logger          logr.Logger
 	now             func() time.Time
 
-	discovery       *discovery.Watcher
-	upstreamClient  *upstreamclient.Client
-	cluster         *cluster.Cluster
-	proxy           *reverseproxy.Proxy
-	relay           *relay.Server
-	metrics         reverseproxy.Metrics
-	draining        atomic.Bool
+	discovery      *discovery.Watcher
+	upstreamClient *upstreamclient.Client
+	cluster        *cluster.Cluster
+	proxy          *reverseproxy.Proxy
+	relay          *relay.Server
+	metrics        reverseproxy.Metrics
+	draining       atomic.Bool
+	// weightsConfig is the configuration whose workspaces the weights were last compared with. Only cleanUpLoop uses it.
+	weightsConfig   *routing.Config
 	drainPeriodOver chan struct{}
 }
 
@@ -92,7 +95,13 @@
 }
 
 // Configure sets the settings of the gateway's optional parts; it must be called before Run.
-func (h *Host) Configure(settings *gatewaysettings.Settings) { h.gatewaySettings = settings }
+func (h *Host) Configure(settings *gatewaysettings.Settings) {
+	h.gatewaySettings = settings
+	if settings.Overload.Enabled {
+		h.proxy.Overload = &reverseproxy.OverloadAdmission{Loads: h.cluster, Weights: settings.Overload.Weights}
+		h.cluster.ReportWorkspaceLoads()
+	}
+}
 
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
 // cannot listen.
@@ -186,6 +195,7 @@
 			h.upstreamClient.CloseExpired(h.now())
 			h.proxy.RemoveUnlistedStats()
 			h.cluster.RemoveUnlistedLimits(h.isUpstreamListed)
+			h.logUnknownWeights()
 			for _, s := range servers {
 				if closed := s.CloseStalledRequests(h.now().Add(-requestReadTimeout), h.proxy.HasActiveRequest); closed > 0 {
 					h.logger.Info("requests-stalled", "address", s.Address(), "connections", closed)
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
 	"cardamomward/io/gatewayhost"
 	"cardamomward/io/upstreamclient"
@@ -44,6 +45,8 @@
 	newLogger func(name string) logr.Logger
 	// servesMetrics makes each host serve its metrics.
 	servesMetrics bool
+	// gatewaySettings are the settings of all hosts' optional parts; nil means the default.
+	gatewaySettings *gatewaysettings.Settings
 	// network holds the links between hosts and upstreams.
 	network netsim.Network
 	// runsProcesses runs each host in a process of its own; processOutput returns where its logs go and may be nil.
@@ -140,6 +143,9 @@
 		logger = c.newLogger(name)
 	}
 	h.instance = gatewayhost.New(h.settings, logger, time.Now)
+	if c.gatewaySettings != nil {
+		h.instance.Configure(c.gatewaySettings)
+	}
 	if c.servesMetrics {
 		h.instance.MetricsPort = freePort(c.t)
 	}
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -159,8 +159,10 @@
 	Streams        StreamTracker
 	Loads          LoadTracker
 	Limits         UpstreamLimiter
-	Logger         logr.Logger
-	Now            func() time.Time
+	// Overload is nil if admission under overload is off.
+	Overload *OverloadAdmission
+	Logger   logr.Logger
+	Now      func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -141,13 +141,15 @@
 			return errResp
 		}
 	}
-	if errResp := p.checkRateLimit(ctx, req); errResp != nil {
+	errResp := p.checkOverload(req)
+	if errResp == nil {
+		errResp = p.checkRateLimit(ctx, req)
+	}
+	if errResp != nil {
 		p.endTurn(ctx, req, false)
-
-		return errResp
 	}
 
-	return nil
+	return errResp
 }
 
 // checkRateLimit returns an error if the workspace is over its request rate.
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -19,6 +19,7 @@
 	*upstreamclient.Exchange
 
 	instance     *registry.Instance
+	workspace    id.Workspace
 	responseHead platform.ResponseHead
 }
 
@@ -30,12 +31,8 @@
 	if req.service.Engine == nil {
 		return -1
 	}
-	priority := req.route.Priority
-	if req.workspace != nil && req.workspace.Priority != nil {
-		priority = *req.workspace.Priority
-	}
 
-	return min(9, baseEnginePriority+priority)
+	return min(9, baseEnginePriority+req.priority())
 }
 
 // sendWithRetries sends the request to one upstream after another until one responds, or returns an error response if
@@ -109,7 +106,7 @@
 	bodyBytes := len(req.beginResult.PriorTranscript) + len(req.Body)
 	head := platform.AppendRequestHead(make([]byte, 0, headCapacity+bodyBytes), req.Request, options, bodyBytes)
 	head = append(head, req.beginResult.PriorTranscript...)
-	p.Loads.AddRunningRequests(instance.ID, 1)
+	p.addRunning(instance, req.workspaceName(), 1)
 	if part, ok := req.sharedPromptPart(); ok {
 		p.Loads.RecordPromptPartRead(instance.ID, part)
 	}
@@ -125,7 +122,7 @@
 		},
 	})
 	if err != nil {
-		p.Loads.AddRunningRequests(instance.ID, -1)
+		p.addRunning(instance, req.workspaceName(), -1)
 		if ctx.Err() == nil && p.isBeforeDeadline(req) {
 			p.recordFailure(instance)
 		}
@@ -136,7 +133,9 @@
 
 		return nil, retrypolicy.Lost
 	}
-	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
+	sent := &sentRequest{
+		Exchange: exchange, instance: instance, workspace: req.workspaceName(), responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header),
+	}
 	p.recordLimit(sent)
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
@@ -174,14 +173,22 @@
 	}
 }
 
+// addRunning changes the numbers of running requests at an upstream and of a workspace.
+func (p *Proxy) addRunning(instance *registry.Instance, workspace id.Workspace, delta int) {
+	p.Loads.AddRunningRequests(instance.ID, delta)
+	if p.Overload != nil {
+		p.Overload.Loads.AddWorkspaceRequests(workspace, instance.Service, delta)
+	}
+}
+
 // abortExchange ends an exchange whose response is not read to its end.
 func (p *Proxy) abortExchange(sent *sentRequest) {
 	sent.Abort()
-	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.addRunning(sent.instance, sent.workspace, -1)
 }
 
 // finishExchange ends an exchange whose response was read to its end.
 func (p *Proxy) finishExchange(sent *sentRequest) {
 	sent.Finish(p.Now())
-	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.addRunning(sent.instance, sent.workspace, -1)
 }
