Merge admission under overload and fair shares between workspaces

Cause: first turns were refused by fixed rates and named limits only, so that under overload all programs were late.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -45,7 +45,7 @@
 	newLogger func(name string) logr.Logger
 	// servesMetrics makes each host serve its metrics.
 	servesMetrics bool
-	// gatewaySettings are those of each host; nil leaves the optional parts off.
+	// gatewaySettings are the settings of all hosts' optional parts; nil means the default.
 	gatewaySettings *gatewaysettings.Settings
 	// network holds the links between hosts and upstreams.
 	network netsim.Network
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -168,8 +168,10 @@
 	Streams        StreamTracker
 	Loads          LoadTracker
 	Limits         UpstreamLimiter
-	Logger         logr.Logger
-	Now            func() time.Time
+	// Overload is nil if admission under overload is off.
+	Overload *OverloadAdmission
+	Logger   logr.Logger
+	Now      func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
 	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
