Choose upstreams by outstanding work, compared in a simulation

Cause: with views of 0.2 to 2 s, hosts that compare all upstreams by the count of requests all choose the same few. Nothing calls the new choice yet.

Change: leastcost.ChooseByWork compares two random upstreams, two of the preferred failure domain and the last upstream of the affinity key by the time of the request, the overlap with outstanding work, the queue and preemptions. A simulation without a network compares it with the present policy, least work of all, other samples and join-idle-queue. ChooseUpstream is unchanged.

--- /dev/null
+++ b/core/leastcost/export_test.go
@@ -0,0 +1,4 @@
+package leastcost
+
+// ChooseFromSample is exported for the comparison of policies.
+var ChooseFromSample = chooseFromSample
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -21,6 +21,10 @@
 	CachedOwnTokens id.Tokens
 	// ExpectedOutputTokens is the estimate of the tokens that the request generates.
 	ExpectedOutputTokens id.Tokens
+	// FailureDomain is the preferred one, empty without a preference; only ChooseByWork uses it.
+	FailureDomain id.FailureDomain
+	// ExpectedServiceMS is the estimate of the time of a request to a plain service; only ChooseByWork uses it.
+	ExpectedServiceMS float64
 }
 
 // UpstreamState is what the host knows of an upstream.
--- a/core/workleft/tracker.go
+++ b/core/workleft/tracker.go
@@ -160,15 +160,15 @@
 				sum.unreported += load.Running
 			}
 			sum.Running += load.Running
-			sum.WorkMillis += load.aged(age)
+			sum.WorkMillis += load.Aged(age)
 			sum.ReservedTokens += load.ReservedTokens
 			t.remote[upstream] = sum
 		}
 	}
 }
 
-// aged returns the work that is left of a report: each request has run on, and others have followed those that have ended.
-func (l Load) aged(age time.Duration) float64 {
+// Aged returns the work that is left of a report: each request has run on, and others have followed those that have ended.
+func (l Load) Aged(age time.Duration) float64 {
 	return max(l.WorkMillis-float64(l.Running)*age.Seconds()*1000, minAgedShare*l.WorkMillis)
 }
 
