Place requests by learned cost and outstanding work if enabled

Cause: placement.learned-cost had no effect: estimates, outstanding work and the sampled choice were not connected to the request path.

Change: with the setting, io/reverseproxy chooses with leastcost.ChooseByWork, learns outputs, times and speeds from responses and events, and tracks each attempt's work; heartbeats carry work_millis and reserved_tokens. platform decodes Length-Hint.

Measured: the tests of the touched packages pass, the new ones of io/gatewayhost with the race detector. Lines removed by hand, and the tests that fail then: platform parseHint and its case: TestLengthHintsThatAreNotPositiveNumbersAreIgnored; io/cluster tokensPerPart: TestCachedPromptPartsTakeEngineMemory; max(1, work): TestRequestsWithoutWorkLeftAreNotReportedAsUnknown; SetPeer and SumPeers: TestHeartbeatsTellWorkAndReservedMemory and TestPeersOfEarlierReleasesCountWithTheMeanWork; io/reverseproxy each of three endWork: TestWorkEndsWithItsRequest; learnOutput: TestOutputIsLearnedFromResponses; RecordWorkProgress: TestWorkShrinksAsEventsArrive; speeds.Record: TestSpeedIsLearnedFromEventsAsTheyArrive; EnableWork: TestWorkThatPeersReportDirectsRequests.

--- a/core/affinity/cache_index.go
+++ b/core/affinity/cache_index.go
@@ -50,6 +50,18 @@
 	return ok && now.Sub(last) <= cacheTTL
 }
 
+// CountCached returns the number of parts that an upstream is assumed to have in its cache.
+func (c *CacheIndex) CountCached(now time.Time, upstream id.Upstream) int {
+	count := 0
+	for _, last := range c.lastReadAt[upstream] {
+		if now.Sub(last) <= cacheTTL {
+			count++
+		}
+	}
+
+	return count
+}
+
 // RemoveUpstream removes all parts of an upstream whose process has restarted with an empty cache.
 func (c *CacheIndex) RemoveUpstream(upstream id.Upstream) { delete(c.lastReadAt, upstream) }
 
--- a/core/inbound/request.go
+++ b/core/inbound/request.go
@@ -49,6 +49,8 @@
 	PromptTokens id.Tokens
 	MaxTokens    id.Tokens
 	PromptParts  []PromptPart
+	// LengthHint is the caller's estimate of the output tokens; zero if the caller gives none that is a positive number.
+	LengthHint float64
 	// PreviousTurn is the id of the turn that this one continues; empty if there is none.
 	PreviousTurn string
 
--- a/core/leastcost/work.go
+++ b/core/leastcost/work.go
@@ -103,7 +103,7 @@
 
 		return cost + queue + serviceMS + min(state.WorkMillis, running*serviceMS)/concurrency
 	}
-	prefillMS := float64(request.uncachedTokens(candidate.ID, state.CachesSharedPrefix)) * prefillToDecodeRatio * state.UnitLatencyMS
+	prefillMS := request.PrefillMillis(candidate.ID, state.CachesSharedPrefix, state.UnitLatencyMS)
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	concurrent := min(running, concurrency)
 	cost += prefillMS * (1 + prefillInterference*concurrent)
@@ -113,6 +113,11 @@
 	return cost + queue + preemptionCostMS(request, state)
 }
 
+// PrefillMillis returns the time in which an upstream reads the tokens of the request's prompt that it does not cache.
+func (r Request) PrefillMillis(upstream id.Upstream, cachesSharedPrefix bool, unitLatencyMS float64) float64 {
+	return float64(r.uncachedTokens(upstream, cachesSharedPrefix)) * prefillToDecodeRatio * unitLatencyMS
+}
+
 // preemptionCostMS returns the cost of the preemptions that the request causes: the tokens that exceed the engine's memory are
 // read again, while all others wait.
 func preemptionCostMS(request Request, state WorkState) float64 {
--- a/core/workleft/tracker.go
+++ b/core/workleft/tracker.go
@@ -133,6 +133,19 @@
 	return load
 }
 
+// OwnTotal returns the load of this host's requests at all upstreams.
+func (t *Tracker) OwnTotal(now time.Time) Load {
+	var total Load
+	for upstream := range t.own {
+		load := t.Own(now, upstream)
+		total.Running += load.Running
+		total.WorkMillis += load.WorkMillis
+		total.ReservedTokens += load.ReservedTokens
+	}
+
+	return total
+}
+
 // SetPeer replaces the report of a peer.
 func (t *Tracker) SetPeer(now time.Time, peer id.Host, loads map[id.Upstream]Load) {
 	if t.peers == nil {
--- a/core/workleft/tracker_test.go
+++ b/core/workleft/tracker_test.go
@@ -23,6 +23,7 @@
 	require.InDelta(t, 200, tracker.Own(start, "a").WorkMillis, 0, "neither the prompt nor the output that arrived counts")
 	require.Equal(t, 1, tracker.Own(start, "a").Running)
 	require.Zero(t, tracker.Own(start, "b"))
+	require.Equal(t, tracker.Own(start, "a"), tracker.OwnTotal(start))
 	tracker.End(request)
 	tracker.End(request)
 	tracker.End(nil)
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -87,6 +87,9 @@
 		return nil, nil
 	}
 	p.sumRemoteRequests(now)
+	if p.tracksWork {
+		p.work.SumPeers(now, p.silenceTimeout())
+	}
 
 	return data, p.heartbeatTargets()
 }
@@ -181,6 +184,9 @@
 	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
 	sender.isPartitioned = heartbeat.Partitioned
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
+	if p.tracksWork {
+		p.work.SetPeer(now, id.Host(heartbeat.Host), decodeLoads(heartbeat.Loads))
+	}
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
 		for _, part := range load.Parts {
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -10,6 +10,7 @@
 
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
+	"cardamomward/core/workleft"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
 )
@@ -106,7 +107,10 @@
 	remoteRequests    map[id.Upstream]int
 	cachedParts       affinity.CacheIndex
 	domains           peerDomains
-	gossipedReads     []gossipedRead
+	work              workleft.Tracker
+	// tracksWork is set if the choice of upstreams uses the work that peers report; it does not change after the start.
+	tracksWork    bool
+	gossipedReads []gossipedRead
 }
 
 func newPeerTable(c *Cluster) *peerTable {
--- a/io/cluster/upstreamstate.go
+++ b/io/cluster/upstreamstate.go
@@ -67,6 +67,10 @@
 		l, ok := loads[upstream]
 		if !ok {
 			l = &fleetpb.UpstreamLoad{Upstream: string(upstream), Running: int32(p.localRequests[upstream])}
+			if own := p.work.Own(now, upstream); own.Running > 0 {
+				// Zero means that the host reports no work.
+				l.WorkMillis, l.ReservedTokens = max(1, int64(own.WorkMillis)), int64(own.ReservedTokens)
+			}
 			loads[upstream] = l
 		}
 
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -68,5 +68,9 @@
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
+	if h.gatewaySettings.Placement.LearnedCost {
+		work := h.cluster.OwnWork()
+		fmt.Fprintf(c, "tracked-requests %d\noutstanding-work-millis %.0f\nreserved-tokens %d\n", work.Running, work.WorkMillis, work.ReservedTokens)
+	}
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\n", h.relay.ConnCount(), partitioned)
 }
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -88,7 +88,7 @@
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
-		FailureDomain: settings.FailureDomain,
+		FailureDomain: settings.FailureDomain, Work: h.cluster,
 	}
 
 	return h
@@ -97,7 +97,10 @@
 // Configure sets the settings of the gateway's optional parts; it must be called before Run.
 func (h *Host) Configure(settings *gatewaysettings.Settings) {
 	h.gatewaySettings = settings
-	h.proxy.FailureDomainCost = settings.Placement.FailureDomainCost
+	h.proxy.FailureDomainCost, h.proxy.LearnsCosts = settings.Placement.FailureDomainCost, settings.Placement.LearnedCost
+	if settings.Placement.LearnedCost {
+		h.cluster.EnableWork()
+	}
 }
 
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -55,6 +55,9 @@
 
 // chooseUpstream returns the available upstream with the least estimated cost, or nil if all are excluded.
 func (p *Proxy) chooseUpstream(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
+	if p.LearnsCosts {
+		return p.chooseByWork(req, excluded)
+	}
 	request := req.balancerRequest()
 	part, shared := req.sharedPromptPart()
 	now := p.Now()
@@ -88,11 +91,13 @@
 func (p *Proxy) RemoveUnlistedStats() {
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
-	p.stats.RemoveUnlisted(func(upstream id.Upstream) bool {
+	isListed := func(upstream id.Upstream) bool {
 		_, listed := p.Discovery.GetUpstream(upstream)
 
 		return listed
-	})
+	}
+	p.stats.RemoveUnlisted(isListed)
+	p.learned.speeds.RemoveUnlisted(isListed)
 }
 
 // recordFailure adds a failure to an upstream's statistics.
--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -68,9 +68,17 @@
 			return nil, retryAfter
 		}
 		if needsPlace && p.Loads.RunningRequests(instance.ID) >= instance.Concurrency {
-			p.logLimited(req, append(limited, instance.ID), "")
+			limited = append(limited, instance.ID)
+			if !p.LearnsCosts {
+				p.logLimited(req, limited, "")
 
-			return nil, retryDelay
+				return nil, retryDelay
+			}
+			// The choice by outstanding work compares a sample, so others may have a free slot.
+			excluded = addExcluded(excluded, instance.ID)
+			retryAfter = retryDelay
+
+			continue
 		}
 		ok, wait := p.Limits.AdmitToUpstream(ctx, instance)
 		if ok {
@@ -78,10 +86,7 @@
 
 			return instance, 0
 		}
-		if excluded == nil {
-			excluded = make(map[id.Upstream]struct{})
-		}
-		excluded[instance.ID] = struct{}{}
+		excluded = addExcluded(excluded, instance.ID)
 		limited = append(limited, instance.ID)
 		if retryAfter == 0 || wait < retryAfter {
 			retryAfter = wait
@@ -89,6 +94,16 @@
 	}
 }
 
+// addExcluded adds an upstream to those that are excluded, which may be nil.
+func addExcluded(excluded map[id.Upstream]struct{}, upstream id.Upstream) map[id.Upstream]struct{} {
+	if excluded == nil {
+		excluded = make(map[id.Upstream]struct{})
+	}
+	excluded[upstream] = struct{}{}
+
+	return excluded
+}
+
 // isAnyLimitExhausted reports whether the limit of an upstream of the request's service has no room now. Programs then start
 // only if the upstream with the least cost serves them at once, so that those that have begun are finished in time.
 func (p *Proxy) isAnyLimitExhausted(req *proxiedRequest) bool {
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -166,6 +166,9 @@
 	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
 	FailureDomain     id.FailureDomain
 	FailureDomainCost time.Duration
+	// LearnsCosts chooses upstreams by learned costs and outstanding work, which Work tracks.
+	LearnsCosts bool
+	Work        WorkTracker
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
 	// isolated from the others.
 	ShouldCloseConnections func() bool
@@ -177,4 +180,5 @@
 
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
+	learned learnedCosts
 }
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -54,6 +54,7 @@
 	// and including that event.
 	firstEventAt       time.Time
 	tokensAtFirstEvent id.Tokens
+	progress           streamProgress
 }
 
 func (req *proxiedRequest) workspaceName() id.Workspace {
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -10,6 +10,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
+	"cardamomward/core/workleft"
 	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
 )
@@ -20,6 +21,8 @@
 
 	instance     *registry.Instance
 	responseHead platform.ResponseHead
+	// work is the request's part of the work at the upstream; nil if costs are not learned.
+	work *workleft.Request
 }
 
 // baseEnginePriority is the engine priority of priority 0, the highest; the others follow in order, up to 9.
@@ -110,6 +113,7 @@
 	head := platform.AppendRequestHead(make([]byte, 0, headCapacity+bodyBytes), req.Request, options, bodyBytes)
 	head = append(head, req.beginResult.PriorTranscript...)
 	p.Loads.AddRunningRequests(instance.ID, 1)
+	work := p.beginWork(req, instance)
 	if part, ok := req.sharedPromptPart(); ok {
 		p.Loads.RecordPromptPartRead(instance.ID, part)
 	}
@@ -126,6 +130,7 @@
 	})
 	if err != nil {
 		p.Loads.AddRunningRequests(instance.ID, -1)
+		p.endWork(work)
 		if ctx.Err() == nil && p.isBeforeDeadline(req) {
 			p.recordFailure(instance)
 		}
@@ -136,7 +141,7 @@
 
 		return nil, retrypolicy.Lost
 	}
-	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
+	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header), work: work}
 	p.recordLimit(sent)
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
@@ -178,10 +183,12 @@
 func (p *Proxy) abortExchange(sent *sentRequest) {
 	sent.Abort()
 	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.endWork(sent.work)
 }
 
 // finishExchange ends an exchange whose response was read to its end.
 func (p *Proxy) finishExchange(sent *sentRequest) {
 	sent.Finish(p.Now())
 	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.endWork(sent.work)
 }
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -158,6 +158,7 @@
 		}
 		comments = comments[:0]
 		req.recordEvent(event)
+		p.recordProgress(req, sent)
 		if req.firstEventAt.IsZero() {
 			req.firstEventAt, req.tokensAtFirstEvent = p.Now(), req.outputTokens
 		}
@@ -191,6 +192,7 @@
 
 // recordCompletion records the location of a turn whose stream is complete, and a latency sample of its upstream.
 func (p *Proxy) recordCompletion(req *proxiedRequest, sent *sentRequest) {
+	p.learnOutput(req)
 	req.location = affinity.Location{Upstream: sent.instance.ID, CachedTokens: req.ownPromptTokens() + req.outputTokens}
 	if !req.firstEventAt.IsZero() {
 		p.recordLatency(req, sent.instance, p.Now().Sub(req.firstEventAt), req.outputTokens-req.tokensAtFirstEvent)
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -32,7 +32,9 @@
 		}
 		body, err := p.readBody(sent)
 		if err == nil {
-			p.recordLatency(req, sent.instance, p.Now().Sub(sentAt), 0)
+			duration := p.Now().Sub(sentAt)
+			p.recordLatency(req, sent.instance, duration, 0)
+			p.learnServiceTime(req, sent, duration)
 			p.finishExchange(sent)
 			p.writeResponse(c, req, sent, body)
 
