--- a/core/workleft/tracker.go
+++ b/core/workleft/tracker.go
@@ -133,6 +133,19 @@
 	return load
 }
 
+// OwnTotal returns the load of this host's requests at all upstreams.
+func (t *Tracker) OwnTotal(now time.Time) Load {
+	var total Load
+	for upstream := range t.own {
+		load := t.Own(now, upstream)
+		total.Running += load.Running
+		total.WorkMillis += load.WorkMillis
+		total.ReservedTokens += load.ReservedTokens
+	}
+
+	return total
+}
+
 // SetPeer replaces the report of a peer.
 func (t *Tracker) SetPeer(now time.Time, peer id.Host, loads map[id.Upstream]Load) {
 	if t.peers == nil {
@@ -160,15 +173,15 @@
 				sum.unreported += load.Running
 			}
 			sum.Running += load.Running
-			sum.WorkMillis += load.aged(age)
+			sum.WorkMillis += load.Aged(age)
 			sum.ReservedTokens += load.ReservedTokens
 			t.remote[upstream] = sum
 		}
 	}
 }
 
-// aged returns the work that is left of a report: each request has run on, and others have followed those that have ended.
-func (l Load) aged(age time.Duration) float64 {
+// Aged returns the work that is left of a report: each request has run on, and others have followed those that have ended.
+func (l Load) Aged(age time.Duration) float64 {
 	return max(l.WorkMillis-float64(l.Running)*age.Seconds()*1000, minAgedShare*l.WorkMillis)
 }
 
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -96,6 +96,9 @@
 		return nil, nil
 	}
 	p.sumRemoteRequests(now)
+	if p.tracksWork {
+		p.work.SumPeers(now, p.silenceTimeout())
+	}
 
 	return data, targets
 }
@@ -192,6 +195,9 @@
 	p.cluster.workspaces.recordReport(now, heartbeat)
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
 	sender.upstreamErrors = nil
+	if p.tracksWork {
+		p.work.SetPeer(now, id.Host(heartbeat.Host), decodeLoads(heartbeat.Loads))
+	}
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
 		if score := min(load.Errors, maxPeerErrorScore); score > 0 {
