--- a/io/cluster/work_test.go
+++ b/io/cluster/work_test.go
@@ -57,7 +57,7 @@
 	sender, _ := newTestCluster(t)
 	sender.AddRunningRequests(engine.ID, 1)
 	sender.BeginWork(engine, workleft.Work{})
-	require.EqualValues(t, 1, sender.peers.upstreamLoads(time.Now())[0].WorkMillis, "zero means a host of an earlier release")
+	require.EqualValues(t, 1, sender.peers.upstreamLoads(time.Now(), nil)[0].WorkMillis, "zero means a host of an earlier release")
 }
 
 func TestCachedPromptPartsTakeEngineMemory(t *testing.T) {
