Pace requests to cold upstreams over all hosts

Cause: an upstream that has just started crashes far above a rate that its service states, and an idle one has the least cost at every host, so that all of them sent to it at once.

Change: the owner of the upstream's slot admits requests to cold upstreams as it does within limits, at the smaller rate of both. Starts are known from registrations, Cold-Ms, responses that break off, ends of evacuations and peers. The cost of a cold upstream includes its whole prompt and the admission delay.

--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -33,6 +33,8 @@
 	FailureScore float64
 	// AdmissionDelayMS is the estimated time in milliseconds until its limit admits a request; zero if it has none.
 	AdmissionDelayMS float64
+	// IsCold is set while its caches are empty after a start; AdmissionDelayMS then counts for every request.
+	IsCold bool
 	// CachesSharedPrefix is set if it probably caches the request's shared prompt tokens.
 	CachesSharedPrefix bool
 }
@@ -74,14 +76,14 @@
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
 	cost := failurePenaltyMS * state.FailureScore
-	if candidate.ID != request.LastUpstream {
+	if candidate.ID != request.LastUpstream || state.IsCold {
 		cost += state.AdmissionDelayMS
 	}
 	if !request.IsModelCall {
 		return cost + state.UnitLatencyMS*(1+runningRequests/concurrency) + queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
 	}
 	concurrentRequests := min(runningRequests, concurrency)
-	prefillMS := float64(request.uncachedTokens(candidate.ID, state.CachesSharedPrefix)) * prefillToDecodeRatio * state.UnitLatencyMS
+	prefillMS := float64(request.uncachedTokens(candidate.ID, state)) * prefillToDecodeRatio * state.UnitLatencyMS
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	cost += prefillMS * (1 + prefillInterference*concurrentRequests)
 	cost += decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
@@ -94,13 +96,16 @@
 	return max(0, runningRequests-concurrency+1) / concurrency * serviceMS * 2
 }
 
-// uncachedTokens returns the prompt tokens that an upstream has to read.
-func (r Request) uncachedTokens(upstream id.Upstream, cachesSharedPrefix bool) id.Tokens {
+// uncachedTokens returns the prompt tokens that an upstream has to read: all of them if it is cold.
+func (r Request) uncachedTokens(upstream id.Upstream, state UpstreamState) id.Tokens {
+	if state.IsCold {
+		return r.OwnPromptTokens + r.SharedPromptTokens
+	}
 	uncached := r.OwnPromptTokens
 	if upstream == r.LastUpstream {
 		uncached = max(0, r.OwnPromptTokens-r.CachedOwnTokens)
 	}
-	if !cachesSharedPrefix && upstream != r.LastUpstream {
+	if !state.CachesSharedPrefix && upstream != r.LastUpstream {
 		uncached += r.SharedPromptTokens
 	}
 
--- a/core/leastcost/leastcost_test.go
+++ b/core/leastcost/leastcost_test.go
@@ -109,6 +109,17 @@
 	}
 }
 
+func TestColdUpstreamCostsWholePromptAndAdmissionDelay(t *testing.T) {
+	candidate := newEngines(2)[1]
+	request := newTurnRequest(candidate.ID)
+	request.OwnPromptTokens, request.CachedOwnTokens, request.SharedPromptTokens = 6000, 6000, 12_600
+	warm := leastcost.UpstreamState{UnitLatencyMS: 10, CachesSharedPrefix: true}
+	cold := warm
+	cold.IsCold, cold.AdmissionDelayMS = true, 200
+	difference := leastcost.EstimateCostMS(candidate, request, cold) - leastcost.EstimateCostMS(candidate, request, warm)
+	require.InDelta(t, 200+18_600*10.0/300, difference, 0.001)
+}
+
 func TestChooseUpstreamSkipsExcludedUpstreams(t *testing.T) {
 	excluded := map[id.Upstream]struct{}{"u0": {}, "u1": {}}
 	require.Equal(t, id.Upstream("u2"), leastcost.ChooseUpstream(newEngines(3), newTurnRequest("u1"), newStates(nil, true), excluded).ID)
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -141,16 +141,21 @@
 // EvacuationCount returns the number of evacuated failure domains.
 func (r *Registry) EvacuationCount() int { return r.evacuations.Len() }
 
-// CountInDomain returns the number of upstreams in a failure domain, including draining ones.
-func (r *Registry) CountInDomain(domain id.FailureDomain) int {
-	count := 0
+// EvacuationEndedAt returns when the last evacuation of a failure domain ended, and false if there was none or it is evacuated.
+func (r *Registry) EvacuationEndedAt(domain id.FailureDomain) (time.Time, bool) {
+	return r.evacuations.EndedAt(domain)
+}
+
+// InDomain returns the upstreams in a failure domain, including draining ones.
+func (r *Registry) InDomain(domain id.FailureDomain) []*Instance {
+	var instances []*Instance
 	for _, instance := range r.entries {
 		if instance.FailureDomain == domain {
-			count++
+			instances = append(instances, instance)
 		}
 	}
 
-	return count
+	return instances
 }
 
 // SoleVersion returns the software version of all upstreams of a service, draining ones included, and false if they have
--- a/core/registry/registry_test.go
+++ b/core/registry/registry_test.go
@@ -85,7 +85,7 @@
 	r.Put(&registry.Instance{ID: "d", Service: "s", FailureDomain: "zone-a", Draining: true})
 	require.Equal(t, []id.Upstream{"b"}, availableIDs(&r), "upstreams that register during the evacuation are excluded")
 	require.Len(t, r.Evacuated("s"), 2)
-	require.Equal(t, 3, r.CountInDomain("zone-a"))
+	require.Len(t, r.InDomain("zone-a"), 3)
 	require.True(t, r.EndEvacuation(start, "zone-a"))
 	require.Equal(t, []id.Upstream{"a", "b", "c"}, availableIDs(&r))
 	require.Empty(t, r.Evacuated("s"))
--- a/core/routing/route.go
+++ b/core/routing/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 )
 
@@ -104,6 +105,8 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdStart describes the cold starts of the service's upstreams.
+	ColdStart coldstart.Policy
 }
 
 // Workspace is a tenant with its API keys and rate limit.
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -39,14 +39,14 @@
 	}
 }
 
-// buildLimits returns the encoded limits of upstreams that this host has lately received, or nil. They are sent apart from the
-// heartbeat, whose size is bounded.
+// buildLimits returns the encoded limits and cold starts of upstreams of which this host has lately learned, or nil. They are sent
+// apart from the heartbeat, whose size is bounded.
 func (p *peerTable) buildLimits(now time.Time) []byte {
-	limits := p.cluster.limitsToGossip(now)
-	if len(limits) == 0 {
+	limits, cold := p.cluster.limitsToGossip(now), p.cluster.coldToGossip(now)
+	if len(limits) == 0 && len(cold) == 0 {
 		return nil
 	}
-	data, err := proto.Marshal(&fleetpb.Beat{Limits: limits})
+	data, err := proto.Marshal(&fleetpb.Beat{Limits: limits, Cold: cold})
 	if err != nil {
 		p.cluster.Logger.Error(err, "beat-failed")
 
@@ -156,6 +156,9 @@
 	for _, limit := range heartbeat.Limits {
 		p.cluster.recordPeerLimit(decodeUpstreamLimit(now, limit))
 	}
+	for _, cold := range heartbeat.Cold {
+		p.cluster.recordPeerCold(now, decodeColdUpstream(now, cold))
+	}
 	for _, origin := range heartbeat.Streams {
 		p.cluster.storeStreamOrigin(streamorigin.Attempt(origin.Attempt), decodeStreamOrigin(origin))
 	}
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -399,6 +399,16 @@
 	return members
 }
 
+// isHostListRead reports whether the list of hosts has been read, so that hostCount is known.
+func (p *peerTable) isHostListRead() bool {
+	select {
+	case <-p.hostListRead:
+		return true
+	default:
+		return false
+	}
+}
+
 // hostCount returns the number of known hosts, including this one.
 func (p *peerTable) hostCount() int {
 	p.mu.Lock()
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -8,7 +8,6 @@
 	"cardamomward/core/affinity"
 	"cardamomward/core/id"
 	"cardamomward/core/quota"
-	"cardamomward/core/ratelimit"
 	"cardamomward/core/tokenbudget"
 	"cardamomward/core/turnstore"
 	"cardamomward/io/fleet/fleetpb"
@@ -73,7 +72,7 @@
 	turnPartCounts  map[string]int
 	locations       affinity.Locations
 	quotaAllocators map[id.Workspace]*quota.Allocator
-	limitBuckets    map[id.Upstream]*ratelimit.Bucket
+	limitBuckets    map[id.Upstream]*limitBucket
 	// changed is closed and replaced when records became durable or the state changed.
 	changed chan struct{}
 }
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/ratelimit"
 	"cardamomward/core/registry"
@@ -24,10 +25,11 @@
 	minAdmitRetryDelay = 20 * time.Millisecond
 )
 
-// upstreamLimits is the limits of upstreams that this host has received or was told of.
+// upstreamLimits is the limits of upstreams, and the upstreams that are cold, that this host has received or was told of.
 type upstreamLimits struct {
 	mu    sync.Mutex
 	index upstreamlimit.Index
+	cold  coldstart.Index
 	// pacers hold this host's access to each limit that it has asked for.
 	pacers map[id.Upstream]*limitPacer
 }
@@ -99,6 +101,7 @@
 	c.limits.mu.Lock()
 	defer c.limits.mu.Unlock()
 	c.limits.index.RemoveUnlisted(c.Now(), isListed)
+	c.limits.cold.RemoveUnlisted(c.Now(), isListed)
 	for upstream := range c.limits.pacers {
 		if !isListed(upstream) {
 			delete(c.limits.pacers, upstream)
@@ -106,13 +109,35 @@
 	}
 }
 
-// AdmitToUpstream reports whether a request may be sent to an upstream now within the upstream's limit, and otherwise after how
-// long to ask again.
-func (c *Cluster) AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration) {
+// admission is what bounds the requests to an upstream: its limit, its cold start, or both.
+type admission struct {
+	limit     upstreamlimit.Statement
+	isLimited bool
+	cold      coldstart.Statement
+	isCold    bool
+}
+
+// rate returns the smaller rate of both, in requests per second.
+func (a admission) rate() float64 {
+	switch {
+	case !a.isCold:
+		return a.limit.Rate
+	case !a.isLimited:
+		return a.cold.Rate
+	default:
+		return min(a.limit.Rate, a.cold.Rate)
+	}
+}
+
+// AdmitToUpstream reports whether a request may be sent to an upstream now within the upstream's limit and the rate that it takes
+// while it is cold, and otherwise after how long to ask again. An upstream that is neither limited nor cold costs no call.
+func (c *Cluster) AdmitToUpstream(ctx context.Context, instance *registry.Instance, policy coldstart.Policy) (ok bool, retryAfter time.Duration) {
 	now := c.Now()
+	var a admission
 	c.limits.mu.Lock()
-	statement, limited := c.limits.index.Limit(instance.ID, instance.Incarnation)
-	if !limited {
+	a.limit, a.isLimited = c.limits.index.Limit(instance.ID, instance.Incarnation)
+	a.cold, a.isCold = c.limits.cold.State(now, instance, policy)
+	if !a.isLimited && !a.isCold {
 		c.limits.mu.Unlock()
 
 		return true, 0
@@ -124,7 +149,7 @@
 		return false, exhaustedUntil.Sub(now)
 	}
 	if asksOwner {
-		reply, err := c.askLimitOwner(ctx, now, statement)
+		reply, err := c.askLimitOwner(ctx, now, instance.ID, a)
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
 			return c.recordLimitReply(instance.ID, reply)
 		}
@@ -132,18 +157,25 @@
 		c.requestOwnersRefresh()
 	}
 
-	return c.admitOnShare(instance.ID, statement)
+	return c.admitOnShare(instance.ID, a)
 }
 
-func (c *Cluster) askLimitOwner(ctx context.Context, now time.Time, statement upstreamlimit.Statement) (*fleetpb.AdmitReply, error) {
-	member := c.slotOwner(c.hashSlot(string(statement.Upstream)))
+func (c *Cluster) askLimitOwner(ctx context.Context, now time.Time, upstream id.Upstream, a admission) (*fleetpb.AdmitReply, error) {
+	member := c.slotOwner(c.hashSlot(string(upstream)))
 	if member == "" || c.IsIsolated(now) {
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, admitTimeout)
 	defer cancel()
+	req := &fleetpb.AdmitToUpstreamRequest{}
+	if a.isLimited {
+		req.Limit = encodeUpstreamLimit(now, a.limit)
+	}
+	if a.isCold {
+		req.Cold = encodeColdUpstream(now, a.cold)
+	}
 
-	return c.peerClient(member).AdmitToUpstream(ctx, &fleetpb.AdmitToUpstreamRequest{Limit: encodeUpstreamLimit(now, statement)})
+	return c.peerClient(member).AdmitToUpstream(ctx, req)
 }
 
 // recordLimitReply applies the owner's reply. An upstream whose limit is used up is not asked for before it has room again.
@@ -159,9 +191,16 @@
 	return false, retryAfter
 }
 
-// admitOnShare admits a request on this host's share of the limit, while the owner cannot be asked.
-func (c *Cluster) admitOnShare(upstream id.Upstream, statement upstreamlimit.Statement) (ok bool, retryAfter time.Duration) {
-	share := statement.Rate / float64(c.peers.hostCount())
+// admitOnShare admits a request on this host's share of the rate, while the owner cannot be asked.
+func (c *Cluster) admitOnShare(upstream id.Upstream, a admission) (ok bool, retryAfter time.Duration) {
+	hosts := c.peers.hostCount()
+	share := a.rate() / float64(hosts)
+	if a.isCold {
+		if !c.peers.isHostListRead() {
+			return false, limitOwnerRetryDelay
+		}
+		share = coldstart.HostShare(a.rate(), hosts)
+	}
 	now := c.Now()
 	c.limits.mu.Lock()
 	defer c.limits.mu.Unlock()
@@ -187,38 +226,74 @@
 	return pacer
 }
 
-// AdmitToUpstream admits a request to an upstream within the upstream's limit, over all hosts.
+// AdmitToUpstream admits a request to an upstream within the upstream's limit and the rate that it takes while it is cold, over
+// all hosts.
 func (srv *slotServer) AdmitToUpstream(ctx context.Context, req *fleetpb.AdmitToUpstreamRequest) (*fleetpb.AdmitReply, error) {
 	c := srv.cluster
 	now := c.Now()
-	reported := decodeUpstreamLimit(now, req.Limit)
-	c.recordPeerLimit(reported)
-	s := c.slots[c.hashSlot(string(reported.Upstream))]
+	upstream := id.Upstream(req.GetCold().GetUpstream())
+	if req.Cold != nil {
+		c.recordPeerCold(now, decodeColdUpstream(now, req.Cold))
+	}
+	var a admission
+	if req.Limit != nil || req.Cold == nil {
+		reported := decodeUpstreamLimit(now, req.Limit)
+		c.recordPeerLimit(reported)
+		upstream = reported.Upstream
+		a.limit, a.isLimited = c.upstreamLimit(upstream, reported.Incarnation)
+	} else {
+		a.limit, a.isLimited = c.upstreamLimit(upstream, req.Cold.Incarnation)
+	}
+	a.cold, a.isCold = c.reportedCold(now, upstream)
+	s := c.slots[c.hashSlot(string(upstream))]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.ensureServing(ctx, now) && (s.state == unowned || !c.mayServeSlots(now)) {
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
-	statement, limited := c.upstreamLimit(reported.Upstream, reported.Incarnation)
-	if !limited {
+	if !a.isLimited && !a.isCold {
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: 1}, nil
 	}
-	rate := statement.Rate * c.peers.liveHostShare(now)
-	taken, wait := s.limitBucket(now, reported.Upstream).Take(now, rate, max(1, limitBurstSeconds*rate), 1)
 
-	return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: taken, RetryMillis: wait.Milliseconds()}, nil
+	return s.admitToUpstream(now, upstream, a), nil
+}
+
+// admitToUpstream admits a request from the bucket of an upstream. The caller holds the lock.
+func (s *slot) admitToUpstream(now time.Time, upstream id.Upstream, a admission) *fleetpb.AdmitReply {
+	rate := a.rate() * s.cluster.peers.liveHostShare(now)
+	bucket := s.limitBucket(now, upstream)
+	reply := &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
+	if a.isCold {
+		ok, wait := bucket.queue.Take(now, &bucket.Bucket, rate, s.cluster.peers.hostCount())
+		if ok {
+			reply.Allowed = 1
+		}
+		reply.RetryMillis = wait.Milliseconds()
+
+		return reply
+	}
+	taken, wait := bucket.Take(now, rate, max(1, limitBurstSeconds*rate), 1)
+	reply.Allowed, reply.RetryMillis = taken, wait.Milliseconds()
+
+	return reply
+}
+
+// limitBucket is the token bucket of an upstream's limit and of its cold starts, with the queue of the latter.
+type limitBucket struct {
+	ratelimit.Bucket
+
+	queue coldstart.Queue
 }
 
-// limitBucket returns the token bucket of an upstream's limit. It starts empty, since the previous owner may just have admitted
-// the whole burst. The caller holds the lock.
-func (s *slot) limitBucket(now time.Time, upstream id.Upstream) *ratelimit.Bucket {
+// limitBucket returns the bucket of an upstream. It starts empty, since the previous owner may just have admitted the whole
+// burst. The caller holds the lock.
+func (s *slot) limitBucket(now time.Time, upstream id.Upstream) *limitBucket {
 	bucket, ok := s.limitBuckets[upstream]
 	if !ok {
 		if s.limitBuckets == nil {
-			s.limitBuckets = make(map[id.Upstream]*ratelimit.Bucket)
+			s.limitBuckets = make(map[id.Upstream]*limitBucket)
 		}
-		empty := ratelimit.NewWithLevel(now, 0)
-		bucket = &empty
+		bucket = &limitBucket{Bucket: ratelimit.NewWithLevel(now, 0)}
 		s.limitBuckets[upstream] = bucket
 	}
 
--- a/io/discovery/evacuation.go
+++ b/io/discovery/evacuation.go
@@ -43,8 +43,12 @@
 	} else {
 		changed = w.registry.EndEvacuation(now, domain)
 	}
-	if changed {
-		w.logEvacuation(domain, record.Offset, inForce)
+	if !changed {
+		return
+	}
+	w.logEvacuation(domain, record.Offset, inForce)
+	if !inForce {
+		w.recordEvacuationEnd(domain)
 	}
 }
 
@@ -62,11 +66,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, domain := range w.registry.EndUnlistedEvacuations(w.Now(), listed) {
+		w.recordEvacuationEnd(domain)
 		w.logEvacuation(domain, unlistedOffset, false)
 	}
 }
 
 // logEvacuation logs the begin or the end of an evacuation; the caller holds the lock.
 func (w *Watcher) logEvacuation(domain id.FailureDomain, offset int64, inForce bool) {
-	w.Logger.Info("evacuation", "domain", domain, "offset", offset, "in-force", inForce, "upstreams", w.registry.CountInDomain(domain))
+	w.Logger.Info("evacuation", "domain", domain, "offset", offset, "in-force", inForce, "upstreams", len(w.registry.InDomain(domain)))
 }
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -30,6 +30,8 @@
 	Now    func() time.Time
 	// ScalePause scales the pauses between reads of upstream registrations; it may be nil.
 	ScalePause func(time.Duration) time.Duration
+	// ColdStarts is told which upstreams may be cold.
+	ColdStarts ColdStartRecorder
 
 	config atomic.Pointer[routing.Config]
 	// unlistedConfig is the configuration read before the topic's first listing is complete. It is not used until the
@@ -162,14 +164,17 @@
 
 		return
 	}
-	instance, err := platform.DecodeUpstream(record.Key, record.Value)
+	registration, err := platform.DecodeUpstream(record.Key, record.Value)
 	if err != nil {
 		w.registry.Remove(now, id.Upstream(record.Key))
 		w.Logger.Error(err, "upstream-refused", "upstream", record.Key, "offset", record.Offset)
 
 		return
 	}
-	if !w.registry.Put(instance) || !w.upstreamsListed {
+	instance := &registration.Instance
+	changed := w.registry.Put(instance)
+	w.recordColdStart(now, instance, registration.ColdRemaining)
+	if !changed || !w.upstreamsListed {
 		return
 	}
 	w.Logger.Info("upstream", "upstream", instance.ID, "service", instance.Service, "address", instance.Address,
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -58,5 +58,24 @@
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
+	fmt.Fprintf(c, "cold-upstreams %d\n", h.countColdUpstreams())
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned, h.discovery.EvacuationCount())
 }
+
+// countColdUpstreams returns the number of available upstreams that are cold.
+func (h *Host) countColdUpstreams() int {
+	config := h.discovery.Config()
+	if config == nil {
+		return 0
+	}
+	count := 0
+	for name, service := range config.Services {
+		for _, instance := range h.discovery.AvailableUpstreams(name) {
+			if isCold, _ := h.cluster.ColdDelay(instance, service.ColdStart); isCold {
+				count++
+			}
+		}
+	}
+
+	return count
+}
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -77,6 +77,7 @@
 		HasConfig:                  func() bool { return h.discovery.Config() != nil },
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 	})
+	h.discovery.ColdStarts = h.cluster
 	h.upstreamClient.Relays = h.cluster
 	h.relay = &relay.Server{
 		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, DomainOfAddress: h.discovery.DomainOfAddress,
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -60,12 +60,15 @@
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
 	stateOf := func(instance *registry.Instance) leastcost.UpstreamState {
+		isCold, coldDelay := p.Limits.ColdDelay(instance, req.service.ColdStart)
+
 		return leastcost.UpstreamState{
 			RunningRequests:    p.Loads.RunningRequests(instance.ID),
 			UnitLatencyMS:      p.stats.MillisPerUnit(now, instance.Service, instance.ID, defaultUnitLatencyMS),
 			FailureScore:       p.stats.FailureScore(now, instance.ID),
 			CachesSharedPrefix: shared && p.Loads.CachesPromptPart(instance.ID, part),
-			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
+			AdmissionDelayMS:   max(coldDelay, p.Limits.AdmissionDelay(instance)).Seconds() * 1000,
+			IsCold:             isCold,
 		}
 	}
 
--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/upstreamlimit"
@@ -72,7 +73,7 @@
 
 			return nil, retryDelay
 		}
-		ok, wait := p.Limits.AdmitToUpstream(ctx, instance)
+		ok, wait := p.Limits.AdmitToUpstream(ctx, instance, req.service.ColdStart)
 		if ok {
 			p.logLimited(req, limited, instance.ID)
 
@@ -115,8 +116,11 @@
 	return notExecutedResponse("upstream-limits", max(retryDelay, retryAfter))
 }
 
-// recordLimit records what a response says of the limit of its upstream.
-func (p *Proxy) recordLimit(sent *sentRequest) {
+// recordLimit records what a response says of the limit of its upstream, and of how long it stays cold.
+func (p *Proxy) recordLimit(req *proxiedRequest, sent *sentRequest) {
+	if sent.responseHead.ColdRemaining > 0 {
+		p.Limits.RecordCold(sent.instance, sent.responseHead.ColdRemaining, req.service.ColdStart, coldstart.FromResponse)
+	}
 	limit := sent.responseHead.Limit
 	if !limit.IsClear {
 		return
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/affinity"
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
 	"cardamomward/core/registry"
@@ -132,14 +133,19 @@
 	RecordCrash(fingerprint id.Fingerprint, instance *registry.Instance)
 }
 
-// UpstreamLimiter enforces the request rates that upstreams name in their responses, over all hosts.
+// UpstreamLimiter enforces over all hosts the request rates that upstreams name in their responses or take while they are cold.
 type UpstreamLimiter interface {
 	// RecordUpstreamLimit records what a response says of the limit of an upstream.
 	RecordUpstreamLimit(statement upstreamlimit.Statement)
 	// AdmissionDelay estimates the time until an upstream's limit admits a request; it is zero if the upstream has none.
 	AdmissionDelay(instance *registry.Instance) time.Duration
-	// AdmitToUpstream reports whether a request may be sent to an upstream now, and otherwise after how long to ask again.
-	AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration)
+	// ColdDelay reports whether an upstream is cold, and estimates the time until it admits a request.
+	ColdDelay(instance *registry.Instance, policy coldstart.Policy) (isCold bool, delay time.Duration)
+	// RecordCold records that an upstream is cold for a time.
+	RecordCold(instance *registry.Instance, remaining time.Duration, policy coldstart.Policy, source coldstart.Source)
+	// AdmitToUpstream reports whether a request may be sent to an upstream now within its limit and the rate that it takes while
+	// it is cold, and otherwise after how long to ask again.
+	AdmitToUpstream(ctx context.Context, instance *registry.Instance, policy coldstart.Policy) (ok bool, retryAfter time.Duration)
 }
 
 // LoadTracker counts the requests of all hosts at each upstream and tracks which prompt parts upstreams cache.
--- a/io/reverseproxy/retry.go
+++ b/io/reverseproxy/retry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/reachability"
 	"cardamomward/core/registry"
@@ -45,12 +46,16 @@
 	mayBeCrash := p.isBeforeDeadline(req)
 	if !req.route.IsRetryable() {
 		if mayBeCrash {
+			p.recordPossibleRestart(req, instance)
 			go p.recordCrash(context.WithoutCancel(ctx), req.fingerprint, instance)
 		}
 
 		return ""
 	}
 	reason := p.findEndReason(ctx, req, instance)
+	if mayBeCrash {
+		p.recordPossibleRestart(req, instance)
+	}
 	if mayBeCrash && !p.UpstreamClient.IsPathBroken(instance.Address) {
 		p.Crashes.RecordCrash(req.fingerprint, instance)
 	}
@@ -58,6 +63,12 @@
 	return reason
 }
 
+// recordPossibleRestart treats an upstream that lost a request as cold: its process may have been replaced, and the registration of
+// the new one is read later.
+func (p *Proxy) recordPossibleRestart(req *proxiedRequest, instance *registry.Instance) {
+	p.Limits.RecordCold(instance, req.service.ColdStart.Duration, req.service.ColdStart, coldstart.FromFailure)
+}
+
 // recordCrash records that an upstream failed before its response to a request was complete, unless other hosts reach it while
 // this one does not.
 func (p *Proxy) recordCrash(ctx context.Context, fingerprint id.Fingerprint, instance *registry.Instance) {
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -140,7 +140,7 @@
 		return nil, retrypolicy.Lost
 	}
 	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
-	p.recordLimit(sent)
+	p.recordLimit(req, sent)
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
