--- a/core/leastcost/work.go
+++ b/core/leastcost/work.go
@@ -89,7 +89,7 @@
 	concurrency := float64(max(1, candidate.Concurrency))
 	running := float64(state.RunningRequests)
 	cost := failurePenaltyMS*state.FailureScore + state.FailureDomainCostMS
-	if candidate.ID != request.LastUpstream {
+	if candidate.ID != request.LastUpstream || state.IsCold {
 		cost += state.AdmissionDelayMS
 	}
 	queue := 0.0
@@ -103,7 +103,7 @@
 
 		return cost + queue + serviceMS + min(state.WorkMillis, running*serviceMS)/concurrency
 	}
-	prefillMS := request.PrefillMillis(candidate.ID, state.CachesSharedPrefix, state.UnitLatencyMS)
+	prefillMS := request.PrefillMillis(candidate.ID, state.UpstreamState)
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	concurrent := min(running, concurrency)
 	cost += prefillMS * (1 + prefillInterference*concurrent)
@@ -114,8 +114,8 @@
 }
 
 // PrefillMillis returns the time in which an upstream reads the tokens of the request's prompt that it does not cache.
-func (r Request) PrefillMillis(upstream id.Upstream, cachesSharedPrefix bool, unitLatencyMS float64) float64 {
-	return float64(r.uncachedTokens(upstream, cachesSharedPrefix)) * prefillToDecodeRatio * unitLatencyMS
+func (r Request) PrefillMillis(upstream id.Upstream, state UpstreamState) float64 {
+	return float64(r.uncachedTokens(upstream, state)) * prefillToDecodeRatio * state.UnitLatencyMS
 }
 
 // preemptionCostMS returns the cost of the preemptions that the request causes: the tokens that exceed the engine's memory are
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -72,5 +72,24 @@
 		work := h.cluster.OwnWork()
 		fmt.Fprintf(c, "tracked-requests %d\noutstanding-work-millis %.0f\nreserved-tokens %d\n", work.Running, work.WorkMillis, work.ReservedTokens)
 	}
+	fmt.Fprintf(c, "cold-upstreams %d\n", h.countColdUpstreams())
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned, h.discovery.EvacuationCount())
 }
+
+// countColdUpstreams returns the number of available upstreams that are cold.
+func (h *Host) countColdUpstreams() int {
+	config := h.discovery.Config()
+	if config == nil {
+		return 0
+	}
+	count := 0
+	for name, service := range config.Services {
+		for _, instance := range h.discovery.AvailableUpstreams(name) {
+			if isCold, _ := h.cluster.ColdDelay(instance, service.ColdStart); isCold {
+				count++
+			}
+		}
+	}
+
+	return count
+}
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -83,6 +83,7 @@
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 		UpstreamErrors:             func() map[id.Upstream]float64 { return h.proxy.UpstreamErrors() },
 	})
+	h.discovery.ColdStarts = h.cluster
 	h.upstreamClient.Relays, h.upstreamClient.CounterFor = h.cluster, h.upstreamTraffic
 	h.relay = &relay.Server{
 		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, DomainOfAddress: h.discovery.DomainOfAddress,
--- a/io/reverseproxy/learnedcost.go
+++ b/io/reverseproxy/learnedcost.go
@@ -100,13 +100,15 @@
 		p.learned.tokensPerPart = request.SharedPromptTokens
 	}
 	stateOf := func(instance *registry.Instance) leastcost.WorkState {
+		isCold, coldDelay := p.Limits.ColdDelay(instance, req.service.ColdStart)
 		load := p.Work.UpstreamWork(instance, p.learned.tokensPerPart)
 		state := leastcost.WorkState{
 			UpstreamState: leastcost.UpstreamState{
 				RunningRequests:     load.Running,
 				UnitLatencyMS:       p.unitLatencyMS(req, instance, now),
 				FailureScore:        p.stats.FailureScore(now, instance.ID) + p.Loads.PeerErrors(instance.ID),
-				AdmissionDelayMS:    p.Limits.AdmissionDelay(instance).Seconds() * 1000,
+				AdmissionDelayMS:    max(coldDelay, p.Limits.AdmissionDelay(instance)).Seconds() * 1000,
+				IsCold:              isCold,
 				FailureDomainCostMS: p.failureDomainCostMS(instance),
 				CachesSharedPrefix:  shared && p.Loads.CachesPromptPart(instance.ID, part),
 			},
@@ -135,8 +137,10 @@
 	p.statsMu.Unlock()
 	work := workleft.Work{PrefillMillis: request.ExpectedServiceMS * unitMS}
 	if request.IsModelCall {
+		isCold, _ := p.Limits.ColdDelay(instance, req.service.ColdStart)
+		state := leastcost.UpstreamState{UnitLatencyMS: unitMS, CachesSharedPrefix: isCached, IsCold: isCold}
 		work = workleft.Work{
-			PrefillMillis: request.PrefillMillis(instance.ID, isCached, unitMS), OutputTokens: float64(request.ExpectedOutputTokens),
+			PrefillMillis: request.PrefillMillis(instance.ID, state), OutputTokens: float64(request.ExpectedOutputTokens),
 			MillisPerToken: unitMS, PromptTokens: request.OwnPromptTokens,
 		}
 	}
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -144,7 +144,7 @@
 	sent := &sentRequest{
 		Exchange: exchange, work: work, instance: instance, workspace: req.workspaceName(), responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header),
 	}
-	p.recordLimit(sent)
+	p.recordLimit(req, sent)
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
