Bound what a host holds for callers and upstreams by a memory budget

Slow callers and slow upstreams decided how many bytes a host held, up to its being killed. With memory.budget-share, a budget counts request bodies, their copies, transcripts, retained outputs and response bodies by the caller's connection. A body that does not fit is refused with 503 before it is read; when nothing fits, the connection whose caller has read nothing for 3 s is closed, the largest first.

With 100 callers that read nothing at a budget for four responses, and with 20 bodies of 256 KB at a budget of 4 MB, hosts stay within the budget and serve others; held bytes return to zero after cancels, half bodies and errors, also with -race.

--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -58,5 +58,7 @@
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
+	used, limit, refused := h.proxy.Memory.Usage()
+	fmt.Fprintf(c, "memory-held-bytes %d\nmemory-budget-bytes %d\nmemory-refusals %d\n", used, limit, refused)
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\n", h.relay.ConnCount(), partitioned)
 }
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -101,6 +101,12 @@
 		h.proxy.Overload = &reverseproxy.OverloadAdmission{Loads: h.cluster, Weights: settings.Overload.Weights}
 		h.cluster.ReportWorkspaceLoads()
 	}
+	if limit := int64(settings.Memory.BudgetShare * float64(h.settings.MemoryBytes)); limit > 0 {
+		h.proxy.Memory = httpx.NewMemoryBudget(limit, h.now)
+		h.proxy.Memory.OnIdleClosed = func(remote string, bytes int64) {
+			h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
+		}
+	}
 }
 
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
@@ -166,7 +172,7 @@
 		servers = append(servers, server)
 	}
 	addServer(httpx.Options{
-		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true,
+		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true, Memory: h.proxy.Memory,
 	}, h.proxy.HandleRequest)
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -13,6 +13,9 @@
 type listener struct {
 	net.Listener
 
+	// memory is nil if the connections have no budget.
+	memory *MemoryBudget
+
 	mu    sync.Mutex
 	conns map[string]*conn
 }
@@ -26,11 +29,23 @@
 	// requestBegunNanos is when the first byte was read since the last response, in nanoseconds since the Unix epoch; zero if
 	// none was.
 	requestBegunNanos atomic.Int64
+
+	// memory is nil if the connection has no budget.
+	memory *MemoryBudget
+	budgetedConn
+	// hasWritten is set once a part of a response has been written, until the next request is read.
+	hasWritten atomic.Bool
+	// isHandled is set while a handler runs for the connection.
+	isHandled atomic.Bool
 }
 
 // Read reads from the connection and notes when a request begins.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	read := c.Conn.Read
+	if c.memory != nil {
+		read = c.readBudgeted
+	}
+	n, err := read(p)
 	if n > 0 {
 		c.requestBegunNanos.CompareAndSwap(0, time.Now().UnixNano())
 	}
@@ -41,6 +56,9 @@
 // Write writes a part of a response to the connection.
 func (c *conn) Write(p []byte) (int, error) {
 	c.requestBegunNanos.Store(0)
+	if c.memory != nil {
+		return c.writeBudgeted(p)
+	}
 
 	return c.Conn.Write(p)
 }
@@ -51,7 +69,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: inner, listener: l, remoteAddr: inner.RemoteAddr().String()}
+	c := &conn{Conn: inner, listener: l, remoteAddr: inner.RemoteAddr().String(), memory: l.memory}
+	if c.memory != nil {
+		c.memory.add(c)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns == nil {
@@ -161,6 +182,9 @@
 		delete(c.listener.conns, c.remoteAddr)
 	}
 	c.listener.mu.Unlock()
+	if c.memory != nil {
+		c.memory.remove(c)
+	}
 
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/io/httpx/memory.go
@@ -0,0 +1,243 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"cardamomward/core/memorybudget"
+)
+
+const (
+	// uncountedRequestBytes is what a connection may read of a request without a reservation; the header of most requests fits.
+	uncountedRequestBytes = 8 << 10
+	// writeChunkBytes is the size of the parts in which a response is written, to notice that its caller reads.
+	writeChunkBytes = 64 << 10
+	// idleCallerTimeout is how long a caller may read nothing of a response before its connection may be closed.
+	idleCallerTimeout = 3 * time.Second
+	// refusalTimeout bounds how long a refused body is read and dropped, so that the caller receives the refusal before its
+	// connection is reset.
+	refusalTimeout = 500 * time.Millisecond
+	// dropBufferBytes is the size of the buffer for dropped bodies.
+	dropBufferBytes = 4 << 10
+)
+
+// refusal is the response to a request whose body does not fit into the budget. It is sent before the body is read.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Type: application/json\r\nContent-Length: 22\r\nConnection: close\r\n\r\n{\"error\":\"no-memory\"}\n"
+
+// errOverBudget ends a connection whose request does not fit into the budget.
+var errOverBudget = errors.New("the request does not fit into the memory budget")
+
+// MemoryBudget bounds the bytes that are held for the connections of a server; it may be used from many goroutines. A nil
+// *MemoryBudget has no bound.
+type MemoryBudget struct {
+	// Now returns the present time.
+	Now func() time.Time
+	// OnIdleClosed is called with the bytes of a connection that was closed since its caller read nothing; it may be nil.
+	OnIdleClosed func(remote string, bytes int64)
+
+	mu         sync.Mutex
+	budget     memorybudget.Budget
+	lastHolder memorybudget.Holder
+	conns      map[memorybudget.Holder]*conn
+	byRemote   map[string]*conn
+	refused    int64
+}
+
+// NewMemoryBudget returns a budget of some bytes.
+func NewMemoryBudget(limit int64, now func() time.Time) *MemoryBudget {
+	return &MemoryBudget{
+		Now: now, budget: memorybudget.New(limit), conns: make(map[memorybudget.Holder]*conn), byRemote: make(map[string]*conn),
+	}
+}
+
+// Reserve reserves bytes for the connection from a remote address until its response has been written, and reports false if they
+// do not fit. The connections whose callers read nothing are closed first, the largest first.
+func (m *MemoryBudget) Reserve(remote string, bytes int64) bool {
+	if m == nil {
+		return true
+	}
+	for {
+		m.mu.Lock()
+		c, ok := m.byRemote[remote]
+		if !ok {
+			m.mu.Unlock()
+
+			return false
+		}
+		if m.budget.Reserve(c.holder, bytes) {
+			m.mu.Unlock()
+
+			return true
+		}
+		idle, found := m.largestIdle(c)
+		if !found {
+			m.refused++
+			m.mu.Unlock()
+
+			return false
+		}
+		held := m.budget.Held(idle.holder)
+		m.mu.Unlock()
+		idle.Close() //nolint:errcheck // the connection is given up
+		if m.OnIdleClosed != nil {
+			m.OnIdleClosed(idle.remoteAddr, held)
+		}
+	}
+}
+
+// largestIdle returns the connection to close; the caller holds the lock.
+func (m *MemoryBudget) largestIdle(except *conn) (*conn, bool) {
+	holder, ok := m.budget.LargestIdle(m.Now(), idleCallerTimeout)
+	if !ok || holder == except.holder {
+		return nil, false
+	}
+
+	return m.conns[holder], true
+}
+
+// Release gives bytes of a connection back before its response has been written.
+func (m *MemoryBudget) Release(remote string, bytes int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.byRemote[remote]; ok {
+		m.budget.Release(c.holder, bytes)
+	}
+}
+
+// Usage returns the bytes that are held, the limit, and how many reservations have been refused.
+func (m *MemoryBudget) Usage() (used, limit, refused int64) {
+	if m == nil {
+		return 0, 0, 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.budget.Used(), m.budget.Limit(), m.refused
+}
+
+func (m *MemoryBudget) add(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastHolder++
+	c.holder = m.lastHolder
+	m.conns[c.holder], m.byRemote[c.remoteAddr] = c, c
+}
+
+func (m *MemoryBudget) remove(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.ReleaseAll(c.holder)
+	delete(m.conns, c.holder)
+	if m.byRemote[c.remoteAddr] == c {
+		delete(m.byRemote, c.remoteAddr)
+	}
+}
+
+// endResponse gives back what a connection holds once its response has been written.
+func (m *MemoryBudget) endResponse(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.ReleaseAll(c.holder)
+}
+
+func (m *MemoryBudget) setWaiting(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, open := m.conns[c.holder]; open {
+		m.budget.SetWaiting(m.Now(), c.holder)
+	}
+}
+
+func (m *MemoryBudget) setProgress(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.SetProgress(c.holder)
+}
+
+// budgetedConn is what a connection counts toward the memory budget. A connection is read by one goroutine at a time.
+type budgetedConn struct {
+	holder memorybudget.Holder
+	// readBytes were read of the present request, and reservedBytes are reserved for it.
+	readBytes     int64
+	reservedBytes int64
+}
+
+// trackHandler marks connections while their requests are handled. The server reads from them meanwhile to detect that the
+// caller disconnects, which does not end the response.
+func (m *MemoryBudget) trackHandler(ctx context.Context, request *app.RequestContext) {
+	m.mu.Lock()
+	c, ok := m.byRemote[request.RemoteAddr().String()]
+	m.mu.Unlock()
+	if ok {
+		c.isHandled.Store(true)
+		defer c.isHandled.Store(false)
+	}
+	request.Next(ctx)
+}
+
+// readBudgeted reads a part of a request. The server's buffer is as large as the rest of a body whose length is known, so that a
+// body that does not fit is refused before it is read; others are refused when they exceed the budget.
+func (c *conn) readBudgeted(p []byte) (int, error) {
+	if !c.isHandled.Load() && c.hasWritten.Swap(false) {
+		c.memory.endResponse(c)
+		c.readBytes, c.reservedBytes = 0, 0
+	}
+	if c.readBytes == 0 {
+		// The server offers the buffer of an earlier body, which is not reserved while the connection is idle.
+		p = p[:min(len(p), uncountedRequestBytes)]
+	}
+	needed := c.readBytes + int64(len(p))
+	if needed > uncountedRequestBytes && needed > c.reservedBytes {
+		if !c.memory.Reserve(c.remoteAddr, needed-c.reservedBytes) {
+			c.refuse()
+
+			return 0, errOverBudget
+		}
+		c.reservedBytes = needed
+	}
+	n, err := c.Conn.Read(p)
+	c.readBytes += int64(n)
+
+	return n, err
+}
+
+// refuse sends the refusal, and drops what the caller still sends for a short time.
+func (c *conn) refuse() {
+	c.SetDeadline(time.Now().Add(refusalTimeout)) //nolint:errcheck // the connection is about to end
+	if _, err := io.WriteString(c.Conn, refusal); err != nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite() //nolint:errcheck // the connection is about to end
+	}
+	buf := make([]byte, dropBufferBytes)
+	for {
+		if _, err := c.Conn.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// writeBudgeted writes a part of a response and notes whether its caller reads.
+func (c *conn) writeBudgeted(p []byte) (int, error) {
+	c.hasWritten.Store(true)
+	written := 0
+	for {
+		c.memory.setWaiting(c)
+		n, err := c.Conn.Write(p[:min(len(p), writeChunkBytes)])
+		c.memory.setProgress(c)
+		written += n
+		if p = p[n:]; err != nil || len(p) == 0 {
+			return written, err
+		}
+	}
+}
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -54,6 +54,8 @@
 	// Forwarding configures the server as a proxy: nothing is added to responses, no body is parsed, and a handler's
 	// context is cancelled when the peer closes the connection.
 	Forwarding bool
+	// Memory bounds what is held for requests and responses; nil means no bound.
+	Memory *MemoryBudget
 }
 
 // NewServer listens on the address and returns a server that serves once Start is called.
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner}
+	listener := &listener{Listener: inner, memory: opts.Memory}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
@@ -89,7 +91,12 @@
 		)
 	}
 
-	return &Server{Hertz: server.New(options...), listener: listener, runResult: make(chan error, 1)}, nil
+	s := &Server{Hertz: server.New(options...), listener: listener, runResult: make(chan error, 1)}
+	if opts.Memory != nil {
+		s.Use(opts.Memory.trackHandler)
+	}
+
+	return s, nil
 }
 
 // Address returns the bound address.
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -16,6 +16,7 @@
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/upstreamlimit"
 	"cardamomward/core/upstreamstats"
+	"cardamomward/io/httpx"
 	"cardamomward/io/upstreamclient"
 )
 
@@ -161,8 +162,10 @@
 	Limits         UpstreamLimiter
 	// Overload is nil if admission under overload is off.
 	Overload *OverloadAdmission
-	Logger   logr.Logger
-	Now      func() time.Time
+	// Memory bounds what is held for callers and upstreams; nil means that only maxBufferedBytes applies.
+	Memory *httpx.MemoryBudget
+	Logger logr.Logger
+	Now    func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -32,6 +32,10 @@
 type proxiedRequest struct {
 	*inbound.Request
 
+	// remote is the address of the caller's connection, which holds the request's memory.
+	remote string
+	// transcriptBytes are reserved for the transcript and the output of the turn.
+	transcriptBytes   int64
 	config            *routing.Config
 	route             *routing.Route
 	service           *routing.Service
@@ -69,7 +73,7 @@
 	remote := c.RemoteAddr().String()
 	p.activeConnections.Store(remote, struct{}{})
 	defer p.activeConnections.Delete(remote)
-	req := &proxiedRequest{startedAt: p.Now(), config: p.Discovery.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
+	req := &proxiedRequest{remote: remote, startedAt: p.Now(), config: p.Discovery.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
 	if p.ShouldCloseConnections() {
 		c.Response.SetConnectionClose()
 	}
@@ -113,6 +117,9 @@
 	if errResp := validateRequest(c, req); errResp != nil {
 		return errResp
 	}
+	if errResp := p.reserveBody(req, len(c.Request.Body())); errResp != nil {
+		return errResp
+	}
 	req.Body = bytes.Clone(c.Request.Body())
 	route, ok := req.config.Match(req.Host, req.Path)
 	if !ok {
@@ -241,10 +248,18 @@
 		Request: req.Request, Workspace: req.workspaceName(), Deadline: req.deadline,
 		Retention: req.route.Retention, RetainsContext: req.route.RetainsContext,
 	}
+	if errResp := p.reserveTranscript(req); errResp != nil {
+		return errResp
+	}
 	req.beginResult = p.Turns.BeginTurn(ctx, req.turn)
 	switch req.beginResult.Status {
 	case TurnAllowed:
-		return nil
+		errResp := p.adjustTranscript(req)
+		if errResp != nil {
+			p.endTurn(ctx, req, false)
+		}
+
+		return errResp
 	case BudgetExhausted:
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "budget-spent"}
 	case PreviousTurnNotFound:
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -247,7 +247,7 @@
 
 // forwardNonStream forwards a response that is not an event stream, such as an error of the upstream.
 func (p *Proxy) forwardNonStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) {
-	body, err := p.readBody(sent)
+	body, err := p.readBody(req, sent)
 	p.endTurn(ctx, req, false)
 	if err != nil || writer != nil {
 		p.abortExchange(sent)
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -30,7 +30,7 @@
 
 			return
 		}
-		body, err := p.readBody(sent)
+		body, err := p.readBody(req, sent)
 		if err == nil {
 			p.recordLatency(req, sent.instance, p.Now().Sub(sentAt), 0)
 			p.finishExchange(sent)
@@ -48,11 +48,27 @@
 	}
 }
 
-// readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes, or all bodies
-// that are being read exceed maxBufferedBytes.
-func (p *Proxy) readBody(sent *sentRequest) ([]byte, error) {
+// readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes or the memory
+// budget, or, without a budget, all bodies that are being read exceed maxBufferedBytes. With a budget, the memory is held until
+// the caller has received the body.
+func (p *Proxy) readBody(req *proxiedRequest, sent *sentRequest) ([]byte, error) {
+	if p.Memory != nil {
+		reader := &budgetedReader{inner: sent.Body, proxy: p, remote: req.remote}
+		body, err := readWhole(reader)
+		if err != nil {
+			reader.release()
+		}
+
+		return body, err
+	}
 	reader := &countingReader{inner: sent.Body, total: &p.bufferedBytes}
 	defer reader.release()
+
+	return readWhole(reader)
+}
+
+// readWhole reads a body of at most maxBufferedBodyBytes.
+func readWhole(reader io.Reader) ([]byte, error) {
 	// The buffer doubles as it grows, which leaves less garbage than io.ReadAll does.
 	var body bytes.Buffer
 	if _, err := body.ReadFrom(io.LimitReader(reader, maxBufferedBodyBytes+1)); err != nil {
