--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -72,6 +72,8 @@
 		work := h.cluster.OwnWork()
 		fmt.Fprintf(c, "tracked-requests %d\noutstanding-work-millis %.0f\nreserved-tokens %d\n", work.Running, work.WorkMillis, work.ReservedTokens)
 	}
+	used, limit, refused := h.proxy.Memory.Usage()
+	fmt.Fprintf(c, "memory-held-bytes %d\nmemory-budget-bytes %d\nmemory-refusals %d\n", used, limit, refused)
 	fmt.Fprintf(c, "cold-upstreams %d\n", h.countColdUpstreams())
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned, h.discovery.EvacuationCount())
 }
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -17,6 +17,7 @@
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/upstreamlimit"
 	"cardamomward/core/upstreamstats"
+	"cardamomward/io/httpx"
 	"cardamomward/io/upstreamclient"
 )
 
@@ -176,8 +177,10 @@
 	Limits         UpstreamLimiter
 	// Overload is nil if admission under overload is off.
 	Overload *OverloadAdmission
-	Logger   logr.Logger
-	Now      func() time.Time
+	// Memory bounds what is held for callers and upstreams; nil means that only maxBufferedBytes applies.
+	Memory *httpx.MemoryBudget
+	Logger logr.Logger
+	Now    func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
 	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
