--- a/io/gatewayhost/learnedcost_test.go
+++ b/io/gatewayhost/learnedcost_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/gatewaysettings"
+	"cardamomward/platform/standin"
 )
 
 var learnedCost = inTwoDomains(gatewaysettings.Placement{LearnedCost: true})
@@ -135,3 +136,23 @@
 	}, waitTimeout, 10*time.Millisecond)
 	<-done
 }
+
+// TestFirstTurnsFindFreeUpstreamBesideFullAndLimitedOnes guards against refusals because the compared upstreams are full while another
+// one is free.
+func TestFirstTurnsFindFreeUpstreamBesideFullAndLimitedOnes(t *testing.T) {
+	c := newTestCluster(t, 1, learnedCost)
+	c.exhaustLimit(c.engines[0])
+	c.slowStreams(550 * time.Millisecond)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range int64(16) {
+		c.startRequest(ctx, fmt.Sprint("busy-", i), newDraft(4000+i))
+	}
+	free := standin.NewUpstream("engine-2", "engines", 5)
+	t.Cleanup(free.Close)
+	free.Register(c.store, "ready")
+	time.Sleep(registrationDelay)
+	for i := range int64(12) {
+		require.Equal(t, http.StatusOK, c.do("host-0", newDraft(5000+i)).Status)
+	}
+}
