Count evictions and copies of shared prefixes in the choice of an upstream

New programs copied manuals to all engines, nothing told engines whose caches turn over quickly, and a gap in the cache events made programs leave their prefixes. Change: a new program's prefill counts four times and a continuing one's fifty times, a program costs more where new tokens are cached at a high rate, and a gap keeps 0.95 of what is known. The wait for a prefix is bounded as before.

--- a/core/cacheaware/balancer.go
+++ b/core/cacheaware/balancer.go
@@ -38,7 +38,9 @@
 	// cachedPrefixes are the prefixes that the upstream has cached, by the cache events received.
 	cachedPrefixes map[prompt.PrefixHash]*cachedPrefix
 	// eventGaps counts the gaps in the upstream's cache events.
-	eventGaps    int
+	eventGaps int
+	// storedTokens are the tokens that the upstream has newly cached.
+	storedTokens decayingSum
 	available    bool
 	setPositions [3]setPosition
 }
@@ -68,6 +70,10 @@
 	ownCalls                  int
 	// totalOtherCalls is the number of calls of other hosts at all upstreams.
 	totalOtherCalls int
+	// storedTokens are the tokens that all upstreams have newly cached.
+	storedTokens decayingSum
+	// programTokens is the mean length of the prompts that begin with a prefix, without the prefix itself.
+	programTokens map[prompt.PrefixHash]float64
 	// decayedCallSeconds is the time that calls of this host spent at upstreams, decayedEndedCalls how many of them
 	// ended; both decay with each call that ends.
 	decayedCallSeconds   float64
@@ -112,6 +118,7 @@
 	}
 	b.upstreams = make(map[id.Upstream]*upstreamState)
 	b.holders = make(map[prompt.PrefixHash][]*cachedPrefix)
+	b.programTokens = make(map[prompt.PrefixHash]float64)
 	b.upstreamsWithRoomByDomain = make(map[id.FailureDomain]*upstreamSet)
 	b.meanCallSeconds, b.decayedCallSeconds, b.decayedEndedCalls = defaultCallSeconds, defaultCallSeconds, 1
 	b.rng = rand.New(rand.NewPCG(1, 2))
@@ -134,6 +141,7 @@
 	b.totalMaxConcurrentCalls -= s.maxConcurrentCalls()
 	b.ownCalls -= s.ownCalls
 	b.totalOtherCalls -= s.otherCalls()
+	b.storedTokens.value -= s.storedTokens.at(b.storedTokens.updatedAt)
 	delete(b.upstreams, upstream)
 }
 
--- a/core/cacheaware/cache.go
+++ b/core/cacheaware/cache.go
@@ -42,6 +42,7 @@
 	list[last] = nil
 	if last == 0 {
 		delete(b.holders, prefix)
+		delete(b.programTokens, prefix)
 
 		return
 	}
@@ -78,8 +79,9 @@
 }
 
 const (
-	// confidencePerGap is the factor by which each gap in the events reduces the confidence that a prefix is cached.
-	confidencePerGap = 0.7
+	// confidencePerGap is the factor by which each gap in the events reduces the confidence that a prefix is cached. A gap
+	// hides few of an upstream's evictions; 0.7 made programs leave upstreams that still had their prefixes.
+	confidencePerGap = 0.95
 	// maxEventGaps is the number of gaps without a confirming event after which a prefix counts as evicted.
 	maxEventGaps = 8
 )
--- a/core/cacheaware/pick.go
+++ b/core/cacheaware/pick.go
@@ -50,7 +50,12 @@
 	fullBatchSlowdown = 1
 	// ownPrefixCostFactor multiplies the prefill time that losing a program's own prefix costs: other calls wait for
 	// that prefill too, it evicts their prefixes, and the program's later turns follow it to the new upstream.
-	ownPrefixCostFactor = 10
+	ownPrefixCostFactor = 50
+	// sharedPrefixCostFactor does the same for a new program, since each further copy of a shared prefix evicts others.
+	sharedPrefixCostFactor = 4
+	// ownPrefixWaitFactor bounds the wait for the upstream with a program's own prefix, as a multiple of the prefill time
+	// that the prefix saves.
+	ownPrefixWaitFactor = 10
 	// overflowFactor bounds the calls at an upstream, as a multiple of those that it can run at a time, for urgent calls
 	// and for hosts that use less than their share.
 	overflowFactor = 2
@@ -87,6 +92,8 @@
 	case s.waitCandidate != nil && (s.best == nil || s.waitCandidateScore < s.bestScore) && req.WaitTime.Seconds() < s.prefixSavingSeconds:
 		return s.waitCandidate.id, WaitForCachedPrefix
 	case s.best != nil:
+		b.recordProgramTokens(req)
+
 		return s.best.id, Picked
 	case s.foundExcluded || s.waitCandidate != nil:
 		return "", OnlyExcluded
@@ -180,12 +187,12 @@
 		return
 	}
 	if hasCachedPrefix && (s.waitCandidate == nil || score < s.waitCandidateScore) {
-		s.waitCandidate, s.waitCandidateScore, s.prefixSavingSeconds = u, score, s.prefillCostFactor()*cachedTokens/u.prefillTokensPerSecond()
+		s.waitCandidate, s.waitCandidateScore, s.prefixSavingSeconds = u, score, s.prefixWaitFactor()*cachedTokens/u.prefillTokensPerSecond()
 	}
 }
 
 // scoreUpstream returns the expected seconds until the upstream has computed the prompt, including the slowdown by its
-// batch and its queue.
+// batch and its queue, and the weighted costs of prefill and of later evictions.
 func (s *pickSearch) scoreUpstream(u *upstreamState, calls, cachedTokens float64) float64 {
 	capacity := float64(u.maxConcurrentCalls())
 	score := s.prefillCostFactor() * max(0, float64(s.req.PromptTokens)-cachedTokens) / u.prefillTokensPerSecond()
@@ -193,6 +200,7 @@
 	if excessCalls := calls - capacity + 1; excessCalls > 0 {
 		score += excessCalls * s.balancer.meanCallSeconds / capacity
 	}
+	score += s.evictionSeconds(u)
 	if u.domain != s.req.FailureDomain {
 		score += crossDomainPenaltySeconds
 	}
@@ -206,6 +214,15 @@
 		return ownPrefixCostFactor
 	}
 
+	return sharedPrefixCostFactor
+}
+
+// prefixWaitFactor returns by which factor the prefill time that a prefix saves bounds the wait for it.
+func (s *pickSearch) prefixWaitFactor() float64 {
+	if s.req.ContinuesProgram {
+		return ownPrefixWaitFactor
+	}
+
 	return 1
 }
 
--- a/core/simulation/engine.go
+++ b/core/simulation/engine.go
@@ -145,9 +145,10 @@
 	tokens id.Tokens
 }
 
-// cacheEvent reports that an engine stored or removed a prefix.
+// cacheEvent reports that an engine stored or removed a prefix; tokens is the length of its last part.
 type cacheEvent struct {
 	prefix prompt.PrefixHash
+	tokens id.Tokens
 	stored bool
 }
 
@@ -189,7 +190,7 @@
 		}
 		c.entries[part.prefix] = c.lru.PushFront(part)
 		c.usedTokens += part.tokens
-		c.events = append(c.events, cacheEvent{prefix: part.prefix, stored: true})
+		c.events = append(c.events, cacheEvent{prefix: part.prefix, tokens: part.tokens, stored: true})
 	}
 	for c.usedTokens > c.capacityTokens {
 		c.evict()
@@ -201,7 +202,7 @@
 	if part, ok := c.lru.Remove(element).(promptPart); ok {
 		delete(c.entries, part.prefix)
 		c.usedTokens -= part.tokens
-		c.events = append(c.events, cacheEvent{prefix: part.prefix})
+		c.events = append(c.events, cacheEvent{prefix: part.prefix, tokens: part.tokens})
 	}
 }
 
--- a/core/simulation/policy.go
+++ b/core/simulation/policy.go
@@ -40,8 +40,8 @@
 	recordCallEnd(now time.Time, c *call)
 	// recordLoad records the load that an engine reported for a time.
 	recordLoad(engine int, at time.Time, load cacheaware.LoadReport)
-	// applyCacheEvent records that an engine stored or removed a prefix.
-	applyCacheEvent(engine int, e cacheEvent)
+	// applyCacheEvent records that an engine stored or removed a prefix; at is when the event arrived.
+	applyCacheEvent(engine int, at time.Time, e cacheEvent)
 	// recordEventGap records that cache events of an engine were lost.
 	recordEventGap(engine int)
 	// markEngineFailed excludes a failed engine from further calls.
@@ -140,9 +140,10 @@
 	s.balancer.RecordLoad(s.engines[engine].name, at, load)
 }
 
-func (s *productionScheduler) applyCacheEvent(engine int, e cacheEvent) {
+func (s *productionScheduler) applyCacheEvent(engine int, at time.Time, e cacheEvent) {
 	if e.stored {
 		s.balancer.AddCachedPrefix(s.engines[engine].name, e.prefix)
+		s.balancer.RecordStoredTokens(s.engines[engine].name, at, e.tokens)
 	} else {
 		s.balancer.RemoveCachedPrefix(s.engines[engine].name, e.prefix)
 	}
@@ -263,7 +264,7 @@
 	b.sendTimesSinceReport[engine] = kept
 }
 
-func (b *baselineScheduler) applyCacheEvent(int, cacheEvent) {}
+func (b *baselineScheduler) applyCacheEvent(int, time.Time, cacheEvent) {}
 
 func (b *baselineScheduler) recordEventGap(int) {}
 
--- a/core/simulation/simulator.go
+++ b/core/simulation/simulator.go
@@ -374,10 +374,10 @@
 
 		return
 	}
-	sim.scheduleAt(now.Add(sim.config.EventLag), func(time.Time) {
+	sim.scheduleAt(now.Add(sim.config.EventLag), func(arrival time.Time) {
 		for _, h := range sim.hosts {
 			for _, event := range events {
-				h.scheduler.applyCacheEvent(e.index, event)
+				h.scheduler.applyCacheEvent(e.index, arrival, event)
 			}
 		}
 	})
--- a/io/executor/dispatcher.go
+++ b/io/executor/dispatcher.go
@@ -266,6 +266,10 @@
 		switch event.Kind {
 		case engineclient.EventStored:
 			balancer.AddCachedPrefix(u.ID(), event.Prefix)
+			// This host's own records have no sequence number; they repeat prefixes that the engine reports itself.
+			if event.Seq > 0 {
+				balancer.RecordStoredTokens(u.ID(), time.Now(), event.Tokens)
+			}
 		case engineclient.EventRemoved:
 			balancer.RemoveCachedPrefix(u.ID(), event.Prefix)
 		}
