--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -13,9 +13,13 @@
 	"cardamomward/core/crashcount"
 	"cardamomward/core/id"
 	"cardamomward/core/streamorigin"
+	"cardamomward/core/traffic"
 	"cardamomward/io/fleet/fleetpb"
 )
 
+// maxPeerErrorScore bounds the effect of the errors that one peer reports.
+const maxPeerErrorScore = 8
+
 // heartbeatLoop sends heartbeats until ctx ends and evicts owners that have stopped sending theirs.
 func (p *peerTable) heartbeatLoop(ctx context.Context, conn net.PacketConn) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -39,18 +43,19 @@
 			if leaving != nil {
 				conn.WriteTo(leaving, target) //nolint:errcheck // the next heartbeat repeats them
 			}
+			p.cluster.PeerTraffic(traffic.Heartbeat, target.String()).AddSent(len(data) + len(limits) + len(leaving))
 		}
 	}
 }
 
-// buildLimits returns the encoded limits of upstreams that this host has lately received, or nil. They are sent apart from the
-// heartbeat, whose size is bounded.
+// buildLimits returns the encoded limits and cold starts of upstreams of which this host has lately learned, or nil. They are sent
+// apart from the heartbeat, whose size is bounded.
 func (p *peerTable) buildLimits(now time.Time) []byte {
-	limits := p.cluster.limitsToGossip(now)
-	if len(limits) == 0 {
+	limits, cold := p.cluster.limitsToGossip(now), p.cluster.coldToGossip(now)
+	if len(limits) == 0 && len(cold) == 0 {
 		return nil
 	}
-	data, err := proto.Marshal(&fleetpb.Beat{Limits: limits})
+	data, err := proto.Marshal(&fleetpb.Beat{Limits: limits, Cold: cold})
 	if err != nil {
 		p.cluster.Logger.Error(err, "beat-failed")
 
@@ -65,6 +70,10 @@
 	current := p.cluster.ownership.Load()
 	crashes := p.cluster.crashesToGossip(now)
 	isPartitioned := p.cluster.IsPartitionedFromUpstreams()
+	var errorScores map[id.Upstream]float64
+	if p.cluster.UpstreamErrors != nil {
+		errorScores = p.cluster.UpstreamErrors()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sequence++
@@ -72,7 +81,7 @@
 		Host: string(p.cluster.Settings.Name), Sequence: p.sequence, Draining: p.isDraining || !p.cluster.HasConfig(), Left: p.hasLeft,
 		StoreAgeMillis: now.Sub(p.cluster.lastDirectResponse()).Milliseconds(), Generation: current.generation,
 	}
-	heartbeat.Loads = p.upstreamLoads(now)
+	heartbeat.Loads = p.upstreamLoads(now, errorScores)
 	heartbeat.Partitioned = isPartitioned
 	for _, crash := range crashes {
 		heartbeat.Crashes = append(heartbeat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Fingerprint), Process: crash.Process})
@@ -82,6 +91,8 @@
 	}
 	heartbeat.Evicted = p.evictionsToGossip(now)
 	heartbeat.Member = p.cluster.leaseExpiryNanos.Load() != 0
+	targets := p.heartbeatTargets()
+	p.cluster.workspaces.addTo(heartbeat, now, len(targets), len(p.byHost))
 	data, err := proto.Marshal(heartbeat)
 	if err != nil {
 		p.cluster.Logger.Error(err, "beat-failed")
@@ -89,8 +100,11 @@
 		return nil, nil
 	}
 	p.sumRemoteRequests(now)
+	if p.tracksWork {
+		p.work.SumPeers(now, p.silenceTimeout())
+	}
 
-	return data, p.heartbeatTargets()
+	return data, targets
 }
 
 // heartbeatTargets returns the recipients of the next heartbeat; the caller holds the lock.
@@ -137,10 +151,11 @@
 func (p *peerTable) receiveHeartbeats(conn net.PacketConn) {
 	buf := make([]byte, maxHeartbeatBytes)
 	for {
-		n, _, err := conn.ReadFrom(buf)
+		n, sender, err := conn.ReadFrom(buf)
 		if err != nil {
 			return
 		}
+		p.cluster.PeerTraffic(traffic.Heartbeat, sender.String()).AddReceived(n)
 		var heartbeat fleetpb.Beat
 		if err := proto.Unmarshal(buf[:n], &heartbeat); err != nil {
 			p.cluster.Logger.Error(err, "beat-refused")
@@ -151,18 +166,26 @@
 	}
 }
 
-// handleHeartbeat applies a heartbeat. One that arrives out of order does not change the sender's state, unless the
-// sender was silent for so long that it may have restarted.
-func (p *peerTable) handleHeartbeat(now time.Time, heartbeat *fleetpb.Beat) {
-	for _, crash := range heartbeat.Crashes {
-		p.cluster.addPeerCrash(now, crashcount.Crash{Fingerprint: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
-	}
+// handleUpstreamReports records what a peer has learned of upstreams from their responses.
+func (p *peerTable) handleUpstreamReports(now time.Time, heartbeat *fleetpb.Beat) {
 	for _, limit := range heartbeat.Limits {
 		p.cluster.recordPeerLimit(decodeUpstreamLimit(now, limit))
 	}
 	for _, reported := range heartbeat.Leaving {
 		p.cluster.recordPeerLeaving(now, reported)
 	}
+	for _, cold := range heartbeat.Cold {
+		p.cluster.recordPeerCold(now, decodeColdUpstream(now, cold))
+	}
+}
+
+// handleHeartbeat applies a heartbeat. One that arrives out of order does not change the sender's state, unless the
+// sender was silent for so long that it may have restarted.
+func (p *peerTable) handleHeartbeat(now time.Time, heartbeat *fleetpb.Beat) {
+	for _, crash := range heartbeat.Crashes {
+		p.cluster.addPeerCrash(now, crashcount.Crash{Fingerprint: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
+	}
+	p.handleUpstreamReports(now, heartbeat)
 	for _, origin := range heartbeat.Streams {
 		p.cluster.storeStreamOrigin(streamorigin.Attempt(origin.Attempt), decodeStreamOrigin(origin))
 	}
@@ -184,9 +207,20 @@
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
 	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
 	sender.isPartitioned = heartbeat.Partitioned
+	p.cluster.workspaces.recordReport(now, heartbeat)
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
+	sender.upstreamErrors = nil
+	if p.tracksWork {
+		p.work.SetPeer(now, id.Host(heartbeat.Host), decodeLoads(heartbeat.Loads))
+	}
 	for _, load := range heartbeat.Loads {
 		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
+		if score := min(load.Errors, maxPeerErrorScore); score > 0 {
+			if sender.upstreamErrors == nil {
+				sender.upstreamErrors = make(map[id.Upstream]float64)
+			}
+			sender.upstreamErrors[id.Upstream(load.Upstream)] = score
+		}
 		for _, part := range load.Parts {
 			p.cachedParts.RecordRead(now, id.Upstream(load.Upstream), affinity.PromptPartHash(part))
 		}
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -19,18 +19,32 @@
 // upstreamReadPause separates the reads of upstream registrations, which are many and change often.
 const upstreamReadPause = 250 * time.Millisecond
 
-// configurationLongPoll is the long-poll wait of reads of the configuration.
-const configurationLongPoll = 3 * time.Second
+const (
+	// configurationLongPoll is the long-poll wait of reads of the configuration.
+	configurationLongPoll = 3 * time.Second
+	// evacuationLongPoll applies on platforms that evacuate failure domains. With the margin and the retry interval of a read, a
+	// read on a connection that has gone silent is replaced within 2.7 s, before the host counts as connected to the store for
+	// 3 s and must know the evacuations.
+	evacuationLongPoll = 1500 * time.Millisecond
+)
 
 // Watcher keeps the newest configuration and upstream registrations that this host has read.
 type Watcher struct {
 	Store  *platform.Store
 	Logger logr.Logger
 	Now    func() time.Time
+	// HasEvacuations is set if the platform evacuates failure domains, which hosts must know sooner than configurations.
+	HasEvacuations bool
 	// ScalePause scales the pauses between reads of upstream registrations; it may be nil.
 	ScalePause func(time.Duration) time.Duration
+	// ColdStarts is told which upstreams may be cold.
+	ColdStarts ColdStartRecorder
 
 	config atomic.Pointer[routing.Config]
+	// unlistedConfig is the configuration read before the topic's first listing is complete. It is not used until the
+	// evacuations of the same listing are in force. Only the consumer's goroutine uses it and configListed.
+	unlistedConfig *routing.Config
+	configListed   bool
 	// lastStoreResponse is the time of the store's last response, in nanoseconds since the Unix epoch.
 	lastStoreResponse atomic.Int64
 
@@ -84,12 +98,19 @@
 	return w.registry.Get(upstream)
 }
 
-// IsUpstreamAddress reports whether an upstream is registered at an address.
-func (w *Watcher) IsUpstreamAddress(address string) bool {
+// DomainOfAddress returns the failure domain of the upstream that is registered at an address, and false if there is none.
+func (w *Watcher) DomainOfAddress(address string) (id.FailureDomain, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
-	return w.registry.HasAddress(address)
+	return w.registry.DomainOfAddress(address)
+}
+
+// FailureDomainOfAddress returns the failure domain of the upstream that is registered at an address, or an empty string.
+func (w *Watcher) FailureDomainOfAddress(address string) id.FailureDomain {
+	domain, _ := w.DomainOfAddress(address)
+
+	return domain
 }
 
 // LastStoreResponse returns when the store last responded to this host.
@@ -102,7 +123,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	configurationConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.ConfigurationTopic},
-		LongPoll: configurationLongPoll, ApplyRecord: w.applyConfiguration, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
+		LongPoll: w.longPoll(), ApplyRecord: w.applyOperatorRecord, OnListed: w.handleConfigurationListing, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
 	}
 	upstreamConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
@@ -114,6 +135,38 @@
 	tasks.Wait()
 }
 
+// longPoll returns the long-poll wait of reads of the configuration and the evacuations.
+func (w *Watcher) longPoll() time.Duration {
+	if w.HasEvacuations {
+		return evacuationLongPoll
+	}
+
+	return configurationLongPoll
+}
+
+// applyOperatorRecord applies a record of the operator: a configuration or an evacuation.
+func (w *Watcher) applyOperatorRecord(record platform.Record) {
+	if domain, ok := platform.DecodeEvacuationKey(record.Key); ok {
+		w.applyEvacuation(domain, record)
+
+		return
+	}
+	w.applyConfiguration(record)
+}
+
+// handleConfigurationListing ends the evacuations that a complete listing lacks, and uses the configuration of the first one.
+func (w *Watcher) handleConfigurationListing(keys map[string]struct{}) {
+	w.endUnlistedEvacuations(keys)
+	if w.configListed {
+		return
+	}
+	w.configListed = true
+	if w.unlistedConfig != nil {
+		w.config.Store(w.unlistedConfig)
+		w.unlistedConfig = nil
+	}
+}
+
 // applyConfiguration replaces the configuration; it ignores versions that are not newer and values that cannot be decoded.
 func (w *Watcher) applyConfiguration(record platform.Record) {
 	if record.Key != platform.ConfigurationKey || len(record.Value) == 0 {
@@ -129,7 +182,11 @@
 	if current != nil && config.Version <= current.Version {
 		return
 	}
-	w.config.Store(config)
+	if w.configListed {
+		w.config.Store(config)
+	} else {
+		w.unlistedConfig = config
+	}
 	w.Logger.Info("configuration", "version", config.Version, "offset", record.Offset,
 		"routes", len(config.Routes), "workspaces", len(config.Workspaces))
 }
@@ -145,17 +202,20 @@
 
 		return
 	}
-	instance, err := platform.DecodeUpstream(record.Key, record.Value)
+	registration, err := platform.DecodeUpstream(record.Key, record.Value)
 	if err != nil {
 		w.removeUpstream(now, id.Upstream(record.Key))
 		w.Logger.Error(err, "upstream-refused", "upstream", record.Key, "offset", record.Offset)
 
 		return
 	}
+	instance := &registration.Instance
 	w.history.RecordProcess(now, instance.ID, streamorigin.Process{
 		Service: instance.Service, Incarnation: instance.Incarnation, Version: instance.Version,
 	})
-	if !w.registry.Put(instance) || !w.upstreamsListed {
+	changed := w.registry.Put(instance)
+	w.recordColdStart(now, instance, registration.ColdRemaining)
+	if !changed || !w.upstreamsListed {
 		return
 	}
 	w.Logger.Info("upstream", "upstream", instance.ID, "service", instance.Service, "address", instance.Address,
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"cardamomward/core/id"
 	"cardamomward/platform"
 )
 
@@ -34,7 +35,13 @@
 
 		return
 	}
-	addresses := h.cluster.CallerAddresses(h.now(), platform.MaxAddressesPerResponse)
+	var addresses []string
+	if h.gatewaySettings.Placement.LocalDirectory {
+		domain := id.FailureDomain(c.Query(platform.ResolveFailureDomainParam))
+		addresses = h.cluster.NearbyCallerAddresses(h.now(), domain, platform.MaxAddressesPerResponse)
+	} else {
+		addresses = h.cluster.CallerAddresses(h.now(), platform.MaxAddressesPerResponse)
+	}
 	if len(addresses) == 0 {
 		c.SetStatusCode(http.StatusServiceUnavailable)
 
@@ -54,10 +61,38 @@
 	if err := h.metrics.WriteText(c); err != nil {
 		h.logger.Error(err, "metrics-failed")
 	}
+	if err := h.traffic.WriteText(c); err != nil {
+		h.logger.Error(err, "metrics-failed")
+	}
 	partitioned := 0
 	if h.upstreamClient.IsPartitioned() {
 		partitioned = 1
 	}
-	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nupstreams-leaving %d\n", h.relay.ConnCount(), partitioned,
-		h.cluster.AnnouncedShutdowns())
+	if h.gatewaySettings.Placement.LearnedCost {
+		work := h.cluster.OwnWork()
+		fmt.Fprintf(c, "tracked-requests %d\noutstanding-work-millis %.0f\nreserved-tokens %d\n", work.Running, work.WorkMillis, work.ReservedTokens)
+	}
+	used, limit, refused := h.proxy.Memory.Usage()
+	fmt.Fprintf(c, "memory-held-bytes %d\nmemory-budget-bytes %d\nmemory-refusals %d\n", used, limit, refused)
+	fmt.Fprintf(c, "cold-upstreams %d\n", h.countColdUpstreams())
+	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nupstreams-leaving %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned,
+		h.cluster.AnnouncedShutdowns(), h.discovery.EvacuationCount())
+}
+
+// countColdUpstreams returns the number of available upstreams that are cold.
+func (h *Host) countColdUpstreams() int {
+	config := h.discovery.Config()
+	if config == nil {
+		return 0
+	}
+	count := 0
+	for name, service := range config.Services {
+		for _, instance := range h.discovery.AvailableUpstreams(name) {
+			if isCold, _ := h.cluster.ColdDelay(instance, service.ColdStart); isCold {
+				count++
+			}
+		}
+	}
+
+	return count
 }
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"cardamomward/core/apierror"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -51,9 +52,13 @@
 	ReadTimeout time.Duration
 	// IdleTimeout is the time limit of an idle connection; zero means 2 min.
 	IdleTimeout time.Duration
+	// Traffic counts the bytes of all connections; nil counts nothing.
+	Traffic *traffic.Counter
 	// Forwarding configures the server as a proxy: nothing is added to responses, no body is parsed, and a handler's
 	// context is cancelled when the peer closes the connection.
 	Forwarding bool
+	// Memory bounds what is held for requests and responses; nil means no bound.
+	Memory *MemoryBudget
 }
 
 // NewServer listens on the address and returns a server that serves once Start is called.
@@ -62,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner}
+	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
@@ -89,7 +94,12 @@
 		)
 	}
 
-	return &Server{Hertz: server.New(options...), listener: listener, runResult: make(chan error, 1)}, nil
+	s := &Server{Hertz: server.New(options...), listener: listener, runResult: make(chan error, 1)}
+	if opts.Memory != nil {
+		s.Use(opts.Memory.trackHandler)
+	}
+
+	return s, nil
 }
 
 // Address returns the bound address.
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -9,6 +9,7 @@
 	"cardamomward/core/leastcost"
 	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -74,33 +75,52 @@
 
 // chooseAmong returns the candidate with the least estimated cost, or nil if all are excluded.
 func (p *Proxy) chooseAmong(req *proxiedRequest, candidates []*registry.Instance, excluded map[id.Upstream]struct{}) *registry.Instance {
+	if p.LearnsCosts {
+		return p.chooseByWork(req, candidates, excluded)
+	}
 	request := req.balancerRequest()
 	part, shared := req.sharedPromptPart()
 	now := p.Now()
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
 	stateOf := func(instance *registry.Instance) leastcost.UpstreamState {
+		isCold, coldDelay := p.Limits.ColdDelay(instance, req.service.ColdStart)
+
 		return leastcost.UpstreamState{
 			RunningRequests:    p.Loads.RunningRequests(instance.ID),
 			UnitLatencyMS:      p.stats.MillisPerUnit(now, instance.Service, instance.ID, defaultUnitLatencyMS),
-			FailureScore:       p.stats.FailureScore(now, instance.ID),
+			FailureScore:       p.stats.FailureScore(now, instance.ID) + p.Loads.PeerErrors(instance.ID),
 			CachesSharedPrefix: shared && p.Loads.CachesPromptPart(instance.ID, part),
-			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
+			AdmissionDelayMS:   max(coldDelay, p.Limits.AdmissionDelay(instance)).Seconds() * 1000,
+			IsCold:             isCold,
+
+			FailureDomainCostMS: p.failureDomainCostMS(instance),
 		}
 	}
 
 	return leastcost.ChooseUpstream(candidates, request, stateOf, excluded)
 }
 
+// failureDomainCostMS returns the cost in milliseconds of an upstream in another failure domain than the host's.
+func (p *Proxy) failureDomainCostMS(instance *registry.Instance) float64 {
+	if traffic.CrossingBetween(p.FailureDomain, instance.FailureDomain) != traffic.Across {
+		return 0
+	}
+
+	return p.FailureDomainCost.Seconds() * 1000
+}
+
 // RemoveUnlistedStats removes the statistics of upstreams that are not registered any more.
 func (p *Proxy) RemoveUnlistedStats() {
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
-	p.stats.RemoveUnlisted(func(upstream id.Upstream) bool {
+	isListed := func(upstream id.Upstream) bool {
 		_, listed := p.Discovery.GetUpstream(upstream)
 
 		return listed
-	})
+	}
+	p.stats.RemoveUnlisted(isListed)
+	p.learned.speeds.RemoveUnlisted(isListed)
 }
 
 // recordFailure adds a failure to an upstream's statistics.
@@ -110,6 +130,22 @@
 	p.stats.RecordFailure(p.Now(), instance.ID)
 }
 
+// recordError adds a server error to an upstream's statistics. Without it an upstream that fails all requests looks fast and idle,
+// and attracts most of the load.
+func (p *Proxy) recordError(instance *registry.Instance) {
+	p.statsMu.Lock()
+	defer p.statsMu.Unlock()
+	p.stats.RecordError(p.Now(), instance.ID)
+}
+
+// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host.
+func (p *Proxy) UpstreamErrors() map[id.Upstream]float64 {
+	p.statsMu.Lock()
+	defer p.statsMu.Unlock()
+
+	return p.stats.Errors(p.Now())
+}
+
 // recordLatency adds a latency sample of an upstream: the time per token since the first event for engines, else the time
 // of the whole request. The sample is corrected for the slowdown by other running requests.
 func (p *Proxy) recordLatency(req *proxiedRequest, instance *registry.Instance, duration time.Duration, tokens id.Tokens) {
--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/upstreamlimit"
 )
@@ -62,6 +64,7 @@
 	var limited []id.Upstream
 	retryAfter := time.Duration(0)
 	choicesLeft := maxRepeatedChoices
+	isStayingFull := false
 	needsPlace := req.isFirstTurn() && p.isAnyLimitExhausted(req)
 	for {
 		instance, use := p.chooseUpstream(req, excluded)
@@ -70,12 +73,27 @@
 
 			return nil, retryAfter
 		}
-		if needsPlace && p.Loads.RunningRequests(instance.ID) >= instance.Concurrency {
-			p.logLimited(req, append(limited, instance.ID), "")
+		if use == leaving.LastResort && isStayingFull {
+			// An upstream that stays can serve the request once it has a free slot, so the last resort is not used.
+			p.logLimited(req, limited, "")
 
 			return nil, retryDelay
 		}
-		ok, wait := p.Limits.AdmitToUpstream(ctx, instance)
+		if needsPlace && p.Loads.RunningRequests(instance.ID) >= instance.Concurrency {
+			limited = append(limited, instance.ID)
+			if !p.LearnsCosts {
+				p.logLimited(req, limited, "")
+
+				return nil, retryDelay
+			}
+			// The choice by outstanding work compares a sample, so others may have a free slot.
+			excluded = addExcluded(excluded, instance.ID)
+			isStayingFull = isStayingFull || use == leaving.Unrestricted
+			retryAfter = retryDelay
+
+			continue
+		}
+		ok, wait := p.Limits.AdmitToUpstream(ctx, instance, req.service.ColdStart)
 		if ok && p.Shutdowns.UpstreamUse(instance) == use {
 			p.logLimited(req, limited, instance.ID)
 
@@ -87,20 +105,34 @@
 
 			continue
 		}
-		if excluded == nil {
-			excluded = make(map[id.Upstream]struct{})
-		}
-		excluded[instance.ID] = struct{}{}
+		excluded = addExcluded(excluded, instance.ID)
 		if ok {
 			continue
 		}
 		limited = append(limited, instance.ID)
-		if retryAfter == 0 || wait < retryAfter {
-			retryAfter = wait
-		}
+		retryAfter = shorterWait(retryAfter, wait)
 	}
 }
 
+// shorterWait returns the shorter of the times until an upstream is asked again; zero retryAfter means that none is known yet.
+func shorterWait(retryAfter, wait time.Duration) time.Duration {
+	if retryAfter == 0 {
+		return wait
+	}
+
+	return min(retryAfter, wait)
+}
+
+// addExcluded adds an upstream to those that are excluded, which may be nil.
+func addExcluded(excluded map[id.Upstream]struct{}, upstream id.Upstream) map[id.Upstream]struct{} {
+	if excluded == nil {
+		excluded = make(map[id.Upstream]struct{})
+	}
+	excluded[upstream] = struct{}{}
+
+	return excluded
+}
+
 // isAnyLimitExhausted reports whether the limit of an upstream of the request's service has no room now. Programs then start
 // only if the upstream with the least cost serves them at once, so that those that have begun are finished in time.
 func (p *Proxy) isAnyLimitExhausted(req *proxiedRequest) bool {
@@ -127,8 +159,11 @@
 	return notExecutedResponse("upstream-limits", max(retryDelay, retryAfter))
 }
 
-// recordLimit records what a response says of the limit of its upstream.
-func (p *Proxy) recordLimit(sent *sentRequest) {
+// recordLimit records what a response says of the limit of its upstream, and of how long it stays cold.
+func (p *Proxy) recordLimit(req *proxiedRequest, sent *sentRequest) {
+	if sent.responseHead.ColdRemaining > 0 {
+		p.Limits.RecordCold(sent.instance, sent.responseHead.ColdRemaining, req.service.ColdStart, coldstart.FromResponse)
+	}
 	limit := sent.responseHead.Limit
 	if !limit.IsClear {
 		return
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/affinity"
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
 	"cardamomward/core/leaving"
@@ -17,6 +18,7 @@
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/upstreamlimit"
 	"cardamomward/core/upstreamstats"
+	"cardamomward/io/httpx"
 	"cardamomward/io/upstreamclient"
 )
 
@@ -26,6 +28,11 @@
 	Config() *routing.Config
 	// AvailableUpstreams returns the upstreams of a service that may receive new requests.
 	AvailableUpstreams(service id.Service) []*registry.Instance
+	// EvacuatedUpstreams returns the upstreams of a service that receive no new requests only because their failure domain is
+	// evacuated.
+	EvacuatedUpstreams(service id.Service) []*registry.Instance
+	// IsEvacuated reports whether a failure domain is evacuated.
+	IsEvacuated(domain id.FailureDomain) bool
 	// SoleVersion returns the software version of all upstreams of a service, and whether they have had no other for a period.
 	SoleVersion(service id.Service, period time.Duration) (id.SoftwareVersion, streamorigin.Knowledge)
 	// VerifyOrigin reports whether the registrations confirm the version of a stream's origin.
@@ -130,14 +137,19 @@
 	RecordCrash(fingerprint id.Fingerprint, instance *registry.Instance)
 }
 
-// UpstreamLimiter enforces the request rates that upstreams name in their responses, over all hosts.
+// UpstreamLimiter enforces over all hosts the request rates that upstreams name in their responses or take while they are cold.
 type UpstreamLimiter interface {
 	// RecordUpstreamLimit records what a response says of the limit of an upstream.
 	RecordUpstreamLimit(statement upstreamlimit.Statement)
 	// AdmissionDelay estimates the time until an upstream's limit admits a request; it is zero if the upstream has none.
 	AdmissionDelay(instance *registry.Instance) time.Duration
-	// AdmitToUpstream reports whether a request may be sent to an upstream now, and otherwise after how long to ask again.
-	AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration)
+	// ColdDelay reports whether an upstream is cold, and estimates the time until it admits a request.
+	ColdDelay(instance *registry.Instance, policy coldstart.Policy) (isCold bool, delay time.Duration)
+	// RecordCold records that an upstream is cold for a time.
+	RecordCold(instance *registry.Instance, remaining time.Duration, policy coldstart.Policy, source coldstart.Source)
+	// AdmitToUpstream reports whether a request may be sent to an upstream now within its limit and the rate that it takes while
+	// it is cold, and otherwise after how long to ask again.
+	AdmitToUpstream(ctx context.Context, instance *registry.Instance, policy coldstart.Policy) (ok bool, retryAfter time.Duration)
 }
 
 // ShutdownTracker remembers which upstreams have announced that they shut down.
@@ -154,6 +166,8 @@
 	RunningRequests(upstream id.Upstream) int
 	// AddRunningRequests changes the number of this host's requests at an upstream.
 	AddRunningRequests(upstream id.Upstream, delta int)
+	// PeerErrors returns the highest error score that another live host reports for an upstream.
+	PeerErrors(upstream id.Upstream) float64
 	// RecordPromptPartRead records that an upstream reads a prompt part, which puts the part in its cache.
 	RecordPromptPartRead(upstream id.Upstream, part affinity.PromptPartHash)
 	// CachesPromptPart reports whether an upstream is assumed to have a prompt part in its cache.
@@ -171,10 +185,20 @@
 	Loads          LoadTracker
 	Limits         UpstreamLimiter
 	Shutdowns      ShutdownTracker
-	Logger         logr.Logger
-	Now            func() time.Time
+	// Overload is nil if admission under overload is off.
+	Overload *OverloadAdmission
+	// Memory bounds what is held for callers and upstreams; nil means that only maxBufferedBytes applies.
+	Memory *httpx.MemoryBudget
+	Logger logr.Logger
+	Now    func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
+	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
+	FailureDomain     id.FailureDomain
+	FailureDomainCost time.Duration
+	// LearnsCosts chooses upstreams by learned costs and outstanding work, which Work tracks.
+	LearnsCosts bool
+	Work        WorkTracker
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
 	// isolated from the others.
 	ShouldCloseConnections func() bool
@@ -186,4 +210,5 @@
 
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
+	learned learnedCosts
 }
