--- a/command/gateway/explain.go
+++ b/command/gateway/explain.go
@@ -149,9 +149,9 @@
 	if chosen == "" {
 		chosen = "none"
 	}
-	fmt.Fprintf(streams.Out, "host %s, route %s, service %s, chosen %s, store read %s ago, limit exhausted %t\n\n",
-		e.GatewayHost, e.Route, e.Service, chosen, formatMillis(e.StoreAgeMS), e.LimitExhausted)
-	header := cmdutil.Row{"upstream", "failure-domain", "version", "cost-ms", "prefill", "decode", "queueing", "failures", "admission", "running", "unit-ms", "latency-age", "excluded"}
+	fmt.Fprintf(streams.Out, "host %s, route %s, service %s, chosen %s, store read %s ago, limit exhausted %t, compares sample %t\n\n",
+		e.GatewayHost, e.Route, e.Service, chosen, formatMillis(e.StoreAgeMS), e.LimitExhausted, e.ComparesSample)
+	header := cmdutil.Row{"upstream", "failure-domain", "version", "cost-ms", "prefill", "decode", "queueing", "failures", "domain", "admission", "interference", "preemption", "cold", "running", "unit-ms", "latency-age", "excluded"}
 	rows := make([]cmdutil.Row, 0, len(e.Candidates)+len(e.Excluded))
 	for i := range e.Candidates {
 		c := &e.Candidates[i]
@@ -160,10 +160,19 @@
 			age = formatMillis(*c.LatencyAgeMS)
 		}
 		row := cmdutil.Row{string(c.Upstream), string(c.FailureDomain), string(c.Version)}
-		for _, ms := range []float64{c.CostMS, c.PrefillMS, c.DecodeMS, c.QueueingMS, c.FailuresMS, c.AdmissionDelayMS} {
+		for _, ms := range []float64{c.CostMS, c.PrefillMS, c.DecodeMS, c.QueueingMS, c.FailuresMS, c.FailureDomainMS, c.AdmissionDelayMS} {
 			row = append(row, fmt.Sprintf("%.1f", ms))
 		}
-		rows = append(rows, append(row, strconv.Itoa(c.RunningRequests), fmt.Sprintf("%.2f", c.UnitLatencyMS), age, "no"))
+		if c.Learned == nil {
+			row = append(row, "-", "-")
+		} else {
+			row = append(row, fmt.Sprintf("%.1f", c.Learned.InterferenceMS), fmt.Sprintf("%.1f", c.Learned.PreemptionMS))
+		}
+		cold := "no"
+		if c.Cold {
+			cold = "yes"
+		}
+		rows = append(rows, append(row, cold, strconv.Itoa(c.RunningRequests), fmt.Sprintf("%.2f", c.UnitLatencyMS), age, "no"))
 	}
 	for _, excluded := range e.Excluded {
 		row := make(cmdutil.Row, len(header))
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -21,6 +21,10 @@
 	CachedOwnTokens id.Tokens
 	// ExpectedOutputTokens is the estimate of the tokens that the request generates.
 	ExpectedOutputTokens id.Tokens
+	// FailureDomain is the preferred one, empty without a preference; only ChooseByWork uses it.
+	FailureDomain id.FailureDomain
+	// ExpectedServiceMS is the estimate of the time of a request to a plain service; only ChooseByWork uses it.
+	ExpectedServiceMS float64
 }
 
 // UpstreamState is what the host knows of an upstream.
@@ -33,6 +37,10 @@
 	FailureScore float64
 	// AdmissionDelayMS is the estimated time in milliseconds until its limit admits a request; zero if it has none.
 	AdmissionDelayMS float64
+	// FailureDomainCostMS is the cost of its failure domain in milliseconds: zero if it is that of the host.
+	FailureDomainCostMS float64
+	// IsCold is set while its caches are empty after a start; AdmissionDelayMS then counts for every request.
+	IsCold bool
 	// CachesSharedPrefix is set if it probably caches the request's shared prompt tokens.
 	CachesSharedPrefix bool
 }
@@ -77,16 +85,22 @@
 // Cost is the estimated cost of a request at an upstream, by component in milliseconds.
 type Cost struct {
 	FailuresMS       float64
+	FailureDomainMS  float64
 	AdmissionDelayMS float64
 	PrefillMS        float64
 	// DecodeMS is the time to generate the output, or that of the whole request to a plain service.
-	DecodeMS   float64
-	QueueingMS float64
+	DecodeMS float64
+	// InterferenceMS is the delay that the request and the running ones cause each other; EstimateCost includes it in the other
+	// components.
+	InterferenceMS float64
+	QueueingMS     float64
+	// PreemptionMS is the cost of the preemptions that the request causes; only EstimateWorkCost estimates it.
+	PreemptionMS float64
 }
 
 // TotalMS returns the sum of the components.
 func (c Cost) TotalMS() float64 {
-	return c.FailuresMS + c.AdmissionDelayMS + c.PrefillMS + c.DecodeMS + c.QueueingMS
+	return c.FailuresMS + c.FailureDomainMS + c.AdmissionDelayMS + c.PrefillMS + (c.DecodeMS + c.InterferenceMS) + c.QueueingMS + c.PreemptionMS
 }
 
 // EstimateCostMS returns the estimated cost of a request at an upstream in milliseconds.
@@ -98,8 +112,8 @@
 func EstimateCost(candidate *registry.Instance, request Request, state UpstreamState) Cost {
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
-	cost := Cost{FailuresMS: failurePenaltyMS * state.FailureScore}
-	if candidate.ID != request.LastUpstream {
+	cost := Cost{FailuresMS: failurePenaltyMS * state.FailureScore, FailureDomainMS: state.FailureDomainCostMS}
+	if candidate.ID != request.LastUpstream || state.IsCold {
 		cost.AdmissionDelayMS = state.AdmissionDelayMS
 	}
 	if !request.IsModelCall {
@@ -109,7 +123,7 @@
 		return cost
 	}
 	concurrentRequests := min(runningRequests, concurrency)
-	prefillMS := float64(request.uncachedTokens(candidate.ID, state.CachesSharedPrefix)) * prefillToDecodeRatio * state.UnitLatencyMS
+	prefillMS := float64(request.uncachedTokens(candidate.ID, state)) * prefillToDecodeRatio * state.UnitLatencyMS
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	cost.PrefillMS = prefillMS * (1 + prefillInterference*concurrentRequests)
 	cost.DecodeMS = decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
@@ -123,13 +137,16 @@
 	return max(0, runningRequests-concurrency+1) / concurrency * serviceMS * 2
 }
 
-// uncachedTokens returns the prompt tokens that an upstream has to read.
-func (r Request) uncachedTokens(upstream id.Upstream, cachesSharedPrefix bool) id.Tokens {
+// uncachedTokens returns the prompt tokens that an upstream has to read: all of them if it is cold.
+func (r Request) uncachedTokens(upstream id.Upstream, state UpstreamState) id.Tokens {
+	if state.IsCold {
+		return r.OwnPromptTokens + r.SharedPromptTokens
+	}
 	uncached := r.OwnPromptTokens
 	if upstream == r.LastUpstream {
 		uncached = max(0, r.OwnPromptTokens-r.CachedOwnTokens)
 	}
-	if !cachesSharedPrefix && upstream != r.LastUpstream {
+	if !state.CachesSharedPrefix && upstream != r.LastUpstream {
 		uncached += r.SharedPromptTokens
 	}
 
--- a/core/leastcost/leastcost_test.go
+++ b/core/leastcost/leastcost_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+func TestChooseUpstreamStaysInFailureDomainUntilItsCostIsExceeded(t *testing.T) {
+	running := map[id.Upstream]int{"u0": 4}
+	remote := func(instance *registry.Instance) leastcost.UpstreamState {
+		state := leastcost.UpstreamState{UnitLatencyMS: 1.2, CachesSharedPrefix: true, RunningRequests: running[instance.ID]}
+		if instance.ID != "u0" {
+			state.FailureDomainCostMS = 150
+		}
+
+		return state
+	}
+	for i := range 20 {
+		request := newTurnRequest("")
+		request.AffinityKey = fmt.Sprint(i)
+		require.Equal(t, id.Upstream("u0"), leastcost.ChooseUpstream(newEngines(3), request, remote, nil).ID)
+	}
+	running["u0"] = 14
+	require.NotEqual(t, id.Upstream("u0"), leastcost.ChooseUpstream(newEngines(3), newTurnRequest(""), remote, nil).ID, "a busy upstream of the domain is left")
+}
+
 func TestChooseUpstreamSpreadsKeysOverEqualUpstreams(t *testing.T) {
 	counts := map[id.Upstream]int{}
 	for i := range 3000 {
@@ -109,6 +128,17 @@
 	}
 }
 
+func TestColdUpstreamCostsWholePromptAndAdmissionDelay(t *testing.T) {
+	candidate := newEngines(2)[1]
+	request := newTurnRequest(candidate.ID)
+	request.OwnPromptTokens, request.CachedOwnTokens, request.SharedPromptTokens = 6000, 6000, 12_600
+	warm := leastcost.UpstreamState{UnitLatencyMS: 10, CachesSharedPrefix: true}
+	cold := warm
+	cold.IsCold, cold.AdmissionDelayMS = true, 200
+	difference := leastcost.EstimateCostMS(candidate, request, cold) - leastcost.EstimateCostMS(candidate, request, warm)
+	require.InDelta(t, 200+18_600*10.0/300, difference, 0.001)
+}
+
 func TestChooseUpstreamSkipsExcludedUpstreams(t *testing.T) {
 	excluded := map[id.Upstream]struct{}{"u0": {}, "u1": {}}
 	require.Equal(t, id.Upstream("u2"), leastcost.ChooseUpstream(newEngines(3), newTurnRequest("u1"), newStates(nil, true), excluded).ID)
--- a/core/leastcost/rank_test.go
+++ b/core/leastcost/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -25,3 +26,26 @@
 		}
 	}
 }
+
+// TestRankByWorkBeginsWithTheChoiceAmongAll guards against a rank by other costs than those that a choice compares.
+func TestRankByWorkBeginsWithTheChoiceAmongAll(t *testing.T) {
+	candidates := newEngines(6)
+	excluded := map[id.Upstream]struct{}{"u3": {}}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 50 {
+		request := newTurnRequest("u1")
+		work := map[id.Upstream]float64{}
+		for _, candidate := range candidates {
+			work[candidate.ID] = random.Float64() * 5000
+		}
+		stateOf := newWorkStates(func(upstream id.Upstream, state *leastcost.WorkState) {
+			state.RunningRequests, state.WorkMillis = 20, work[upstream]
+		})
+		ranked := leastcost.RankByWork(candidates, request, stateOf, excluded)
+		require.Len(t, ranked, 5)
+		require.Equal(t, leastcost.ChooseFromSample(candidates, request, stateOf, excluded, random, len(candidates)).ID, ranked[0].Instance.ID)
+		for j := range ranked[1:] {
+			require.LessOrEqual(t, ranked[j].Cost.TotalMS(), ranked[j+1].Cost.TotalMS())
+		}
+	}
+}
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cardamomward/core/affinity"
-	"cardamomward/core/endpoints"
 	"cardamomward/core/id"
+	"cardamomward/core/workleft"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
 )
@@ -50,6 +49,8 @@
 	RelayAddress  string           `json:"relay"`
 	FailureDomain id.FailureDomain `json:"failure-domain"`
 	CPUCores      float64          `json:"cpu-share"`
+	// LinkBytesPerSecond is absent in the entries of hosts of earlier releases.
+	LinkBytesPerSecond float64 `json:"link-bytes-per-second,omitempty"`
 }
 
 // peer is the state of another host as this host knows it.
@@ -69,6 +70,8 @@
 	// storeRespondedAt is the time of the store's last response to the peer, by this host's clock.
 	storeRespondedAt time.Time
 	runningRequests  map[id.Upstream]int
+	// upstreamErrors holds the error scores of upstreams that the peer reports.
+	upstreamErrors map[id.Upstream]float64
 	// isPartitioned is set while the peer's links to upstreams fail, and relayBusyUntil after it refused to relay a connection.
 	isPartitioned  bool
 	relayBusyUntil time.Time
@@ -104,8 +107,13 @@
 	byHost            map[id.Host]*peer
 	localRequests     map[id.Upstream]int
 	remoteRequests    map[id.Upstream]int
+	remoteErrors      map[id.Upstream]float64
 	cachedParts       affinity.CacheIndex
-	gossipedReads     []gossipedRead
+	domains           peerDomains
+	work              workleft.Tracker
+	// tracksWork is set if the choice of upstreams uses the work that peers report; it does not change after the start.
+	tracksWork    bool
+	gossipedReads []gossipedRead
 }
 
 func newPeerTable(c *Cluster) *peerTable {
@@ -113,10 +121,11 @@
 		cluster: c, startedAt: c.Now(), byHost: make(map[id.Host]*peer),
 		selfEntry: hostEntry{
 			CallerAddress: c.Settings.CallerAddress, PeerAddress: c.self, RelayAddress: c.RelayAddress(), FailureDomain: c.Settings.FailureDomain, CPUCores: c.Settings.CPUCores,
+			LinkBytesPerSecond: c.Settings.LinkBytesPerSecond,
 		},
 		gossipedEvictions: make(map[string]time.Time),
 		hostListRead:      make(chan struct{}), announceSignal: make(chan struct{}, 1),
-		localRequests: make(map[id.Upstream]int), remoteRequests: make(map[id.Upstream]int),
+		localRequests: make(map[id.Upstream]int), remoteRequests: make(map[id.Upstream]int), remoteErrors: make(map[id.Upstream]float64),
 	}
 }
 
@@ -157,6 +166,9 @@
 		if ok && !existing.hasLeft && p.cluster.Now().Sub(existing.lastHeardAt) <= p.silenceTimeout() {
 			return
 		}
+		if ok {
+			p.domains.remove(existing.hostEntry)
+		}
 		delete(p.byHost, host)
 		p.cluster.Logger.Info("host-withdrawn", "peer", host)
 
@@ -174,6 +186,7 @@
 
 		return
 	}
+	p.domains.put(entry)
 	// A host that has left announces itself again only in a new process, whose heartbeats are numbered anew.
 	if !ok || existing.hasLeft || existing.PeerAddress != entry.PeerAddress {
 		p.byHost[host] = &peer{hostEntry: entry, udpAddr: addr, listedAt: p.cluster.Now()}
@@ -294,9 +307,11 @@
 	return baseSilenceTimeout * time.Duration(max(1, rounds))
 }
 
-// sumRemoteRequests sums the running requests of live peers by upstream; the caller holds the lock.
+// sumRemoteRequests sums the running requests of live peers by upstream, and takes the highest of their error scores; the
+// caller holds the lock.
 func (p *peerTable) sumRemoteRequests(now time.Time) {
 	clear(p.remoteRequests)
+	clear(p.remoteErrors)
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
 		if now.Sub(other.lastHeardAt) > limit {
@@ -305,6 +320,9 @@
 		for upstream, running := range other.runningRequests {
 			p.remoteRequests[upstream] += running
 		}
+		for upstream, score := range other.upstreamErrors {
+			p.remoteErrors[upstream] = max(p.remoteErrors[upstream], score)
+		}
 	}
 }
 
@@ -383,6 +401,20 @@
 	return members
 }
 
+// listedPeers returns the addresses of the peers that have not left, silent ones included until they are forgotten.
+func (p *peerTable) listedPeers(now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var members []string
+	for _, other := range p.byHost {
+		if !other.hasLeft && now.Sub(laterOf(other.lastHeardAt, other.listedAt)) <= forgetPeerAfter {
+			members = append(members, other.PeerAddress)
+		}
+	}
+
+	return members
+}
+
 // stayingPeers returns the addresses of the live peers that are not draining.
 func (p *peerTable) stayingPeers(now time.Time) []string {
 	p.mu.Lock()
@@ -399,6 +431,16 @@
 	return members
 }
 
+// isHostListRead reports whether the list of hosts has been read, so that hostCount is known.
+func (p *peerTable) isHostListRead() bool {
+	select {
+	case <-p.hostListRead:
+		return true
+	default:
+		return false
+	}
+}
+
 // hostCount returns the number of known hosts, including this one.
 func (p *peerTable) hostCount() int {
 	p.mu.Lock()
@@ -415,26 +457,6 @@
 	return b
 }
 
-// CallerAddresses returns up to maxAddresses addresses that callers may connect to.
-func (c *Cluster) CallerAddresses(now time.Time, maxAddresses int) []string {
-	isolated := c.IsIsolated(now)
-	p := c.peers
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	hosts := make([]endpoints.Host, 0, len(p.byHost)+1)
-	limit := p.silenceTimeout() / 2
-	for _, other := range p.byHost {
-		if !other.isDraining && (isolated || (!other.isEvicted && now.Sub(other.lastHeardAt) <= limit)) {
-			hosts = append(hosts, endpoints.Host{Address: other.CallerAddress, CPUCores: other.CPUCores})
-		}
-	}
-	if !p.isDraining && !isolated && c.HasConfig() {
-		hosts = append(hosts, endpoints.Host{Address: p.selfEntry.CallerAddress, CPUCores: p.selfEntry.CPUCores})
-	}
-
-	return endpoints.SelectAddresses(hosts, maxAddresses, rand.Uint64())
-}
-
 // triggerRenewal makes the renewal loop renew the membership at once, since slots may have become free.
 func (c *Cluster) triggerRenewal() {
 	select {
--- a/io/gatewayhost/explain_test.go
+++ b/io/gatewayhost/explain_test.go
@@ -22,9 +22,9 @@
 const operatorToken = "operator-secret"
 
 // postExplain sends a body to the operator endpoint of a host and returns the response's status and body.
-func (c *testCluster) postExplain(name, authorization string, body []byte) (int, []byte) {
+func (c *testCluster) postExplain(authorization string, body []byte) (int, []byte) {
 	c.t.Helper()
-	url := fmt.Sprintf("http://127.0.0.1:%d%s", c.hosts[name].instance.MetricsPort, gatewayhost.ExplainPath)
+	url := fmt.Sprintf("http://127.0.0.1:%d%s", c.hosts["host-0"].instance.MetricsPort, gatewayhost.ExplainPath)
 	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, bytes.NewReader(body))
 	require.NoError(c.t, err)
 	if authorization != "" {
@@ -39,11 +39,11 @@
 	return resp.StatusCode, data
 }
 
-func (c *testCluster) explain(name string, query reverseproxy.PlacementQuery) reverseproxy.PlacementExplanation {
+func (c *testCluster) explain(query reverseproxy.PlacementQuery) reverseproxy.PlacementExplanation {
 	c.t.Helper()
 	body, err := json.Marshal(query)
 	require.NoError(c.t, err)
-	status, data := c.postExplain(name, "Bearer "+operatorToken, body)
+	status, data := c.postExplain("Bearer "+operatorToken, body)
 	require.Equal(c.t, http.StatusOK, status, string(data))
 	var explanation reverseproxy.PlacementExplanation
 	require.NoError(c.t, json.Unmarshal(data, &explanation))
@@ -52,11 +52,11 @@
 }
 
 // explainIdle explains a query once no request runs at the candidates.
-func (c *testCluster) explainIdle(name string, query reverseproxy.PlacementQuery) reverseproxy.PlacementExplanation {
+func (c *testCluster) explainIdle(query reverseproxy.PlacementQuery) reverseproxy.PlacementExplanation {
 	c.t.Helper()
 	var explanation reverseproxy.PlacementExplanation
 	require.Eventually(c.t, func() bool {
-		explanation = c.explain(name, query)
+		explanation = c.explain(query)
 		for _, candidate := range explanation.Candidates {
 			if candidate.RunningRequests > 0 {
 				return false
@@ -103,7 +103,7 @@
 			query = reverseproxy.PlacementQuery{Host: "agents.example", Path: "/order/", AffinityKey: program}
 			call = standin.CallerRequest{Path: "/order/", APIKey: "secret"}
 		}
-		explanation := c.explainIdle("host-0", query)
+		explanation := c.explainIdle(query)
 		require.Len(t, explanation.Candidates, 2)
 		require.Empty(t, explanation.Excluded)
 		// A request without a session has its id as its affinity key.
@@ -119,10 +119,17 @@
 func TestRepeatedExplainsChangeNothing(t *testing.T) {
 	c := newOperatorCluster(t)
 	query := reverseproxy.PlacementQuery{Host: "agents.example", Path: "/draft/x", Session: "s", MaxTokens: 100}
-	first := c.explainIdle("host-0", query)
+	first := c.explainIdle(query)
+	// The last bytes of an earlier response may be counted after its caller has received them.
 	metrics := c.metrics("host-0")
+	require.Eventually(t, func() bool {
+		previous := metrics
+		metrics = c.metrics("host-0")
+
+		return metrics == previous
+	}, waitTimeout, 50*time.Millisecond)
 	for range 200 {
-		explanation := c.explain("host-0", query)
+		explanation := c.explain(query)
 		require.Equal(t, first.Chosen, explanation.Chosen)
 		require.Len(t, explanation.Candidates, len(first.Candidates))
 		for i, candidate := range explanation.Candidates {
@@ -138,24 +145,24 @@
 	c := newOperatorCluster(t)
 	query := reverseproxy.PlacementQuery{Host: "agents.example", Path: "/draft/x", Session: "s"}
 	c.engines[0].Register(c.store, "draining")
-	require.Eventually(t, func() bool { return len(c.explain("host-0", query).Candidates) == 1 }, waitTimeout, 20*time.Millisecond)
-	explanation := c.explain("host-0", query)
+	require.Eventually(t, func() bool { return len(c.explain(query).Candidates) == 1 }, waitTimeout, 20*time.Millisecond)
+	explanation := c.explain(query)
 	require.Equal(t, []reverseproxy.ExcludedUpstream{{Upstream: "engine-0", Reason: reverseproxy.ExcludedDraining}}, explanation.Excluded)
 	query.StreamVersion = "another"
-	explanation = c.explain("host-0", query)
+	explanation = c.explain(query)
 	require.Empty(t, explanation.Chosen)
 	require.Equal(t, []reverseproxy.ExcludedUpstream{
 		{Upstream: "engine-0", Reason: reverseproxy.ExcludedDraining}, {Upstream: "engine-1", Reason: reverseproxy.ExcludedVersion},
 	}, explanation.Excluded)
 	query.StreamVersion, query.Exclude = "", []id.Upstream{"engine-1"}
-	require.Contains(t, c.explain("host-0", query).Excluded, reverseproxy.ExcludedUpstream{Upstream: "engine-1", Reason: reverseproxy.ExcludedByQuery})
+	require.Contains(t, c.explain(query).Excluded, reverseproxy.ExcludedUpstream{Upstream: "engine-1", Reason: reverseproxy.ExcludedByQuery})
 }
 
 func TestExplainIsRefusedWithoutOperatorToken(t *testing.T) {
 	c := newOperatorCluster(t)
 	query := []byte(`{"host": "agents.example", "path": "/draft/x"}`)
 	for _, authorization := range []string{"", "Bearer ", "Bearer wrong", operatorToken, "Bearer secret", "Bearer " + operatorToken + "x"} {
-		status, body := c.postExplain("host-0", authorization, query)
+		status, body := c.postExplain(authorization, query)
 		require.Equal(t, http.StatusUnauthorized, status, authorization)
 		require.NotContains(t, string(body), "engine-")
 	}
@@ -165,7 +172,7 @@
 		`{"host": "agents.example", "path": "/draft/x", "workspace": "strangers"}`: http.StatusNotFound,
 		`{"unknown": 1}`: http.StatusBadRequest,
 	} {
-		status, _ := c.postExplain("host-0", "Bearer "+operatorToken, []byte(body))
+		status, _ := c.postExplain("Bearer "+operatorToken, []byte(body))
 		require.Equal(t, want, status, body)
 	}
 }
@@ -173,7 +180,7 @@
 func TestExplainIsNotServedWithoutTokenFile(t *testing.T) {
 	c := newTestCluster(t, 1, func(c *testCluster, _ *platform.HostSettings) { c.servesMetrics = true })
 	for _, authorization := range []string{"", "Bearer ", "Bearer " + operatorToken} {
-		status, _ := c.postExplain("host-0", authorization, []byte(`{"host": "agents.example", "path": "/draft/x"}`))
+		status, _ := c.postExplain(authorization, []byte(`{"host": "agents.example", "path": "/draft/x"}`))
 		require.Equal(t, http.StatusNotFound, status)
 	}
 }
@@ -185,9 +192,50 @@
 	nameLimit(1, c.plainUpstreams...)
 	c.doUntilStatus("host-0", call, http.StatusServiceUnavailable)
 	c.doUntilStatus("host-0", call, http.StatusOK)
-	require.Eventually(t, func() bool { return !c.explainIdle("host-0", query).LimitExhausted }, waitTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return !c.explainIdle(query).LimitExhausted }, waitTimeout, 20*time.Millisecond)
 	for range 100 {
-		c.explain("host-0", query)
+		c.explain(query)
 	}
 	require.Equal(t, http.StatusOK, c.do("host-0", call).Status, "the explains have used up the limits")
 }
+
+// TestExplainShowsLearnedCosts guards against an explanation that ranks by other costs than requests do where costs are learned.
+func TestExplainShowsLearnedCosts(t *testing.T) {
+	c := newTestCluster(t, 1, learnedCost, func(c *testCluster, _ *platform.HostSettings) { c.operatorToken = operatorToken })
+	query := reverseproxy.PlacementQuery{Host: "agents.example", Path: "/draft/x", Session: "s", MaxTokens: 100}
+	for i := range int64(6) {
+		c.do("host-0", newDraft(i))
+	}
+	explanation := c.explainIdle(query)
+	require.True(t, explanation.ComparesSample)
+	require.Len(t, explanation.Candidates, len(c.engines))
+	for _, candidate := range explanation.Candidates {
+		require.NotNil(t, candidate.Learned)
+		sum := candidate.PrefillMS + candidate.DecodeMS + candidate.Learned.InterferenceMS + candidate.QueueingMS +
+			candidate.Learned.PreemptionMS + candidate.FailuresMS + candidate.FailureDomainMS + candidate.AdmissionDelayMS
+		require.InDelta(t, candidate.CostMS, sum, 1e-6)
+		require.GreaterOrEqual(t, candidate.CostMS, explanation.Candidates[0].CostMS)
+	}
+}
+
+// TestExplainShowsEvacuatedAndColdUpstreams guards against evacuated upstreams that are listed as merely unavailable.
+func TestExplainShowsEvacuatedAndColdUpstreams(t *testing.T) {
+	c := newColdCluster(t, 1, func(c *testCluster, _ *platform.HostSettings) {
+		c.servesMetrics, c.operatorToken = true, operatorToken
+	})
+	query := reverseproxy.PlacementQuery{Host: "agents.example", Path: "/draft/x", Session: "s"}
+	c.becomeColdByRegistration(10*time.Second, c.engines[0])
+	explanation := c.explain(query)
+	require.False(t, explanation.ComparesSample)
+	require.Len(t, explanation.Candidates, 2)
+	for _, candidate := range explanation.Candidates {
+		require.Equal(t, candidate.Upstream == "engine-0", candidate.Cold, candidate.Upstream)
+		require.Nil(t, candidate.Learned)
+	}
+	c.evacuate(standin.InitialFailureDomain)
+	explanation = c.explain(query)
+	require.Empty(t, explanation.Candidates)
+	require.Equal(t, []reverseproxy.ExcludedUpstream{
+		{Upstream: "engine-0", Reason: reverseproxy.ExcludedEvacuated}, {Upstream: "engine-1", Reason: reverseproxy.ExcludedEvacuated},
+	}, explanation.Excluded)
+}
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -14,6 +14,8 @@
 
 	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
+	"cardamomward/core/routing"
+	"cardamomward/core/traffic"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
 	"cardamomward/io/httpx"
@@ -57,13 +59,16 @@
 	logger          logr.Logger
 	now             func() time.Time
 
-	discovery       *discovery.Watcher
-	upstreamClient  *upstreamclient.Client
-	cluster         *cluster.Cluster
-	proxy           *reverseproxy.Proxy
-	relay           *relay.Server
-	metrics         reverseproxy.Metrics
-	draining        atomic.Bool
+	discovery      *discovery.Watcher
+	upstreamClient *upstreamclient.Client
+	cluster        *cluster.Cluster
+	proxy          *reverseproxy.Proxy
+	relay          *relay.Server
+	metrics        reverseproxy.Metrics
+	traffic        traffic.Counters
+	draining       atomic.Bool
+	// weightsConfig is the configuration whose workspaces the weights were last compared with. Only cleanUpLoop uses it.
+	weightsConfig   *routing.Config
 	drainPeriodOver chan struct{}
 }
 
@@ -71,30 +76,50 @@
 func New(settings *platform.HostSettings, logger logr.Logger, now func() time.Time) *Host {
 	h := &Host{settings: settings, gatewaySettings: &gatewaysettings.Settings{}, logger: logger, now: now, drainPeriodOver: make(chan struct{})}
 	store := platform.NewStore(settings.Store.Address)
-	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now}
+	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now, HasEvacuations: settings.Bounds.Evacuation > 0}
 	h.upstreamClient = &upstreamclient.Client{Logger: logger, Now: now}
 	h.cluster = cluster.New(cluster.Options{
-		Settings: settings, Store: store, Logger: logger, Now: now,
+		Settings: settings, Store: store, Logger: logger, Now: now, Traffic: &h.traffic,
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
 		HasConfig:                  func() bool { return h.discovery.Config() != nil },
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
+		UpstreamErrors:             func() map[id.Upstream]float64 { return h.proxy.UpstreamErrors() },
 	})
-	h.upstreamClient.Relays = h.cluster
+	h.discovery.ColdStarts = h.cluster
+	h.upstreamClient.Relays, h.upstreamClient.CounterFor = h.cluster, h.upstreamTraffic
 	h.relay = &relay.Server{
-		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, IsUpstream: h.discovery.IsUpstreamAddress,
-		MaxConns: h.maxRelayedConns(), Logger: logger,
+		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, DomainOfAddress: h.discovery.DomainOfAddress,
+		IsEvacuated: h.discovery.IsEvacuated, MaxConns: h.maxRelayedConns(), Logger: logger,
+		PeerCounter: h.relayedPeerTraffic, UpstreamCounter: h.relayedUpstreamTraffic,
 	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
+		FailureDomain: settings.FailureDomain, Work: h.cluster,
 	}
 
 	return h
 }
 
 // Configure sets the settings of the gateway's optional parts; it must be called before Run.
-func (h *Host) Configure(settings *gatewaysettings.Settings) { h.gatewaySettings = settings }
+func (h *Host) Configure(settings *gatewaysettings.Settings) {
+	h.gatewaySettings = settings
+	h.proxy.FailureDomainCost, h.proxy.LearnsCosts = settings.Placement.FailureDomainCost, settings.Placement.LearnedCost
+	if settings.Placement.LearnedCost {
+		h.cluster.EnableWork()
+	}
+	if settings.Overload.Enabled {
+		h.proxy.Overload = &reverseproxy.OverloadAdmission{Loads: h.cluster, Weights: settings.Overload.Weights}
+		h.cluster.ReportWorkspaceLoads()
+	}
+	if limit := int64(settings.Memory.BudgetShare * float64(h.settings.MemoryBytes)); limit > 0 {
+		h.proxy.Memory = httpx.NewMemoryBudget(limit, h.now)
+		h.proxy.Memory.OnIdleClosed = func(remote string, bytes int64) {
+			h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
+		}
+	}
+}
 
 // Run serves until ctx ends, the host has drained or the host's part in the cluster fails; it returns an error if a server
 // cannot listen.
@@ -159,7 +184,9 @@
 		servers = append(servers, server)
 	}
 	addServer(httpx.Options{
-		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true,
+		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true, Memory: h.proxy.Memory,
+		// Callers do not tell their failure domain in requests.
+		Traffic: h.traffic.Get(traffic.Caller, traffic.Unknown),
 	}, h.proxy.HandleRequest)
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
@@ -190,6 +217,7 @@
 			h.upstreamClient.CloseExpired(h.now())
 			h.proxy.RemoveUnlistedStats()
 			h.cluster.RemoveUnlistedLimits(h.isUpstreamListed)
+			h.logUnknownWeights()
 			for _, s := range servers {
 				if closed := s.CloseStalledRequests(h.now().Add(-requestReadTimeout), h.proxy.HasActiveRequest); closed > 0 {
 					h.logger.Info("requests-stalled", "address", s.Address(), "connections", closed)
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,9 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cardamomward/core/id"
+	"cardamomward/core/traffic"
 )
 
 const (
@@ -30,13 +34,19 @@
 type Server struct {
 	// Dial connects to an upstream on this host's own links; connections are never relayed twice.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// IsAvailable reports whether this host accepts further connections, and IsUpstream whether an address belongs to a registered
-	// upstream.
-	IsAvailable func() bool
-	IsUpstream  func(address string) bool
+	// IsAvailable reports whether this host accepts further connections, and DomainOfAddress returns the failure domain of the
+	// registered upstream at an address, and false if there is none.
+	IsAvailable     func() bool
+	DomainOfAddress func(address string) (id.FailureDomain, bool)
+	// IsEvacuated reports whether a failure domain is evacuated: its upstreams get no new requests, neither on new connections
+	// nor on open ones. The host at the other end may not know of the evacuation.
+	IsEvacuated func(domain id.FailureDomain) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
-	Logger   logr.Logger
+	// PeerCounter and UpstreamCounter return the counters of the bytes of the two ends of a relayed connection; nil count nothing.
+	PeerCounter     func(remote net.Addr) *traffic.Counter
+	UpstreamCounter func(address string) *traffic.Counter
+	Logger          logr.Logger
 
 	connCount atomic.Int64
 	conns     sync.WaitGroup
@@ -78,7 +88,7 @@
 	if err != nil {
 		return
 	}
-	upstream, status := s.connect(ctx, req)
+	upstream, domain, status := s.connect(ctx, req)
 	if upstream == nil {
 		fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 
@@ -93,25 +103,50 @@
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(caller, upstream)
+	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), func() bool { return s.IsEvacuated(domain) })
+}
+
+func (s *Server) countPeer(conn net.Conn) end {
+	if s.PeerCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.PeerCounter(conn.RemoteAddr())}
+}
+
+func (s *Server) countUpstream(conn net.Conn, address string) end {
+	if s.UpstreamCounter == nil {
+		return end{Conn: conn}
+	}
+
+	return end{Conn: conn, counter: s.UpstreamCounter(address)}
 }
 
-// connect connects to the upstream of a CONNECT request, or returns the status of the refusal. A connection counts as relayed.
-func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, int) {
+// end is one end of a relayed connection, with the counter of its bytes.
+type end struct {
+	net.Conn
+
+	counter *traffic.Counter
+}
+
+// connect connects to the upstream of a CONNECT request and returns its failure domain, or the status of the refusal. A connection
+// counts as relayed.
+func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, id.FailureDomain, int) {
 	address := req.Host
+	domain, isUpstream := s.DomainOfAddress(address)
 	switch {
 	case req.Method != http.MethodConnect:
-		return nil, http.StatusMethodNotAllowed
+		return nil, "", http.StatusMethodNotAllowed
 	case !s.IsAvailable():
-		return nil, http.StatusServiceUnavailable
-	case !s.IsUpstream(address):
-		return nil, http.StatusForbidden
+		return nil, "", http.StatusServiceUnavailable
+	case !isUpstream || s.IsEvacuated(domain):
+		return nil, "", http.StatusForbidden
 	}
 	if s.connCount.Add(1) > int64(s.MaxConns) {
 		s.connCount.Add(-1)
 		s.Logger.Info("relay-full", "address", address, "conns", s.MaxConns)
 
-		return nil, http.StatusServiceUnavailable
+		return nil, "", http.StatusServiceUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -120,39 +155,99 @@
 		s.connCount.Add(-1)
 		s.Logger.Info("relay-dial-failed", "address", address, "error", err)
 
-		return nil, http.StatusBadGateway
+		return nil, "", http.StatusBadGateway
 	}
 	enableKeepAlive(upstream)
 
-	return upstream, http.StatusOK
+	return upstream, domain, http.StatusOK
 }
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
 // reset, so that a response that it breaks off does not look complete.
-func splice(caller, upstream net.Conn) {
+func splice(caller, upstream end, isEvacuated func() bool) {
 	done := make(chan struct{})
+	var answered atomic.Bool
+	answered.Store(true)
 	go func() {
 		defer close(done)
-		copyBytes(upstream, caller) //nolint:errcheck // any end is the caller's
+		copyBytes(&requestWriter{countingWriter{upstream}, &answered, isEvacuated}, countingReader{caller}) //nolint:errcheck // any end is the caller's
 		// The caller never closes only its sending direction: it has canceled its request.
 		upstream.Close()
 	}()
-	if err := copyBytes(caller, upstream); err != nil {
-		reset(caller)
+	if err := copyBytes(countingWriter{caller}, &responseReader{countingReader{upstream}, &answered}); err != nil {
+		reset(caller.Conn)
 	} else {
-		closeWrite(caller)
+		closeWrite(caller.Conn)
 	}
 	<-done
 }
 
+// errEvacuated ends a connection whose caller sends a request after its upstream's domain has been evacuated.
+var errEvacuated = errors.New("the failure domain of the upstream is evacuated")
+
+// requestWriter passes on the caller's bytes. Bytes that follow those of a response are the next request's: requests are not
+// pipelined. None is begun once the domain is evacuated.
+type requestWriter struct {
+	io.Writer
+
+	// answered is set unless bytes of a request have passed since the last bytes of a response.
+	answered    *atomic.Bool
+	isEvacuated func() bool
+}
+
+func (w *requestWriter) Write(data []byte) (int, error) {
+	if w.answered.Load() && w.isEvacuated() {
+		return 0, errEvacuated
+	}
+	w.answered.Store(false)
+
+	return w.Writer.Write(data)
+}
+
+// responseReader reads the upstream's bytes.
+type responseReader struct {
+	io.Reader
+
+	answered *atomic.Bool
+}
+
+func (r *responseReader) Read(buf []byte) (int, error) {
+	n, err := r.Reader.Read(buf)
+	if n > 0 {
+		r.answered.Store(true)
+	}
+
+	return n, err
+}
+
 // copyBytes copies until the end or an error. It hides the connections' other methods, since their splice(2) is not available
 // everywhere.
 func copyBytes(dst io.Writer, src io.Reader) error {
-	_, err := io.CopyBuffer(struct{ io.Writer }{dst}, struct{ io.Reader }{src}, make([]byte, copyBufferBytes))
+	_, err := io.CopyBuffer(dst, src, make([]byte, copyBufferBytes))
 
 	return err
 }
 
+// countingWriter counts the bytes that are sent to an end.
+type countingWriter struct{ end end }
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.end.Write(p)
+	w.end.counter.AddSent(n)
+
+	return n, err
+}
+
+// countingReader counts the bytes that are received from an end.
+type countingReader struct{ end end }
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.end.Read(p)
+	r.end.counter.AddReceived(n)
+
+	return n, err
+}
+
 func enableKeepAlive(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		tcp.SetKeepAliveConfig(keepAlive) //nolint:errcheck // the connection works without it
--- a/io/reverseproxy/explain.go
+++ b/io/reverseproxy/explain.go
@@ -2,9 +2,11 @@
 
 import (
 	"slices"
+	"time"
 
 	"cardamomward/core/affinity"
 	"cardamomward/core/apierror"
+	"cardamomward/core/costestimate"
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
 	"cardamomward/core/leastcost"
@@ -47,6 +49,8 @@
 const (
 	ExcludedDraining ExclusionReason = "draining"
 	ExcludedVersion  ExclusionReason = "version"
+	// ExcludedEvacuated means that the failure domain of the upstream is evacuated.
+	ExcludedEvacuated ExclusionReason = "evacuated"
 	// ExcludedByQuery means that the query excludes the upstream.
 	ExcludedByQuery ExclusionReason = "excluded"
 	// ExcludedUnavailable means that the upstream is not available for another reason.
@@ -55,22 +59,40 @@
 
 // PlacementCandidate is an upstream that could get the request, with its cost by component in milliseconds.
 type PlacementCandidate struct {
-	Upstream         id.Upstream        `json:"upstream"`
-	FailureDomain    id.FailureDomain   `json:"failure-domain,omitempty"`
-	Version          id.SoftwareVersion `json:"version,omitempty"`
-	CostMS           float64            `json:"cost-ms"`
-	PrefillMS        float64            `json:"prefill-ms"`
-	DecodeMS         float64            `json:"decode-ms"`
-	QueueingMS       float64            `json:"queueing-ms"`
-	FailuresMS       float64            `json:"failures-ms"`
-	AdmissionDelayMS float64            `json:"admission-delay-ms"`
-	RunningRequests  int                `json:"running-requests"`
-	UnitLatencyMS    float64            `json:"unit-latency-ms"`
+	Upstream      id.Upstream        `json:"upstream"`
+	FailureDomain id.FailureDomain   `json:"failure-domain,omitempty"`
+	Version       id.SoftwareVersion `json:"version,omitempty"`
+	CostMS        float64            `json:"cost-ms"`
+	PrefillMS     float64            `json:"prefill-ms"`
+	DecodeMS      float64            `json:"decode-ms"`
+	QueueingMS    float64            `json:"queueing-ms"`
+	FailuresMS    float64            `json:"failures-ms"`
+	// FailureDomainMS is the cost of another failure domain than the host's.
+	FailureDomainMS float64 `json:"failure-domain-ms"`
+	// AdmissionDelayMS is the time until the limit of the upstream, or its pace while it is cold, admits a request.
+	AdmissionDelayMS float64 `json:"admission-delay-ms"`
+	// Cold is set while the upstream's caches are empty after a start.
+	Cold bool `json:"cold"`
+	// Learned is nil unless the host learns costs.
+	Learned         *LearnedCosts `json:"learned,omitempty"`
+	RunningRequests int           `json:"running-requests"`
+	UnitLatencyMS   float64       `json:"unit-latency-ms"`
 	// LatencyAgeMS is the age of the upstream's latest latency sample; nil if the latency is that of the service or the default.
 	LatencyAgeMS       *float64 `json:"latency-age-ms,omitempty"`
 	CachesSharedPrefix bool     `json:"caches-shared-prefix"`
 }
 
+// LearnedCosts has the components of a cost by outstanding work that other costs lack, and the work from which they follow.
+type LearnedCosts struct {
+	// InterferenceMS is the delay that the request and the running ones cause each other.
+	InterferenceMS float64 `json:"interference-ms"`
+	// PreemptionMS is the cost of the preemptions that the request causes in the engine's memory.
+	PreemptionMS   float64   `json:"preemption-ms"`
+	WorkMS         float64   `json:"work-ms"`
+	ReservedTokens id.Tokens `json:"reserved-tokens"`
+	CapacityTokens id.Tokens `json:"capacity-tokens"`
+}
+
 // ExcludedUpstream is an upstream of the service that could not get the request.
 type ExcludedUpstream struct {
 	Upstream id.Upstream     `json:"upstream"`
@@ -84,6 +106,9 @@
 	Service     id.Service `json:"service"`
 	// Chosen is the upstream with the least cost; it is empty if there are no candidates.
 	Chosen id.Upstream `json:"chosen,omitempty"`
+	// ComparesSample is set if the host learns costs: a request then compares a random sample of the candidates, and may be sent
+	// to another one than Chosen.
+	ComparesSample bool `json:"compares-sample"`
 	// LimitExhausted is set if the limit of an upstream of the service has no room. A first turn of a program is then sent only
 	// if the chosen upstream serves it at once.
 	LimitExhausted bool `json:"limit-exhausted"`
@@ -103,13 +128,14 @@
 	eligible := p.eligibleUpstreams(req)
 	explanation := &PlacementExplanation{
 		Route: req.route.Name, Service: req.service.Name, LimitExhausted: p.isAnyLimitExhausted(req),
-		Candidates: p.explainCandidates(req, eligible), Excluded: []ExcludedUpstream{},
+		ComparesSample: p.LearnsCosts, Candidates: p.explainCandidates(req, eligible), Excluded: []ExcludedUpstream{},
 	}
 	if len(explanation.Candidates) > 0 {
 		explanation.Chosen = explanation.Candidates[0].Upstream
 	}
+	evacuated := p.Discovery.EvacuatedUpstreams(req.service.Name)
 	for _, instance := range p.Discovery.RegisteredUpstreams(req.service.Name) {
-		if reason := req.exclusionReason(instance, eligible); reason != "" {
+		if reason := req.exclusionReason(instance, eligible, evacuated); reason != "" {
 			explanation.Excluded = append(explanation.Excluded, ExcludedUpstream{Upstream: instance.ID, Reason: reason})
 		}
 	}
@@ -135,8 +161,16 @@
 		return nil, apierror.New(apierror.NotFound, "no route matches %q, host %q and path %q", query.Route, query.Host, query.Path)
 	}
 	isNamed := func(workspace *routing.Workspace) bool { return workspace.Name == query.Workspace }
-	if query.Workspace != "" && !slices.ContainsFunc(config.Workspaces, isNamed) {
-		return nil, apierror.New(apierror.NotFound, "there is no workspace %q", query.Workspace)
+	if query.Workspace != "" {
+		index := slices.IndexFunc(config.Workspaces, isNamed)
+		if index < 0 {
+			return nil, apierror.New(apierror.NotFound, "there is no workspace %q", query.Workspace)
+		}
+		req.workspace = config.Workspaces[index]
+	}
+	if p.needsProgramOwner(req) {
+		// Learned costs differ between the first turn of a program and later ones.
+		req.turn.Request, req.beginResult.ContinuesProgram = req.Request, query.LastUpstream != ""
 	}
 	if req.service = config.Services[req.route.PickService(req.ResolveAffinityKey())]; req.service == nil {
 		return nil, apierror.New(apierror.NotFound, "the route %q has no service that the configuration defines", req.route.Name)
@@ -167,21 +201,41 @@
 	return config.Routes[index]
 }
 
+// rankUpstreams returns the eligible upstreams in the order in which chooseUpstream prefers them; the caller holds statsMu.
+func (p *Proxy) rankUpstreams(req *proxiedRequest, eligible []*registry.Instance, now time.Time) []leastcost.RankedUpstream {
+	if !p.LearnsCosts {
+		return leastcost.RankUpstreams(eligible, req.balancerRequest(), p.upstreamStates(req), req.excludedUpstreams)
+	}
+	request, tokensPerPart := p.learnedRequest(req, now, (*costestimate.Estimator).Preview), p.learned.tokensPerPart
+	if _, shared := req.sharedPromptPart(); shared {
+		// A request would store this size, which an explanation must not.
+		tokensPerPart = request.SharedPromptTokens
+	}
+
+	return leastcost.RankByWork(eligible, request, p.workStates(req, now, tokensPerPart), req.excludedUpstreams)
+}
+
 // explainCandidates returns the eligible upstreams in the order in which chooseUpstream prefers them.
 func (p *Proxy) explainCandidates(req *proxiedRequest, eligible []*registry.Instance) []PlacementCandidate {
 	now := p.Now()
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
-	ranked := leastcost.RankUpstreams(eligible, req.balancerRequest(), p.upstreamStates(req), req.excludedUpstreams)
+	latencyAge := p.stats.LatencyAge
+	if p.LearnsCosts {
+		latencyAge = p.learned.speeds.SampleAge
+	}
+	ranked := p.rankUpstreams(req, eligible, now)
 	candidates := make([]PlacementCandidate, 0, len(ranked))
-	for _, r := range ranked {
-		candidate := PlacementCandidate{
-			Upstream: r.Instance.ID, FailureDomain: r.Instance.FailureDomain, Version: r.Instance.Version, CostMS: r.Cost.TotalMS(),
-			PrefillMS: r.Cost.PrefillMS, DecodeMS: r.Cost.DecodeMS, QueueingMS: r.Cost.QueueingMS, FailuresMS: r.Cost.FailuresMS,
-			AdmissionDelayMS: r.Cost.AdmissionDelayMS, RunningRequests: r.State.RunningRequests, UnitLatencyMS: r.State.UnitLatencyMS,
-			CachesSharedPrefix: r.State.CachesSharedPrefix,
+	for i := range ranked {
+		candidate := newPlacementCandidate(&ranked[i])
+		if p.LearnsCosts {
+			cost, state := &ranked[i].Cost, &ranked[i].State
+			candidate.Learned = &LearnedCosts{
+				InterferenceMS: cost.InterferenceMS, PreemptionMS: cost.PreemptionMS,
+				WorkMS: state.WorkMillis, ReservedTokens: state.ReservedTokens, CapacityTokens: state.CapacityTokens,
+			}
 		}
-		if age, ok := p.stats.LatencyAge(now, r.Instance.ID); ok {
+		if age, ok := latencyAge(now, candidate.Upstream); ok {
 			ms := age.Seconds() * 1000
 			candidate.LatencyAgeMS = &ms
 		}
@@ -191,8 +245,19 @@
 	return candidates
 }
 
+func newPlacementCandidate(ranked *leastcost.RankedUpstream) PlacementCandidate {
+	instance, cost, state := ranked.Instance, &ranked.Cost, &ranked.State
+
+	return PlacementCandidate{
+		Upstream: instance.ID, FailureDomain: instance.FailureDomain, Version: instance.Version, CostMS: cost.TotalMS(),
+		PrefillMS: cost.PrefillMS, DecodeMS: cost.DecodeMS, QueueingMS: cost.QueueingMS, FailuresMS: cost.FailuresMS,
+		FailureDomainMS: cost.FailureDomainMS, AdmissionDelayMS: cost.AdmissionDelayMS, Cold: state.IsCold,
+		RunningRequests: state.RunningRequests, UnitLatencyMS: state.UnitLatencyMS, CachesSharedPrefix: state.CachesSharedPrefix,
+	}
+}
+
 // exclusionReason returns why a registered upstream is not a candidate, and an empty reason if it is one.
-func (req *proxiedRequest) exclusionReason(instance *registry.Instance, eligible []*registry.Instance) ExclusionReason {
+func (req *proxiedRequest) exclusionReason(instance *registry.Instance, eligible, evacuated []*registry.Instance) ExclusionReason {
 	if _, excluded := req.excludedUpstreams[instance.ID]; excluded {
 		return ExcludedByQuery
 	}
@@ -202,6 +267,8 @@
 		return ""
 	case instance.Draining:
 		return ExcludedDraining
+	case slices.ContainsFunc(evacuated, isSame):
+		return ExcludedEvacuated
 	case req.origin != nil && req.origin.Version != instance.Version:
 		return ExcludedVersion
 	default:
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"cardamomward/core/affinity"
+	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
 	"cardamomward/core/registry"
@@ -16,6 +17,7 @@
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/upstreamlimit"
 	"cardamomward/core/upstreamstats"
+	"cardamomward/io/httpx"
 	"cardamomward/io/upstreamclient"
 )
 
@@ -27,8 +29,15 @@
 	AvailableUpstreams(service id.Service) []*registry.Instance
 	// RegisteredUpstreams returns all upstreams of a service, including those that may not receive new requests.
 	RegisteredUpstreams(service id.Service) []*registry.Instance
-	// SoleVersion returns the software version of all upstreams of a service, and false if they have several.
-	SoleVersion(service id.Service) (id.SoftwareVersion, bool)
+	// EvacuatedUpstreams returns the upstreams of a service that receive no new requests only because their failure domain is
+	// evacuated.
+	EvacuatedUpstreams(service id.Service) []*registry.Instance
+	// IsEvacuated reports whether a failure domain is evacuated.
+	IsEvacuated(domain id.FailureDomain) bool
+	// SoleVersion returns the software version of all upstreams of a service, and whether they have had no other for a period.
+	SoleVersion(service id.Service, period time.Duration) (id.SoftwareVersion, streamorigin.Knowledge)
+	// VerifyOrigin reports whether the registrations confirm the version of a stream's origin.
+	VerifyOrigin(origin streamorigin.Origin) streamorigin.Knowledge
 	// GetUpstream returns a registered upstream, and false if it is not registered.
 	GetUpstream(upstream id.Upstream) (*registry.Instance, bool)
 }
@@ -117,8 +126,8 @@
 type StreamTracker interface {
 	// RecordStreamOrigin remembers where the stream of an attempt began.
 	RecordStreamOrigin(attempt streamorigin.Attempt, origin streamorigin.Origin)
-	// FindStreamOrigin returns where the stream of an attempt began, and false if no host that is asked knows.
-	FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, bool)
+	// FindStreamOrigin returns where the stream of an attempt began if this host or one that is asked knows.
+	FindStreamOrigin(ctx context.Context, attempt streamorigin.Attempt) (streamorigin.Origin, streamorigin.Knowledge)
 }
 
 // CrashTracker counts upstream crashes per request fingerprint.
@@ -129,14 +138,19 @@
 	RecordCrash(fingerprint id.Fingerprint, instance *registry.Instance)
 }
 
-// UpstreamLimiter enforces the request rates that upstreams name in their responses, over all hosts.
+// UpstreamLimiter enforces over all hosts the request rates that upstreams name in their responses or take while they are cold.
 type UpstreamLimiter interface {
 	// RecordUpstreamLimit records what a response says of the limit of an upstream.
 	RecordUpstreamLimit(statement upstreamlimit.Statement)
 	// AdmissionDelay estimates the time until an upstream's limit admits a request; it is zero if the upstream has none.
 	AdmissionDelay(instance *registry.Instance) time.Duration
-	// AdmitToUpstream reports whether a request may be sent to an upstream now, and otherwise after how long to ask again.
-	AdmitToUpstream(ctx context.Context, instance *registry.Instance) (ok bool, retryAfter time.Duration)
+	// ColdDelay reports whether an upstream is cold, and estimates the time until it admits a request.
+	ColdDelay(instance *registry.Instance, policy coldstart.Policy) (isCold bool, delay time.Duration)
+	// RecordCold records that an upstream is cold for a time.
+	RecordCold(instance *registry.Instance, remaining time.Duration, policy coldstart.Policy, source coldstart.Source)
+	// AdmitToUpstream reports whether a request may be sent to an upstream now within its limit and the rate that it takes while
+	// it is cold, and otherwise after how long to ask again.
+	AdmitToUpstream(ctx context.Context, instance *registry.Instance, policy coldstart.Policy) (ok bool, retryAfter time.Duration)
 }
 
 // LoadTracker counts the requests of all hosts at each upstream and tracks which prompt parts upstreams cache.
@@ -145,6 +159,8 @@
 	RunningRequests(upstream id.Upstream) int
 	// AddRunningRequests changes the number of this host's requests at an upstream.
 	AddRunningRequests(upstream id.Upstream, delta int)
+	// PeerErrors returns the highest error score that another live host reports for an upstream.
+	PeerErrors(upstream id.Upstream) float64
 	// RecordPromptPartRead records that an upstream reads a prompt part, which puts the part in its cache.
 	RecordPromptPartRead(upstream id.Upstream, part affinity.PromptPartHash)
 	// CachesPromptPart reports whether an upstream is assumed to have a prompt part in its cache.
@@ -161,10 +177,20 @@
 	Streams        StreamTracker
 	Loads          LoadTracker
 	Limits         UpstreamLimiter
-	Logger         logr.Logger
-	Now            func() time.Time
+	// Overload is nil if admission under overload is off.
+	Overload *OverloadAdmission
+	// Memory bounds what is held for callers and upstreams; nil means that only maxBufferedBytes applies.
+	Memory *httpx.MemoryBudget
+	Logger logr.Logger
+	Now    func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
+	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
+	FailureDomain     id.FailureDomain
+	FailureDomainCost time.Duration
+	// LearnsCosts chooses upstreams by learned costs and outstanding work, which Work tracks.
+	LearnsCosts bool
+	Work        WorkTracker
 	// ShouldCloseConnections reports whether callers should reconnect to another host, because this one is draining or
 	// isolated from the others.
 	ShouldCloseConnections func() bool
@@ -176,4 +202,5 @@
 
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
+	learned learnedCosts
 }
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -32,6 +33,10 @@
 type proxiedRequest struct {
 	*inbound.Request
 
+	// remote is the address of the caller's connection, which holds the request's memory.
+	remote string
+	// transcriptBytes are reserved for the transcript and the output of the turn.
+	transcriptBytes   int64
 	config            *routing.Config
 	route             *routing.Route
 	service           *routing.Service
@@ -54,6 +59,7 @@
 	// and including that event.
 	firstEventAt       time.Time
 	tokensAtFirstEvent id.Tokens
+	progress           streamProgress
 }
 
 func (req *proxiedRequest) workspaceName() id.Workspace {
@@ -69,7 +75,7 @@
 	remote := c.RemoteAddr().String()
 	p.activeConnections.Store(remote, struct{}{})
 	defer p.activeConnections.Delete(remote)
-	req := &proxiedRequest{startedAt: p.Now(), config: p.Discovery.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
+	req := &proxiedRequest{remote: remote, startedAt: p.Now(), config: p.Discovery.Config(), Request: platform.DecodeRequest(&c.Request.Header)}
 	if p.ShouldCloseConnections() {
 		c.Response.SetConnectionClose()
 	}
@@ -113,6 +119,9 @@
 	if errResp := validateRequest(c, req); errResp != nil {
 		return errResp
 	}
+	if errResp := p.reserveBody(req, len(c.Request.Body())); errResp != nil {
+		return errResp
+	}
 	req.Body = bytes.Clone(c.Request.Body())
 	route, ok := req.config.Match(req.Host, req.Path)
 	if !ok {
@@ -136,18 +145,23 @@
 	if errResp := p.resolveOrigin(ctx, req); errResp != nil {
 		return errResp
 	}
+	if p.isEvacuated(req) {
+		return notExecutedResponse("evacuated", retryDelay)
+	}
 	if p.needsProgramOwner(req) {
 		if errResp := p.beginTurn(ctx, req); errResp != nil {
 			return errResp
 		}
 	}
-	if errResp := p.checkRateLimit(ctx, req); errResp != nil {
+	errResp := p.checkOverload(req)
+	if errResp == nil {
+		errResp = p.checkRateLimit(ctx, req)
+	}
+	if errResp != nil {
 		p.endTurn(ctx, req, false)
-
-		return errResp
 	}
 
-	return nil
+	return errResp
 }
 
 // checkRateLimit returns an error if the workspace is over its request rate.
@@ -167,11 +181,13 @@
 	return &errorResponse{status: http.StatusTooManyRequests, reason: "over-rate", retryAfter: retryAfter}
 }
 
+// routeTimeout returns the longest life of a request of the route.
+func (req *proxiedRequest) routeTimeout() time.Duration {
+	return cmp.Or(max(0, req.route.Timeout), defaultTimeout)
+}
+
 func (req *proxiedRequest) setDeadline() {
-	timeout := defaultTimeout
-	if req.route.Timeout > 0 {
-		timeout = req.route.Timeout
-	}
+	timeout := req.routeTimeout()
 	if req.Timeout > 0 {
 		timeout = min(timeout, req.Timeout)
 	}
@@ -239,10 +255,18 @@
 		Request: req.Request, Workspace: req.workspaceName(), Deadline: req.deadline,
 		Retention: req.route.Retention, RetainsContext: req.route.RetainsContext,
 	}
+	if errResp := p.reserveTranscript(req); errResp != nil {
+		return errResp
+	}
 	req.beginResult = p.Turns.BeginTurn(ctx, req.turn)
 	switch req.beginResult.Status {
 	case TurnAllowed:
-		return nil
+		errResp := p.adjustTranscript(req)
+		if errResp != nil {
+			p.endTurn(ctx, req, false)
+		}
+
+		return errResp
 	case BudgetExhausted:
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "budget-spent"}
 	case PreviousTurnNotFound:
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -10,6 +10,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
+	"cardamomward/core/workleft"
 	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
 )
@@ -19,7 +20,10 @@
 	*upstreamclient.Exchange
 
 	instance     *registry.Instance
+	workspace    id.Workspace
 	responseHead platform.ResponseHead
+	// work is the request's part of the work at the upstream; nil if costs are not learned.
+	work *workleft.Request
 }
 
 // baseEnginePriority is the engine priority of priority 0, the highest; the others follow in order, up to 9.
@@ -30,12 +34,8 @@
 	if req.service.Engine == nil {
 		return -1
 	}
-	priority := req.route.Priority
-	if req.workspace != nil && req.workspace.Priority != nil {
-		priority = *req.workspace.Priority
-	}
 
-	return min(9, baseEnginePriority+priority)
+	return min(9, baseEnginePriority+req.priority())
 }
 
 // sendWithRetries sends the request to one upstream after another until one responds, or returns an error response if
@@ -77,6 +77,9 @@
 	if !p.Now().Before(req.deadline) {
 		return notExecutedResponse("deadline", retryDelay)
 	}
+	if p.isEvacuated(req) {
+		return notExecutedResponse("evacuated", retryDelay)
+	}
 
 	return notExecutedResponse("no-upstream", retryDelay)
 }
@@ -109,7 +112,8 @@
 	bodyBytes := len(req.beginResult.PriorTranscript) + len(req.Body)
 	head := platform.AppendRequestHead(make([]byte, 0, headCapacity+bodyBytes), req.Request, options, bodyBytes)
 	head = append(head, req.beginResult.PriorTranscript...)
-	p.Loads.AddRunningRequests(instance.ID, 1)
+	p.addRunning(instance, req.workspaceName(), 1)
+	work := p.beginWork(req, instance)
 	if part, ok := req.sharedPromptPart(); ok {
 		p.Loads.RecordPromptPartRead(instance.ID, part)
 	}
@@ -119,14 +123,15 @@
 	}
 	exchange, err := p.UpstreamClient.Send(ctx, now, upstreamclient.Request{
 		Address: instance.Address, Method: req.Method, Head: head, Body: req.Body, Deadline: req.deadline, ProbeAfter: probeAfter,
-		ID: req.ID,
+		ID: req.ID, MayWrite: func() bool { return !p.Discovery.IsEvacuated(instance.FailureDomain) },
 		ResponseID: func(status int, header http.Header) string {
 			return platform.DecodeResponseHead(status, header).RequestID
 		},
 	})
 	if err != nil {
-		p.Loads.AddRunningRequests(instance.ID, -1)
-		if ctx.Err() == nil && p.isBeforeDeadline(req) {
+		p.addRunning(instance, req.workspaceName(), -1)
+		p.endWork(work)
+		if ctx.Err() == nil && p.isBeforeDeadline(req) && !errorx.IsOfType(err, upstreamclient.ErrWithheld) {
 			p.recordFailure(instance)
 		}
 		p.Logger.Info("send-failed", "request", req.ID, "upstream", instance.ID, "error", err)
@@ -136,8 +141,10 @@
 
 		return nil, retrypolicy.Lost
 	}
-	sent := &sentRequest{Exchange: exchange, instance: instance, responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header)}
-	p.recordLimit(sent)
+	sent := &sentRequest{
+		Exchange: exchange, work: work, instance: instance, workspace: req.workspaceName(), responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header),
+	}
+	p.recordLimit(req, sent)
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
@@ -146,9 +153,19 @@
 		return nil, outcome
 	}
 
+	if sent.isServerError() {
+		p.recordError(instance)
+	}
+
 	return sent, retrypolicy.Answered
 }
 
+// isServerError reports whether the upstream failed to process the request. A response at the deadline says nothing of the
+// upstream.
+func (sent *sentRequest) isServerError() bool {
+	return sent.Status >= http.StatusInternalServerError && sent.Status != http.StatusGatewayTimeout
+}
+
 // headCapacity is the initial buffer capacity for a request's header, in bytes.
 const headCapacity = 1024
 
@@ -174,14 +191,24 @@
 	}
 }
 
+// addRunning changes the numbers of running requests at an upstream and of a workspace.
+func (p *Proxy) addRunning(instance *registry.Instance, workspace id.Workspace, delta int) {
+	p.Loads.AddRunningRequests(instance.ID, delta)
+	if p.Overload != nil {
+		p.Overload.Loads.AddWorkspaceRequests(workspace, instance.Service, delta)
+	}
+}
+
 // abortExchange ends an exchange whose response is not read to its end.
 func (p *Proxy) abortExchange(sent *sentRequest) {
 	sent.Abort()
-	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.addRunning(sent.instance, sent.workspace, -1)
+	p.endWork(sent.work)
 }
 
 // finishExchange ends an exchange whose response was read to its end.
 func (p *Proxy) finishExchange(sent *sentRequest) {
 	sent.Finish(p.Now())
-	p.Loads.AddRunningRequests(sent.instance.ID, -1)
+	p.addRunning(sent.instance, sent.workspace, -1)
+	p.endWork(sent.work)
 }
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -15,6 +15,7 @@
 	"cardamomward/core/affinity"
 	"cardamomward/core/registry"
 	"cardamomward/core/retrypolicy"
+	"cardamomward/core/streamorigin"
 	"cardamomward/io/upstreamclient"
 	"cardamomward/platform"
 )
@@ -118,7 +119,7 @@
 
 // mayResume reports whether the host may resume a broken stream at another upstream.
 func (p *Proxy) mayResume(req *proxiedRequest, instance *registry.Instance, reason endReason) bool {
-	if req.origin != nil && p.isOriginUncertain(*req.origin) {
+	if req.origin != nil && p.Discovery.VerifyOrigin(*req.origin) != streamorigin.Known {
 		return false
 	}
 
@@ -158,6 +159,7 @@
 		}
 		comments = comments[:0]
 		req.recordEvent(event)
+		p.recordProgress(req, sent)
 		if req.firstEventAt.IsZero() {
 			req.firstEventAt, req.tokensAtFirstEvent = p.Now(), req.outputTokens
 		}
@@ -191,6 +193,7 @@
 
 // recordCompletion records the location of a turn whose stream is complete, and a latency sample of its upstream.
 func (p *Proxy) recordCompletion(req *proxiedRequest, sent *sentRequest) {
+	p.learnOutput(req)
 	req.location = affinity.Location{Upstream: sent.instance.ID, CachedTokens: req.ownPromptTokens() + req.outputTokens}
 	if !req.firstEventAt.IsZero() {
 		p.recordLatency(req, sent.instance, p.Now().Sub(req.firstEventAt), req.outputTokens-req.tokensAtFirstEvent)
@@ -247,7 +250,7 @@
 
 // forwardNonStream forwards a response that is not an event stream, such as an error of the upstream.
 func (p *Proxy) forwardNonStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) {
-	body, err := p.readBody(sent)
+	body, err := p.readBody(req, sent)
 	p.endTurn(ctx, req, false)
 	if err != nil || writer != nil {
 		p.abortExchange(sent)
