Merge the explanation of placements at a running gateway

Cause: an operator could not see why a request goes to one upstream rather than another. Change: POST /explain on the metrics port with a token, and gateway explain, rank by the code of requests in both modes without changing state.

--- a/core/costestimate/distribution.go
+++ b/core/costestimate/distribution.go
@@ -73,11 +73,16 @@
 	d.summarize()
 }
 
-// refresh drops what is too old and reports whether any sample is left.
-func (d *distribution) refresh(now time.Time) bool {
-	d.rotate(now)
+// rotatedCopy returns what the distribution is after rotate, and does not change it.
+func (d *distribution) rotatedCopy(now time.Time) *distribution {
+	if now.Sub(d.startedAt) < generationLength {
+		return d
+	}
+	rotated := *d
+	rotated.current, rotated.previous = d.current.Clone(), d.previous.Clone()
+	rotated.rotate(now)
 
-	return d.summary.Samples > 0
+	return &rotated
 }
 
 func (d *distribution) summarize() {
--- a/core/leastcost/work.go
+++ b/core/leastcost/work.go
@@ -82,35 +82,40 @@
 	return 1
 }
 
-// EstimateWorkCostMS returns the estimated cost of a request at an upstream in milliseconds by the outstanding work there: the
+// EstimateWorkCostMS returns the estimated cost of a request at an upstream in milliseconds by the outstanding work there.
+func EstimateWorkCostMS(candidate *registry.Instance, request Request, state WorkState) float64 {
+	return EstimateWorkCost(candidate, request, state).TotalMS()
+}
+
+// EstimateWorkCost returns the estimated cost of a request at an upstream by the outstanding work there, by component: the
 // time of the request, the delay that it and the others cause each other while they run at the same time, the time in the
 // queue, and the cost of preemptions.
-func EstimateWorkCostMS(candidate *registry.Instance, request Request, state WorkState) float64 {
+func EstimateWorkCost(candidate *registry.Instance, request Request, state WorkState) Cost {
 	concurrency := float64(max(1, candidate.Concurrency))
 	running := float64(state.RunningRequests)
-	cost := failurePenaltyMS*state.FailureScore + state.FailureDomainCostMS
+	cost := Cost{FailuresMS: failurePenaltyMS * state.FailureScore, FailureDomainMS: state.FailureDomainCostMS}
 	if candidate.ID != request.LastUpstream || state.IsCold {
-		cost += state.AdmissionDelayMS
+		cost.AdmissionDelayMS = state.AdmissionDelayMS
 	}
-	queue := 0.0
 	if running >= concurrency {
 		// The requests beyond the concurrency have their share of the outstanding work, which all slots work off; the request
 		// delays others behind it as well.
-		queue = 2 * (running - concurrency + 1) / running * state.WorkMillis / concurrency
+		cost.QueueingMS = 2 * (running - concurrency + 1) / running * state.WorkMillis / concurrency
 	}
 	if !request.IsModelCall {
-		serviceMS := request.ExpectedServiceMS * state.UnitLatencyMS
+		cost.DecodeMS = request.ExpectedServiceMS * state.UnitLatencyMS
+		cost.InterferenceMS = min(state.WorkMillis, running*cost.DecodeMS) / concurrency
 
-		return cost + queue + serviceMS + min(state.WorkMillis, running*serviceMS)/concurrency
+		return cost
 	}
-	prefillMS := request.PrefillMillis(candidate.ID, state.UpstreamState)
-	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	concurrent := min(running, concurrency)
-	cost += prefillMS * (1 + prefillInterference*concurrent)
+	cost.PrefillMS = request.PrefillMillis(candidate.ID, state.UpstreamState) * (1 + prefillInterference*concurrent)
+	cost.DecodeMS = float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
 	// Two requests delay each other only while both run, which is at most the shorter of their times.
-	cost += decodeMS + 2*SlowdownPerRequest*min(state.WorkMillis, concurrent*decodeMS)
+	cost.InterferenceMS = 2 * SlowdownPerRequest * min(state.WorkMillis, concurrent*cost.DecodeMS)
+	cost.PreemptionMS = preemptionCostMS(request, state)
 
-	return cost + queue + preemptionCostMS(request, state)
+	return cost
 }
 
 // PrefillMillis returns the time in which an upstream reads the tokens of the request's prompt that it does not cache.
--- a/core/upstreamstats/speed.go
+++ b/core/upstreamstats/speed.go
@@ -107,6 +107,17 @@
 	return min(max(estimate, average/maxSpeedRatio), average*maxSpeedRatio)
 }
 
+// SampleAge returns the age of an upstream's latest sample, and false if MillisPerUnit does not use its samples.
+func (t *SpeedTracker) SampleAge(now time.Time, upstream id.Upstream) (time.Duration, bool) {
+	speed, ok := t.upstreams[upstream]
+	if !ok || len(speed.samples) == 0 {
+		return 0, false
+	}
+	age := now.Sub(speed.samples[len(speed.samples)-1].at)
+
+	return age, age <= speedTTL
+}
+
 // RemoveUnlisted removes upstreams that are not listed any more.
 func (t *SpeedTracker) RemoveUnlisted(isListed func(id.Upstream) bool) {
 	for upstream := range t.upstreams {
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -45,6 +45,8 @@
 	newLogger func(name string) logr.Logger
 	// servesMetrics makes each host serve its metrics.
 	servesMetrics bool
+	// operatorToken is the token of the hosts' operator endpoint; empty disables it.
+	operatorToken string
 	// gatewaySettings are the settings of all hosts' optional parts; nil means the default.
 	gatewaySettings *gatewaysettings.Settings
 	// network holds the links between hosts and upstreams.
@@ -148,6 +150,7 @@
 	}
 	if c.servesMetrics {
 		h.instance.MetricsPort = freePort(c.t)
+		h.instance.OperatorToken = c.operatorToken
 	}
 	h.instance.DialUpstream = upstreamclient.DialFunc(c.network.DialerFrom(name))
 	h.drain = func() { h.instance.Drain(context.Background()) }
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -58,12 +58,18 @@
 	if p.LearnsCosts {
 		return p.chooseByWork(req, excluded)
 	}
-	request := req.balancerRequest()
-	part, shared := req.sharedPromptPart()
-	now := p.Now()
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
-	stateOf := func(instance *registry.Instance) leastcost.UpstreamState {
+
+	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), req.balancerRequest(), p.upstreamStates(req), excluded)
+}
+
+// upstreamStates returns a function that returns what is known of an upstream for the request; the caller holds statsMu.
+func (p *Proxy) upstreamStates(req *proxiedRequest) func(*registry.Instance) leastcost.UpstreamState {
+	part, shared := req.sharedPromptPart()
+	now := p.Now()
+
+	return func(instance *registry.Instance) leastcost.UpstreamState {
 		isCold, coldDelay := p.Limits.ColdDelay(instance, req.service.ColdStart)
 
 		return leastcost.UpstreamState{
@@ -77,8 +83,6 @@
 			FailureDomainCostMS: p.failureDomainCostMS(instance),
 		}
 	}
-
-	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, excluded)
 }
 
 // failureDomainCostMS returns the cost in milliseconds of an upstream in another failure domain than the host's.
--- a/io/reverseproxy/learnedcost.go
+++ b/io/reverseproxy/learnedcost.go
@@ -56,18 +56,21 @@
 	return costestimate.Kind{Route: req.route.Name, Workspace: req.workspaceName(), IsFirstTurn: isFirstTurn}
 }
 
+// estimateFunc is Estimator.Estimate, or Estimator.Preview for explanations, which must not change the estimator.
+type estimateFunc func(estimator *costestimate.Estimator, now time.Time, kind costestimate.Kind, hint, fallback float64) costestimate.Estimate
+
 // learnedRequest returns the request's parameters for the choice by outstanding work; the caller holds statsMu.
-func (p *Proxy) learnedRequest(req *proxiedRequest, now time.Time) leastcost.Request {
+func (p *Proxy) learnedRequest(req *proxiedRequest, now time.Time, estimate estimateFunc) leastcost.Request {
 	request := req.balancerRequest()
 	if p.FailureDomainCost > 0 {
 		request.FailureDomain = p.FailureDomain
 	}
 	if !request.IsModelCall {
-		request.ExpectedServiceMS = p.learned.serviceTimes.Estimate(now, req.kind(), 0, defaultServiceMS).Mean
+		request.ExpectedServiceMS = estimate(&p.learned.serviceTimes, now, req.kind(), 0, defaultServiceMS).Mean
 
 		return request
 	}
-	expected := p.learned.outputs.Estimate(now, req.kind(), req.LengthHint, float64(request.ExpectedOutputTokens)).Mean
+	expected := estimate(&p.learned.outputs, now, req.kind(), req.LengthHint, float64(request.ExpectedOutputTokens)).Mean
 	if req.MaxTokens > 0 {
 		expected = min(expected, float64(req.MaxTokens))
 	}
@@ -88,20 +91,29 @@
 
 // chooseByWork returns the upstream for a request by learned costs and outstanding work, or nil if all are excluded.
 func (p *Proxy) chooseByWork(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
-	part, shared := req.sharedPromptPart()
+	_, shared := req.sharedPromptPart()
 	now := p.Now()
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
 	if p.learned.random == nil {
 		p.learned.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	request := p.learnedRequest(req, now)
+	request := p.learnedRequest(req, now, (*costestimate.Estimator).Estimate)
 	if shared {
 		p.learned.tokensPerPart = request.SharedPromptTokens
 	}
-	stateOf := func(instance *registry.Instance) leastcost.WorkState {
+
+	return leastcost.ChooseByWork(p.eligibleUpstreams(req), request, p.workStates(req, now, p.learned.tokensPerPart), excluded, p.learned.random)
+}
+
+// workStates returns a function that returns what is known of an upstream for the choice by outstanding work, with cached prompt
+// parts of a given size each; the caller holds statsMu.
+func (p *Proxy) workStates(req *proxiedRequest, now time.Time, tokensPerPart id.Tokens) func(*registry.Instance) leastcost.WorkState {
+	part, shared := req.sharedPromptPart()
+
+	return func(instance *registry.Instance) leastcost.WorkState {
 		isCold, coldDelay := p.Limits.ColdDelay(instance, req.service.ColdStart)
-		load := p.Work.UpstreamWork(instance, p.learned.tokensPerPart)
+		load := p.Work.UpstreamWork(instance, tokensPerPart)
 		state := leastcost.WorkState{
 			UpstreamState: leastcost.UpstreamState{
 				RunningRequests:     load.Running,
@@ -120,8 +132,6 @@
 
 		return state
 	}
-
-	return leastcost.ChooseByWork(p.eligibleUpstreams(req), request, stateOf, excluded, p.learned.random)
 }
 
 // beginWork adds a request that is about to be sent to the work at its upstream; it returns nil if costs are not learned.
@@ -133,7 +143,7 @@
 	isCached := shared && p.Loads.CachesPromptPart(instance.ID, part)
 	now := p.Now()
 	p.statsMu.Lock()
-	request, unitMS := p.learnedRequest(req, now), p.unitLatencyMS(req, instance, now)
+	request, unitMS := p.learnedRequest(req, now, (*costestimate.Estimator).Estimate), p.unitLatencyMS(req, instance, now)
 	p.statsMu.Unlock()
 	work := workleft.Work{PrefillMillis: request.ExpectedServiceMS * unitMS}
 	if request.IsModelCall {
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -27,6 +27,8 @@
 	Config() *routing.Config
 	// AvailableUpstreams returns the upstreams of a service that may receive new requests.
 	AvailableUpstreams(service id.Service) []*registry.Instance
+	// RegisteredUpstreams returns all upstreams of a service, including those that may not receive new requests.
+	RegisteredUpstreams(service id.Service) []*registry.Instance
 	// EvacuatedUpstreams returns the upstreams of a service that receive no new requests only because their failure domain is
 	// evacuated.
 	EvacuatedUpstreams(service id.Service) []*registry.Instance
