--- a/core/costestimate/estimator.go
+++ b/core/costestimate/estimator.go
@@ -94,12 +94,26 @@
 // Estimate returns the estimate of a request's work. Estimates of specific levels with few samples lean on general ones, and those
 // on the fallback. A hint moves it within the range observed for the route, the less the more hints have erred.
 func (e *Estimator) Estimate(now time.Time, kind Kind, hint, fallback float64) Estimate {
+	for _, l := range kind.levels() {
+		if d, ok := e.distributions[l]; ok {
+			d.rotate(now)
+		}
+	}
+
+	return e.Preview(now, kind, hint, fallback)
+}
+
+// Preview returns what Estimate returns without replacing old samples, so that later estimates do not depend on it.
+func (e *Estimator) Preview(now time.Time, kind Kind, hint, fallback float64) Estimate {
 	estimate := Estimate{Mean: fallback, P50: fallbackP50Ratio * fallback, P90: fallbackP90Ratio * fallback}
 	hintVariance := defaultHintVariance
 	low, high := estimate.P50/hintRangeFactor, estimate.P90*hintRangeFactor
 	for i, l := range kind.levels() {
 		d, ok := e.distributions[l]
-		if !ok || !d.refresh(now) {
+		if !ok {
+			continue
+		}
+		if d = d.rotatedCopy(now); d.summary.Samples == 0 {
 			continue
 		}
 		weight := float64(d.summary.Samples) / float64(d.summary.Samples+priorSamples)
--- a/core/costestimate/estimator_test.go
+++ b/core/costestimate/estimator_test.go
@@ -139,3 +139,24 @@
 		e.Record(start, kind, 100, 120)
 	}
 }
+
+// TestPreviewChangesNoLaterEstimate guards against previews that begin a generation and so decide how long samples count.
+func TestPreviewChangesNoLaterEstimate(t *testing.T) {
+	var previewed, other costestimate.Estimator
+	kind := costestimate.Kind{Route: "r"}
+	for i := range 40 {
+		previewed.Record(start, kind, 0, float64(100+i))
+		other.Record(start, kind, 0, float64(100+i))
+	}
+	for _, age := range []time.Duration{time.Minute, 2 * time.Minute, 3 * time.Minute, 10 * time.Minute} {
+		preview := previewed.Preview(start.Add(age), kind, 0, 10)
+		fresh := other.Preview(start.Add(age), kind, 0, 10)
+		require.Equal(t, fresh, preview)
+	}
+	at := start.Add(150 * time.Second)
+	preview := previewed.Preview(at, kind, 0, 10)
+	require.Equal(t, other.Estimate(at, kind, 0, 10), preview)
+	require.Equal(t, preview, previewed.Estimate(at, kind, 0, 10))
+	at = at.Add(130 * time.Second)
+	require.Equal(t, other.Estimate(at, kind, 0, 10), previewed.Estimate(at, kind, 0, 10))
+}
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		cost := EstimateCostMS(candidate, request, stateOf(candidate))
-		if best == nil || cost < bestCost || (cost == bestCost && rendezvousScore(candidate.ID, request.AffinityKey) > rendezvousScore(best.ID, request.AffinityKey)) {
+		if best == nil || isPreferred(candidate, cost, best, bestCost, request.AffinityKey) {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -77,24 +77,59 @@
 	return best
 }
 
+// isPreferred reports whether a candidate goes before another one: at a lower cost, or by the rendezvous hash at the same cost.
+func isPreferred(candidate *registry.Instance, cost float64, other *registry.Instance, otherCost float64, affinityKey string) bool {
+	return cost < otherCost || (cost == otherCost && rendezvousScore(candidate.ID, affinityKey) > rendezvousScore(other.ID, affinityKey))
+}
+
+// Cost is the estimated cost of a request at an upstream, by component in milliseconds.
+type Cost struct {
+	FailuresMS       float64
+	FailureDomainMS  float64
+	AdmissionDelayMS float64
+	PrefillMS        float64
+	// DecodeMS is the time to generate the output, or that of the whole request to a plain service.
+	DecodeMS float64
+	// InterferenceMS is the delay that the request and the running ones cause each other; EstimateCost includes it in the other
+	// components.
+	InterferenceMS float64
+	QueueingMS     float64
+	// PreemptionMS is the cost of the preemptions that the request causes; only EstimateWorkCost estimates it.
+	PreemptionMS float64
+}
+
+// TotalMS returns the sum of the components.
+func (c Cost) TotalMS() float64 {
+	return c.FailuresMS + c.FailureDomainMS + c.AdmissionDelayMS + c.PrefillMS + (c.DecodeMS + c.InterferenceMS) + c.QueueingMS + c.PreemptionMS
+}
+
 // EstimateCostMS returns the estimated cost of a request at an upstream in milliseconds.
 func EstimateCostMS(candidate *registry.Instance, request Request, state UpstreamState) float64 {
+	return EstimateCost(candidate, request, state).TotalMS()
+}
+
+// EstimateCost returns the estimated cost of a request at an upstream by component.
+func EstimateCost(candidate *registry.Instance, request Request, state UpstreamState) Cost {
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
-	cost := failurePenaltyMS*state.FailureScore + state.FailureDomainCostMS
+	cost := Cost{FailuresMS: failurePenaltyMS * state.FailureScore, FailureDomainMS: state.FailureDomainCostMS}
 	if candidate.ID != request.LastUpstream || state.IsCold {
-		cost += state.AdmissionDelayMS
+		cost.AdmissionDelayMS = state.AdmissionDelayMS
 	}
 	if !request.IsModelCall {
-		return cost + state.UnitLatencyMS*(1+runningRequests/concurrency) + queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
+		cost.DecodeMS = state.UnitLatencyMS * (1 + runningRequests/concurrency)
+		cost.QueueingMS = queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
+
+		return cost
 	}
 	concurrentRequests := min(runningRequests, concurrency)
 	prefillMS := float64(request.uncachedTokens(candidate.ID, state)) * prefillToDecodeRatio * state.UnitLatencyMS
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
-	cost += prefillMS * (1 + prefillInterference*concurrentRequests)
-	cost += decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
+	cost.PrefillMS = prefillMS * (1 + prefillInterference*concurrentRequests)
+	cost.DecodeMS = decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
+	cost.QueueingMS = queueingDelayMS(runningRequests, concurrency, decodeMS)
 
-	return cost + queueingDelayMS(runningRequests, concurrency, decodeMS)
+	return cost
 }
 
 // queueingDelayMS estimates the time in milliseconds until the upstream can start another request.
