Let the test of first turns reach the limited engine

Cause: the engine that answered the first request cached the shared prompt and then got all requests that run one after another, so the test waited for ever for the other one: five runs in a row did not end. Change: the other engine refuses requests until the limit is known.

--- a/io/gatewayhost/learnedcost_test.go
+++ b/io/gatewayhost/learnedcost_test.go
@@ -141,7 +141,10 @@
 // one is free.
 func TestFirstTurnsFindFreeUpstreamBesideFullAndLimitedOnes(t *testing.T) {
 	c := newTestCluster(t, 1, learnedCost)
+	// An engine that has read the shared prompt first would get all requests while none run beside each other.
+	c.engines[1].SetOverloaded(true)
 	c.exhaustLimit(c.engines[0])
+	c.engines[1].SetOverloaded(false)
 	c.slowStreams(550 * time.Millisecond)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
