--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -34,12 +34,16 @@
 		p.evictSilentOwners(ctx)
 		data, targets := p.buildHeartbeat(p.cluster.Now())
 		limits := p.buildLimits(p.cluster.Now())
+		leaving := p.buildLeaving(p.cluster.Now())
 		for _, target := range targets {
 			conn.WriteTo(data, target) //nolint:errcheck // a lost heartbeat is followed by the next
 			if limits != nil {
 				conn.WriteTo(limits, target) //nolint:errcheck // the next heartbeat repeats them
 			}
-			p.cluster.PeerTraffic(traffic.Heartbeat, target.String()).AddSent(len(data) + len(limits))
+			if leaving != nil {
+				conn.WriteTo(leaving, target) //nolint:errcheck // the next heartbeat repeats them
+			}
+			p.cluster.PeerTraffic(traffic.Heartbeat, target.String()).AddSent(len(data) + len(limits) + len(leaving))
 		}
 	}
 }
@@ -162,18 +166,26 @@
 	}
 }
 
-// handleHeartbeat applies a heartbeat. One that arrives out of order does not change the sender's state, unless the
-// sender was silent for so long that it may have restarted.
-func (p *peerTable) handleHeartbeat(now time.Time, heartbeat *fleetpb.Beat) {
-	for _, crash := range heartbeat.Crashes {
-		p.cluster.addPeerCrash(now, crashcount.Crash{Fingerprint: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
-	}
+// handleUpstreamReports records what a peer has learned of upstreams from their responses.
+func (p *peerTable) handleUpstreamReports(now time.Time, heartbeat *fleetpb.Beat) {
 	for _, limit := range heartbeat.Limits {
 		p.cluster.recordPeerLimit(decodeUpstreamLimit(now, limit))
 	}
+	for _, reported := range heartbeat.Leaving {
+		p.cluster.recordPeerLeaving(now, reported)
+	}
 	for _, cold := range heartbeat.Cold {
 		p.cluster.recordPeerCold(now, decodeColdUpstream(now, cold))
 	}
+}
+
+// handleHeartbeat applies a heartbeat. One that arrives out of order does not change the sender's state, unless the
+// sender was silent for so long that it may have restarted.
+func (p *peerTable) handleHeartbeat(now time.Time, heartbeat *fleetpb.Beat) {
+	for _, crash := range heartbeat.Crashes {
+		p.cluster.addPeerCrash(now, crashcount.Crash{Fingerprint: id.Fingerprint(crash.Fingerprint), Process: crash.Process})
+	}
+	p.handleUpstreamReports(now, heartbeat)
 	for _, origin := range heartbeat.Streams {
 		p.cluster.storeStreamOrigin(streamorigin.Attempt(origin.Attempt), decodeStreamOrigin(origin))
 	}
--- a/io/reverseproxy/explain.go
+++ b/io/reverseproxy/explain.go
@@ -10,6 +10,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/inbound"
 	"cardamomward/core/leastcost"
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
@@ -53,6 +54,8 @@
 	ExcludedEvacuated ExclusionReason = "evacuated"
 	// ExcludedByQuery means that the query excludes the upstream.
 	ExcludedByQuery ExclusionReason = "excluded"
+	// ExcludedLeaving means that the upstream has announced its shutdown and others can serve.
+	ExcludedLeaving ExclusionReason = "leaving"
 	// ExcludedUnavailable means that the upstream is not available for another reason.
 	ExcludedUnavailable ExclusionReason = "unavailable"
 )
@@ -126,16 +129,21 @@
 		return nil, err
 	}
 	eligible := p.eligibleUpstreams(req)
+	usable := p.preferStaying(req, eligible)
 	explanation := &PlacementExplanation{
 		Route: req.route.Name, Service: req.service.Name, LimitExhausted: p.isAnyLimitExhausted(req),
-		ComparesSample: p.LearnsCosts, Candidates: p.explainCandidates(req, eligible), Excluded: []ExcludedUpstream{},
+		ComparesSample: p.LearnsCosts, Candidates: p.explainCandidates(req, usable), Excluded: []ExcludedUpstream{},
 	}
 	if len(explanation.Candidates) > 0 {
 		explanation.Chosen = explanation.Candidates[0].Upstream
 	}
 	evacuated := p.Discovery.EvacuatedUpstreams(req.service.Name)
 	for _, instance := range p.Discovery.RegisteredUpstreams(req.service.Name) {
-		if reason := req.exclusionReason(instance, eligible, evacuated); reason != "" {
+		reason := req.exclusionReason(instance, eligible, evacuated)
+		if reason == "" && !slices.Contains(usable, instance) {
+			reason = ExcludedLeaving
+		}
+		if reason != "" {
 			explanation.Excluded = append(explanation.Excluded, ExcludedUpstream{Upstream: instance.ID, Reason: reason})
 		}
 	}
@@ -143,6 +151,26 @@
 	return explanation, nil
 }
 
+// preferStaying returns the eligible upstreams without those that have announced their shutdown, or all if no other may get the
+// request.
+func (p *Proxy) preferStaying(req *proxiedRequest, eligible []*registry.Instance) []*registry.Instance {
+	var staying []*registry.Instance
+	isUsable := false
+	for _, instance := range eligible {
+		if p.Shutdowns.UpstreamUse(instance) != leaving.Unrestricted {
+			continue
+		}
+		staying = append(staying, instance)
+		_, excluded := req.excludedUpstreams[instance.ID]
+		isUsable = isUsable || !excluded
+	}
+	if !isUsable {
+		return eligible
+	}
+
+	return staying
+}
+
 // newExplainedRequest returns a request with the properties of the query.
 func (p *Proxy) newExplainedRequest(query *PlacementQuery) (*proxiedRequest, error) {
 	config := p.Discovery.Config()
--- a/io/reverseproxy/learnedcost.go
+++ b/io/reverseproxy/learnedcost.go
@@ -89,8 +89,8 @@
 	return p.learned.speeds.MillisPerUnit(now, instance.Service, instance.ID, fallback)
 }
 
-// chooseByWork returns the upstream for a request by learned costs and outstanding work, or nil if all are excluded.
-func (p *Proxy) chooseByWork(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
+// chooseByWork returns the candidate for a request by learned costs and outstanding work, or nil if all are excluded.
+func (p *Proxy) chooseByWork(req *proxiedRequest, candidates []*registry.Instance, excluded map[id.Upstream]struct{}) *registry.Instance {
 	_, shared := req.sharedPromptPart()
 	now := p.Now()
 	p.statsMu.Lock()
@@ -103,7 +103,7 @@
 		p.learned.tokensPerPart = request.SharedPromptTokens
 	}
 
-	return leastcost.ChooseByWork(p.eligibleUpstreams(req), request, p.workStates(req, now, p.learned.tokensPerPart), excluded, p.learned.random)
+	return leastcost.ChooseByWork(candidates, request, p.workStates(req, now, p.learned.tokensPerPart), excluded, p.learned.random)
 }
 
 // workStates returns a function that returns what is known of an upstream for the choice by outstanding work, with cached prompt
--- a/io/reverseproxy/limit.go
+++ b/io/reverseproxy/limit.go
@@ -8,6 +8,7 @@
 
 	"cardamomward/core/coldstart"
 	"cardamomward/core/id"
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/upstreamlimit"
 )
@@ -17,6 +18,8 @@
 	maxLimitWait = 400 * time.Millisecond
 	// limitWaitShare is the fraction of a request's remaining time that it may wait, so that a refused caller has time to retry.
 	limitWaitShare = 0.3
+	// maxRepeatedChoices bounds how often an upstream is chosen again whose use has changed; further ones are excluded.
+	maxRepeatedChoices = 2
 )
 
 // acquireUpstream returns the upstream with the least cost that admits the request, or an error response if there is none.
@@ -60,14 +63,22 @@
 	excluded := maps.Clone(req.excludedUpstreams)
 	var limited []id.Upstream
 	retryAfter := time.Duration(0)
+	choicesLeft := maxRepeatedChoices
+	isStayingFull := false
 	needsPlace := req.isFirstTurn() && p.isAnyLimitExhausted(req)
 	for {
-		instance := p.chooseUpstream(req, excluded)
+		instance, use := p.chooseUpstream(req, excluded)
 		if instance == nil {
 			p.logLimited(req, limited, "")
 
 			return nil, retryAfter
 		}
+		if use == leaving.LastResort && isStayingFull {
+			// An upstream that stays can serve the request once it has a free slot, so the last resort is not used.
+			p.logLimited(req, limited, "")
+
+			return nil, retryDelay
+		}
 		if needsPlace && p.Loads.RunningRequests(instance.ID) >= instance.Concurrency {
 			limited = append(limited, instance.ID)
 			if !p.LearnsCosts {
@@ -77,24 +88,41 @@
 			}
 			// The choice by outstanding work compares a sample, so others may have a free slot.
 			excluded = addExcluded(excluded, instance.ID)
+			isStayingFull = isStayingFull || use == leaving.Unrestricted
 			retryAfter = retryDelay
 
 			continue
 		}
 		ok, wait := p.Limits.AdmitToUpstream(ctx, instance, req.service.ColdStart)
-		if ok {
+		if ok && p.Shutdowns.UpstreamUse(instance) == use {
 			p.logLimited(req, limited, instance.ID)
 
 			return instance, 0
 		}
+		if ok && choicesLeft > 0 {
+			// The upstream has announced its shutdown, or its drain timeout has expired, while its admission was awaited.
+			choicesLeft--
+
+			continue
+		}
 		excluded = addExcluded(excluded, instance.ID)
-		limited = append(limited, instance.ID)
-		if retryAfter == 0 || wait < retryAfter {
-			retryAfter = wait
+		if ok {
+			continue
 		}
+		limited = append(limited, instance.ID)
+		retryAfter = shorterWait(retryAfter, wait)
 	}
 }
 
+// shorterWait returns the shorter of the times until an upstream is asked again; zero retryAfter means that none is known yet.
+func shorterWait(retryAfter, wait time.Duration) time.Duration {
+	if retryAfter == 0 {
+		return wait
+	}
+
+	return min(retryAfter, wait)
+}
+
 // addExcluded adds an upstream to those that are excluded, which may be nil.
 func addExcluded(excluded map[id.Upstream]struct{}, upstream id.Upstream) map[id.Upstream]struct{} {
 	if excluded == nil {
--- a/io/reverseproxy/origin.go
+++ b/io/reverseproxy/origin.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
+	"cardamomward/core/leaving"
 	"cardamomward/core/registry"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
@@ -74,14 +76,15 @@
 	p.Streams.RecordStreamOrigin(streamorigin.Attempt(req.ID), *req.origin)
 }
 
-// eligibleUpstreams returns the available upstreams that may get the request.
+// eligibleUpstreams returns the available upstreams that may get the request. Upstreams that have shut down are not among them, even
+// where the store says otherwise.
 func (p *Proxy) eligibleUpstreams(req *proxiedRequest) []*registry.Instance {
-	return req.filterByOrigin(p.Discovery.AvailableUpstreams(req.service.Name))
+	return req.filterByOrigin(p.usableUpstreams(p.Discovery.AvailableUpstreams(req.service.Name)))
 }
 
 // isEvacuated reports whether no upstream may get the request only because failure domains are evacuated.
 func (p *Proxy) isEvacuated(req *proxiedRequest) bool {
-	evacuated := p.Discovery.EvacuatedUpstreams(req.service.Name)
+	evacuated := p.usableUpstreams(p.Discovery.EvacuatedUpstreams(req.service.Name))
 
 	return len(evacuated) > 0 && len(req.filterByOrigin(evacuated)) > 0 && len(p.eligibleUpstreams(req)) == 0
 }
@@ -103,3 +106,13 @@
 
 	return eligible
 }
+
+// usableUpstreams returns the upstreams without those whose drain timeout has expired since they announced their shutdown.
+func (p *Proxy) usableUpstreams(available []*registry.Instance) []*registry.Instance {
+	hasShutDown := func(instance *registry.Instance) bool { return p.Shutdowns.UpstreamUse(instance) == leaving.Never }
+	if !slices.ContainsFunc(available, hasShutDown) {
+		return available
+	}
+
+	return slices.DeleteFunc(slices.Clone(available), hasShutDown)
+}
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -145,6 +145,9 @@
 		Exchange: exchange, work: work, instance: instance, workspace: req.workspaceName(), responseHead: platform.DecodeResponseHead(exchange.Status, exchange.Header),
 	}
 	p.recordLimit(req, sent)
+	if sent.responseHead.IsLeaving {
+		p.Shutdowns.RecordLeaving(instance)
+	}
 	if outcome := sent.classifyOutcome(); outcome != retrypolicy.Answered {
 		p.Logger.Info("send-refused", "request", req.ID, "upstream", instance.ID, "status", exchange.Status)
 		p.abortExchange(sent)
