Bound the error scores that a host reports in a heartbeat

Cause: a host that receives errors from many upstreams would report them all, and a heartbeat over 8 KB is cut off and refused, so the host would count as silent. Change: the 32 upstreams with the highest scores are reported. Result: the new test fails without the bound (200 of 32).

--- a/core/upstreamstats/tracker.go
+++ b/core/upstreamstats/tracker.go
@@ -1,7 +1,10 @@
 package upstreamstats
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"cardamomward/core/id"
@@ -14,6 +17,8 @@
 	failureHalfLife = 3 * time.Second
 	// minErrorScore is the error score below which hosts do not report an upstream to each other.
 	minErrorScore = 0.2
+	// maxReportedErrors bounds the upstreams that a host reports, since heartbeats are bounded in size.
+	maxReportedErrors = 32
 	// latencyTTL is the lifetime of an average without a new sample.
 	latencyTTL = 6 * time.Second
 )
@@ -71,7 +76,8 @@
 	r.erredAt = now
 }
 
-// Errors returns the upstreams whose error score is at least minErrorScore, with their scores, for the exchange between hosts.
+// Errors returns the upstreams with the highest error scores, at most maxReportedErrors of those with at least minErrorScore, for
+// the exchange between hosts.
 func (t *Tracker) Errors(now time.Time) map[id.Upstream]float64 {
 	scores := make(map[id.Upstream]float64)
 	for upstream, r := range t.stats {
@@ -79,6 +85,13 @@
 			scores[upstream] = score
 		}
 	}
+	if len(scores) <= maxReportedErrors {
+		return scores
+	}
+	upstreams := slices.SortedFunc(maps.Keys(scores), func(a, b id.Upstream) int { return cmp.Compare(scores[b], scores[a]) })
+	for _, upstream := range upstreams[maxReportedErrors:] {
+		delete(scores, upstream)
+	}
 
 	return scores
 }
--- a/core/upstreamstats/tracker_test.go
+++ b/core/upstreamstats/tracker_test.go
@@ -1,6 +1,7 @@
 package upstreamstats_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,6 +44,20 @@
 	require.Zero(t, tracker.FailureScore(start, "a"))
 }
 
+func TestReportedErrorsAreBoundedToTheHighest(t *testing.T) {
+	var tracker upstreamstats.Tracker
+	for i := range 200 {
+		for range 1 + i/100 {
+			tracker.RecordError(start, id.Upstream(fmt.Sprint("engine-", i)))
+		}
+	}
+	reported := tracker.Errors(start)
+	require.Len(t, reported, 32)
+	for upstream, score := range reported {
+		require.InDelta(t, 2, score, 0.01, upstream)
+	}
+}
+
 func TestErrorsCountAsFailuresAndAreReportedUntilTheyDecay(t *testing.T) {
 	var tracker upstreamstats.Tracker
 	tracker.RecordFailure(start, "lost")
