Guard what tests of the cluster replace while a host runs

The race detector named the goroutine that newTestHost starts at turns_test.go:52, refreshOwnersLoop, which reads the store of the host, and the test, which assigns another store to that host. Twelve tests assign a store, and others assign hooks of the fake store or the time of its last response, while that goroutine and the writer of the slot run.

Change: the tests replace the store through an atomic pointer, and hooks of the fake store are atomic. The tests check what they checked before.

--- a/io/cluster/confirmation_test.go
+++ b/io/cluster/confirmation_test.go
@@ -61,7 +61,7 @@
 
 		return nil
 	}
-	c.store = hooked
+	replaceStore(t, c, hooked)
 	store.skipGenerations()
 	c.renewMembership(t.Context())
 	require.Eventually(t, c.isServing, testTimeout, time.Millisecond, "the check has ended")
@@ -76,7 +76,7 @@
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
 	epoch := c.slots[0].epoch
-	c.store = &hookedStore{fakeStore: store, beforeRead: func() error { return platform.ErrInDoubt.New("no response") }}
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: func() error { return platform.ErrInDoubt.New("no response") }})
 	store.skipGenerations()
 	c.renewMembership(t.Context())
 	c.slots[0].mu.Lock()
@@ -104,7 +104,7 @@
 	store.generation = 101
 	store.mu.Unlock()
 	during := make(chan fleetpb.Outcome, 100)
-	c.store = &hookedStore{fakeStore: store, beforeRead: func() error {
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: func() error {
 		reply, err := (&slotServer{cluster: c}).BeginTurn(t.Context(), &fleetpb.BeginTurnRequest{
 			Workspace: string(testWorkspace), Program: string(testProgram), Previous: "first",
 		})
@@ -112,7 +112,7 @@
 		during <- reply.Outcome
 
 		return nil
-	}}
+	}})
 	c.renewMembership(t.Context())
 	require.Equal(t, fleetpb.Outcome_OUTCOME_NOT_OWNER, <-during, "the slot had moved and its state is outdated")
 }
@@ -121,11 +121,11 @@
 	c, store := newTestCluster(t)
 	c.leaseDuration = time.Second
 	join(t, c)
-	c.store = &hookedStore{fakeStore: store, beforeRead: func() error {
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: func() error {
 		time.Sleep(1200 * time.Millisecond)
 
 		return nil
-	}}
+	}})
 	store.skipGenerations()
 	c.renewMembership(t.Context())
 	require.True(t, c.mayServeSlots(time.Now()), "the lease ended during the renewal")
@@ -136,7 +136,7 @@
 	join(t, c)
 	serveForLong(c)
 	hooked := &hookedStore{fakeStore: store, beforeRead: func() error { return platform.ErrInDoubt.New("no response") }}
-	c.store = hooked
+	replaceStore(t, c, hooked)
 	for range 3 {
 		c.BeginTurn(t.Context(), newTurn("second", "elsewhere"))
 	}
@@ -174,7 +174,7 @@
 
 		return nil
 	}}
-	c.store = hooked
+	replaceStore(t, c, hooked)
 	for range 20 {
 		require.Equal(t, reverseproxy.PreviousTurnNotFound, c.BeginTurn(t.Context(), newTurn("second", "elsewhere")).Status)
 	}
@@ -233,11 +233,11 @@
 	store.generation = 101
 	store.mu.Unlock()
 	during := make(chan fleetpb.Outcome, 100)
-	c.store = &hookedStore{fakeStore: store, beforeRead: func() error {
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: func() error {
 		during <- begin("b")
 
 		return nil
-	}}
+	}})
 	c.renewMembership(t.Context())
 	require.NotEqual(t, fleetpb.Outcome_OUTCOME_OK, <-during, "another owner has given out the whole budget")
 }
@@ -246,7 +246,7 @@
 	c, store := newTestCluster(t)
 	join(t, c)
 	c.mustRejoin.Store(true)
-	store.beforeJoin = func() error { return platform.ErrInDoubt.New("no response") }
+	store.beforeJoin.set(func() error { return platform.ErrInDoubt.New("no response") })
 	c.renewMembership(t.Context())
 	require.Empty(t, store.member)
 	reply, err := (&slotServer{cluster: c}).BeginTurn(t.Context(), &fleetpb.BeginTurnRequest{
@@ -258,11 +258,11 @@
 
 func TestSlotIsLoadedWhileGroupChanges(t *testing.T) {
 	c, store := newTestCluster(t)
-	store.beforeAppend = func(platform.AppendBatch) error {
+	store.beforeAppend.set(func(platform.AppendBatch) error {
 		time.Sleep(150 * time.Millisecond)
 
 		return nil
-	}
+	})
 	for until := time.Now().Add(2 * time.Second); time.Now().Before(until) && !c.isServing(); time.Sleep(100 * time.Millisecond) {
 		store.skipGenerations()
 		c.renewMembership(t.Context())
@@ -290,8 +290,8 @@
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
 	inDoubt := func() error { return platform.ErrInDoubt.New("the partition is down") }
-	store.beforeAppend = func(platform.AppendBatch) error { return inDoubt() }
-	c.store = &hookedStore{fakeStore: store, beforeRead: inDoubt}
+	store.beforeAppend.set(func(platform.AppendBatch) error { return inDoubt() })
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: inDoubt})
 	store.skipGenerations()
 	c.renewMembership(t.Context())
 	time.Sleep(2 * time.Second)
@@ -302,7 +302,7 @@
 	c, store := newTestCluster(t)
 	join(t, c)
 	hooked := &hookedStore{fakeStore: store, beforeRead: func() error { return platform.ErrInDoubt.New("no response") }}
-	c.store = hooked
+	replaceStore(t, c, hooked)
 	store.skipGenerations()
 	c.renewMembership(t.Context())
 	time.Sleep(time.Second)
@@ -314,13 +314,13 @@
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
 	inDoubt := func() error { return platform.ErrInDoubt.New("down") }
-	c.store = &hookedStore{fakeStore: store, beforeRead: inDoubt}
+	replaceStore(t, c, &hookedStore{fakeStore: store, beforeRead: inDoubt})
 	store.skipGenerations()
 	c.renewMembership(t.Context())
-	store.beforeAppend = func(platform.AppendBatch) error { return inDoubt() }
-	store.beforeJoin = inDoubt
+	store.beforeAppend.set(func(platform.AppendBatch) error { return inDoubt() })
+	store.beforeJoin.set(inDoubt)
 	down := time.Now()
-	c.LastStoreResponse = func() time.Time { return down }
+	store.lastResponseTime.set(func() time.Time { return down })
 	time.Sleep(1500 * time.Millisecond)
 	require.True(t, c.isStoreDown(time.Now()))
 	s := c.slots[0]
--- a/io/cluster/fakestore_test.go
+++ b/io/cluster/fakestore_test.go
@@ -5,8 +5,12 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"cardamomward/platform"
 )
 
@@ -33,11 +37,68 @@
 	maxRecordBytes int
 	// beforeAppend, beforeLeave and beforeJoin run before a call without the lock; an error is returned instead of
 	// executing the call.
-	beforeAppend func(batch platform.AppendBatch) error
-	beforeLeave  func() error
-	beforeJoin   func() error
+	beforeAppend hook[func(batch platform.AppendBatch) error]
+	beforeLeave  hook[func() error]
+	beforeJoin   hook[func() error]
 	// afterAppend delays the response of the next append of records.
-	afterAppend func()
+	afterAppend hook[func()]
+	// lastResponseTime is when the store last responded to the host; unset means now.
+	lastResponseTime hook[func() time.Time]
+}
+
+// hook holds a function that a test may replace while the goroutines of a host call it.
+type hook[F any] struct{ current atomic.Pointer[F] }
+
+func (h *hook[F]) set(f F) { h.current.Store(&f) }
+
+func (h *hook[F]) clear() { h.current.Store(nil) }
+
+// get returns the function, or nil if none is set.
+func (h *hook[F]) get() *F { return h.current.Load() }
+
+func (f *fakeStore) lastResponse() time.Time {
+	if last := f.lastResponseTime.get(); last != nil {
+		return (*last)()
+	}
+
+	return time.Now()
+}
+
+// swappableStore passes calls to a store that a test may replace while the goroutines of a host use it.
+type swappableStore struct{ current atomic.Pointer[Store] }
+
+func (s *swappableStore) get() Store { return *s.current.Load() }
+
+func (s *swappableStore) Append(ctx context.Context, a platform.AppendBatch) (int64, error) {
+	return s.get().Append(ctx, a)
+}
+
+func (s *swappableStore) Read(ctx context.Context, p platform.Partition, offset int64, maxWait time.Duration) (platform.RecordPage, error) {
+	return s.get().Read(ctx, p, offset, maxWait)
+}
+
+func (s *swappableStore) ListNewestRecords(ctx context.Context, p platform.Partition, pageTimeout time.Duration) ([]platform.Record, int64, error) {
+	return s.get().ListNewestRecords(ctx, p, pageTimeout)
+}
+
+func (s *swappableStore) JoinGroup(ctx context.Context, group, member string, topics []string, lease time.Duration, generation int64) (platform.GroupMembership, error) {
+	return s.get().JoinGroup(ctx, group, member, topics, lease, generation)
+}
+
+func (s *swappableStore) LeaveGroup(ctx context.Context, group, member string) error {
+	return s.get().LeaveGroup(ctx, group, member)
+}
+
+func (s *swappableStore) ListPartitionOwners(ctx context.Context, group string) (map[platform.Partition]string, error) {
+	return s.get().ListPartitionOwners(ctx, group)
+}
+
+// replaceStore makes a host of newTestHost use another store from its next call on.
+func replaceStore(t *testing.T, c *Cluster, store Store) {
+	t.Helper()
+	swappable, ok := c.store.(*swappableStore)
+	require.True(t, ok)
+	swappable.current.Store(&store)
 }
 
 func (f *fakeStore) partition(p platform.Partition) *fakePartition {
@@ -52,15 +113,15 @@
 
 // Append appends a batch with the epochs and sequence numbers of the platform's store.
 func (f *fakeStore) Append(_ context.Context, batch platform.AppendBatch) (int64, error) {
-	if f.beforeAppend != nil {
-		if err := f.beforeAppend(batch); err != nil {
+	if before := f.beforeAppend.get(); before != nil {
+		if err := (*before)(batch); err != nil {
 			return 0, err
 		}
 	}
-	if f.afterAppend != nil && len(batch.Records) > 0 {
-		delay := f.afterAppend
-		f.afterAppend = nil
-		defer delay()
+	if len(batch.Records) > 0 {
+		if delay := f.afterAppend.current.Swap(nil); delay != nil {
+			defer (*delay)()
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -134,8 +195,8 @@
 
 // JoinGroup makes the caller the only member and owner of all partitions.
 func (f *fakeStore) JoinGroup(_ context.Context, _, member string, _ []string, _ time.Duration, _ int64) (platform.GroupMembership, error) {
-	if f.beforeJoin != nil {
-		if err := f.beforeJoin(); err != nil {
+	if before := f.beforeJoin.get(); before != nil {
+		if err := (*before)(); err != nil {
 			return platform.GroupMembership{}, err
 		}
 	}
@@ -151,8 +212,8 @@
 
 // LeaveGroup removes the member.
 func (f *fakeStore) LeaveGroup(_ context.Context, _, member string) error {
-	if f.beforeLeave != nil {
-		if err := f.beforeLeave(); err != nil {
+	if before := f.beforeLeave.get(); before != nil {
+		if err := (*before)(); err != nil {
 			return err
 		}
 	}
--- a/io/cluster/forgottenturns_test.go
+++ b/io/cluster/forgottenturns_test.go
@@ -76,8 +76,8 @@
 		"never responded": {lastResponse: time.Time{}, least: time.Hour, most: math.MaxInt64},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c, _ := newTestCluster(t)
-			c.LastStoreResponse = func() time.Time { return test.lastResponse }
+			c, store := newTestCluster(t)
+			store.lastResponseTime.set(func() time.Time { return test.lastResponse })
 			s := c.slots[0]
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/io/cluster/handover_test.go
+++ b/io/cluster/handover_test.go
@@ -51,7 +51,7 @@
 func TestRepeatedCopiesOfTurnAreQueuedOnce(t *testing.T) {
 	c, store := newTestCluster(t)
 	join(t, c)
-	store.beforeAppend = func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") }
+	store.beforeAppend.set(func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") })
 	s := c.slots[0]
 	s.mu.Lock()
 	for range 5 {
@@ -59,7 +59,7 @@
 	}
 	s.mu.Unlock()
 	require.Len(t, s.writer.pendingRecords(), 1)
-	store.beforeAppend = nil
+	store.beforeAppend.clear()
 	storeTurn(t, c, newKeptTurn("first", ""))
 	require.Empty(t, s.writer.pendingRecords(), "the turn is durable")
 }
@@ -68,8 +68,8 @@
 	const maxTokens, usedTokens = 100, 50
 	c, store := newTestCluster(t)
 	join(t, c)
-	store.beforeAppend = func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") }
-	c.LastStoreResponse = func() time.Time { return time.Time{} }
+	store.beforeAppend.set(func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") })
+	store.lastResponseTime.set(func() time.Time { return time.Time{} })
 	turn := newTurn("first", "")
 	turn.Request.TokenBudget, turn.Request.MaxTokens, turn.Deadline = 1000, maxTokens, time.Now().Add(400*time.Millisecond)
 	require.Equal(t, reverseproxy.TurnAllowed, c.BeginTurn(t.Context(), turn).Status)
--- a/io/cluster/slotload_test.go
+++ b/io/cluster/slotload_test.go
@@ -40,7 +40,7 @@
 	c, store := newTestCluster(t)
 	c.Settings.LinkBytesPerSecond = 75e6
 	slow := &slowStore{fakeStore: store, delay: delay}
-	c.store = slow
+	replaceStore(t, c, slow)
 	c.renewMembership(t.Context())
 	require.Eventually(t, c.isServing, delay+300*time.Millisecond, 5*time.Millisecond)
 	require.EqualValues(t, 1, slow.listings.Load(), "a read that is answered late is not given up")
@@ -49,7 +49,7 @@
 func TestSlotIsLoadedIfAnswerIsLost(t *testing.T) {
 	c, store := newTestCluster(t)
 	c.Settings.LinkBytesPerSecond = 75e6
-	c.store = &slowStore{fakeStore: store, unanswered: 1}
+	replaceStore(t, c, &slowStore{fakeStore: store, unanswered: 1})
 	c.renewMembership(t.Context())
 	require.Eventually(t, c.isServing, 1200*time.Millisecond, 5*time.Millisecond)
 }
@@ -58,7 +58,7 @@
 func TestSlotIsLoadedHoweverLongItsPagesTake(t *testing.T) {
 	c, store := newTestCluster(t)
 	c.Settings.LinkBytesPerSecond = 75e6
-	c.store = &slowStore{fakeStore: store, delay: 2 * time.Second}
+	replaceStore(t, c, &slowStore{fakeStore: store, delay: 2 * time.Second})
 	c.renewMembership(t.Context())
 	require.Eventually(t, c.isServing, 6*time.Second, 20*time.Millisecond)
 }
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -41,9 +41,10 @@
 			Partitions: 1, MinLeaseDuration: time.Hour,
 		}},
 		Store: platform.NewStore("127.0.0.1:1"), Logger: logr.Discard(), Now: time.Now, IsPartitionedFromUpstreams: func() bool { return false },
-		LastStoreResponse: time.Now, RecordStoreResponse: func() {}, HasConfig: func() bool { return true },
+		LastStoreResponse: store.lastResponse, RecordStoreResponse: func() {}, HasConfig: func() bool { return true },
 	})
-	c.store, store.parts = store, []platform.Partition{c.slots[0].partition()}
+	c.store, store.parts = &swappableStore{}, []platform.Partition{c.slots[0].partition()}
+	replaceStore(t, c, store)
 	c.peers.markHostListRead(nil)
 	c.setOwnership(&ownership{owners: []string{c.self}})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,9 +124,9 @@
 	c, store := newTestCluster(t)
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
-	store.beforeLeave = func() error { return platform.ErrInDoubt.New("no response") }
+	store.beforeLeave.set(func() error { return platform.ErrInDoubt.New("no response") })
 	c.resignMembership(t.Context())
-	store.beforeLeave = nil
+	store.beforeLeave.clear()
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("second", "first"))
 	require.True(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"second"), "the owner reported the turn as durable")
@@ -135,9 +136,9 @@
 	lost, store := newTestCluster(t)
 	join(t, lost)
 	storeTurn(t, lost, newKeptTurn("first", ""))
-	store.beforeLeave = func() error { return platform.ErrInDoubt.New("no response") }
+	store.beforeLeave.set(func() error { return platform.ErrInDoubt.New("no response") })
 	lost.resignMembership(t.Context())
-	store.beforeLeave = nil
+	store.beforeLeave.clear()
 	join(t, lost)
 	storeTurn(t, lost, newKeptTurn("second", "first"))
 	storeTurn(t, lost, newKeptTurn("third", "second"))
@@ -155,14 +156,14 @@
 	c, store := newTestCluster(t)
 	join(t, c)
 	storeTurn(t, c, newKeptTurn("first", ""))
-	store.beforeJoin = func() error {
+	store.beforeJoin.set(func() error {
 		c.slots[0].release("fenced")
 		c.mustRejoin.Store(true)
 
 		return nil
-	}
+	})
 	c.renewMembership(t.Context())
-	store.beforeJoin = nil
+	store.beforeJoin.clear()
 	// A host that acquires the slot in the same epoch does so now; others join again.
 	for until := time.Now().Add(200 * time.Millisecond); !c.isServing() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
@@ -200,7 +201,7 @@
 	join(t, c)
 	blocked, resume := make(chan struct{}), make(chan struct{})
 	epoch := c.slots[0].epoch
-	store.beforeAppend = func(batch platform.AppendBatch) error {
+	store.beforeAppend.set(func(batch platform.AppendBatch) error {
 		if batch.Epoch != epoch || len(batch.Records) == 0 {
 			return nil
 		}
@@ -208,7 +209,7 @@
 		<-resume
 
 		return platform.ErrFenced.New("epoch %d", epoch)
-	}
+	})
 	go (&slotServer{cluster: c}).EndTurn(context.Background(), &fleetpb.EndTurnRequest{ //nolint:errcheck // the slot moves
 		Workspace: string(testWorkspace), Program: string(testProgram), Kept: newKeptTurn("first", ""),
 	})
@@ -297,10 +298,10 @@
 	storeTurn(t, c, newKeptTurn("first", ""))
 	resume := make(chan struct{})
 	appended := make(chan struct{})
-	store.afterAppend = func() {
+	store.afterAppend.set(func() {
 		close(appended)
 		<-resume
-	}
+	})
 	go (&slotServer{cluster: c}).EndTurn(context.Background(), &fleetpb.EndTurnRequest{ //nolint:errcheck // the reply is not needed
 		Workspace: string(testWorkspace), Program: string(testProgram), Kept: newKeptTurn("second", "first"),
 	})
