--- a/core/costestimate/estimator.go
+++ b/core/costestimate/estimator.go
@@ -33,7 +33,7 @@
 	IsFirstTurn bool
 }
 
-// Estimate is what is known of the work of a request: tokens, or milliseconds for plain services.
+// Estimate is the expected work of a request with its spread: tokens, or milliseconds for plain services.
 type Estimate struct {
 	Mean, P50, P90 float64
 	// Samples and Age are the number of samples of the most specific distribution that has any, and the time since the newest.
--- a/core/fairshare/fairshare.go
+++ b/core/fairshare/fairshare.go
@@ -8,7 +8,7 @@
 	"cardamomward/core/id"
 )
 
-// Load is what one workspace uses of a capacity.
+// Load is the usage of one workspace, in units of the shared capacity.
 type Load struct {
 	Workspace id.Workspace
 	// Used has the unit of the capacity, such as occupied slots.
--- a/core/leastcost/work.go
+++ b/core/leastcost/work.go
@@ -7,7 +7,7 @@
 	"cardamomward/core/registry"
 )
 
-// WorkState is what the host knows of an upstream for the choice by outstanding work.
+// WorkState is the state of an upstream for the choice by outstanding work.
 type WorkState struct {
 	UpstreamState
 
--- a/core/leaving/index.go
+++ b/core/leaving/index.go
@@ -29,7 +29,7 @@
 type Announcement struct {
 	Process
 
-	// ReceivedAt is when a host first received a response with the announcement.
+	// ReceivedAt is the time at which a host first received a response with the announcement.
 	ReceivedAt time.Time
 }
 
@@ -46,7 +46,7 @@
 	Never
 )
 
-// entry is what is kept of an announcement.
+// entry holds the announcement of a process and its reporting state.
 type entry struct {
 	receivedAt time.Time
 	isOwn      bool
--- a/core/traffic/counters.go
+++ b/core/traffic/counters.go
@@ -31,7 +31,7 @@
 
 var causeNames = [causeCount]string{"caller", "owner", "upstream", "relay", "copies", "heartbeat"}
 
-// Crossing is whether the two ends of a connection are in the same failure domain.
+// Crossing relates the failure domains of the two ends of a connection.
 type Crossing int
 
 // Values of Crossing.
--- a/io/cluster/workspaceload.go
+++ b/io/cluster/workspaceload.go
@@ -46,7 +46,7 @@
 	service   id.Service
 }
 
-// workspaceReport is what a peer has reported of its requests by workspace and of programs that start there.
+// workspaceReport holds the latest report of a peer: its requests by workspace and the rate of program starts.
 type workspaceReport struct {
 	receivedAt time.Time
 	running    map[workspaceService]int
--- a/io/reverseproxy/learnedcost.go
+++ b/io/reverseproxy/learnedcost.go
@@ -16,7 +16,7 @@
 const (
 	// defaultServiceMS is the assumed time of a request to a plain service in milliseconds until there are samples.
 	defaultServiceMS = 20.0
-	// progressInterval is how often the tokens of a stream are recorded, which takes a lock.
+	// progressInterval is the least interval at which the tokens of a stream are recorded, which takes a lock.
 	progressInterval = 100 * time.Millisecond
 	// minOutputLeft is the least output that is expected of a stream that is resumed.
 	minOutputLeft = 16
@@ -33,7 +33,7 @@
 	UpstreamWork(instance *registry.Instance, tokensPerPart id.Tokens) workleft.Load
 }
 
-// learnedCosts is what the host has learned of requests and upstreams; Proxy.statsMu guards it.
+// learnedCosts holds the estimators of requests and the speeds of upstreams; Proxy.statsMu guards it.
 type learnedCosts struct {
 	// outputs estimates output tokens, and serviceTimes the milliseconds of requests to plain services.
 	outputs, serviceTimes costestimate.Estimator
