Store the loss that a slot's owner assumes with its records

Cause: after a loss of all hosts in an outage, the first owner of a slot infers the outage from the age of the newest record and charges each program a quarter of its budget. Only its memory held that. While hosts start one after another, slots move on after 0.1 s; the next owner read a record that the first had just written, took the slot for one without an outage, and charged the other programs nothing. In the trace of a failing run host-2 took slot 3 at 52.290 s with counts in doubt, wrote one watermark and released it at 52.332 s; host-0 read that record, and two of the three programs of the slot received 1,250 of 1,100 tokens.

Change: records of a slot have the field loss_unix_millis, the time of the loss that their owner assumes, for 75 s; hosts of the release before ignore it. A later owner assumes the same loss, charges only programs whose watermark does not include the charge, and reports no turn as missing meanwhile. The loss is assumed before the first record is queued. A program that comes more than 75 s after a loss is a new one: an owner charged every new program for as long as it had the slot.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -53,6 +53,8 @@
 	ExpiresAt time.Time
 	// WrittenAt is the write time of a restored watermark.
 	WrittenAt time.Time
+	// ChargedLoss is the time up to which forgotten turns are charged in the tokens of a restored watermark; zero if none are.
+	ChargedLoss time.Time
 }
 
 type reservation struct {
@@ -68,8 +70,9 @@
 	settledAttempts     []string
 	expiresAt           time.Time
 	hasDurableWatermark bool
-	// writtenAt is the write time of the restored watermark; zero if none was restored.
-	writtenAt time.Time
+	// writtenAt is the write time of the restored watermark, and chargedLoss its ChargedLoss; zero if none was restored.
+	writtenAt   time.Time
+	chargedLoss time.Time
 	// lossTokens are charged for turns that may have been forgotten; hasDurableLoss is set once a watermark with them is durable.
 	lossTokens     id.Tokens
 	hasDurableLoss bool
@@ -85,8 +88,16 @@
 }
 
 // AssumeLoss makes the ledger charge each program once for the turns that may have been admitted before a time, beyond its
-// durable watermark: all hosts that knew of them may have failed.
-func (l *Ledger) AssumeLoss(before time.Time) { l.rememberedSince = before }
+// durable watermark: all hosts that knew of them may have failed. The latest loss counts.
+func (l *Ledger) AssumeLoss(before time.Time) {
+	if before.After(l.rememberedSince) {
+		l.rememberedSince = before
+	}
+}
+
+// AssumedLoss returns the time of the latest assumed loss, or zero if there was none. It has to be stored with each watermark:
+// later owners cannot infer the loss once newer watermarks have been written.
+func (l *Ledger) AssumedLoss() time.Time { return l.rememberedSince }
 
 // Reserve reserves the maximum of a turn and returns the decision and the watermark to make durable, whose tokens are
 // zero if there is none. While the platform's store is unavailable, a part of the budget is admitted by the count in memory
@@ -100,7 +111,7 @@
 	if _, reserved := a.reservations[turn.Attempt]; reserved {
 		return Admit, a.watermark(turn.Program)
 	}
-	l.chargeLoss(a, turn)
+	l.chargeLoss(now, a, turn)
 	committedTokens := a.committedTokens()
 	switch {
 	case slices.Contains(a.settledAttempts, turn.Attempt):
@@ -124,9 +135,11 @@
 	return Admit, a.watermark(turn.Program)
 }
 
-// chargeLoss charges a program, once, for the turns that may have been forgotten.
-func (l *Ledger) chargeLoss(a *account, turn Turn) {
-	if !a.isLossSettled && a.writtenAt.Before(l.rememberedSince) {
+// chargeLoss charges a program, once, for the turns that may have been forgotten. A program that comes later than the retention of
+// its account after the loss is a new one.
+func (l *Ledger) chargeLoss(now time.Time, a *account, turn Turn) {
+	isForgotten := a.writtenAt.Before(l.rememberedSince) && a.chargedLoss.Before(l.rememberedSince)
+	if !a.isLossSettled && isForgotten && now.Before(l.rememberedSince.Add(turn.Retention)) {
 		a.lossTokens = maxUndurableTokens(turn.BudgetTokens)
 	}
 	a.isLossSettled = true
@@ -179,7 +192,7 @@
 func (l *Ledger) Restore(watermark Watermark) {
 	a := l.account(watermark.Program)
 	a.settledTokens, a.durableTokens, a.hasDurableWatermark = watermark.Tokens, watermark.Tokens, true
-	a.expiresAt, a.writtenAt = watermark.ExpiresAt, watermark.WrittenAt
+	a.expiresAt, a.writtenAt, a.chargedLoss = watermark.ExpiresAt, watermark.WrittenAt, watermark.ChargedLoss
 }
 
 // RaiseTo raises a program's token count to at least the given one, which other hosts have reported. It returns the
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// The next owner of a slot reads watermarks that include the charge, and must not charge their programs again.
+func TestChargeForLossThatWatermarkIncludesIsNotRepeated(t *testing.T) {
+	for name, test := range map[string]struct {
+		charged, assumed time.Time
+		want             id.Tokens
+	}{
+		"charged":           {charged: start, assumed: start, want: 400 + 400},
+		"for a later loss":  {charged: start, assumed: start.Add(5 * time.Second), want: 400 + 800 + 400},
+		"only a later loss": {assumed: start.Add(5 * time.Second), want: 400 + 800 + 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l tokenbudget.Ledger
+			l.AssumeLoss(test.assumed)
+			l.AssumeLoss(test.charged)
+			require.Equal(t, test.assumed, l.AssumedLoss(), "the latest loss counts")
+			l.Restore(tokenbudget.Watermark{
+				Program: "p", Tokens: 400, ExpiresAt: start.Add(time.Minute), WrittenAt: start.Add(-100 * time.Millisecond), ChargedLoss: test.charged,
+			})
+			_, watermark := l.Reserve(start.Add(6*time.Second), largeTurn("a"), false)
+			require.Equal(t, test.want, watermark.Tokens)
+		})
+	}
+}
+
+// Without the limit each program that starts at an owner for as long as it owns its slot would lose a quarter of its budget.
+func TestProgramThatComesLongAfterLossIsNotCharged(t *testing.T) {
+	var l tokenbudget.Ledger
+	l.AssumeLoss(start)
+	_, watermark := l.Reserve(start.Add(largeTurn("a").Retention), largeTurn("a"), false)
+	require.EqualValues(t, 400, watermark.Tokens)
+}
+
 func TestSmallBudgetIsNotSpentFromMemoryWhileStoreIsUnavailable(t *testing.T) {
 	var l tokenbudget.Ledger
 	decision, _ := l.Reserve(start, turn("a"), true)
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -109,8 +109,8 @@
 	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
 	s.removeIncompleteTurns(&parts)
-	s.mergeInMemoryState(now, contents.replies)
 	s.chargeForgottenTurns(now, contents.replies)
+	s.mergeInMemoryState(now, contents.replies)
 	s.knowsAllPrograms = true
 	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
 	s.notifyChanged()
@@ -127,15 +127,28 @@
 
 // chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if a majority of the hosts has
 // been started since the newest record was written, and that is long enough ago for such an outage. Turns that nobody knows may
-// have been answered then.
+// have been answered then. An owner that read the slot after such a loss has stored the loss with its records, which hide the outage
+// from the owners after it. It is called before any record is queued.
 func (s *slot) chargeForgottenTurns(now time.Time, replies []*fleetpb.RecallReply) {
-	since := rememberedSince(now, replies)
-	if since.IsZero() || since.Sub(s.newestRecordAt) < undurableTurnsAfter+minRestartDelay {
-		return
+	if loss := s.ledger.AssumedLoss(); !loss.IsZero() {
+		s.turnsInDoubtUntil = loss.Add(budgetRetention)
+	}
+	if since := rememberedSince(now, replies); !since.IsZero() && since.Sub(s.newestRecordAt) >= undurableTurnsAfter+minRestartDelay {
+		s.ledger.AssumeLoss(since.Add(clockSkewMargin))
+		s.turnsInDoubtUntil = now.Add(budgetRetention)
+		s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
 	}
-	s.ledger.AssumeLoss(since.Add(clockSkewMargin))
-	s.turnsInDoubtUntil = now.Add(budgetRetention)
-	s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
+}
+
+// lossUnixMillis returns the time of the loss that is stored with each record, or zero if the slot's programs are charged for none.
+// The caller holds the lock.
+func (s *slot) lossUnixMillis(now time.Time) int64 {
+	loss := s.ledger.AssumedLoss()
+	if loss.IsZero() || now.Sub(loss) > budgetRetention {
+		return 0
+	}
+
+	return loss.UnixMilli()
 }
 
 func (s *slot) restoreRecord(now time.Time, record platform.Record, parts *turnParts) {
@@ -154,13 +167,15 @@
 
 		return
 	}
+	loss := restoredLoss(now, value.LossUnixMillis)
+	s.ledger.AssumeLoss(loss)
 	switch kind := value.Kind.(type) {
 	case *fleetpb.Record_Budget:
 		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
 		s.recordWrittenAt(written)
 		s.ledger.Restore(tokenbudget.Watermark{
 			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
-			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written,
+			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written, ChargedLoss: loss,
 		})
 	case *fleetpb.Record_Turn:
 		s.recordWrittenAt(time.UnixMilli(kind.Turn.EndedUnixMillis))
@@ -174,6 +189,20 @@
 	}
 }
 
+// restoredLoss returns the time of the loss that a record states, or zero if it states none. The writer's clock may be fast, so a
+// time in the future is bounded: it would make programs be charged for longer than their retention.
+func restoredLoss(now time.Time, unixMillis int64) time.Time {
+	if unixMillis <= 0 {
+		return time.Time{}
+	}
+	loss, latest := time.UnixMilli(unixMillis), now.Add(clockSkewMargin)
+	if loss.After(latest) {
+		return latest
+	}
+
+	return loss
+}
+
 // restoredExpiry returns the expiry of a record by the time of its write. That is by the writer's clock, which may differ
 // from this host's, so a time in the future counts as now.
 func restoredExpiry(now, written time.Time, retentionMillis int64) time.Time {
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -128,7 +128,7 @@
 
 // writeWatermark queues a write of a watermark; the caller holds the lock.
 func (s *slot) writeWatermark(now time.Time, watermark tokenbudget.Watermark, urgent bool) {
-	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Budget{Budget: &fleetpb.BudgetMark{
+	value, err := proto.Marshal(&fleetpb.Record{LossUnixMillis: s.lossUnixMillis(now), Kind: &fleetpb.Record_Budget{Budget: &fleetpb.BudgetMark{
 		Mark: int64(watermark.Tokens), RetentionMillis: watermark.ExpiresAt.Sub(now).Milliseconds(), WrittenUnixMillis: now.UnixMilli(),
 	}}})
 	if err != nil {
@@ -195,7 +195,7 @@
 	if kept.Previous != "" && s.turns.HasTranscript(id.Workspace(kept.Workspace), kept.Previous) {
 		kept = turnWithoutTranscript(kept)
 	}
-	value, err := proto.Marshal(&fleetpb.Record{Kind: &fleetpb.Record_Turn{Turn: kept}})
+	value, err := proto.Marshal(&fleetpb.Record{LossUnixMillis: s.lossUnixMillis(now), Kind: &fleetpb.Record_Turn{Turn: kept}})
 	var records []platform.Record
 	if err == nil {
 		records, err = s.cluster.turnRecords(kept.Id, value)
