Bound the heartbeats of large fleets by 28 KB/s

Cause: with 830 hosts and 8 requests at each, a host that owns no slot sends 39.0 KB/s of heartbeats with the headers of their datagrams, of 28 KB/s for control.

Change: with more than 300 peers, a heartbeat goes to as many of 8 to 16 random peers as 28 KB/s allow, less what reports may take, and contains the owners once in 128 heartbeats when they have not changed for 10 s. Smaller fleets and the heartbeats between owners stay as they are.

--- a/io/cluster/directory.go
+++ b/io/cluster/directory.go
@@ -9,7 +9,8 @@
 )
 
 // maxListedSilence is how long a peer may be silent and still be listed in the directory, which must not name a host that was killed
-// 6 s before. In a fleet of 830 hosts a peer is heard every 5.2 s on average, so that about 0.6 of the hosts are listed.
+// 6 s before. In a fleet of 830 hosts a peer is heard every 6 to 10 s on average, depending on the size of its heartbeats, so that 0.4 to
+// 0.6 of the hosts are listed.
 const maxListedSilence = 5 * time.Second
 
 // CallerAddresses returns up to maxAddresses addresses that callers may connect to.
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -20,6 +20,23 @@
 // maxPeerErrorScore bounds the effect of the errors that one peer reports.
 const maxPeerErrorScore = 8
 
+// What follows applies to clusters of more than largeClusterPeers peers. In smaller ones, each peer is heard at least every 1.9 s on
+// average, on which the placement of requests depends.
+const (
+	// heartbeatBytesPerSecondInLarge bounds what a host that owns no slot sends of heartbeats, the headers of the datagrams and reports
+	// of workspaces included: 28 KB/s are budgeted for the control traffic of a host.
+	heartbeatBytesPerSecondInLarge = 28_000
+	// minHeartbeatFanoutInLarge bounds from below the number of recipients that this leaves, so that a peer among 830 is heard every
+	// 10 s on average, five times within its silence timeout.
+	minHeartbeatFanoutInLarge = 8
+	// datagramHeaderBytes is the size of the headers of a datagram, those of IPv4 and UDP.
+	datagramHeaderBytes = 28
+	// heartbeatsPerOwnerListInLarge replaces heartbeatsPerOwnerList once the owners have not changed for ownerListSpreadDuration. A host
+	// then still receives about one list a second, since it receives as many heartbeats as it sends.
+	heartbeatsPerOwnerListInLarge = 128
+	ownerListSpreadDuration       = 10 * time.Second
+)
+
 // heartbeatLoop sends heartbeats until ctx ends and evicts owners that have stopped sending theirs.
 func (p *peerTable) heartbeatLoop(ctx context.Context, conn net.PacketConn) {
 	ticker := time.NewTicker(heartbeatInterval)
@@ -86,12 +103,12 @@
 	for _, crash := range crashes {
 		heartbeat.Crashes = append(heartbeat.Crashes, &fleetpb.Crash{Fingerprint: uint64(crash.Fingerprint), Process: crash.Process})
 	}
-	if p.sequence%heartbeatsPerOwnerList == 0 {
+	if p.isOwnerListDue(now, current.generation) {
 		heartbeat.Owners = current.owners
 	}
 	heartbeat.Evicted = p.evictionsToGossip(now)
 	heartbeat.Member = p.cluster.leaseExpiryNanos.Load() != 0
-	targets := p.heartbeatTargets()
+	targets := p.heartbeatTargets(proto.Size(heartbeat))
 	p.cluster.workspaces.addTo(heartbeat, now, len(targets), len(p.byHost))
 	data, err := proto.Marshal(heartbeat)
 	if err != nil {
@@ -107,8 +124,31 @@
 	return data, targets
 }
 
-// heartbeatTargets returns the recipients of the next heartbeat; the caller holds the lock.
-func (p *peerTable) heartbeatTargets() []*net.UDPAddr {
+// isOwnerListDue reports whether the next heartbeat contains the owners of all slots; the caller holds the lock.
+func (p *peerTable) isOwnerListDue(now time.Time, generation int64) bool {
+	if generation != p.gossipedGeneration {
+		p.gossipedGeneration, p.generationChangedAt = generation, now
+	}
+	if len(p.byHost) > largeClusterPeers && now.Sub(p.generationChangedAt) >= ownerListSpreadDuration {
+		return p.sequence%heartbeatsPerOwnerListInLarge == 0
+	}
+
+	return p.sequence%heartbeatsPerOwnerList == 0
+}
+
+// randomFanout returns the number of randomly selected recipients of a heartbeat of the given size, which leaves reportBytesPerSecond
+// for reports.
+func randomFanout(peers, heartbeatBytes, reportBytesPerSecond int) int {
+	if peers <= largeClusterPeers {
+		return min(peers, heartbeatFanout)
+	}
+	bytesPerHeartbeat := (heartbeatBytesPerSecondInLarge - reportBytesPerSecond) * int(heartbeatInterval/time.Millisecond) / 1000
+
+	return min(heartbeatFanout, max(minHeartbeatFanoutInLarge, bytesPerHeartbeat/(heartbeatBytes+datagramHeaderBytes)))
+}
+
+// heartbeatTargets returns the recipients of the next heartbeat, of the given size without a report; the caller holds the lock.
+func (p *peerTable) heartbeatTargets(heartbeatBytes int) []*net.UDPAddr {
 	targets := make([]*net.UDPAddr, 0, len(p.byHost))
 	for _, other := range p.byHost {
 		targets = append(targets, other.udpAddr)
@@ -117,11 +157,12 @@
 		return targets
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
-	targets = targets[:heartbeatFanout]
 	owners := p.cluster.ownership.Load().owners
 	if !p.hasLeft && !slices.Contains(owners, p.selfEntry.PeerAddress) {
-		return targets
+		return targets[:randomFanout(len(targets), heartbeatBytes, p.cluster.workspaces.maxReportRate(len(targets)))]
 	}
+	// The other hosts decide by the heartbeats of owners whether slots are free, so owners do not send fewer in large clusters.
+	targets = targets[:heartbeatFanout]
 	// Owners receive every heartbeat of each other, for failure detection, and that of a host that has left at once,
 	// since they acquire its slots.
 	for _, other := range p.byHost {
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -21,7 +21,7 @@
 	// heartbeatInterval is the interval of heartbeats.
 	heartbeatInterval = 100 * time.Millisecond
 	// heartbeatFanout bounds the peers that receive one heartbeat; with more peers, each heartbeat goes to a random
-	// selection.
+	// selection, which in large clusters is smaller.
 	heartbeatFanout = 16
 	// baseSilenceTimeout is how long a peer may be silent and still count as live in a cluster of up to heartbeatFanout
 	// peers.
@@ -36,7 +36,7 @@
 	hostListReadInterval = 200 * time.Millisecond
 	// hostListLongPoll is the long-poll wait of reads of the hosts' entries.
 	hostListLongPoll = 3 * time.Second
-	// heartbeatsPerOwnerList is the number of heartbeats of which one contains the owners of all slots.
+	// heartbeatsPerOwnerList is the number of heartbeats of which one contains the owners of all slots; in large clusters it is larger.
 	heartbeatsPerOwnerList = 8
 	// maxHeartbeatBytes bounds a received heartbeat.
 	maxHeartbeatBytes = 8 << 10
@@ -97,6 +97,9 @@
 	isDraining bool
 	hasLeft    bool
 	sequence   uint64
+	// gossipedGeneration is the generation of the last heartbeat, and generationChangedAt when that differed from the one before.
+	gossipedGeneration  int64
+	generationChangedAt time.Time
 	// lastTickAt is when the last heartbeat was due, and resumedAt when this process last resumed after a pause.
 	lastTickAt time.Time
 	resumedAt  time.Time
--- a/io/cluster/workspaceload.go
+++ b/io/cluster/workspaceload.go
@@ -24,8 +24,8 @@
 	maxReportAge = 3 * time.Second
 	// reportBytesPerSecond bounds what a host sends of reports to all recipients; the interval of reports grows with their size.
 	reportBytesPerSecond = 8 << 10
-	// largeClusterPeers is the number of peers beyond which reports are rarer and count for longer: with 830 hosts, the heartbeats
-	// without reports take 27 KB/s of the 28 KB/s that a host may spend on control.
+	// largeClusterPeers is the number of peers beyond which heartbeats are bounded by bytes, and reports are rarer and count for longer:
+	// with 830 hosts, the heartbeats need most of the 28 KB/s that a host may spend on control.
 	largeClusterPeers           = 300
 	maxReportAgeInLarge         = 10 * time.Second
 	reportBytesPerSecondInLarge = 1 << 10
@@ -163,6 +163,16 @@
 	return age / time.Duration(max(1, peers)), peers
 }
 
+// maxReportRate returns how many bytes a second this host's reports may take, with a number of peers.
+func (w *workspaceLoads) maxReportRate(peers int) int {
+	if !w.isEnabled.Load() {
+		return 0
+	}
+	_, bytesPerSecond := reportLimits(peers)
+
+	return bytesPerSecond
+}
+
 // addTo adds this host's report to a heartbeat if one is due. A report that would make the heartbeat too large is shortened.
 func (w *workspaceLoads) addTo(heartbeat *fleetpb.Beat, now time.Time, recipients, peers int) {
 	if !w.isEnabled.Load() {
