Derive the admission rate of cold upstreams from the stated tolerance

Cause: the settings' bounds state cold_overshoot and cold_slack, but the code ignored them and admitted cold_per_s with a burst whatever they allow. Without either value the rates are as before.

--- a/core/coldstart/coldstart_test.go
+++ b/core/coldstart/coldstart_test.go
@@ -207,7 +207,7 @@
 				sent = append(sent, now)
 			}
 			for i := range fallbacks {
-				if fallbacks[i].Take(now, coldstart.HostShare(24, hosts), (float64(i)+0.5)/float64(hosts)) {
+				if fallbacks[i].Take(now, coldstart.Tolerance{}.Pace(24).HostShare(hosts), (float64(i)+0.5)/float64(hosts)) {
 					sent = append(sent, now)
 				}
 			}
--- a/io/cluster/coldstart_test.go
+++ b/io/cluster/coldstart_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// Guards against an owner and hosts that ignore the tolerance of the platform's settings.
+func TestStatedToleranceBoundsAdmissionsOfOwnerAndOfHostsThatCannotReachIt(t *testing.T) {
+	t.Run("owner", func(t *testing.T) {
+		t.Parallel()
+		c, _ := newTestCluster(t)
+		c.Settings.Bounds.ColdTolerance = coldstart.Tolerance{IsStated: true, Overshoot: 1}
+		join(t, c)
+		instance := coldInstance()
+		c.RecordRegistration(instance, 0, coldPolicy)
+		// 24 requests may arrive in a second, also if they arrive half a second late.
+		most, total := admitAll([]*Cluster{c}, instance, 2*time.Second)
+		require.LessOrEqual(t, most, 17)
+		require.InDelta(t, 30, total, 6)
+	})
+	t.Run("host without owner", func(t *testing.T) {
+		t.Parallel()
+		c, _ := newTestCluster(t)
+		c.Settings.Bounds.ColdTolerance = coldstart.Tolerance{IsStated: true, Slack: 5}
+		c.setOwnership(&ownership{generation: 1, owners: []string{""}})
+		instance := coldInstance()
+		c.RecordRegistration(instance, 0, coldPolicy)
+		_, total := admitAll([]*Cluster{c}, instance, time.Second)
+		require.LessOrEqual(t, total, 5, "its share is half of 24 requests a second without a tolerance")
+	})
+}
+
 func TestUpstreamThatIsNeitherLimitedNorColdCostsNoCall(t *testing.T) {
 	c, _ := newTestCluster(t)
 	c.setOwnership(&ownership{generation: 1, owners: []string{""}})
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -115,25 +115,38 @@
 	isLimited bool
 	cold      coldstart.Statement
 	isCold    bool
+	// tolerance is that of cold starts.
+	tolerance coldstart.Tolerance
 }
 
-// rate returns the smaller rate of both, in requests per second.
+// coldPace returns how fast requests are admitted to an upstream that is cold.
+func (a admission) coldPace() coldstart.Pace {
+	pace := a.tolerance.Pace(a.cold.Rate)
+	if a.isLimited {
+		pace = pace.Limited(a.limit.Rate)
+	}
+
+	return pace
+}
+
+// rate returns the smaller rate of both at the owner, in requests per second.
 func (a admission) rate() float64 {
-	switch {
-	case !a.isCold:
-		return a.limit.Rate
-	case !a.isLimited:
-		return a.cold.Rate
-	default:
-		return min(a.limit.Rate, a.cold.Rate)
+	if a.isCold {
+		return a.coldPace().OwnerRate
 	}
+
+	return a.limit.Rate
+}
+
+func (c *Cluster) newAdmission() admission {
+	return admission{tolerance: c.Settings.Bounds.ColdTolerance}
 }
 
 // AdmitToUpstream reports whether a request may be sent to an upstream now within the upstream's limit and the rate that it takes
 // while it is cold, and otherwise after how long to ask again. An upstream that is neither limited nor cold costs no call.
 func (c *Cluster) AdmitToUpstream(ctx context.Context, instance *registry.Instance, policy coldstart.Policy) (ok bool, retryAfter time.Duration) {
 	now := c.Now()
-	var a admission
+	a := c.newAdmission()
 	c.limits.mu.Lock()
 	a.limit, a.isLimited = c.limits.index.Limit(instance.ID, instance.Incarnation)
 	a.cold, a.isCold = c.limits.cold.State(now, instance, policy)
@@ -199,7 +212,7 @@
 		if !c.peers.isHostListRead() {
 			return false, limitOwnerRetryDelay
 		}
-		share = coldstart.HostShare(a.rate(), hosts)
+		share = a.coldPace().HostShare(hosts)
 	}
 	now := c.Now()
 	c.limits.mu.Lock()
@@ -235,7 +248,7 @@
 	if req.Cold != nil {
 		c.recordPeerCold(now, decodeColdUpstream(now, req.Cold))
 	}
-	var a admission
+	a := c.newAdmission()
 	if req.Limit != nil || req.Cold == nil {
 		reported := decodeUpstreamLimit(now, req.Limit)
 		c.recordPeerLimit(reported)
