Test that only platforms with evacuations shorten the long poll of the configuration

Lines whose removal makes them fail, tried by hand: in TestConfigurationIsReadMoreOftenOnlyWhereDomainsAreEvacuated "if w.HasEvacuations" with its return, or "LongPoll: w.longPoll()"; in TestSettingsWithEvacuationsShortenWaitForConfiguration "HasEvacuations: settings.Bounds.Evacuation > 0" of gatewayhost.New.

--- a/io/discovery/watcher_test.go
+++ b/io/discovery/watcher_test.go
@@ -1,7 +1,9 @@
 package discovery
 
 import (
+	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/platform"
+	"cardamomward/platform/standin"
 )
 
 // coldRecord is a call of coldStarts.
@@ -69,6 +72,32 @@
 	require.True(t, w.IsEvacuated("zone-a"))
 }
 
+// Guards against hosts that learn of an evacuation only after they count as connected to the store, and against a call more each
+// 3 s at every host of a platform that evacuates nothing.
+func TestConfigurationIsReadMoreOftenOnlyWhereDomainsAreEvacuated(t *testing.T) {
+	for hasEvacuations, want := range map[bool]time.Duration{false: 3 * time.Second, true: 1500 * time.Millisecond} {
+		store := standin.NewStore()
+		t.Cleanup(store.Close)
+		store.PutRecord(platform.ConfigurationTopic, platform.ConfigurationKey, configurationRecord().Value)
+		w := &Watcher{
+			Store: platform.NewStore(store.Address()), Logger: logr.Discard(), Now: time.Now, ColdStarts: &coldStarts{}, HasEvacuations: hasEvacuations,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		tasks.Go(func() { w.Run(ctx) })
+		configuration := platform.Partition{Topic: platform.ConfigurationTopic}
+		require.Eventually(t, func() bool {
+			_, isRead := store.ReadWait(configuration)
+
+			return isRead && w.Config() != nil
+		}, 5*time.Second, 5*time.Millisecond)
+		wait, _ := store.ReadWait(configuration)
+		require.Equal(t, want, wait, "evacuations: %t", hasEvacuations)
+		cancel()
+		tasks.Wait()
+	}
+}
+
 func TestValueOfEvacuationIsNotInterpreted(t *testing.T) {
 	now := time.Now()
 	for _, value := range []string{"{}", "null", "false", "not JSON"} {
--- a/io/gatewayhost/evacuation_test.go
+++ b/io/gatewayhost/evacuation_test.go
@@ -265,3 +265,17 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.Status, "a request that is withheld has not been executed")
 	require.Zero(t, arrivalsSince(time.Time{}, c.plainUpstreams[0]))
 }
+
+// Guards against a shorter wait for the configuration on platforms that evacuate no domain, and a longer one on those that do.
+func TestSettingsWithEvacuationsShortenWaitForConfiguration(t *testing.T) {
+	for evacuation, want := range map[time.Duration]time.Duration{0: 3 * time.Second, 3 * time.Second: 1500 * time.Millisecond} {
+		t.Run(evacuation.String(), func(t *testing.T) {
+			c := newTestCluster(t, 1, func(_ *testCluster, settings *platform.HostSettings) { settings.Bounds.Evacuation = evacuation })
+			require.Eventually(t, func() bool {
+				wait, _ := c.store.ReadWait(platform.Partition{Topic: platform.ConfigurationTopic})
+
+				return wait == want
+			}, waitTimeout, 5*time.Millisecond)
+		})
+	}
+}
