Do not count admissions by owners that ignore cold upstreams

Cause: the comparison of both releases showed that a host of misreads a request for admission that names only a cold upstream: it takes it for one to an upstream without a limit and with an empty id, and admits it if it owns the slot of the empty id too. The asking host counted that as admitted, so that a cold upstream could get any number of requests during an upgrade.

Change: an owner that has read the field confirms it by a retry time in every reply to such a request; earlier owners never send one with an admission. Without it, a host keeps to its share, as while the owner cannot be reached. Hosts of the earlier release do not look at the retry time of an admission.

--- a/io/cluster/releases_test.go
+++ b/io/cluster/releases_test.go
@@ -1,9 +1,11 @@
 package cluster
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -507,3 +509,51 @@
 		})
 	}
 }
+
+// earlierOwner answers as an owner of the earlier release does that has no limit of the upstream; it ignores that this is cold.
+type earlierOwner struct{ fleetpb.Slots }
+
+func (earlierOwner) AdmitToUpstream(context.Context, *fleetpb.AdmitToUpstreamRequest) (*fleetpb.AdmitReply, error) {
+	return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: 1}, nil
+}
+
+// Guards against requests to a cold upstream that an owner of the earlier release admits without a bound, since it reads a request
+// that names only a cold upstream as one for an upstream without a limit.
+func TestHostKeepsToItsShareIfOwnerOfEarlierReleaseIgnoresColdUpstream(t *testing.T) {
+	c, store := newTestCluster(t)
+	addPeers(c, 11)
+	instance := coldInstance()
+	c.RecordRegistration(instance, 0, coldPolicy)
+	srv := httptest.NewServer(fleetpb.NewSlotsServer(earlierOwner{}))
+	t.Cleanup(srv.Close)
+	store.mu.Lock()
+	store.member = srv.Listener.Addr().String()
+	store.mu.Unlock()
+	c.setOwnership(&ownership{generation: 1, owners: []string{store.member}})
+	most, _ := admitAll([]*Cluster{c}, instance, time.Second)
+	require.LessOrEqual(t, most, int(maxColdAdmissions)/12+1)
+}
+
+// Guards against hosts that keep to their share although an owner of the current code has admitted the request.
+func TestOwnerConfirmsThatItHasReadColdUpstream(t *testing.T) {
+	c, _ := newTestCluster(t)
+	join(t, c)
+	awaitAdmission := func(ask func() (*fleetpb.AdmitReply, error)) {
+		for deadline := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+			require.True(t, time.Now().Before(deadline), "no request was admitted")
+			reply, err := ask()
+			require.NoError(t, err)
+			require.Positive(t, reply.RetryMillis)
+			if reply.Allowed > 0 {
+				return
+			}
+		}
+	}
+	for _, cold := range []*fleetpb.ColdUpstream{
+		{Upstream: "cold", Incarnation: 1, RemainingMillis: 3000, Rate: 24}, {Upstream: "cold until now", Incarnation: 1, Rate: 24},
+	} {
+		awaitAdmission(func() (*fleetpb.AdmitReply, error) {
+			return (&slotServer{cluster: c}).AdmitToUpstream(t.Context(), &fleetpb.AdmitToUpstreamRequest{Cold: cold})
+		})
+	}
+}
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -174,8 +175,25 @@
 	if a.isCold {
 		req.Cold = encodeColdUpstream(now, a.cold)
 	}
+	reply, err := c.peerClient(member).AdmitToUpstream(ctx, req)
+	if err == nil && a.isCold && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.RetryMillis == 0 {
+		return nil, errColdIgnored
+	}
+
+	return reply, err
+}
+
+// errColdIgnored is the result of an admission by an owner that has not read that the upstream is cold. Hosts of commit 392e86d admit
+// every request to an upstream without a limit.
+var errColdIgnored = errors.New("the owner does not know cold upstreams")
 
-	return c.peerClient(member).AdmitToUpstream(ctx, req)
+// confirmCold marks the reply to a request that names a cold upstream by a retry time, which an admission otherwise lacks.
+func confirmCold(req *fleetpb.AdmitToUpstreamRequest, reply *fleetpb.AdmitReply) *fleetpb.AdmitReply {
+	if req.Cold != nil {
+		reply.RetryMillis = max(1, reply.RetryMillis)
+	}
+
+	return reply
 }
 
 // recordLimitReply applies the owner's reply. An upstream whose limit is used up is not asked for before it has room again.
@@ -252,10 +270,10 @@
 		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
 	if !a.isLimited && !a.isCold {
-		return &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: 1}, nil
+		return confirmCold(req, &fleetpb.AdmitReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Allowed: 1}), nil
 	}
 
-	return s.admitToUpstream(now, upstream, a), nil
+	return confirmCold(req, s.admitToUpstream(now, upstream, a)), nil
 }
 
 // admitToUpstream admits a request from the bucket of an upstream. The caller holds the lock.
