--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -205,7 +205,7 @@
 	p.handleEvictions(now, heartbeat.Evicted)
 	sender.isEvicted, sender.hasBeenMember = false, heartbeat.Member
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
-	sender.storeRespondedAt = now.Add(-time.Duration(heartbeat.StoreAgeMillis) * time.Millisecond)
+	sender.storeRespondedAt = reportedTime(now, heartbeat.StoreAgeMillis)
 	sender.isPartitioned = heartbeat.Partitioned
 	p.cluster.workspaces.recordReport(now, heartbeat)
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
@@ -214,7 +214,7 @@
 		p.work.SetPeer(now, id.Host(heartbeat.Host), decodeLoads(heartbeat.Loads))
 	}
 	for _, load := range heartbeat.Loads {
-		sender.runningRequests[id.Upstream(load.Upstream)] = int(load.Running)
+		sender.runningRequests[id.Upstream(load.Upstream)] = int(max(0, load.Running))
 		if score := min(load.Errors, maxPeerErrorScore); score > 0 {
 			if sender.upstreamErrors == nil {
 				sender.upstreamErrors = make(map[id.Upstream]float64)
--- a/io/cluster/leaving.go
+++ b/io/cluster/leaving.go
@@ -33,7 +33,7 @@
 func (c *Cluster) recordPeerLeaving(now time.Time, reported *fleetpb.LeavingUpstream) {
 	announcement := leaving.Announcement{
 		Process:    leaving.Process{Upstream: id.Upstream(reported.Upstream), Incarnation: reported.Incarnation},
-		ReceivedAt: now.Add(-time.Duration(max(0, reported.AgeMillis)) * time.Millisecond),
+		ReceivedAt: reportedTime(now, reported.AgeMillis),
 	}
 	c.recordLeaving(announcement.Process, "peer", func(now time.Time) bool { return c.leaving.index.RecordReported(now, announcement) })
 }
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -309,7 +309,7 @@
 
 func decodeUpstreamLimit(now time.Time, limit *fleetpb.UpstreamLimit) upstreamlimit.Statement {
 	return upstreamlimit.Statement{
-		Upstream: id.Upstream(limit.GetUpstream()), Incarnation: limit.GetIncarnation(), IsLimited: limit.GetLimited(), Rate: limit.GetRate(),
-		ReceivedAt: now.Add(-time.Duration(limit.GetAgeMillis()) * time.Millisecond),
+		Upstream: id.Upstream(limit.GetUpstream()), Incarnation: limit.GetIncarnation(), IsLimited: limit.GetLimited(), Rate: reportedRate(limit.GetRate()),
+		ReceivedAt: reportedTime(now, limit.GetAgeMillis()),
 	}
 }
--- a/io/cluster/work.go
+++ b/io/cluster/work.go
@@ -59,7 +59,7 @@
 	decoded := make(map[id.Upstream]workleft.Load, len(loads))
 	for _, load := range loads {
 		decoded[id.Upstream(load.Upstream)] = workleft.Load{
-			Running: int(load.Running), WorkMillis: float64(max(0, load.WorkMillis)), ReservedTokens: id.Tokens(max(0, load.ReservedTokens)),
+			Running: int(max(0, load.Running)), WorkMillis: float64(max(0, load.WorkMillis)), ReservedTokens: reportedTokens(load.ReservedTokens),
 		}
 	}
 
--- a/io/cluster/workspaceload.go
+++ b/io/cluster/workspaceload.go
@@ -225,7 +225,7 @@
 		report.running[workspaceService{id.Workspace(load.Workspace), id.Service(load.Service)}] += max(0, int(load.Running))
 	}
 	for _, demand := range heartbeat.Demands {
-		report.startsPerSecond[id.Service(demand.Service)] = max(0, demand.Admitted) + max(0, demand.Refused)
+		report.startsPerSecond[id.Service(demand.Service)] = reportedRate(demand.Admitted) + reportedRate(demand.Refused)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
