Test the partition metric with upstreams of two services

Cause: the test cut all links of a host and sent it orders for 1.5 s. Where the choice of an upstream kept to one of the two, only that upstream's path was tried: it was relayed and every order was served, but one failing path is no partition by docs/decisions/partial-partitions.md, since the upstream itself may be unreachable. The metric was right, the test was not. In the trace of a failing run all orders after the cut went to one address, and no other was dialed.

Change: the test takes one of the two upstreams of the orders away, so that only one path can fail, and requires 0; then it sends streams to another service as well and requires 1.

--- a/io/gatewayhost/partition_test.go
+++ b/io/gatewayhost/partition_test.go
@@ -216,15 +216,23 @@
 	}
 }
 
+// Requests of one kind may all go to one upstream, whose failing path shows no partition: the upstream itself may be unreachable.
 func TestMetricsShowPartitionAndRelayedConnections(t *testing.T) {
 	t.Parallel()
 	c := newTestCluster(t, 2, func(c *testCluster, _ *platform.HostSettings) { c.servesMetrics = true })
+	c.plainUpstreams[0].Deregister(c.store)
+	time.Sleep(registrationDelay)
 	require.Contains(t, c.metrics("host-0"), "upstreams-partitioned 0\n")
 	c.partition((*netsim.Network).CutLink, c.allUpstreams(), "host-0")
 	c.sendToHost("host-0", time.Second, newOrder)
 	c.requireServed(500*time.Millisecond, newOrder, "host-0")
+	require.Contains(t, c.metrics("host-0"), "upstreams-partitioned 0\n", "the path to one upstream fails")
+	require.Regexp(t, "relayed-conns [1-9]", c.metrics("host-1"))
+	c.sendToHost("host-0", time.Second, newDraft)
+	c.requireServed(500*time.Millisecond, newDraft, "host-0")
 	require.Contains(t, c.metrics("host-0"), "upstreams-partitioned 1\n")
 	require.Regexp(t, "relayed-conns [1-9]", c.metrics("host-1"))
+	c.requireServed(500*time.Millisecond, newOrder, "host-0")
 }
 
 // startRequest sends a request to host-0 and returns once an upstream runs it; the channel is closed when it has ended.
