Do not send a call whose program ended before its intent

Cause: TestNonIdempotentCallsRunAtMostOnce ends a program at one host and calls a service for it at another. The owner of the call's key may not have read the end from the log yet; it checked the program when the call arrived, wrote the intent behind the end, and sent the call. It ran once, so at most once held, but a call of an ended program was to be refused. The test repeated it until it was refused and dereferenced the nil error of the success: both were wrong.

Change: when a host has read the intent it has read all that precedes it, so it looks the program up again before it sends, refuses the call as not executed, and frees the key with a not-run outcome. Idempotent calls have no intent and are sent as before. The test requires the refusal at each host at once, and that the call has not run.

--- a/io/executor/atmostonce.go
+++ b/io/executor/atmostonce.go
@@ -282,12 +282,29 @@
 	return ok && call.Epoch == epoch && call.Outcome == nil
 }
 
+// refusalBeforeSend returns why a call is not to be sent under its intent: its caller has disconnected, or its program has ended. This
+// host has read the log up to the intent, and may not have read the end of the program when it received the call.
+func (e *Executor) refusalBeforeSend(ctx context.Context, req *peerpb.CallServiceRequest) error {
+	if ctx.Err() != nil {
+		return cancelledBeforeSendError()
+	}
+	if req.GetProgram() == "" {
+		return nil
+	}
+	// The program was known when the call was received; one whose state has to be read again is not refused.
+	if isKnown, err := e.checkProgramOpen(req); isKnown {
+		return err
+	}
+
+	return nil
+}
+
 // sendOnce sends the call of an intent. Another upstream is tried only if no part of the request has reached the first.
 func (e *Executor) sendOnce(
 	ctx context.Context, fence slotFence, svc *settings.Service, req *peerpb.CallServiceRequest, call projection.Call, inflight *inflightCall,
 ) {
-	if ctx.Err() != nil {
-		inflight.finish(nil, cancelledBeforeSendError())
+	if err := e.refusalBeforeSend(ctx, req); err != nil {
+		inflight.finish(nil, err)
 		e.commitOutcome(fence, call, &recordpb.Outcome{NotRun: true}, nil)
 
 		return
--- a/io/executor/atmostonce_test.go
+++ b/io/executor/atmostonce_test.go
@@ -115,11 +115,12 @@
 		require.NoError(t, err)
 		_, err = s.client(0, "clerks").EndProgram(ctx, program.ID)
 		require.NoError(t, err)
-		require.Eventually(t, func() bool {
-			_, err = s.client(1, "clerks").CallService(ctx, program.ID, "bookings", "do", "late", rawJSON(jsonString("late")))
-
-			return apierror.From(err).Kind == apierror.ProgramEnded
-		}, testTimeout, 10*time.Millisecond)
+		for host := range 3 {
+			_, err = s.client(host, "clerks").CallService(ctx, program.ID, "bookings", "do", "late", rawJSON(jsonString("late")))
+			require.ErrorContains(t, err, string(apierror.ProgramEnded))
+			require.Equal(t, apierror.NotExecuted, apierror.From(err).Execution)
+		}
+		require.Zero(t, s.effectCount("bookings", jsonString("late")))
 		require.Zero(t, s.effectCount("bookings", jsonString("foreign")))
 	})
 
@@ -133,6 +134,34 @@
 	})
 }
 
+// The owner of a call's key may not have read the end of its program yet. The log holds the end before the intent of the call, which
+// its owner has read when it would send the call.
+func TestCallIsNotSentIfItsProgramEndedBeforeItsIntent(t *testing.T) {
+	const appendDelay = time.Second
+	s := startFleet(t, engine.Config{})
+	ctx := t.Context()
+	program, err := s.client(0, "clerks").OpenProgram(ctx, openRequest("ending"))
+	require.NoError(t, err)
+	_, err = s.client(1, "clerks").CallService(ctx, program.ID, "bookings", "do", "early", rawJSON(jsonString("early")))
+	require.NoError(t, err, "the owner of the keys has read of the program")
+
+	s.LogServer.Store.SetFaults(logserver.Faults{ResponseDelayMillis: appendDelay.Milliseconds()})
+	var group sync.WaitGroup
+	group.Go(func() {
+		_, err := s.client(0, "clerks").EndProgram(ctx, program.ID)
+		assert.NoError(t, err)
+	})
+	time.Sleep(appendDelay / 4)
+	_, err = s.client(1, "clerks").CallService(ctx, program.ID, "bookings", "do", "early", rawJSON(jsonString("early")))
+	require.NoError(t, err, "the program has not ended")
+	_, err = s.client(1, "clerks").CallService(ctx, program.ID, "bookings", "do", "late", rawJSON(jsonString("late")))
+	require.ErrorContains(t, err, string(apierror.ProgramEnded))
+	require.Equal(t, apierror.NotExecuted, apierror.From(err).Execution)
+	group.Wait()
+	s.LogServer.Store.SetFaults(logserver.Faults{})
+	require.Zero(t, s.effectCount("bookings", jsonString("late")))
+}
+
 func TestCallTriesNextUpstreamOnlyIfNotSent(t *testing.T) {
 	s := startFleet(t, engine.Config{})
 	ctx := t.Context()
--- a/io/executor/servicecall.go
+++ b/io/executor/servicecall.go
@@ -54,12 +54,9 @@
 	defer cancel()
 	for {
 		changed := e.Journal.Changed()
-		view, err := e.lookupProgram(req.GetCaller(), id.Program(req.GetProgram()))
-		if err == nil && (view.State != projection.ProgramOpen || view.root.State != projection.ProgramOpen) {
-			return apierror.New(apierror.ProgramEnded, "the program has ended: %s", view.EndReason)
-		}
-		if err == nil {
-			return nil
+		isKnown, err := e.checkProgramOpen(req)
+		if isKnown {
+			return err
 		}
 		// Another host may just have opened the program, and this host has not read the record yet.
 		select {
@@ -70,6 +67,19 @@
 	}
 }
 
+// checkProgramOpen returns an error unless the program named in a call is open, and whether the projection contains the program.
+func (e *Executor) checkProgramOpen(req *peerpb.CallServiceRequest) (isKnown bool, err error) {
+	view, err := e.lookupProgram(req.GetCaller(), id.Program(req.GetProgram()))
+	if err != nil {
+		return false, err
+	}
+	if view.State != projection.ProgramOpen || view.root.State != projection.ProgramOpen {
+		return true, apierror.New(apierror.ProgramEnded, "the program has ended: %s", view.EndReason)
+	}
+
+	return true, nil
+}
+
 // queryOutcome asks the upstream for the outcome of a call whose intent has no outcome in the log.
 func (e *Executor) queryOutcome(ctx context.Context, svc *settings.Service, call projection.Call) (serviceclient.Response, error) {
 	if !svc.KnowsOutcomes {
