Tell up to when registrations have been read, and read them on demand

Cause: a read of a long poll shows a registration up to 1.25 s late, and nothing said which moment a read covers. Change: Consumer.OnApplied tells the time that the applied records cover, Refresh ends the wait of a long poll, at most four times a second; exchanges tell when their connection was opened.

--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -48,6 +48,9 @@
 	// lastStoreResponse is the time of the store's last response, in nanoseconds since the Unix epoch.
 	lastStoreResponse atomic.Int64
 
+	// upstreamConsumer reads the registrations once Run has started.
+	upstreamConsumer atomic.Pointer[topicconsumer.Consumer]
+
 	mu       sync.Mutex
 	registry registry.Registry
 	history  streamorigin.History
@@ -98,6 +101,46 @@
 	return w.history.Verify(origin)
 }
 
+// ConfirmOrigin reports whether the stream of an origin is known to have begun at the recorded process, which served at connectedAt
+// if that is not zero.
+func (w *Watcher) ConfirmOrigin(origin streamorigin.Origin, connectedAt time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.history.Confirm(origin, connectedAt)
+}
+
+// HasReadSince reports whether the registrations of all upstreams that served at a time have been read.
+func (w *Watcher) HasReadSince(servedAt time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.history.HasReadSince(servedAt)
+}
+
+// RefreshUpstreams reads the registrations of upstreams soon instead of at the next regular read.
+func (w *Watcher) RefreshUpstreams() {
+	if consumer := w.upstreamConsumer.Load(); consumer != nil {
+		consumer.Refresh()
+	}
+}
+
+// IsReading reports whether the registrations of upstreams are being read.
+func (w *Watcher) IsReading() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.history.IsRead(w.Now())
+}
+
+// HasSoleVersion reports whether no other version of a service is known to have been registered within a period.
+func (w *Watcher) HasSoleVersion(service id.Service, version id.SoftwareVersion, period time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.history.HasSoleVersion(w.Now(), service, version, period)
+}
+
 // GetUpstream returns a registered upstream, and false if it is not registered.
 func (w *Watcher) GetUpstream(upstream id.Upstream) (*registry.Instance, bool) {
 	w.mu.Lock()
@@ -136,7 +179,9 @@
 	upstreamConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
 		ReadPause: upstreamReadPause, ScalePause: w.ScalePause, ApplyRecord: w.applyUpstream, OnListed: w.removeUnlistedUpstreams, OnResponse: w.recordResponseAfterOutage,
+		OnApplied: w.recordApplied,
 	}
+	w.upstreamConsumer.Store(upstreamConsumer)
 	var tasks sync.WaitGroup
 	tasks.Go(func() { configurationConsumer.Run(ctx) })
 	tasks.Go(func() { upstreamConsumer.Run(ctx) })
@@ -262,5 +307,12 @@
 	if outage == 0 {
 		return
 	}
+	w.history.RecordOutageEnd(w.Now())
 	w.registry.DeferRemovals(w.Now())
 }
+
+func (w *Watcher) recordApplied(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.history.RecordApplied(until)
+}
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,10 +45,69 @@
 	// OnResponse is called when the store responds, with the duration of the outage that has ended, or zero if there was
 	// none; it may be nil.
 	OnResponse func(outage time.Duration)
+	// OnApplied is called with the time up to which all records that were written have been applied; it may be nil.
+	OnApplied func(until time.Time)
 
 	nextOffset  int64
 	isListed    bool
 	failedSince time.Time
+
+	refreshMu sync.Mutex
+	// endWait ends the long-poll wait or the pause in progress; nil if there is none.
+	endWait     context.CancelFunc
+	refreshedAt time.Time
+	// isRefreshing is set from a refresh until its read begins.
+	isRefreshing bool
+}
+
+// minRefreshInterval separates the refreshes, so that they read no more often than consumers with a pause do.
+const minRefreshInterval = 250 * time.Millisecond
+
+// Refresh reads the partition now instead of after the long-poll wait or the pause in progress. It does nothing while the store fails,
+// or soon after another refresh.
+func (c *Consumer) Refresh() {
+	c.refreshMu.Lock()
+	defer c.refreshMu.Unlock()
+	now := c.Now()
+	if c.endWait == nil || now.Sub(c.refreshedAt) < minRefreshInterval {
+		return
+	}
+	c.refreshedAt, c.isRefreshing = now, true
+	c.endWait()
+	c.endWait = nil
+}
+
+// beginWait returns a context that a refresh ends; end must be called after the wait.
+func (c *Consumer) beginWait(ctx context.Context) (waitCtx context.Context, end func()) {
+	waitCtx, cancel := context.WithCancel(ctx)
+	c.refreshMu.Lock()
+	defer c.refreshMu.Unlock()
+	c.endWait = cancel
+
+	return waitCtx, func() {
+		c.refreshMu.Lock()
+		defer c.refreshMu.Unlock()
+		c.endWait = nil
+		cancel()
+	}
+}
+
+// takeRefresh reports whether the next read is a refresh, which does not wait for records.
+func (c *Consumer) takeRefresh() bool {
+	c.refreshMu.Lock()
+	defer c.refreshMu.Unlock()
+	isRefreshing := c.isRefreshing
+	c.isRefreshing = false
+
+	return isRefreshing
+}
+
+// isInterrupted reports whether a refresh has ended the wait of a read.
+func (c *Consumer) isInterrupted() bool {
+	c.refreshMu.Lock()
+	defer c.refreshMu.Unlock()
+
+	return c.isRefreshing
 }
 
 // Run consumes the partition until ctx ends.
@@ -67,10 +127,20 @@
 		if c.ScalePause != nil {
 			pause = c.ScalePause(pause)
 		}
-		SleepContext(ctx, pause)
+		c.pause(ctx, pause)
 	}
 }
 
+// pause separates two reads, unless a refresh ends it.
+func (c *Consumer) pause(ctx context.Context, duration time.Duration) {
+	if c.isInterrupted() {
+		return
+	}
+	waitCtx, end := c.beginWait(ctx)
+	defer end()
+	SleepContext(waitCtx, duration)
+}
+
 // listOrRead lists the partition if that is due, else reads its next records. If the next offset has expired from the store,
 // the partition is listed again.
 func (c *Consumer) listOrRead(ctx context.Context) error {
@@ -78,9 +148,19 @@
 		return c.listPartition(ctx)
 	}
 	wait := c.nextWait()
-	ctx, cancel := context.WithTimeout(ctx, wait+longPollMargin)
+	startedAt := c.Now()
+	readCtx, cancel := context.WithTimeout(ctx, wait+longPollMargin)
 	defer cancel()
-	page, err := c.Store.Read(ctx, c.Partition, c.nextOffset, wait)
+	if wait > 0 {
+		// A read that does not wait is not interrupted: refreshes would keep a slow store from ever responding.
+		waitCtx, end := c.beginWait(readCtx)
+		defer end()
+		readCtx = waitCtx
+	}
+	page, err := c.Store.Read(readCtx, c.Partition, c.nextOffset, wait)
+	if err != nil && c.isInterrupted() {
+		return nil
+	}
 	if errorx.IsOfType(err, platform.ErrExpired) {
 		c.isListed = false
 
@@ -94,15 +174,27 @@
 		c.ApplyRecord(record)
 	}
 	c.nextOffset = page.NextOffset
+	if len(page.Records) == 0 && c.Now().Sub(startedAt) >= wait {
+		// The store has held the read open and had no record until then.
+		startedAt = startedAt.Add(wait)
+	}
+	c.recordApplied(startedAt)
 
 	return nil
 }
 
+func (c *Consumer) recordApplied(until time.Time) {
+	if c.OnApplied != nil {
+		c.OnApplied(until)
+	}
+}
+
 // nextWait returns how long the store may hold the next read open. After a failure it is zero, so that the end of an outage is
 // noticed soon.
 func (c *Consumer) nextWait() time.Duration {
+	isRefresh := c.takeRefresh()
 	switch {
-	case !c.failedSince.IsZero():
+	case isRefresh || !c.failedSince.IsZero():
 		return 0
 	case c.LongPoll > 0:
 		return c.LongPoll
@@ -113,6 +205,7 @@
 
 // listPartition applies the newest record of each key; it ignores a listing that is older than the records already read.
 func (c *Consumer) listPartition(ctx context.Context) error {
+	startedAt := c.Now()
 	records, endOffset, err := c.Store.ListNewestRecords(ctx, c.Partition, listPageTimeout)
 	if err != nil {
 		return err
@@ -132,6 +225,7 @@
 		c.OnListed(keys)
 	}
 	c.nextOffset, c.isListed = endOffset, true
+	c.recordApplied(startedAt)
 
 	return nil
 }
--- a/io/upstreamclient/client.go
+++ b/io/upstreamclient/client.go
@@ -120,6 +120,7 @@
 	c.DialCount++
 
 	established := newConn(result.conn, address, result.relay)
+	established.openedAt = c.now()
 	established.counter = counter
 	established.source.counter = counter
 
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -21,6 +21,7 @@
 	counter   *traffic.Counter
 	source    *limitedReader
 	reader    *bufio.Reader
+	openedAt  time.Time
 	expiresAt time.Time
 	reused    bool
 }
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -129,6 +129,9 @@
 // RecordProgress restarts the silence timeout, since the upstream has sent data.
 func (x *Exchange) RecordProgress() { x.watchdog.recordProgress() }
 
+// ConnectedAt returns when the connection to the upstream had been opened.
+func (x *Exchange) ConnectedAt() time.Time { return x.conn.openedAt }
+
 // ErrorType returns the type for errors of this exchange: ErrUnreachable if the watchdog has expired, else
 // ErrResponseLost.
 func (x *Exchange) ErrorType() *errorx.Type {
