Pass on whether the origin of a stream is confirmed

Cause: a host that resumes the stream of another one cannot tell whether that knew the process where the stream began. Change: StreamOrigin has the field confirmed (7), which earlier hosts ignore and leave unset; keepers confirm by their own reads. Result: TestKeeperConfirmsOriginByItsOwnReads passes, and fails without the assignment of IsConfirmed in FindStream, that of ObservedAt in storeStreamOrigin, or Confirmed in encodeStreamOrigin.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -68,6 +68,9 @@
 	IsPartitionedFromUpstreams func() bool
 	// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host; it may be nil.
 	UpstreamErrors func() map[id.Upstream]float64
+	// ConfirmOrigin reports whether the registrations that this host has read confirm where a stream began; nil means that they do
+	// not.
+	ConfirmOrigin func(origin streamorigin.Origin) bool
 }
 
 // Cluster is this host's node of the cluster.
--- a/io/cluster/streamorigin.go
+++ b/io/cluster/streamorigin.go
@@ -96,10 +96,20 @@
 		return &fleetpb.FindStreamReply{}, nil
 	}
 
+	origin.IsConfirmed = srv.cluster.confirmsOrigin(origin)
+
 	return &fleetpb.FindStreamReply{Origin: encodeStreamOrigin(attempt, origin)}, nil
 }
 
+// confirmsOrigin reports whether this host knows that a stream began at the recorded process.
+func (c *Cluster) confirmsOrigin(origin streamorigin.Origin) bool {
+	return origin.IsConfirmed || c.ConfirmOrigin != nil && c.ConfirmOrigin(origin)
+}
+
 func (c *Cluster) storeStreamOrigin(attempt streamorigin.Attempt, origin streamorigin.Origin) {
+	if origin.ObservedAt.IsZero() {
+		origin.ObservedAt = c.Now()
+	}
 	c.streamOriginsMu.Lock()
 	defer c.streamOriginsMu.Unlock()
 	c.streamOrigins.Record(c.Now(), attempt, origin)
@@ -122,6 +132,7 @@
 	return &fleetpb.StreamOrigin{
 		Attempt: string(attempt), Service: string(origin.Service), Upstream: string(origin.Upstream),
 		Incarnation: origin.Incarnation, Version: string(origin.Version), StartedUnixMillis: origin.StartedAt.UnixMilli(),
+		Confirmed: origin.IsConfirmed,
 	}
 }
 
@@ -129,5 +140,6 @@
 	return streamorigin.Origin{
 		Service: id.Service(origin.Service), Upstream: id.Upstream(origin.Upstream), Incarnation: origin.Incarnation,
 		Version: id.SoftwareVersion(origin.Version), StartedAt: time.UnixMilli(origin.StartedUnixMillis),
+		IsConfirmed: origin.Confirmed,
 	}
 }
--- a/io/cluster/streamorigin_test.go
+++ b/io/cluster/streamorigin_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/streamorigin"
+	"cardamomward/io/fleet/fleetpb"
 )
 
 func TestStreamIsNotReportedAsUnknownWhileHostMayKnowIt(t *testing.T) {
@@ -34,3 +35,24 @@
 	setSilentPeer(time.Minute)
 	requireKnowledge(streamorigin.Unknown, "the host is forgotten")
 }
+
+func TestKeeperConfirmsOriginByItsOwnReads(t *testing.T) {
+	c, _ := newTestCluster(t)
+	origin := streamorigin.Origin{Service: "engines", Upstream: "engine-0", Incarnation: 5, Version: "v1", StartedAt: time.UnixMilli(1000)}
+	beganAt := time.Now()
+	c.storeStreamOrigin("attempt", decodeStreamOrigin(encodeStreamOrigin("attempt", origin)))
+	isConfirmed := func() bool {
+		t.Helper()
+		reply, err := (&slotServer{cluster: c}).FindStream(t.Context(), &fleetpb.FindStreamRequest{Attempt: "attempt"})
+		require.NoError(t, err)
+
+		return decodeStreamOrigin(reply.Origin).IsConfirmed
+	}
+	require.False(t, isConfirmed())
+	c.ConfirmOrigin = func(found streamorigin.Origin) bool { return !found.ObservedAt.Before(beganAt) }
+	require.True(t, isConfirmed(), "the keeper has read the registrations since it learned of the origin")
+	c.ConfirmOrigin = nil
+	origin.IsConfirmed = true
+	c.storeStreamOrigin("attempt", decodeStreamOrigin(encodeStreamOrigin("attempt", origin)))
+	require.True(t, isConfirmed(), "the host that began the stream has confirmed it")
+}
