Do not resume streams at upstreams whose process is not certain

Change: before a resumption the host asks the candidate for its report, and the upstream of the origin if nobody has confirmed it; io/upstreamreport calls, the stand-in serves /report. Else the next candidate is tried, or the answer is 503 with Retry-After.

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -15,6 +15,7 @@
 	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
 	"cardamomward/core/routing"
+	"cardamomward/core/streamorigin"
 	"cardamomward/core/traffic"
 	"cardamomward/io/cluster"
 	"cardamomward/io/discovery"
@@ -23,6 +24,7 @@
 	"cardamomward/io/reverseproxy"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/io/upstreamclient"
+	"cardamomward/io/upstreamreport"
 	"cardamomward/platform"
 )
 
@@ -81,6 +83,7 @@
 	h.cluster = cluster.New(cluster.Options{
 		Settings: settings, Store: store, Logger: logger, Now: now, Traffic: &h.traffic,
 		LastStoreResponse: h.discovery.LastStoreResponse, RecordStoreResponse: h.discovery.RecordStoreResponse,
+		ConfirmOrigin:              func(origin streamorigin.Origin) bool { return h.discovery.ConfirmOrigin(origin, time.Time{}) },
 		HasConfig:                  func() bool { return h.discovery.Config() != nil },
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 		UpstreamErrors:             func() map[id.Upstream]float64 { return h.proxy.UpstreamErrors() },
@@ -96,6 +99,7 @@
 	h.proxy = &reverseproxy.Proxy{
 		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
+		Reports:   &upstreamreport.Reader{Client: h.upstreamClient, Now: now},
 		Shutdowns: h.cluster, FailureDomain: settings.FailureDomain, Work: h.cluster,
 	}
 
--- a/io/reverseproxy/origin.go
+++ b/io/reverseproxy/origin.go
@@ -36,6 +36,7 @@
 	case streamorigin.Known:
 	}
 	req.origin = &origin
+	req.resumption.arrivedAt = req.startedAt
 	if service, listed := req.config.Services[origin.Service]; listed && req.route.HasService(origin.Service) {
 		req.service = service
 	}
@@ -65,14 +66,16 @@
 }
 
 // recordOrigin records where the request's stream begins, before its first event is forwarded.
-func (p *Proxy) recordOrigin(req *proxiedRequest, instance *registry.Instance) {
+func (p *Proxy) recordOrigin(req *proxiedRequest, sent *sentRequest) {
 	if req.origin != nil || !req.isResumable() {
 		return
 	}
+	instance, now := sent.instance, p.Now()
 	req.origin = &streamorigin.Origin{
 		Service: instance.Service, Upstream: instance.ID, Incarnation: instance.Incarnation, Version: instance.Version,
-		StartedAt: p.Now(),
+		StartedAt: now, ObservedAt: now,
 	}
+	req.origin.IsConfirmed = p.Discovery.ConfirmOrigin(*req.origin, sent.ConnectedAt())
 	p.Streams.RecordStreamOrigin(streamorigin.Attempt(req.ID), *req.origin)
 }
 
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -39,6 +39,17 @@
 	SoleVersion(service id.Service, period time.Duration) (id.SoftwareVersion, streamorigin.Knowledge)
 	// VerifyOrigin reports whether the registrations confirm the version of a stream's origin.
 	VerifyOrigin(origin streamorigin.Origin) streamorigin.Knowledge
+	// ConfirmOrigin reports whether a stream is known to have begun at the recorded process, which served at connectedAt if that is
+	// not zero.
+	ConfirmOrigin(origin streamorigin.Origin, connectedAt time.Time) bool
+	// HasReadSince reports whether the registrations of all upstreams that served at a time have been read.
+	HasReadSince(servedAt time.Time) bool
+	// IsReading reports whether the registrations are being read, so that HasReadSince may soon be true.
+	IsReading() bool
+	// RefreshUpstreams reads the registrations soon instead of at the next regular read.
+	RefreshUpstreams()
+	// HasSoleVersion reports whether no other version of a service is known to have been registered within a period.
+	HasSoleVersion(service id.Service, version id.SoftwareVersion, period time.Duration) bool
 	// GetUpstream returns a registered upstream, and false if it is not registered.
 	GetUpstream(upstream id.Upstream) (*registry.Instance, bool)
 }
@@ -180,6 +191,7 @@
 type Proxy struct {
 	Discovery      Discovery
 	UpstreamClient *upstreamclient.Client
+	Reports        ReportReader
 	RateLimiter    RateLimiter
 	Turns          TurnService
 	Crashes        CrashTracker
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -54,7 +54,8 @@
 	output            []byte
 	lastSentEventID   string
 	// origin is where the stream began; nil before its first event. Only upstreams of that version may continue it.
-	origin *streamorigin.Origin
+	origin     *streamorigin.Origin
+	resumption resumption
 	// firstEventAt is when the first event of the current attempt arrived, and tokensAtFirstEvent the output tokens up to
 	// and including that event.
 	firstEventAt       time.Time
--- a/io/reverseproxy/send.go
+++ b/io/reverseproxy/send.go
@@ -42,7 +42,7 @@
 // none does.
 func (p *Proxy) sendWithRetries(ctx context.Context, req *proxiedRequest) (*sentRequest, *errorResponse) {
 	for {
-		instance, errResp := p.acquireUpstream(ctx, req)
+		instance, errResp := p.acquireVerifiedUpstream(ctx, req)
 		if errResp != nil {
 			return nil, errResp
 		}
@@ -81,6 +81,10 @@
 		return notExecutedResponse("evacuated", retryDelay)
 	}
 
+	if req.resumption.isUncertain {
+		return notExecutedResponse("uncertain-version", retryDelay)
+	}
+
 	return notExecutedResponse("no-upstream", retryDelay)
 }
 
@@ -123,7 +127,9 @@
 	}
 	exchange, err := p.UpstreamClient.Send(ctx, now, upstreamclient.Request{
 		Address: instance.Address, Method: req.Method, Head: head, Body: req.Body, Deadline: req.deadline, ProbeAfter: probeAfter,
-		ID: req.ID, MayWrite: func() bool { return !p.Discovery.IsEvacuated(instance.FailureDomain) },
+		ID: req.ID, MayWrite: func() bool {
+			return !p.Discovery.IsEvacuated(instance.FailureDomain) && !p.isVerificationOutdated(req)
+		},
 		ResponseID: func(status int, header http.Header) string {
 			return platform.DecodeResponseHead(status, header).RequestID
 		},
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -122,6 +122,7 @@
 	if req.origin != nil && p.Discovery.VerifyOrigin(*req.origin) != streamorigin.Known {
 		return false
 	}
+	req.resumption.arrivedAt = p.Now()
 
 	return p.shouldRetry(req, instance, retrypolicy.Lost, reason)
 }
@@ -150,7 +151,7 @@
 		if !isAfterEvent(event.ID, req.lastSentEventID) {
 			continue
 		}
-		p.recordOrigin(req, sent.instance)
+		p.recordOrigin(req, sent)
 		if writer == nil {
 			writer = p.startStream(ctx, c, sent)
 		}
--- /dev/null
+++ b/io/upstreamreport/doc.go
@@ -0,0 +1,2 @@
+// Package upstreamreport requests what upstreams report about their processes.
+package upstreamreport
