Replace a silent read of the configuration within the period to apply it

Change: the long poll is at most config_apply_ms less 1.4 s, 0.5 s at least.

Result: TestReadOfConfigurationIsReplacedWithinPeriodToApplyIt fails without the minimum in longPoll; the tests of io/discovery and platform pass with -race. Each host makes 1.7 instead of 0.3 such reads a second where the period is 2 s; the price was not measured yet.

--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -26,6 +26,11 @@
 	// read on a connection that has gone silent is replaced within 2.7 s, before the host counts as connected to the store for
 	// 3 s and must know the evacuations.
 	evacuationLongPoll = 1500 * time.Millisecond
+	// minConfigurationLongPoll bounds the calls of each host to the store.
+	minConfigurationLongPoll = 500 * time.Millisecond
+	// silentReadDelay is the time in which a read on a connection that has gone silent is replaced after its long-poll wait: the margin
+	// of the read, the retry interval and the next read.
+	silentReadDelay = 1400 * time.Millisecond
 )
 
 // Watcher keeps the newest configuration and upstream registrations that this host has read.
@@ -35,6 +40,8 @@
 	Now    func() time.Time
 	// HasEvacuations is set if the platform evacuates failure domains, which hosts must know sooner than configurations.
 	HasEvacuations bool
+	// ConfigurationApply is the period in which a configuration must take effect; zero if none is stated.
+	ConfigurationApply time.Duration
 	// ScalePause scales the pauses between reads of upstream registrations; it may be nil.
 	ScalePause func(time.Duration) time.Duration
 	// ColdStarts is told which upstreams may be cold.
@@ -188,13 +195,18 @@
 	tasks.Wait()
 }
 
-// longPoll returns the long-poll wait of reads of the configuration and the evacuations.
+// longPoll returns the long-poll wait of reads of the configuration and the evacuations. A configuration takes effect in time even if
+// the connection of a read has gone silent.
 func (w *Watcher) longPoll() time.Duration {
+	wait := configurationLongPoll
 	if w.HasEvacuations {
-		return evacuationLongPoll
+		wait = evacuationLongPoll
+	}
+	if w.ConfigurationApply > 0 {
+		wait = min(wait, max(minConfigurationLongPoll, w.ConfigurationApply-silentReadDelay))
 	}
 
-	return configurationLongPoll
+	return wait
 }
 
 // applyOperatorRecord applies a record of the operator: a configuration or an evacuation.
--- a/io/discovery/watcher_test.go
+++ b/io/discovery/watcher_test.go
@@ -98,6 +98,23 @@
 	}
 }
 
+// Guards against a configuration that takes effect late at a host whose read of it waits on a connection that has gone silent.
+func TestReadOfConfigurationIsReplacedWithinPeriodToApplyIt(t *testing.T) {
+	for name, test := range map[string]struct {
+		watcher Watcher
+		want    time.Duration
+	}{
+		"no period is stated":       {Watcher{}, 3 * time.Second},
+		"short period":              {Watcher{ConfigurationApply: 2 * time.Second}, 600 * time.Millisecond},
+		"shorter than any read":     {Watcher{ConfigurationApply: time.Second}, 500 * time.Millisecond},
+		"long period":               {Watcher{ConfigurationApply: 4 * time.Second}, 2600 * time.Millisecond},
+		"longer than the long poll": {Watcher{ConfigurationApply: time.Minute}, 3 * time.Second},
+		"evacuations":               {Watcher{ConfigurationApply: 3 * time.Second, HasEvacuations: true}, 1500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) { require.Equal(t, test.want, test.watcher.longPoll()) })
+	}
+}
+
 func TestValueOfEvacuationIsNotInterpreted(t *testing.T) {
 	now := time.Now()
 	for _, value := range []string{"{}", "null", "false", "not JSON"} {
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -78,7 +78,7 @@
 func New(settings *platform.HostSettings, logger logr.Logger, now func() time.Time) *Host {
 	h := &Host{settings: settings, gatewaySettings: &gatewaysettings.Settings{}, logger: logger, now: now, drainPeriodOver: make(chan struct{})}
 	store := platform.NewStore(settings.Store.Address)
-	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now, HasEvacuations: settings.Bounds.Evacuation > 0}
+	h.discovery = &discovery.Watcher{Store: store, Logger: logger, Now: now, HasEvacuations: settings.Bounds.Evacuation > 0, ConfigurationApply: settings.Bounds.ConfigurationApply}
 	h.upstreamClient = &upstreamclient.Client{Logger: logger, Now: now}
 	h.cluster = cluster.New(cluster.Options{
 		Settings: settings, Store: store, Logger: logger, Now: now, Traffic: &h.traffic,
