Wait in a test until the server knows that a response is written

Cause: TestCallerThatWaitsForUpstreamIsNotIdle failed in 5 of 300 runs: it moved the clock once the caller had read the response, when the server may not have noted that the write has ended, so that the caller counted as one that reads nothing. Change: the test also waits for the end of the write; what it checks is as before.

--- a/io/httpx/memory_test.go
+++ b/io/httpx/memory_test.go
@@ -212,17 +212,20 @@
 // Guards against a stream that is closed since its upstream sends nothing, though its caller has read all of it.
 func TestCallerThatWaitsForUpstreamIsNotIdle(t *testing.T) {
 	s := startMemoryServer(t)
-	release := make(chan struct{})
+	written, release := make(chan struct{}), make(chan struct{})
 	s.GET("/stream", func(_ context.Context, c *app.RequestContext) {
 		s.budget.Reserve(c.RemoteAddr().String(), memoryLimit-largeResponse/2)
 		c.GetConn().WriteBinary([]byte("HTTP/1.1 200 OK\r\n")) //nolint:errcheck // the caller sees it
 		c.GetConn().Flush()                                    //nolint:errcheck // the caller sees it
+		close(written)
 		<-release
 	})
 	conn := dial(t, s.Server)
 	send(t, conn, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n")
 	_, err := io.ReadFull(conn, make([]byte, 10))
 	require.NoError(t, err)
+	// The caller may have read the bytes before the server knows that they are written.
+	<-written
 	s.advanced.Store(int64(time.Minute))
 	require.Equal(t, http.StatusServiceUnavailable, s.get(t))
 	require.Zero(t, s.closed.Load())
