--- a/io/discovery/watcher_test.go
+++ b/io/discovery/watcher_test.go
@@ -101,17 +101,21 @@
 // Guards against a configuration that takes effect late at a host whose read of it waits on a connection that has gone silent.
 func TestReadOfConfigurationIsReplacedWithinPeriodToApplyIt(t *testing.T) {
 	for name, test := range map[string]struct {
-		watcher Watcher
-		want    time.Duration
+		apply          time.Duration
+		hasEvacuations bool
+		want           time.Duration
 	}{
-		"no period is stated":       {Watcher{}, 3 * time.Second},
-		"short period":              {Watcher{ConfigurationApply: 2 * time.Second}, 600 * time.Millisecond},
-		"shorter than any read":     {Watcher{ConfigurationApply: time.Second}, 500 * time.Millisecond},
-		"long period":               {Watcher{ConfigurationApply: 4 * time.Second}, 2600 * time.Millisecond},
-		"longer than the long poll": {Watcher{ConfigurationApply: time.Minute}, 3 * time.Second},
-		"evacuations":               {Watcher{ConfigurationApply: 3 * time.Second, HasEvacuations: true}, 1500 * time.Millisecond},
+		"no period is stated":       {want: 3 * time.Second},
+		"short period":              {apply: 2 * time.Second, want: 600 * time.Millisecond},
+		"shorter than any read":     {apply: time.Second, want: 500 * time.Millisecond},
+		"long period":               {apply: 4 * time.Second, want: 2600 * time.Millisecond},
+		"longer than the long poll": {apply: time.Minute, want: 3 * time.Second},
+		"evacuations":               {apply: 3 * time.Second, hasEvacuations: true, want: 1500 * time.Millisecond},
 	} {
-		t.Run(name, func(t *testing.T) { require.Equal(t, test.want, test.watcher.longPoll()) })
+		t.Run(name, func(t *testing.T) {
+			w := &Watcher{ConfigurationApply: test.apply, HasEvacuations: test.hasEvacuations}
+			require.Equal(t, test.want, w.longPoll())
+		})
 	}
 }
 
