--- a/core/coldstart/pace.go
+++ b/core/coldstart/pace.go
@@ -17,7 +17,7 @@
 	// maxQueueDelay bounds the delay that a refused host is told: 300 hosts ask 300 times a second for one upstream.
 	maxQueueDelay = time.Second
 
-	// arrivalWindow is how long the period of admissions is whose requests may arrive within one second: they arrive up to
+	// arrivalWindow is the length of the period, in seconds, whose admitted requests may arrive within one second: they arrive up to
 	// half a second later than they were admitted, since a connection may have to be established.
 	arrivalWindow = 1.5
 	// unreachedReserve is kept for hosts that cannot reach the owner, as a part of the owner's rate. With 24 requests a second,
@@ -43,7 +43,7 @@
 // MaxRequests returns the most requests that may reach an upstream in a second, at a rate in requests per second.
 func (t Tolerance) MaxRequests(rate float64) float64 { return math.Floor(rate*t.Overshoot + t.Slack) }
 
-// Pace is how fast requests are admitted to a cold upstream.
+// Pace holds the rates at which requests are admitted to a cold upstream.
 type Pace struct {
 	// OwnerRate is the rate, in requests per second, at which the owner of the upstream's slot admits requests of all hosts.
 	OwnerRate float64
--- a/core/retrypolicy/property_test.go
+++ b/core/retrypolicy/property_test.go
@@ -22,7 +22,7 @@
 	os.Exit(m.Run())
 }
 
-// attemptEvent is how one attempt to send a request ends.
+// attemptEvent is the end of one attempt to send a request.
 type attemptEvent string
 
 const (
@@ -72,7 +72,7 @@
 	}
 }
 
-// executionModel is what the upstreams did with one request.
+// executionModel counts the executions of one request.
 type executionModel struct {
 	sends int
 	// possible counts the attempts that may have been executed, and actual those that were.
--- a/core/streamorigin/history.go
+++ b/core/streamorigin/history.go
@@ -15,9 +15,9 @@
 	// maxReadAge is the age of the latest read of the registrations beyond which another version may serve unnoticed. On the
 	// largest clusters reads are 2.5 s apart.
 	maxReadAge = 4 * time.Second
-	// registrationDelay is how long after an upstream begins to serve its registration may be written; an append takes up to 100 ms.
+	// registrationDelay is the longest time from the start of an upstream to its registration; an append takes up to 100 ms.
 	registrationDelay = 250 * time.Millisecond
-	// registrationGrace is how long after an outage of the store upstreams may take to register; the platform's documentation states
+	// registrationGrace is the time that upstreams may take to register after an outage of the store; the platform's documentation states
 	// two seconds.
 	registrationGrace = 2 * time.Second
 )
--- a/core/streamorigin/index.go
+++ b/core/streamorigin/index.go
@@ -30,7 +30,7 @@
 	// IsConfirmed is set if the stream is known to have begun at the process of the incarnation, and not at one whose registration
 	// had not been read.
 	IsConfirmed bool
-	// ObservedAt is when this host learned of the origin, by its own clock, which is after the stream began.
+	// ObservedAt is the time at which this host learned of the origin, by its own clock, which is after the stream began.
 	ObservedAt time.Time
 }
 
--- a/core/streamorigin/report.go
+++ b/core/streamorigin/report.go
@@ -19,12 +19,12 @@
 	ReportReceived
 )
 
-// Report is what an upstream reports about its process.
+// Report is an upstream's statement about its process.
 type Report struct {
 	Kind ReportKind
 	// Incarnation is the start of the process, if the report was received.
 	Incarnation int64
-	// RequestedAt is when the report was requested.
+	// RequestedAt is the time of the request for the report.
 	RequestedAt time.Time
 }
 
@@ -81,7 +81,7 @@
 // String returns the name in logs.
 func (d Decision) String() string { return [...]string{"refuse", "try-next", "continue"}[d] }
 
-// Evidence is what is known when a stream is about to be resumed at a candidate that is registered with the stream's version.
+// Evidence holds the facts that decide whether a stream may be resumed at a candidate that is registered with the stream's version.
 type Evidence struct {
 	// Candidate is the process of the candidate compared with its registration, and Origin that of the upstream where the stream
 	// began compared with the recorded one.
--- a/io/cluster/heartbeatbytes_test.go
+++ b/io/cluster/heartbeatbytes_test.go
@@ -101,7 +101,7 @@
 	return data, heartbeat, targets
 }
 
-// heartbeatTraffic is what a host sends of heartbeats, a second.
+// heartbeatTraffic holds the heartbeats that a host sends in a second.
 type heartbeatTraffic struct {
 	datagrams, bytes float64
 	ownerLists       float64
--- a/io/cluster/releases_test.go
+++ b/io/cluster/releases_test.go
@@ -48,7 +48,7 @@
 
 var recordedMessagePattern = regexp.MustCompile(`^# proto-message: (\S+)\n`)
 
-// recordedAt is when the recordings were made according to the times of day that they contain.
+// recordedAt is the time of the recordings according to the times of day that they contain.
 var recordedAt = time.UnixMilli(1700000002000)
 
 func readRecording(t *testing.T, file string) []byte {
--- a/io/reverseproxy/property_test.go
+++ b/io/reverseproxy/property_test.go
@@ -46,7 +46,7 @@
 	os.Exit(m.Run())
 }
 
-// attemptEvent is what an upstream does with one attempt to send it the request.
+// attemptEvent is the behaviour of an upstream for one attempt to send it the request.
 type attemptEvent string
 
 const (
@@ -104,9 +104,9 @@
 // scriptedAttempt is an attempt as it is drawn, and what became of it.
 type scriptedAttempt struct {
 	event attemptEvent
-	// isExecuted is whether the upstream executes the request if it receives it.
+	// isExecuted is set if the upstream executes the request once it has received it.
 	isExecuted bool
-	// eventsBeforeCut is how many events of a stream arrive before a cut.
+	// eventsBeforeCut is the number of events of a stream that arrive before a cut.
 	eventsBeforeCut int
 	// repeatsStream is set if a resumed stream begins with its first event.
 	repeatsStream bool
@@ -375,7 +375,7 @@
 // RemoteAddr returns a fixed address.
 func (c *callerConn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.IPv4zero, Port: 1} }
 
-// callerResponse is what the caller gets.
+// callerResponse is the response as the caller receives it.
 type callerResponse struct {
 	status     int
 	isSigned   bool
@@ -432,7 +432,7 @@
 	}
 }
 
-// executionModel is what the upstreams did with the request.
+// executionModel counts the executions of the request.
 type executionModel struct {
 	// possible counts the attempts that may have been executed, possibleInLive those in processes that have not ended, and actual
 	// those that were executed.
--- a/io/reverseproxy/resumption.go
+++ b/io/reverseproxy/resumption.go
@@ -26,11 +26,11 @@
 	Read(ctx context.Context, address string, timeLeft time.Duration) streamorigin.Report
 }
 
-// resumption is what is known of the resumption of a request's stream.
+// resumption holds the state of the resumption of a request's stream.
 type resumption struct {
-	// arrivedAt is when the caller's resumption arrived, or when the stream broke that the host resumes itself.
+	// arrivedAt is the arrival time of the caller's resumption, or the time at which the stream broke that the host resumes itself.
 	arrivedAt time.Time
-	// verifiedAt is when the process of the candidate was verified.
+	// verifiedAt is the time at which the process of the candidate was verified.
 	verifiedAt time.Time
 	// isUncertain is set once an upstream was not used because its version, or that of the stream, was not certain.
 	isUncertain bool
--- a/io/upstreamreport/reader.go
+++ b/io/upstreamreport/reader.go
@@ -20,7 +20,7 @@
 	// timeoutShare is the fraction of the caller's remaining time that a request for a report may take, so that other candidates
 	// can be tried.
 	timeoutShare = 0.1
-	// sharingInterval is how long a report serves further resumptions, counted from its request.
+	// sharingInterval is the time from its request on in which a report serves further resumptions.
 	sharingInterval = 100 * time.Millisecond
 	// requestID is the id within this host of requests for reports; it is not sent.
 	requestID = "report"
