--- a/io/cluster/releases_test.go
+++ b/io/cluster/releases_test.go
@@ -362,6 +362,8 @@
 	c.receiveRecording(t, "stream-origins", recordedAt)
 	origin, ok := c.lookupStreamOrigin("attempt-1")
 	require.True(t, ok)
+	require.NotZero(t, origin.ObservedAt, "the receiver adds when it learned of the origin")
+	origin.ObservedAt = time.Time{}
 	require.Equal(t, wantOrigin, origin)
 	require.Equal(t, wantOrigin, decodeStreamOrigin(decodeRecording(t, "find-stream-reply", &fleetpb.FindStreamReply{}).Origin))
 	reply, err := (&slotServer{cluster: c}).FindStream(t.Context(), decodeRecording(t, "find-stream-request", &fleetpb.FindStreamRequest{}))
