Send a held turn only to an owner that lacks it

In an outage of the store four hosts hold each turn, and each sent it with its transcript to the owner five times a second until it was durable.

Change: a holder asks the owner by the turn's id (TurnStatus) at 0.2 to 1.6 s, and sends the turn if the owner lacks it, after a random delay so that one of several holders suffices, at most four at a time. Owners of earlier releases do not know the call and get the turn as before.

TestHeldTurnIsNotSentAgainToOwnerThatHasIt fails with pushHeldTurn in the default case; TestTurnThatOwnerLacksIsSentByFewOfItsHolders without the random delay; TestHeldTurnReachesOwnerOfEarlierRelease without isUnknownCall.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -120,7 +120,9 @@
 
 	heldMu sync.Mutex
 	// heldTurns are copies of turns that are not known to be durable, by id.
-	heldTurns         map[string]*heldTurn
+	heldTurns map[string]*heldTurn
+	// pushSlots bounds the held turns that are being sent to their owners.
+	pushSlots         chan struct{}
 	handover          turnHandover
 	programWatermarks tokenbudget.ReportedWatermarks
 
@@ -152,6 +154,7 @@
 		peerClients: make(map[string]fleetpb.Slots),
 		quotas:      make(map[id.Workspace]*workspaceQuota),
 		heldTurns:   make(map[string]*heldTurn),
+		pushSlots:   make(chan struct{}, maxConcurrentPushes),
 	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
 	c.httpClient = &http.Client{Transport: &countingTransport{cluster: c, inner: &http.Transport{
--- /dev/null
+++ b/io/cluster/heldturns_test.go
@@ -0,0 +1,142 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/twitchtv/twirp"
+
+	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/platform"
+)
+
+const testSlotOwner = "slot-owner"
+
+// countingOwner passes calls to the owner of a slot and counts the turns that it is sent.
+type countingOwner struct {
+	fleetpb.Slots
+
+	sentTurns      atomic.Int64
+	statusCalls    atomic.Int64
+	isEarlyRelease bool
+}
+
+func (o *countingOwner) EndTurn(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	o.sentTurns.Add(1)
+
+	return o.Slots.EndTurn(ctx, req)
+}
+
+func (o *countingOwner) TurnStatus(ctx context.Context, req *fleetpb.TurnStatusRequest) (*fleetpb.TurnStatusReply, error) {
+	o.statusCalls.Add(1)
+	if o.isEarlyRelease {
+		return nil, twirp.NewError(twirp.BadRoute, "no handler")
+	}
+
+	return o.Slots.TurnStatus(ctx, req)
+}
+
+// newTestHolder returns a host that reaches the slot's owner through a counter of its calls, and the store at any time.
+func newTestHolder(t *testing.T, owner *countingOwner) *Cluster {
+	t.Helper()
+	holder := newTestHost(t, &fakeStore{partitions: make(map[platform.Partition]*fakePartition)}, "127.0.0.2")
+	holder.setOwnership(&ownership{generation: 1 << 40, owners: []string{testSlotOwner}})
+	holder.peerClientsMu.Lock()
+	defer holder.peerClientsMu.Unlock()
+	holder.peerClients[testSlotOwner] = owner
+
+	return holder
+}
+
+// startOutage makes the store silent for its hosts until the returned function is called.
+func startOutage(store *fakeStore) (end func()) {
+	before := time.Now().Add(-time.Minute)
+	store.beforeAppend.set(func(platform.AppendBatch) error { return errors.New("the store is unavailable") })
+	store.lastResponseTime.set(func() time.Time { return before })
+
+	return func() {
+		store.beforeAppend.clear()
+		store.lastResponseTime.clear()
+	}
+}
+
+func holdTurn(t *testing.T, holder *Cluster, turn *fleetpb.KeptTurn) *heldTurn {
+	t.Helper()
+
+	return holder.holdUntilDurable(t.Context(), &fleetpb.EndTurnRequest{Workspace: turn.Workspace, Program: turn.Program, Kept: turn})
+}
+
+func requireSettled(t *testing.T, held *heldTurn) {
+	t.Helper()
+	select {
+	case <-held.settled:
+	case <-time.After(2 * testTimeout):
+		t.Fatal("the turn is still held")
+	}
+	require.True(t, held.isDurable)
+}
+
+// In an outage each of several holders sent the turn and its transcript to the owner five times a second, which took all bandwidth of
+// owners with slow links until long after the outage.
+func TestHeldTurnIsNotSentAgainToOwnerThatHasIt(t *testing.T) {
+	c, store := newTestCluster(t)
+	join(t, c)
+	endOutage := startOutage(store)
+	turn := newKeptTurn("first", "")
+	reply, err := (&slotServer{cluster: c}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{Workspace: turn.Workspace, Program: turn.Program, Kept: turn})
+	require.NoError(t, err)
+	require.False(t, reply.Durable)
+	owner := &countingOwner{Slots: &slotServer{cluster: c}}
+	held := holdTurn(t, newTestHolder(t, owner), turn)
+	require.Never(t, func() bool { return owner.sentTurns.Load() > 0 }, time.Second, 20*time.Millisecond)
+	require.LessOrEqual(t, owner.statusCalls.Load(), int64(6), "the interval grows")
+	endOutage()
+	requireSettled(t, held)
+	require.Zero(t, owner.sentTurns.Load())
+	require.True(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first"))
+}
+
+func TestTurnThatOwnerLacksIsSentByFewOfItsHolders(t *testing.T) {
+	const holders = 8
+	c, store := newTestCluster(t)
+	join(t, c)
+	owner := &countingOwner{Slots: &slotServer{cluster: c}}
+	turn := newKeptTurn("first", "")
+	var all []*heldTurn
+	for range holders {
+		all = append(all, holdTurn(t, newTestHolder(t, owner), turn))
+	}
+	for _, held := range all {
+		requireSettled(t, held)
+	}
+	require.Positive(t, owner.sentTurns.Load())
+	require.Less(t, owner.sentTurns.Load(), int64(holders), "a holder that has waited finds that the owner has the turn")
+	require.True(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first"))
+}
+
+func TestHeldTurnReachesOwnerOfEarlierRelease(t *testing.T) {
+	c, store := newTestCluster(t)
+	join(t, c)
+	owner := &countingOwner{Slots: &slotServer{cluster: c}, isEarlyRelease: true}
+	requireSettled(t, holdTurn(t, newTestHolder(t, owner), newKeptTurn("first", "")))
+	require.EqualValues(t, 1, owner.sentTurns.Load())
+	require.True(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first"))
+}
+
+// A copy may come without its transcript first.
+func TestHeldTurnIsSentWithTranscriptThatCameLater(t *testing.T) {
+	c, _ := newTestCluster(t)
+	join(t, c)
+	owner := &countingOwner{Slots: &slotServer{cluster: c}}
+	holder := newTestHolder(t, owner)
+	turn := newKeptTurn("second", "first")
+	held := holdTurn(t, holder, turn)
+	whole := newKeptTurn("second", "first")
+	whole.Base = []byte("first;done\n")
+	require.Same(t, held, holdTurn(t, holder, whole))
+	requireSettled(t, held)
+}
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -140,14 +140,6 @@
 	}
 }
 
-// heldTurn is a copy of a turn that is not known to be durable.
-type heldTurn struct {
-	turn *fleetpb.KeptTurn
-	// settled is closed when the host stops holding the turn; isDurable is set before if the turn is durable then.
-	settled   chan struct{}
-	isDurable bool
-}
-
 // errDraining is the response to a copy that would be lost soon.
 var errDraining = twirp.NewError(twirp.Unavailable, "the host is draining")
 
@@ -191,28 +183,3 @@
 
 	return holders
 }
-
-// holdUntilDurable holds a turn in memory and sends it to the owner until it is durable or settleTimeout has passed.
-func (c *Cluster) holdUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) *heldTurn {
-	c.heldMu.Lock()
-	defer c.heldMu.Unlock()
-	if held, ok := c.heldTurns[req.Kept.Id]; ok {
-		if len(req.Kept.Base) > 0 || len(held.turn.Base) == 0 {
-			held.turn = req.Kept
-		}
-
-		return held
-	}
-	held := &heldTurn{turn: req.Kept, settled: make(chan struct{})}
-	c.heldTurns[req.Kept.Id] = held
-	go func() {
-		isDurable := c.settleUntilDurable(ctx, req)
-		c.heldMu.Lock()
-		defer c.heldMu.Unlock()
-		delete(c.heldTurns, req.Kept.Id)
-		held.isDurable = isDurable
-		close(held.settled)
-	}()
-
-	return held
-}
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -228,8 +228,13 @@
 // storeTurnDurably stores a turn and waits until it is durable or cannot become so because the store is down. The
 // caller holds the lock, which is released while it waits.
 func (s *slot) storeTurnDurably(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
+	return s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
+}
+
+// awaitDurable waits until a stored turn is durable or cannot become so because the store is down. The caller holds the lock, which
+// is released while it waits.
+func (s *slot) awaitDurable(ctx context.Context, durable <-chan struct{}) *fleetpb.EndTurnReply {
 	now := s.cluster.Now()
-	durable := s.storeTurn(now, kept)
 	for waitDeadline := now.Add(maxDurableWait); ; s.awaitChange(ctx, outageCheckInterval) {
 		select {
 		case <-durable:
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -271,15 +271,14 @@
 	return member, reply, err
 }
 
-// settleUntilDurable retries an EndTurn call until the owner has accepted it and a retained turn is durable, for up to
-// settleTimeout, and reports success.
-func (c *Cluster) settleUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) bool {
+// settleUntilDurable retries an EndTurn call until the owner has accepted it, for up to settleTimeout.
+func (c *Cluster) settleUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
 		_, reply, err := c.tryEndTurn(ctx, req)
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
-			return true
+			return
 		}
 		if err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER {
 			c.requestOwnersRefresh()
@@ -287,6 +286,4 @@
 		topicconsumer.SleepContext(ctx, settleRetryInterval)
 	}
 	c.Logger.Info("settlement-given-up", "program", req.Program, "attempt", req.Attempt, "tokens", req.Tokens)
-
-	return false
 }
