Fetch each held turn from one of its holders when a slot's owner changes

Cause: a new owner asked all hosts for what they remember of its slot, and each of the four holders of a turn replied with it and its transcript. An owner without these replies knows neither the counts of programs nor the turns.

Change: the hosts reply with the ids of the turns (by_id of RecallRequest), and the owner fetches those that the store lacks, each from one host. Owners and hosts of earlier releases send and get the turns as before.

Result: TestNewOwnerFetchesHeldTurnFromOneOfItsHolders fails without ById (4 turns are sent) and without the fetch. Tests of io/cluster pass with -race.

--- a/io/cluster/heldturns_test.go
+++ b/io/cluster/heldturns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/twitchtv/twirp"
 
 	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/reverseproxy"
 	"cardamomward/platform"
 )
 
@@ -140,3 +142,41 @@
 	require.Same(t, held, holdTurn(t, holder, whole))
 	requireSettled(t, held)
 }
+
+// recallingHolder passes calls to a holder and counts the turns that it sends.
+type recallingHolder struct {
+	fleetpb.Slots
+
+	sentTurns atomic.Int64
+}
+
+func (h *recallingHolder) Recall(ctx context.Context, req *fleetpb.RecallRequest) (*fleetpb.RecallReply, error) {
+	reply, err := h.Slots.Recall(ctx, req)
+	h.sentTurns.Add(int64(len(reply.GetTurns())))
+
+	return reply, err
+}
+
+// Each holder of a turn sent it to a new owner, whose link was busy for longer than it waits.
+func TestNewOwnerFetchesHeldTurnFromOneOfItsHolders(t *testing.T) {
+	c, store := newTestCluster(t)
+	var holders []*recallingHolder
+	for i := range 4 {
+		member := fmt.Sprintf("127.0.0.%d:7780", 2+i)
+		holder := newTestHost(t, store, "127.0.0.2")
+		holder.isStopped.Store(true) // It holds the turn without calling the owner.
+		holder.heldTurns["first"] = &heldTurn{turn: newKeptTurn("first", "")}
+		recalling := &recallingHolder{Slots: &slotServer{cluster: holder}}
+		holders = append(holders, recalling)
+		c.peers.addSilentPeer(member, time.Now())
+		c.peerClients[member] = recalling
+	}
+	join(t, c)
+	require.Equal(t, reverseproxy.TurnAllowed, c.BeginTurn(t.Context(), newTurn("second", "first")).Status)
+	sent := int64(0)
+	for _, holder := range holders {
+		sent += holder.sentTurns.Load()
+	}
+	require.EqualValues(t, 1, sent)
+	require.Eventually(t, func() bool { return store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first") }, testTimeout, 20*time.Millisecond)
+}
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -35,8 +35,12 @@
 			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(count.Tokens), Durable: int64(count.Durable)})
 		}
 	}
-	for _, held := range c.heldTurns {
-		if c.hashSlot(held.turn.Program) == int(req.Slot) {
+	for turn, held := range c.heldTurns {
+		switch {
+		case c.hashSlot(held.turn.Program) != int(req.Slot):
+		case req.ById:
+			reply.TurnIds = append(reply.TurnIds, turn)
+		case len(req.Turns) == 0 || slices.Contains(req.Turns, turn):
 			reply.Turns = append(reply.Turns, held.turn)
 		}
 	}
@@ -91,27 +95,51 @@
 	return now.Add(-time.Duration(ages[(len(ages)-1)/2]) * time.Millisecond)
 }
 
-// collectInMemoryState collects the state of a slot that all hosts have in memory. The entry of a host that does not
-// respond within stateTransferTimeout is nil.
-func (c *Cluster) collectInMemoryState(ctx context.Context, slot int) []*fleetpb.RecallReply {
+// inMemoryState is the state of a slot that hosts have in memory: the reply of each member, or nil if there was none in time.
+type inMemoryState struct {
+	members []string
+	replies []*fleetpb.RecallReply
+}
+
+// collectInMemoryState collects the state of a slot that all hosts have in memory, with the ids of the turns that they hold. It waits
+// for stateTransferTimeout at most.
+func (c *Cluster) collectInMemoryState(ctx context.Context, slot int) inMemoryState {
 	select {
 	case <-ctx.Done():
 	case <-c.peers.hostListRead:
 	}
+	members := append(c.peers.livePeers(c.Now()), c.self)
+	requests := make(map[string]*fleetpb.RecallRequest, len(members))
+	for _, member := range members {
+		requests[member] = &fleetpb.RecallRequest{Slot: int32(slot), ById: true}
+	}
+	replies := c.recall(ctx, requests)
+	state := inMemoryState{members: members}
+	for _, member := range members {
+		state.replies = append(state.replies, replies[member])
+	}
+
+	return state
+}
+
+// recall calls members at the same time, and returns the replies that arrive within stateTransferTimeout.
+func (c *Cluster) recall(ctx context.Context, requests map[string]*fleetpb.RecallRequest) map[string]*fleetpb.RecallReply {
 	ctx, cancel := context.WithTimeout(ctx, stateTransferTimeout)
 	defer cancel()
-	members := append(c.peers.livePeers(c.Now()), c.self)
-	replies := make([]*fleetpb.RecallReply, len(members))
+	var mu sync.Mutex
+	replies := make(map[string]*fleetpb.RecallReply, len(requests))
 	var wg sync.WaitGroup
-	for i, member := range members {
+	for member, req := range requests {
 		wg.Go(func() {
-			reply, err := c.peerClient(member).Recall(ctx, &fleetpb.RecallRequest{Slot: int32(slot)})
+			reply, err := c.peerClient(member).Recall(ctx, req)
 			if err != nil {
-				c.Logger.Info("recall-failed", "slot", slot, "peer", member, "error", err)
+				c.Logger.Info("recall-failed", "slot", req.Slot, "peer", member, "error", err)
 
 				return
 			}
-			replies[i] = reply
+			mu.Lock()
+			defer mu.Unlock()
+			replies[member] = reply
 		})
 	}
 	wg.Wait()
@@ -119,8 +147,38 @@
 	return replies
 }
 
+// fetchHeldTurns returns the held turns that are not known, each from one of its holders: four hosts hold each turn of an outage,
+// and a link of 30 Mbit/s takes seconds for all copies. Holders send what is not fetched in time once they find it missing.
+func (c *Cluster) fetchHeldTurns(ctx context.Context, slot int, state inMemoryState, known map[string]struct{}) []*fleetpb.KeptTurn {
+	requests := make(map[string]*fleetpb.RecallRequest)
+	requested := make(map[string]struct{})
+	var turns []*fleetpb.KeptTurn
+	for _, i := range rand.Perm(len(state.members)) {
+		// Hosts of earlier releases reply with the turns themselves.
+		turns = append(turns, state.replies[i].GetTurns()...)
+		for _, turn := range state.replies[i].GetTurnIds() {
+			_, isKnown := known[turn]
+			_, isRequested := requested[turn]
+			if isKnown || isRequested {
+				continue
+			}
+			requested[turn] = struct{}{}
+			member := state.members[i]
+			if requests[member] == nil {
+				requests[member] = &fleetpb.RecallRequest{Slot: int32(slot)}
+			}
+			requests[member].Turns = append(requests[member].Turns, turn)
+		}
+	}
+	for _, reply := range c.recall(ctx, requests) {
+		turns = append(turns, reply.Turns...)
+	}
+
+	return turns
+}
+
 // mergeInMemoryState adds the hosts' in-memory state to the state read from the store; the caller holds the lock.
-func (s *slot) mergeInMemoryState(now time.Time, replies []*fleetpb.RecallReply) {
+func (s *slot) mergeInMemoryState(now time.Time, replies []*fleetpb.RecallReply, turns []*fleetpb.KeptTurn) {
 	for _, reply := range replies {
 		for _, mark := range reply.GetMarks() {
 			count := tokenbudget.Count{Tokens: id.Tokens(mark.Tokens)}
@@ -132,10 +190,10 @@
 				s.writeWatermark(now, raised, false)
 			}
 		}
-		for _, turn := range reply.GetTurns() {
-			if !s.turns.HasTranscript(id.Workspace(turn.Workspace), turn.Id) && s.hasPriorTranscript(turn) {
-				s.storeTurn(now, turn)
-			}
+	}
+	for _, turn := range turns {
+		if !s.turns.HasTranscript(id.Workspace(turn.Workspace), turn.Id) && s.hasPriorTranscript(turn) {
+			s.storeTurn(now, turn)
 		}
 	}
 }
--- a/io/cluster/releases_test.go
+++ b/io/cluster/releases_test.go
@@ -436,7 +436,8 @@
 	restore(&parts, "p1:turn-2", "record-turn-part-1")
 	require.True(t, hasTurn("turn-2"))
 	s.discardState()
-	s.mergeInMemoryState(recordedAt, []*fleetpb.RecallReply{decodeRecording(t, "recall-reply", &fleetpb.RecallReply{})})
+	memory := inMemoryState{members: []string{testOwner}, replies: []*fleetpb.RecallReply{decodeRecording(t, "recall-reply", &fleetpb.RecallReply{})}}
+	s.mergeInMemoryState(recordedAt, memory.replies, s.cluster.fetchHeldTurns(t.Context(), s.index, memory, nil))
 	require.Equal(t, id.Tokens(900), s.ledger.Count("program").Tokens)
 	require.True(t, hasTurn("turn-1"))
 }
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -123,15 +123,16 @@
 	s.mu.Lock()
 	epoch, isActingOwner := s.epoch, s.isActingOwner
 	s.mu.Unlock()
-	replies := s.cluster.collectInMemoryState(ctx, s.index)
+	state := s.cluster.collectInMemoryState(ctx, s.index)
+	turns := s.cluster.fetchHeldTurns(ctx, s.index, state, nil)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state != loading || s.epoch != epoch || s.isActingOwner != isActingOwner {
 		return
 	}
 	now := s.cluster.Now()
-	s.isPartial, s.knowsAllPrograms = true, rememberAllPrograms(replies)
-	s.mergeInMemoryState(now, replies)
+	s.isPartial, s.knowsAllPrograms = true, rememberAllPrograms(state.replies)
+	s.mergeInMemoryState(now, state.replies, turns)
 	s.state, s.servingSince, s.isNew = serving, now, false
 	s.notifyChanged()
 	s.cluster.Logger.Info("slot-recalled", "slot", s.index, "owner", s.cluster.ownership.Load().owners[s.index],
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -45,6 +46,7 @@
 type slotContents struct {
 	records   []platform.Record
 	replies   []*fleetpb.RecallReply
+	heldTurns []*fleetpb.KeptTurn
 	startedAt time.Time
 	// isFenced is set once the partition has accepted the new epoch, which shows that it is up.
 	isFenced bool
@@ -76,23 +78,36 @@
 		return slotContents{}, err
 	}
 	fencedAt := s.cluster.Now()
-	replies := make(chan []*fleetpb.RecallReply, 1)
-	go func() { replies <- s.cluster.collectInMemoryState(ctx, s.index) }()
+	state := make(chan inMemoryState, 1)
+	go func() { state <- s.cluster.collectInMemoryState(ctx, s.index) }()
 	pageTimeout := time.Duration(attempt) * max(minPageTimeout, s.cluster.storeCallTimeout(maxPageBytes))
 	records, end, err := s.cluster.store.ListNewestRecords(ctx, s.partition(), pageTimeout)
 	if err != nil {
 		return slotContents{isFenced: true}, err
 	}
-	inMemoryState := <-replies
+	memory := <-state
+	turns := s.cluster.fetchHeldTurns(ctx, s.index, memory, turnsWithRecord(records))
 	if s.cluster.Now().Sub(fencedAt) > maxInMemoryStateAge {
-		inMemoryState = s.cluster.collectInMemoryState(ctx, s.index)
+		memory = s.cluster.collectInMemoryState(ctx, s.index)
 	}
 
 	return slotContents{
-		records: records, replies: inMemoryState, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
+		records: records, replies: memory.replies, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
 	}, nil
 }
 
+// turnsWithRecord returns the ids of the turns that are stored in one record.
+func turnsWithRecord(records []platform.Record) map[string]struct{} {
+	turns := make(map[string]struct{})
+	for _, record := range records {
+		if turn, ok := strings.CutPrefix(record.Key, turnKeyPrefix); ok && len(record.Value) > 0 {
+			turns[turn] = struct{}{}
+		}
+	}
+
+	return turns
+}
+
 // startServing restores the contents and serves the slot.
 func (s *slot) startServing(ctx context.Context, epoch int64, contents slotContents) {
 	s.mu.Lock()
@@ -110,7 +125,7 @@
 	s.writer.startEpoch(epoch, contents.endOffset)
 	s.removeIncompleteTurns(&parts)
 	s.chargeForgottenTurns(now, contents.replies)
-	s.mergeInMemoryState(now, contents.replies)
+	s.mergeInMemoryState(now, contents.replies, contents.heldTurns)
 	s.knowsAllPrograms = true
 	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
 	s.notifyChanged()
