Write turns of an acting owner after an outage without a call

Cause: a host that acts for a stopped owner while the store is down gave the slot up only when it was next called for it, and only then sent its turns to the owner. A turn whose other copies were lost stayed in its memory, and was lost with a loss of all hosts after the outage. Change: each host checks every 0.1 s whether the store responds and gives up the slots that it acts for.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -190,6 +190,7 @@
 	wg.Go(func() { c.refreshOwnersLoop(ctx) })
 	wg.Go(func() { c.removeExpiredLoop(ctx) })
 	wg.Go(func() { c.handOverLoop(ctx) })
+	wg.Go(func() { c.releaseActingSlotsLoop(ctx) })
 	for _, s := range c.slots {
 		wg.Go(func() { s.writer.run(ctx) })
 	}
--- /dev/null
+++ b/io/cluster/outage_test.go
@@ -0,0 +1,46 @@
+package cluster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/io/fleet/fleetpb"
+)
+
+// connect makes calls of a host to another one reach it.
+func connect(from, to *Cluster) {
+	from.peerClientsMu.Lock()
+	defer from.peerClientsMu.Unlock()
+	from.peerClients[to.self] = &slotServer{cluster: to}
+}
+
+// requireDurable requires that the store has a turn soon. The limit allows for a busy machine.
+func requireDurable(t *testing.T, c *Cluster, store *fakeStore, turn string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return store.hasRecord(c.slots[0].partition(), turnKeyPrefix+turn) }, testTimeout, 5*time.Millisecond)
+}
+
+// The hosts that hold the copies of a turn are lost, and no request comes for its slot after the outage.
+func TestTurnThatOnlyActingOwnerHasIsDurableAfterOutage(t *testing.T) {
+	acting, store := newTestCluster(t)
+	store.lastResponseTime.set(func() time.Time { return time.Time{} })
+	s := acting.slots[0]
+	s.mu.Lock()
+	s.actForOwner(t.Context())
+	s.mu.Unlock()
+	require.Eventually(t, acting.isServing, testTimeout, time.Millisecond)
+	reply, err := (&slotServer{cluster: acting}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{
+		Workspace: string(testWorkspace), Program: string(testProgram), Kept: newKeptTurn("first", ""),
+	})
+	require.NoError(t, err)
+	require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+	require.False(t, reply.Durable)
+
+	owner := newTestHost(t, store, "127.0.0.2")
+	connect(acting, owner)
+	store.lastResponseTime.clear()
+	join(t, owner)
+	requireDurable(t, owner, store, "first")
+}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -177,6 +177,31 @@
 	return s.state == serving && !s.awaitsConfirmation(now) && c.mayServeSlots(now)
 }
 
+// actingCheckInterval is the interval of the checks whether the store responds to a host that acts for an owner.
+const actingCheckInterval = 100 * time.Millisecond
+
+// releaseActingSlotsLoop gives up the slots of which this host is the acting owner once the store responds, until ctx ends.
+func (c *Cluster) releaseActingSlotsLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if now := c.Now(); !c.isStoreSilent(now) {
+			for _, s := range c.slots {
+				s.releaseActing()
+			}
+		}
+		topicconsumer.SleepContext(ctx, actingCheckInterval)
+	}
+}
+
+// releaseActing gives up the slot if this host is its acting owner. The turns that it has are then sent to the owner: nobody may call
+// this host for the slot again, and it may be the only one that has them.
+func (s *slot) releaseActing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isActingOwner {
+		s.releaseLocked("store-returned")
+	}
+}
+
 // release gives up the slot and reports whether it was owned.
 func (s *slot) release(reason string) bool {
 	s.mu.Lock()
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -51,6 +51,7 @@
 	t.Cleanup(cancel)
 	go c.slots[0].writer.run(ctx)
 	go c.refreshOwnersLoop(ctx)
+	go c.releaseActingSlotsLoop(ctx)
 
 	return c
 }
