Hold copies of turns until their retention ends

Cause: a host gave up its copy of a turn 20 s after the turn, also if the store was still down: after a longer outage only the owner had the turn, so the loss of one host lost it. Change: a copy is held, and sent to the owner, until the end of the turn's retention, at most 75 s. Calls without a turn are retried for 20 s as before, and a host that has been silent for 20 s still counts as lost with its copies. Result: TestCopyOfTurnIsHeldThroughLongOutage (simulated time, an outage of 50 s) failed on the code before and passes; it fails if settlePeriod returns settleTimeout for each call. TestCopyOfTurnIsGivenUpAfterItsRetention passes on both.

--- a/io/cluster/findturn.go
+++ b/io/cluster/findturn.go
@@ -9,8 +9,12 @@
 	"cardamomward/io/fleet/fleetpb"
 )
 
-// maxConfirmations bounds the comparisons with the store that a request causes.
-const maxConfirmations = 2
+const (
+	// maxConfirmations bounds the comparisons with the store that a request causes.
+	maxConfirmations = 2
+	// silentHolderTimeout is the silence after which a host counts as lost with the turns that it holds.
+	silentHolderTimeout = 20 * time.Second
+)
 
 // turnSearch is the search for the turn that a request continues.
 type turnSearch struct {
@@ -178,7 +182,7 @@
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
 		silentFor := now.Sub(laterOf(other.lastHeardAt, other.listedAt))
-		if silentFor > limit && silentFor < max(limit, settleTimeout) {
+		if silentFor > limit && silentFor < max(limit, silentHolderTimeout) {
 			return true
 		}
 	}
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -192,7 +192,7 @@
 	return holders
 }
 
-// holdUntilDurable holds a turn in memory and sends it to the owner until it is durable or settleTimeout has passed.
+// holdUntilDurable holds a turn in memory and sends it to the owner until it is durable or its retention ends.
 func (c *Cluster) holdUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) *heldTurn {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
--- a/io/cluster/outage_test.go
+++ b/io/cluster/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +45,37 @@
 	join(t, owner)
 	requireDurable(t, owner, store, "first")
 }
+
+// holdDuringOutage returns a host that holds a turn while the store is down and nobody owns the turn's slot.
+func holdDuringOutage(t *testing.T, kept *fleetpb.KeptTurn) (*Cluster, *fakeStore) {
+	t.Helper()
+	holder, store := newTestCluster(t)
+	store.lastResponseTime.set(func() time.Time { return time.Time{} })
+	_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: kept})
+	require.NoError(t, err)
+
+	return holder, store
+}
+
+// Copies of turns were given up 20 s after the turns, and lost with the owner.
+func TestCopyOfTurnIsHeldThroughLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, store := holdDuringOutage(t, newKeptTurn("first", ""))
+		time.Sleep(50 * time.Second)
+		store.lastResponseTime.clear()
+		owner := newTestHost(t, store, "127.0.0.2")
+		connect(holder, owner)
+		join(t, owner)
+		requireDurable(t, owner, store, "first")
+	})
+}
+
+func TestCopyOfTurnIsGivenUpAfterItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, _ := holdDuringOutage(t, newKeptTurn("first", ""))
+		time.Sleep(time.Minute + time.Second)
+		holder.heldMu.Lock()
+		defer holder.heldMu.Unlock()
+		require.Empty(t, holder.heldTurns)
+	})
+}
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -21,8 +21,10 @@
 	ownerWaitShare = 0.3
 	// ownerRetryInterval is the retry interval of calls to an owner.
 	ownerRetryInterval = 50 * time.Millisecond
-	// settleTimeout bounds the retries of an EndTurn call that no caller waits for.
+	// settleTimeout bounds the retries of an EndTurn call that no caller waits for and that has no turn to store.
 	settleTimeout = 20 * time.Second
+	// maxHoldTime bounds how long a host holds a copy of a turn, which it does until the end of the turn's retention.
+	maxHoldTime = budgetRetention
 	// settleRetryInterval is the interval of those retries.
 	settleRetryInterval = 200 * time.Millisecond
 	// deadlineReserve is how long before a caller's deadline the wait for a turn to become durable ends.
@@ -271,10 +273,20 @@
 	return member, reply, err
 }
 
+// settlePeriod returns for how long an EndTurn call is retried: a retained turn is held until the end of its retention, however long
+// the outage takes in which it was answered.
+func settlePeriod(kept *fleetpb.KeptTurn) time.Duration {
+	if kept == nil {
+		return settleTimeout
+	}
+
+	return min(maxHoldTime, max(settleTimeout, time.Duration(kept.RetentionMillis)*time.Millisecond))
+}
+
 // settleUntilDurable retries an EndTurn call until the owner has accepted it and a retained turn is durable, for up to
-// settleTimeout, and reports success.
+// settlePeriod, and reports success.
 func (c *Cluster) settleUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) bool {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, settlePeriod(req.Kept))
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
 		_, reply, err := c.tryEndTurn(ctx, req)
