Repeat a call that sends a held turn to its owner after 2 s without a response

Cause: the call ended only with a response, with a change of the owner or when the copy was given up. On a connection that was lost without a sign, to an owner that lost power and became the owner again at the same address, it took the place of all further ones, and the turn stayed in memory. Change: each call ends after 2 s. An owner answers within 1.5 s, and 2 s carry 5 MB at 22 Mbit/s.

--- a/io/cluster/outage_test.go
+++ b/io/cluster/outage_test.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +81,38 @@
 		require.Empty(t, holder.heldTurns)
 	})
 }
+
+// hangingOwner is an owner whose connection is lost without a sign: calls get no response until it is replaced.
+type hangingOwner struct {
+	fleetpb.Slots
+
+	// calls are the remaining calls without a response.
+	calls atomic.Int64
+}
+
+func (o *hangingOwner) EndTurn(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	if o.calls.Add(-1) >= 0 {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
+
+	return o.Slots.EndTurn(ctx, req)
+}
+
+// A host that loses power and starts again keeps its address, so callers do not see that the owner has changed.
+func TestTurnIsSentAgainAfterCallWithoutResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, store := newTestCluster(t)
+		owner := newTestHost(t, store, "127.0.0.2")
+		hanging := &hangingOwner{Slots: &slotServer{cluster: owner}}
+		hanging.calls.Store(1)
+		holder.peerClients[owner.self] = hanging
+		join(t, owner)
+		holder.setOwnership(&ownership{owners: []string{owner.self}})
+		_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: newKeptTurn("first", "")})
+		require.NoError(t, err)
+		time.Sleep(settleCallTimeout)
+		requireDurable(t, owner, store, "first")
+	})
+}
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -25,6 +25,9 @@
 	settleTimeout = 20 * time.Second
 	// maxHoldTime bounds how long a host holds a copy of a turn, which it does until the end of the turn's retention.
 	maxHoldTime = budgetRetention
+	// settleCallTimeout bounds one of the calls. It is longer than an owner waits for a turn to become durable, and covers the transfer of
+	// a large transcript. A call to an owner that restarts may otherwise wait until the connection is found dead.
+	settleCallTimeout = 2 * time.Second
 	// settleRetryInterval is the interval of those retries.
 	settleRetryInterval = 200 * time.Millisecond
 	// deadlineReserve is how long before a caller's deadline the wait for a turn to become durable ends.
@@ -289,7 +292,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settlePeriod(req.Kept))
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
-		_, reply, err := c.tryEndTurn(ctx, req)
+		callCtx, cancelCall := context.WithTimeout(ctx, settleCallTimeout)
+		_, reply, err := c.tryEndTurn(callCtx, req)
+		cancelCall()
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
 			return true
 		}
