--- /dev/null
+++ b/io/cluster/outage_test.go
@@ -0,0 +1,119 @@
+package cluster
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/io/fleet/fleetpb"
+)
+
+// connect makes calls of a host to another one reach it.
+func connect(from, to *Cluster) {
+	from.peerClientsMu.Lock()
+	defer from.peerClientsMu.Unlock()
+	from.peerClients[to.self] = &slotServer{cluster: to}
+}
+
+// requireDurable requires that the store has a turn soon. The limit allows for a busy machine.
+func requireDurable(t *testing.T, c *Cluster, store *fakeStore, turn string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return store.hasRecord(c.slots[0].partition(), turnKeyPrefix+turn) }, testTimeout, 5*time.Millisecond)
+}
+
+// The hosts that hold the copies of a turn are lost, and no request comes for its slot after the outage.
+func TestTurnThatOnlyActingOwnerHasIsDurableAfterOutage(t *testing.T) {
+	acting, store := newTestCluster(t)
+	go acting.releaseActingSlotsLoop(t.Context())
+	store.lastResponseTime.set(func() time.Time { return time.Time{} })
+	s := acting.slots[0]
+	s.mu.Lock()
+	s.actForOwner(t.Context())
+	s.mu.Unlock()
+	require.Eventually(t, acting.isServing, testTimeout, time.Millisecond)
+	reply, err := (&slotServer{cluster: acting}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{
+		Workspace: string(testWorkspace), Program: string(testProgram), Kept: newKeptTurn("first", ""),
+	})
+	require.NoError(t, err)
+	require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+	require.False(t, reply.Durable)
+
+	owner := newTestHost(t, store, "127.0.0.2")
+	connect(acting, owner)
+	store.lastResponseTime.clear()
+	join(t, owner)
+	requireDurable(t, owner, store, "first")
+}
+
+// holdDuringOutage returns a host that holds a turn while the store is down and nobody owns the turn's slot.
+func holdDuringOutage(t *testing.T, kept *fleetpb.KeptTurn) (*Cluster, *fakeStore) {
+	t.Helper()
+	holder, store := newTestCluster(t)
+	store.lastResponseTime.set(func() time.Time { return time.Time{} })
+	_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: kept})
+	require.NoError(t, err)
+
+	return holder, store
+}
+
+// Copies of turns were given up 20 s after the turns, and lost with the owner.
+func TestCopyOfTurnIsHeldThroughLongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, store := holdDuringOutage(t, newKeptTurn("first", ""))
+		time.Sleep(50 * time.Second)
+		store.lastResponseTime.clear()
+		owner := newTestHost(t, store, "127.0.0.2")
+		connect(holder, owner)
+		join(t, owner)
+		requireDurable(t, owner, store, "first")
+	})
+}
+
+func TestCopyOfTurnIsGivenUpAfterItsRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, _ := holdDuringOutage(t, newKeptTurn("first", ""))
+		time.Sleep(time.Minute + time.Second)
+		holder.heldMu.Lock()
+		defer holder.heldMu.Unlock()
+		require.Empty(t, holder.heldTurns)
+	})
+}
+
+// hangingOwner is an owner whose connection is lost without a sign: calls get no response until it is replaced.
+type hangingOwner struct {
+	fleetpb.Slots
+
+	// calls are the remaining calls without a response.
+	calls atomic.Int64
+}
+
+func (o *hangingOwner) EndTurn(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	if o.calls.Add(-1) >= 0 {
+		<-ctx.Done()
+
+		return nil, ctx.Err()
+	}
+
+	return o.Slots.EndTurn(ctx, req)
+}
+
+// A host that loses power and starts again keeps its address, so callers do not see that the owner has changed.
+func TestTurnIsSentAgainAfterCallWithoutResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder, store := newTestCluster(t)
+		owner := newTestHost(t, store, "127.0.0.2")
+		hanging := &hangingOwner{Slots: &slotServer{cluster: owner}}
+		hanging.calls.Store(1)
+		holder.peerClients[owner.self] = hanging
+		join(t, owner)
+		holder.setOwnership(&ownership{owners: []string{owner.self}})
+		_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: newKeptTurn("first", "")})
+		require.NoError(t, err)
+		time.Sleep(settleCallTimeout)
+		requireDurable(t, owner, store, "first")
+	})
+}
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -21,8 +21,11 @@
 	ownerWaitShare = 0.3
 	// ownerRetryInterval is the retry interval of calls to an owner.
 	ownerRetryInterval = 50 * time.Millisecond
-	// settleTimeout bounds the retries of an EndTurn call that no caller waits for.
+	// settleTimeout bounds the retries of an EndTurn call that no caller waits for and that has no turn to store.
 	settleTimeout = 20 * time.Second
+	// settleCallTimeout bounds one of the calls. It is longer than an owner waits for a turn to become durable, and covers the transfer of
+	// a large transcript. A call to an owner that restarts may otherwise wait until the connection is found dead.
+	settleCallTimeout = 2 * time.Second
 	// settleRetryInterval is the interval of those retries.
 	settleRetryInterval = 200 * time.Millisecond
 	// deadlineReserve is how long before a caller's deadline the wait for a turn to become durable ends.
@@ -276,7 +279,9 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
-		_, reply, err := c.tryEndTurn(ctx, req)
+		callCtx, cancelCall := context.WithTimeout(ctx, settleCallTimeout)
+		_, reply, err := c.tryEndTurn(callCtx, req)
+		cancelCall()
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
 			return
 		}
--- a/io/cluster/turns_test.go
+++ b/io/cluster/turns_test.go
@@ -43,7 +43,10 @@
 		Store: platform.NewStore("127.0.0.1:1"), Logger: logr.Discard(), Now: time.Now, IsPartitionedFromUpstreams: func() bool { return false },
 		LastStoreResponse: store.lastResponse, RecordStoreResponse: func() {}, HasConfig: func() bool { return true },
 	})
-	c.store, store.parts = &swappableStore{}, []platform.Partition{c.slots[0].partition()}
+	c.store = &swappableStore{}
+	store.mu.Lock()
+	store.parts = []platform.Partition{c.slots[0].partition()}
+	store.mu.Unlock()
 	replaceStore(t, c, store)
 	c.peers.markHostListRead(nil)
 	c.setOwnership(&ownership{owners: []string{c.self}})
