Replace a listing of the configuration without a response within the period to apply it

Cause: after a 410, and in a process that has just started, the configuration is listed, and a page without a response was replaced after 3 s. A configuration was then applied up to 3.1 s after its acknowledgement where config_apply_ms is 2,000.

--- a/io/discovery/age_test.go
+++ b/io/discovery/age_test.go
@@ -149,6 +149,17 @@
 		})
 	}), false},
 	{"expired offset", func(s *standin.MemoryStore, _ time.Duration) { expireOffset(s, nil) }, true},
+	{"expired offset, and no response to the listing", func(s *standin.MemoryStore, _ time.Duration) {
+		expireOffset(s, func(w http.ResponseWriter, r *http.Request, next http.Handler) {
+			if isListing(r) {
+				s.Intercept(nil)
+				s.SilenceConns()
+
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}, true},
 	{"expired offset, and an outage from the listing on", func(s *standin.MemoryStore, outage time.Duration) {
 		begun := make(chan struct{})
 		expireOffset(s, func(w http.ResponseWriter, r *http.Request, next http.Handler) {
@@ -278,7 +289,7 @@
 	const phases = 5
 	wait := (&Watcher{ConfigurationApply: run.period}).longPoll()
 	for phase := range phases {
-		for _, changeAfter := range []time.Duration{-300, 10, 1700, 6000} {
+		for _, changeAfter := range []time.Duration{-300, 10, 500, 1700, 6000} {
 			run.faultAt = time.Duration(phase) * wait / (phases - 1)
 			run.outage = minOutage + time.Duration(phase)*outageStep
 			run.changeAt = max(0, run.faultAt+changeAfter*time.Millisecond)
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -16,8 +16,8 @@
 	defaultLongPoll = time.Second
 	// longPollMargin is the time limit of a read beyond its long-poll wait; then its connection counts as dead.
 	longPollMargin = time.Second
-	// listPageTimeout limits the read of each page of a listing.
-	listPageTimeout = 3 * time.Second
+	// maxListTimeout limits the read of each page of a listing.
+	maxListTimeout = 3 * time.Second
 	// retryInterval is the pause between calls while the store fails.
 	retryInterval = 150 * time.Millisecond
 	// minOutageDuration is the duration of failures after which a success counts as the end of an outage.
@@ -33,6 +33,8 @@
 	// LongPoll is how long the store may hold a read open until there are records; zero means a second. A read on a connection that
 	// has gone silent is noticed a second later.
 	LongPoll time.Duration
+	// ListTimeout limits the read of each page of a listing, twice that after a listing that failed, up to 3 s; zero means 3 s.
+	ListTimeout time.Duration
 	// ReadPause is the pause between reads. ScalePause returns the pause to use instead, such as a longer one on a large
 	// cluster; it may be nil.
 	ReadPause  time.Duration
@@ -51,6 +53,8 @@
 	nextOffset  int64
 	isListed    bool
 	failedSince time.Time
+	// hasListingFailed is set if the last listing failed.
+	hasListingFailed bool
 
 	refreshMu sync.Mutex
 	// endWait ends the long-poll wait or the pause in progress; nil if there is none.
@@ -206,7 +210,8 @@
 // listPartition applies the newest record of each key; it ignores a listing that is older than the records already read.
 func (c *Consumer) listPartition(ctx context.Context) error {
 	startedAt := c.Now()
-	records, endOffset, err := c.Store.ListNewestRecords(ctx, c.Partition, listPageTimeout)
+	records, endOffset, err := c.Store.ListNewestRecords(ctx, c.Partition, c.listTimeout())
+	c.hasListingFailed = err != nil
 	if err != nil {
 		return err
 	}
@@ -230,6 +235,20 @@
 	return nil
 }
 
+// listTimeout returns the time limit of each page of the next listing. After a listing that failed it is longer, since many hosts may be
+// listing at once.
+func (c *Consumer) listTimeout() time.Duration {
+	timeout := c.ListTimeout
+	if timeout <= 0 {
+		return maxListTimeout
+	}
+	if c.hasListingFailed {
+		timeout *= 2
+	}
+
+	return min(timeout, maxListTimeout)
+}
+
 func (c *Consumer) recordFailure(err error) {
 	if c.failedSince.IsZero() {
 		c.failedSince = c.Now()
