--- a/io/discovery/age_test.go
+++ b/io/discovery/age_test.go
@@ -179,6 +179,9 @@
 	{"truncated responses", throughout(func(s *standin.MemoryStore) {
 		alterResponses(s, func(body []byte) []byte { return body[:len(body)/2] })
 	}), false},
+	{"unreadable responses", throughout(func(s *standin.MemoryStore) {
+		alterResponses(s, func(body []byte) []byte { return append(body, make([]byte, 64)...) })
+	}), false},
 	{"responses older than the last", throughout(respondStale), false},
 }
 
