Read the configuration with a shorter long poll soon after a failure

Cause: a read that begins right before the end of an outage, after a response older than the last, may be held open for 2.6 s where config_apply_ms is 4,000. If its connection goes silent with the end of the outage, it is replaced 3.5 to 3.7 s after that end, but the host counts as connected to the store 3 s after it.

Change: the long poll of the configuration is at most 1 s within 3 s of a failure.

Without RecoveryLongPoll in Run the case "several in a row" with a period of 4 s fails. The number of calls in quiet times is unchanged (TestHostReadsConfigurationOnceEachLongPollInQuietTimes).

--- a/io/discovery/age_test.go
+++ b/io/discovery/age_test.go
@@ -183,6 +183,15 @@
 		alterResponses(s, func(body []byte) []byte { return append(body, make([]byte, 64)...) })
 	}), false},
 	{"responses older than the last", throughout(respondStale), false},
+	{"several in a row", func(s *standin.MemoryStore, outage time.Duration) {
+		throughout(func(s *standin.MemoryStore) { respondWith(s, http.StatusServiceUnavailable) })(s, outage/8)
+		s.ResetConns()
+		cutFor(s, outage/4)
+		throughout(func(s *standin.MemoryStore) { respondWith(s, http.StatusTooManyRequests) })(s, outage/16)
+		throughout(respondStale)(s, outage/20)
+		expireOffset(s, nil)
+		s.SilenceConns()
+	}, false},
 }
 
 // ageRun is a run of a host that reads a configuration.
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -31,6 +31,9 @@
 	// silentReadDelay is the time in which a read on a connection that has gone silent is replaced after its long-poll wait: the margin
 	// of the read, the retry interval and the next read.
 	silentReadDelay = 1400 * time.Millisecond
+	// recoveryLongPoll applies soon after a failure: a read on a connection that goes silent with the end of an outage is replaced within
+	// 2.4 s, before the host counts as connected to the store for 3 s.
+	recoveryLongPoll = time.Second
 	// configurationListTimeout limits a listing of the configuration, which is small: one without a response is replaced within
 	// config_apply_ms (2 s), and one that began in an outage ends, with twice the limit, before the host counts as connected for 3 s.
 	configurationListTimeout = time.Second
@@ -184,7 +187,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	configurationConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.ConfigurationTopic},
-		LongPoll: w.longPoll(), ListTimeout: configurationListTimeout, ApplyRecord: w.applyOperatorRecord, OnListed: w.handleConfigurationListing, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
+		LongPoll: w.longPoll(), RecoveryLongPoll: recoveryLongPoll, ListTimeout: configurationListTimeout, ApplyRecord: w.applyOperatorRecord, OnListed: w.handleConfigurationListing, OnResponse: func(time.Duration) { w.RecordStoreResponse() },
 	}
 	upstreamConsumer := &topicconsumer.Consumer{
 		Store: w.Store, Logger: w.Logger, Now: w.Now, Partition: platform.Partition{Topic: platform.UpstreamsTopic},
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -20,6 +20,8 @@
 	maxListTimeout = 3 * time.Second
 	// retryInterval is the pause between calls while the store fails.
 	retryInterval = 150 * time.Millisecond
+	// recoveryPeriod is how long RecoveryLongPoll applies after a failure: until the host counts as connected to the store again.
+	recoveryPeriod = 3 * time.Second
 	// minOutageDuration is the duration of failures after which a success counts as the end of an outage.
 	minOutageDuration = time.Second
 )
@@ -33,6 +35,8 @@
 	// LongPoll is how long the store may hold a read open until there are records; zero means a second. A read on a connection that
 	// has gone silent is noticed a second later.
 	LongPoll time.Duration
+	// RecoveryLongPoll limits the long-poll wait soon after a failure, since connections may have gone silent with it; zero means no limit.
+	RecoveryLongPoll time.Duration
 	// ListTimeout limits the read of each page of a listing, twice that after a listing that failed, up to 3 s; zero means 3 s.
 	ListTimeout time.Duration
 	// ReadPause is the pause between reads. ScalePause returns the pause to use instead, such as a longer one on a large
@@ -53,6 +57,8 @@
 	nextOffset  int64
 	isListed    bool
 	failedSince time.Time
+	// lastFailedAt is the time of the last failure.
+	lastFailedAt time.Time
 	// hasListingFailed is set if the last listing failed.
 	hasListingFailed bool
 
@@ -197,14 +203,18 @@
 // noticed soon.
 func (c *Consumer) nextWait() time.Duration {
 	isRefresh := c.takeRefresh()
-	switch {
-	case isRefresh || !c.failedSince.IsZero():
+	if isRefresh || !c.failedSince.IsZero() {
 		return 0
-	case c.LongPoll > 0:
-		return c.LongPoll
-	default:
-		return defaultLongPoll
 	}
+	wait := c.LongPoll
+	if wait <= 0 {
+		wait = defaultLongPoll
+	}
+	if c.RecoveryLongPoll > 0 && c.Now().Sub(c.lastFailedAt) < recoveryPeriod {
+		wait = min(wait, c.RecoveryLongPoll)
+	}
+
+	return wait
 }
 
 // listPartition applies the newest record of each key; it ignores a listing that is older than the records already read.
@@ -250,6 +260,7 @@
 }
 
 func (c *Consumer) recordFailure(err error) {
+	c.lastFailedAt = c.Now()
 	if c.failedSince.IsZero() {
 		c.failedSince = c.Now()
 		c.Logger.Error(err, "store-lost", "topic", c.Partition.Topic)
