Ask busy hosts again for their memory during an outage

Cause: an owner that serves a slot from the memory of the hosts asked them once, for 0.2 s. If most were busy at that moment it refused the first turns of all programs of the slot until the store was back: in a trace of TestStreamOfRestartedUpstreamThatWasRemovedIsNotContinuedByHostThatHasJustStarted seven streams got 503 owner-unsure for 12 s, after two of three hosts had not responded at 24.7 s. Change: a first turn that is refused for that reason makes the owner ask again, every 0.3 s at most, until a majority remembers all programs.

--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,10 @@
 	isPartial bool
 	// knowsAllPrograms is set while a program without an account is a new one.
 	knowsAllPrograms bool
+	// lacksReplies is set while the slot is served from the in-memory state of a part of the hosts because others have not responded,
+	// and recalledAt is when they were last asked.
+	lacksReplies bool
+	recalledAt   time.Time
 	// unconfirmedSince is since when another host may have owned the slot after its records were read; zero if none has.
 	unconfirmedSince time.Time
 	// confirmationRequests counts the times when a confirmation became necessary.
@@ -130,12 +135,42 @@
 		return
 	}
 	now := s.cluster.Now()
-	s.isPartial, s.knowsAllPrograms = true, rememberAllPrograms(replies)
-	s.mergeInMemoryState(now, replies)
+	s.isPartial, s.recalledAt = true, now
 	s.state, s.servingSince, s.isNew = serving, now, false
+	s.mergeRecall(now, replies)
+}
+
+// recallRetryInterval is how long after the last request the hosts are asked again for their in-memory state.
+const recallRetryInterval = 300 * time.Millisecond
+
+// recallMissingState asks the hosts again for their in-memory state if too few responded: one busy moment of them must not make the
+// slot refuse first turns until the end of the outage. The caller holds the lock.
+func (s *slot) recallMissingState(ctx context.Context, now time.Time) {
+	if !s.isPartial || !s.lacksReplies || now.Sub(s.recalledAt) < recallRetryInterval {
+		return
+	}
+	s.recalledAt = now
+	epoch, isActingOwner, servingSince := s.epoch, s.isActingOwner, s.servingSince
+	go func() {
+		replies := s.cluster.collectInMemoryState(ctx, s.index)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		isCurrent := s.epoch == epoch && s.isActingOwner == isActingOwner && s.servingSince.Equal(servingSince)
+		// The counts of a part of the hosts have been merged before; merging them again would charge unused reservations.
+		if s.state == serving && s.isPartial && s.lacksReplies && isCurrent && rememberAllPrograms(replies) {
+			s.mergeRecall(s.cluster.Now(), replies)
+		}
+	}()
+}
+
+// mergeRecall merges the hosts' in-memory state into a slot that is served from it; the caller holds the lock.
+func (s *slot) mergeRecall(now time.Time, replies []*fleetpb.RecallReply) {
+	s.knowsAllPrograms = rememberAllPrograms(replies)
+	s.lacksReplies = !s.knowsAllPrograms && slices.Contains(replies, nil)
+	s.mergeInMemoryState(now, replies)
 	s.notifyChanged()
 	s.cluster.Logger.Info("slot-recalled", "slot", s.index, "owner", s.cluster.ownership.Load().owners[s.index],
-		"deputy", isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len(), "complete", s.knowsAllPrograms)
+		"deputy", s.isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len(), "complete", s.knowsAllPrograms)
 }
 
 // isDurabilityUnavailable reports whether the slot's records cannot become durable now, while this host hears a
@@ -217,7 +252,7 @@
 
 // discardState discards the state of programs and sends unwritten turns to the next owner; the caller holds the lock.
 func (s *slot) discardState() {
-	s.isPartial, s.knowsAllPrograms = false, false
+	s.isPartial, s.knowsAllPrograms, s.lacksReplies = false, false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
 	s.pendingTurns, s.turnPartCounts, s.newestRecordAt, s.turnsInDoubtUntil = nil, nil, time.Time{}, time.Time{}
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -53,6 +53,7 @@
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
 		if !s.knowsAllPrograms && s.ledger.Count(program).Tokens == 0 {
+			s.recallMissingState(context.WithoutCancel(ctx), srv.cluster.Now())
 			reply.Outcome = fleetpb.Outcome_OUTCOME_UNSURE
 
 			return reply, nil
