Count relayed connections in the memory budget

Cause: connections that a host relays for others had a bound of their own, a quarter of its memory, and were not in the budget, so that both together could exceed what the host has. Change: a budget has classes, each with bytes that the others cannot take; a relayed connection reserves 64 KB before its upstream is dialled and is refused with 503 otherwise. A server can tell the class of a request by its path and reserve the copies of a body before it is read, which calls between hosts are going to use; one call that stores a turn always fits.

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -118,10 +118,7 @@
 		h.cluster.ReportWorkspaceLoads()
 	}
 	if limit := int64(settings.Memory.BudgetShare * float64(h.settings.MemoryBytes)); limit > 0 {
-		h.proxy.Memory = httpx.NewMemoryBudget(limit, h.now)
-		h.proxy.Memory.OnIdleClosed = func(remote string, bytes int64) {
-			h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
-		}
+		h.useMemoryBudget(limit)
 	}
 }
 
--- a/io/gatewayhost/memory.go
+++ b/io/gatewayhost/memory.go
@@ -1,6 +1,35 @@
 package gatewayhost
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"cardamomward/core/memorybudget"
+	"cardamomward/io/httpx"
+)
+
+// The shares of the memory budget that others cannot take. An eighth remains for whoever needs it first, so that relayed connections
+// take a quarter at most, as without a budget.
+const (
+	callerShare  = 1.0 / 2
+	relayShare   = 1.0 / 8
+	callShare    = 1.0 / 8
+	storageShare = 1.0 / 8
+)
+
+// useMemoryBudget bounds what is held for callers, relayed connections and calls between hosts.
+func (h *Host) useMemoryBudget(limit int64) {
+	memory := httpx.NewMemoryBudget(limit, h.now)
+	for class, share := range map[memorybudget.Class]float64{
+		memorybudget.Callers: callerShare, memorybudget.Relays: relayShare, memorybudget.Calls: callShare, memorybudget.Storage: storageShare,
+	} {
+		memory.Guarantee(class, int64(share*float64(limit)))
+	}
+	memory.OnIdleClosed = func(remote string, bytes int64) {
+		h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
+	}
+	h.proxy.Memory = memory
+	h.relay.Reserve = func() (func(), bool) { return memory.Hold(memorybudget.Relays, relayedConnBytes) }
+}
 
 // LimitMemory makes the garbage collector work harder as this process nears the memory that its host allows, in bytes; zero
 // means that the host states no limit.
--- a/io/gatewayhost/memory_test.go
+++ b/io/gatewayhost/memory_test.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/gatewaysettings"
+	"cardamomward/io/relay"
 	"cardamomward/platform"
 	"cardamomward/platform/standin"
 )
@@ -136,3 +139,51 @@
 	require.Equal(t, http.StatusOK, <-done)
 	c.requireNothingHeld()
 }
+
+// relayUntilRefused opens connections through host-0 as another host does, until it refuses one, and returns them.
+func (c *testCluster) relayUntilRefused() (conns []net.Conn) {
+	c.t.Helper()
+	settings := c.hosts["host-0"].settings
+	for {
+		conn, err := relay.Dial(c.t.Context(), net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPorts[1])), c.plainUpstreams[0].Address())
+		if err != nil {
+			require.ErrorContains(c.t, err, "503")
+
+			return conns
+		}
+		c.t.Cleanup(func() { conn.Close() })
+		conns = append(conns, conn)
+	}
+}
+
+// Guards against relayed connections that take the memory of callers, and against callers that take that of relayed connections.
+func TestRelayedConnectionsAndCallersLeaveMemoryToEachOther(t *testing.T) {
+	const relayedBytes, body = 64 << 10, 200 << 10
+	c := newMemoryCluster(t)
+	conns := c.relayUntilRefused()
+	require.Len(t, conns, memoryBudgetBytes/4/relayedBytes, "connections take a quarter of the budget at most")
+	require.EqualValues(t, memoryBudgetBytes/4, c.heldBytes())
+	require.Equal(t, http.StatusOK, c.do("host-0", standin.CallerRequest{Path: "/look/", APIKey: "secret", Body: strings.Repeat("x", body)}).Status)
+	for _, conn := range conns {
+		conn.Close()
+	}
+	c.requireNothingHeld()
+	c.slowStreams(200 * time.Millisecond)
+	var callers sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 20 {
+		callers.Go(func() {
+			name := fmt.Sprintf("greedy-%d", i)
+			response, err := standin.NewTurnRequest("/draft/", "secret", name, "", name+strings.Repeat("x", body)).Send(context.Background(), name, c.hosts["host-0"].settings.CallerAddress)
+			if err != nil {
+				c.t.Errorf("%s: %v", name, err)
+			}
+			if response.Status == http.StatusServiceUnavailable {
+				refused.Add(1)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return refused.Load() > 0 }, waitTimeout, 5*time.Millisecond, "callers hold all that they can get")
+	require.GreaterOrEqual(t, len(c.relayUntilRefused()), memoryBudgetBytes/8/relayedBytes)
+	callers.Wait()
+}
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
 
@@ -16,8 +17,10 @@
 	net.Listener
 
 	counter *traffic.Counter
-	// memory is nil if the connections have no budget.
-	memory *MemoryBudget
+	// memory is nil if the connections have no budget; copies and classOf are the options BodyCopies and MemoryClass.
+	memory  *MemoryBudget
+	copies  int64
+	classOf func(path string) memorybudget.Class
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -90,6 +93,9 @@
 	return c, nil
 }
 
+// bodyCopies returns how many copies of a body are reserved before it is read.
+func (l *listener) bodyCopies() int64 { return max(1, l.copies) }
+
 // closeAll closes all connections.
 func (l *listener) closeAll() {
 	l.mu.Lock()
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -23,6 +23,10 @@
 	// refusalTimeout bounds how long a refused body is read and dropped, so that the caller receives the refusal before its
 	// connection is reset.
 	refusalTimeout = 500 * time.Millisecond
+	// storageWait is how long a request of memorybudget.Storage waits for memory, during which it is not read, and storagePollInterval
+	// how often it tries.
+	storageWait         = time.Second
+	storagePollInterval = 5 * time.Millisecond
 	// dropBufferBytes is the size of the buffer for dropped bodies.
 	dropBufferBytes = 4 << 10
 )
@@ -56,6 +60,38 @@
 	}
 }
 
+// Guarantee keeps bytes free for a class; it is called before the budget is used.
+func (m *MemoryBudget) Guarantee(class memorybudget.Class, bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.budget.Guarantee(class, bytes)
+}
+
+// Hold reserves bytes that belong to no connection of a server, and returns a function that gives them back; it reports false if they
+// do not fit. Bytes of memorybudget.Storage are those of a turn in memory, and are reserved whether they fit or not.
+func (m *MemoryBudget) Hold(class memorybudget.Class, bytes int64) (release func(), ok bool) {
+	if m == nil {
+		return func() {}, true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastHolder++
+	holder := m.lastHolder
+	if class == memorybudget.Storage {
+		m.budget.Add(class, holder, bytes)
+	} else if !m.budget.Reserve(class, holder, bytes) {
+		m.refused++
+
+		return func() {}, false
+	}
+
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.budget.ReleaseAll(holder)
+	}, true
+}
+
 // Reserve reserves bytes for the connection from a remote address until its response has been written, and reports false if they
 // do not fit. The connections whose callers read nothing are closed first, the largest first.
 func (m *MemoryBudget) Reserve(remote string, bytes int64) bool {
@@ -70,7 +106,7 @@
 
 			return false
 		}
-		if m.budget.Reserve(c.holder, bytes) {
+		if m.budget.Reserve(c.class, c.holder, bytes) {
 			m.mu.Unlock()
 
 			return true
@@ -93,7 +129,7 @@
 
 // largestIdle returns the connection to close; the caller holds the lock.
 func (m *MemoryBudget) largestIdle(except *conn) (*conn, bool) {
-	holder, ok := m.budget.LargestIdle(m.Now(), idleCallerTimeout)
+	holder, ok := m.budget.LargestIdle(except.class, m.Now(), idleCallerTimeout)
 	if !ok || holder == except.holder {
 		return nil, false
 	}
@@ -113,6 +149,17 @@
 	}
 }
 
+// UsedBy returns the bytes that are held for a class.
+func (m *MemoryBudget) UsedBy(class memorybudget.Class) int64 {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return m.budget.UsedBy(class)
+}
+
 // Usage returns the bytes that are held, the limit, and how many reservations have been refused.
 func (m *MemoryBudget) Usage() (used, limit, refused int64) {
 	if m == nil {
@@ -166,9 +213,13 @@
 // budgetedConn is what a connection counts toward the memory budget. A connection is read by one goroutine at a time.
 type budgetedConn struct {
 	holder memorybudget.Holder
+	// class is that of the present request.
+	class memorybudget.Class
 	// readBytes were read of the present request, and reservedBytes are reserved for it.
 	readBytes     int64
 	reservedBytes int64
+	// head is what was read of the present request's head.
+	head requestHead
 }
 
 // trackHandler marks connections while their requests are handled. The server reads from them meanwhile to detect that the
@@ -190,14 +241,18 @@
 	if !c.isHandled.Load() && c.hasWritten.Swap(false) {
 		c.memory.endResponse(c)
 		c.readBytes, c.reservedBytes = 0, 0
+		c.head.reset()
 	}
 	if c.readBytes == 0 {
 		// The server offers the buffer of an earlier body, which is not reserved while the connection is idle.
 		p = p[:min(len(p), uncountedRequestBytes)]
 	}
 	needed := c.readBytes + int64(len(p))
+	if needed > uncountedRequestBytes {
+		needed *= c.listener.bodyCopies()
+	}
 	if needed > uncountedRequestBytes && needed > c.reservedBytes {
-		if !c.memory.Reserve(c.remoteAddr, needed-c.reservedBytes) {
+		if !c.reserveRequest(needed - c.reservedBytes) {
 			c.refuse()
 
 			return 0, errOverBudget
@@ -206,10 +261,29 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.readBytes += int64(n)
+	if c.head.add(p[:n]) && c.listener.classOf != nil {
+		c.class = c.listener.classOf(c.head.path())
+	}
 
 	return n, err
 }
 
+// reserveRequest reserves bytes of a request, which are not read yet. A request without which an answered turn does not become durable
+// waits for memory, since only others of its kind can hold what it is guaranteed, and none for long.
+func (c *conn) reserveRequest(bytes int64) bool {
+	if c.class != memorybudget.Storage {
+		return c.memory.Reserve(c.remoteAddr, bytes)
+	}
+	for waitUntil := time.Now().Add(storageWait); !c.memory.Reserve(c.remoteAddr, bytes); {
+		if !time.Now().Before(waitUntil) {
+			return false
+		}
+		time.Sleep(storagePollInterval)
+	}
+
+	return true
+}
+
 // refuse sends the refusal, and drops what the caller still sends for a short time.
 func (c *conn) refuse() {
 	c.SetDeadline(time.Now().Add(refusalTimeout)) //nolint:errcheck // the connection is about to end
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -16,6 +16,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"cardamomward/core/apierror"
+	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
 
@@ -59,6 +60,11 @@
 	Forwarding bool
 	// Memory bounds what is held for requests and responses; nil means no bound.
 	Memory *MemoryBudget
+	// BodyCopies is how many copies of a body Memory reserves before it is read, for the server's buffer and those of the handler; zero
+	// means one.
+	BodyCopies int
+	// MemoryClass returns the class of a request by its path; nil means memorybudget.Callers for all.
+	MemoryClass func(path string) memorybudget.Class
 }
 
 // NewServer listens on the address and returns a server that serves once Start is called.
@@ -67,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory}
+	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory, copies: int64(opts.BodyCopies), classOf: opts.MemoryClass}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -125,6 +125,7 @@
 	}{
 		"unavailable": {func(s *relay.Server) { s.IsAvailable = func() bool { return false } }, relay.ErrBusy},
 		"full":        {func(s *relay.Server) { s.MaxConns = 0 }, relay.ErrBusy},
+		"no memory":   {func(s *relay.Server) { s.Reserve = func() (func(), bool) { return nil, false } }, relay.ErrBusy},
 		"unknown upstream": {func(s *relay.Server) {
 			s.DomainOfAddress = func(string) (id.FailureDomain, bool) { return "", false }
 		}, relay.ErrUnknownUpstream},
@@ -153,6 +154,43 @@
 	dial(t, address, upstream)
 }
 
+// Guards against relayed connections whose memory is not given back, whether they end or are never established.
+func TestMemoryOfRelayedConnectionIsHeldUntilItEnds(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) { io.Copy(io.Discard, conn) }) //nolint:errcheck // any end is the caller's
+	var reserved, dials atomic.Int64
+	server, address := newRelay(t, func(s *relay.Server) {
+		dial := s.Dial
+		s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			if dials.Add(1) == 1 {
+				return nil, io.ErrUnexpectedEOF
+			}
+
+			return dial(ctx, address)
+		}
+		s.Reserve = func() (func(), bool) {
+			if reserved.Add(1) > 2 {
+				reserved.Add(-1)
+
+				return nil, false
+			}
+
+			return func() { reserved.Add(-1) }, true
+		}
+	})
+	_, err := relay.Dial(t.Context(), address, upstream)
+	require.ErrorContains(t, err, relay.ErrUpstream.String())
+	require.Zero(t, reserved.Load())
+	first := dial(t, address, upstream)
+	dial(t, address, upstream)
+	_, err = relay.Dial(t.Context(), address, upstream)
+	require.ErrorContains(t, err, relay.ErrBusy.String())
+	require.Equal(t, 2, server.ConnCount())
+	require.EqualValues(t, 3, dials.Load(), "a connection without memory reaches no upstream")
+	first.Close()
+	require.Eventually(t, func() bool { return reserved.Load() == 1 }, testTimeout, time.Millisecond)
+	dial(t, address, upstream)
+}
+
 func TestResponseOfEvacuatedDomainEndsAndNextRequestIsNotPassedOn(t *testing.T) {
 	requests := make(chan string, 4)
 	resume := make(chan struct{})
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -43,6 +43,9 @@
 	IsEvacuated func(domain id.FailureDomain) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
+	// Reserve reserves the memory of a connection, and returns a function that gives it back; it reports false if there is none. Nil
+	// reserves nothing.
+	Reserve func() (release func(), ok bool)
 	// PeerCounter and UpstreamCounter return the counters of the bytes of the two ends of a relayed connection; nil count nothing.
 	PeerCounter     func(remote net.Addr) *traffic.Counter
 	UpstreamCounter func(address string) *traffic.Counter
@@ -88,13 +91,13 @@
 	if err != nil {
 		return
 	}
-	upstream, domain, status := s.connect(ctx, req)
+	upstream, status := s.connect(ctx, req)
 	if upstream == nil {
 		fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 
 		return
 	}
-	defer s.connCount.Add(-1)
+	defer upstream.releasePlace()
 	defer upstream.Close()
 	defer context.AfterFunc(ctx, func() { upstream.Close() })()
 	if _, err := fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status)); err != nil {
@@ -103,7 +106,7 @@
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), func() bool { return s.IsEvacuated(domain) })
+	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), func() bool { return s.IsEvacuated(upstream.domain) })
 }
 
 func (s *Server) countPeer(conn net.Conn) end {
@@ -129,37 +132,65 @@
 	counter *traffic.Counter
 }
 
-// connect connects to the upstream of a CONNECT request and returns its failure domain, or the status of the refusal. A connection
-// counts as relayed.
-func (s *Server) connect(ctx context.Context, req *http.Request) (net.Conn, id.FailureDomain, int) {
+// upstreamConn is a connection to an upstream of a failure domain, which holds a place until releasePlace is called.
+type upstreamConn struct {
+	net.Conn
+
+	domain       id.FailureDomain
+	releasePlace func()
+}
+
+// connect connects to the upstream of a CONNECT request, or returns the status of the refusal. A connection counts as relayed.
+func (s *Server) connect(ctx context.Context, req *http.Request) (*upstreamConn, int) {
 	address := req.Host
 	domain, isUpstream := s.DomainOfAddress(address)
 	switch {
 	case req.Method != http.MethodConnect:
-		return nil, "", http.StatusMethodNotAllowed
+		return nil, http.StatusMethodNotAllowed
 	case !s.IsAvailable():
-		return nil, "", http.StatusServiceUnavailable
+		return nil, http.StatusServiceUnavailable
 	case !isUpstream || s.IsEvacuated(domain):
-		return nil, "", http.StatusForbidden
+		return nil, http.StatusForbidden
 	}
-	if s.connCount.Add(1) > int64(s.MaxConns) {
-		s.connCount.Add(-1)
-		s.Logger.Info("relay-full", "address", address, "conns", s.MaxConns)
-
-		return nil, "", http.StatusServiceUnavailable
+	releasePlace, ok := s.acquirePlace(address)
+	if !ok {
+		return nil, http.StatusServiceUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	upstream, err := s.Dial(ctx, address)
 	if err != nil {
-		s.connCount.Add(-1)
+		releasePlace()
 		s.Logger.Info("relay-dial-failed", "address", address, "error", err)
 
-		return nil, "", http.StatusBadGateway
+		return nil, http.StatusBadGateway
 	}
 	enableKeepAlive(upstream)
 
-	return upstream, domain, http.StatusOK
+	return &upstreamConn{Conn: upstream, domain: domain, releasePlace: releasePlace}, http.StatusOK
+}
+
+// acquirePlace takes a place and the memory for a connection to an address, and returns a function that gives them back.
+func (s *Server) acquirePlace(address string) (release func(), ok bool) {
+	releasePlace := func() { s.connCount.Add(-1) }
+	if s.connCount.Add(1) > int64(s.MaxConns) {
+		releasePlace()
+		s.Logger.Info("relay-full", "address", address, "conns", s.MaxConns)
+
+		return nil, false
+	}
+	if s.Reserve == nil {
+		return releasePlace, true
+	}
+	releaseMemory, ok := s.Reserve()
+	if !ok {
+		releasePlace()
+		s.Logger.Info("relay-no-memory", "address", address, "conns", s.ConnCount())
+
+		return nil, false
+	}
+
+	return func() { releaseMemory(); releasePlace() }, true
 }
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
