Count calls between hosts in the memory budget

Cause: the bodies of calls that a slot's owner receives, and the transcripts that it sends, were in no budget. BeginTurn and FindTurn are refused without effect if they do not fit. EndTurn, Hold, Recall and Relay are of a class of their own, since an answered turn becomes durable through them: they wait for others of their class only, and one always fits. Without the class Storage in memoryClassOfCall, EndTurn is refused while others hold the memory (TestAnsweredTurnIsStoredWhateverOthersHold); without reserveTranscript in BeginTurn, or Hold of the response in memoryTransport, a transcript without memory is sent or read (TestTranscriptWithoutMemoryIsNotSent).

--- a/core/memorybudget/memorybudget.go
+++ b/core/memorybudget/memorybudget.go
@@ -13,7 +13,7 @@
 	Callers Class = iota
 	// Relays is the class of connections that are relayed for other hosts.
 	Relays
-	// Calls is the class of calls between hosts, except for those of Storage.
+	// Calls is the class of calls between hosts, except for those of Storage. One holder of it always fits.
 	Calls
 	// Storage is the class of calls between hosts without which an answered turn does not become durable. One holder of it always fits.
 	Storage
@@ -72,7 +72,7 @@
 	if held, ok := b.holders[holder]; ok && held.bytes > 0 {
 		class = held.class
 	}
-	if bytes < 0 || !b.fits(class, holder, bytes) {
+	if bytes < 0 || (bytes > 0 && !b.fits(class, holder, bytes)) {
 		return false
 	}
 	b.Add(class, holder, bytes)
@@ -94,10 +94,10 @@
 	b.used[held.class] += bytes
 }
 
-// fits reports whether a holder may take further bytes. What the other classes do not use of their guarantees stays free. A turn may be
-// larger than what is guaranteed for its storage, and must be stored all the same.
+// fits reports whether a holder may take further bytes. What the other classes do not use of their guarantees stays free. A turn that a
+// larger host has accepted may be larger than what this one has for calls, and must be stored and continued all the same.
 func (b *Budget) fits(class Class, holder Holder, bytes int64) bool {
-	if class == Storage && b.used[Storage] == b.Held(holder) {
+	if (class == Calls || class == Storage) && b.used[class] == b.Held(holder) {
 		return true
 	}
 	after := b.used[class] + bytes
--- a/core/memorybudget/memorybudget_test.go
+++ b/core/memorybudget/memorybudget_test.go
@@ -15,9 +15,14 @@
 // classes are those of the budget, in the order of the guarantees of the tests.
 var classes = []memorybudget.Class{memorybudget.Callers, memorybudget.Relays, memorybudget.Calls, memorybudget.Storage}
 
+// isOfCalls reports whether a class is one of which one holder always fits.
+func isOfCalls(class memorybudget.Class) bool {
+	return class == memorybudget.Calls || class == memorybudget.Storage
+}
+
 // Guards against accounting that drifts, and against classes that take what others are guaranteed: the bytes never exceed the limit,
 // always equal the sum over the holders, and return to zero once each holder has ended, in any order of events; what a class is
-// guaranteed fits at any time, and the first holder of bytes that are needed to store a turn always fits.
+// guaranteed fits at any time, and the first holder of a class of calls always fits.
 func TestBytesReturnToZeroAfterAnySequence(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit, holders = 1000, 8
@@ -48,9 +53,9 @@
 					all += max(usedBy(other), guaranteed[other])
 				}
 			}
-			isFirst := class == memorybudget.Storage && usedBy(class) == held[holder]
+			isFirst := isOfCalls(class) && usedBy(class) == held[holder]
 
-			return bytes >= 0 && (all <= limit || usedBy(class)+bytes <= guaranteed[class] || isFirst)
+			return bytes >= 0 && (bytes == 0 || all <= limit || usedBy(class)+bytes <= guaranteed[class] || isFirst)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"reserve": func(t *rapid.T) {
@@ -84,11 +89,13 @@
 				withinLimit := int64(0)
 				for _, class := range classes {
 					require.Equal(t, usedBy(class), budget.UsedBy(class))
-					if class != memorybudget.Storage {
-						withinLimit += max(usedBy(class), guaranteed[class])
+					if isOfCalls(class) {
+						withinLimit += guaranteed[class]
+					} else {
+						withinLimit += usedBy(class)
 					}
 				}
-				require.LessOrEqual(t, withinLimit, int64(limit), "only what stores a turn may exceed the limit")
+				require.LessOrEqual(t, withinLimit, int64(limit), "only the only call of its class may exceed the limit")
 			},
 		})
 		for holder := memorybudget.Holder(1); holder <= holders; holder++ {
@@ -107,14 +114,14 @@
 			budget.Guarantee(class, 200)
 		}
 		holder := memorybudget.Holder(1)
-		for budget.Reserve(greedy, holder, 10) && (greedy != memorybudget.Storage || holder < 1000) {
+		for budget.Reserve(greedy, holder, 10) && holder < 1000 {
 			holder++
 		}
 		require.EqualValues(t, 400, budget.UsedBy(greedy), "its guarantee and what nobody is guaranteed")
 		for i, class := range classes {
 			if class != greedy {
 				require.True(t, budget.Reserve(class, memorybudget.Holder(2000+i), 200))
-				require.Equal(t, class == memorybudget.Storage, budget.Reserve(class, memorybudget.Holder(2000+i), 1), "class %d", class)
+				require.Equal(t, isOfCalls(class), budget.Reserve(class, memorybudget.Holder(2000+i), 1), "class %d", class)
 			}
 		}
 	}
--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -68,11 +68,7 @@
 	if !ok {
 		return nil, false
 	}
-	size := 0
-	for _, t := range turns {
-		size += len(t.PriorTranscript) + len(t.Input) + len(t.Output)
-	}
-	transcript := make([]byte, 0, size)
+	transcript := make([]byte, 0, transcriptBytes(turns))
 	for i := len(turns) - 1; i >= 0; i-- {
 		transcript = append(append(append(transcript, turns[i].PriorTranscript...), turns[i].Input...), turns[i].Output...)
 	}
@@ -80,6 +76,22 @@
 	return transcript, true
 }
 
+// TranscriptBytes returns the size of what Transcript returns, zero if that is false.
+func (s *Store) TranscriptBytes(workspace id.Workspace, turn string) int {
+	turns, _ := s.chain(workspace, turn)
+
+	return transcriptBytes(turns)
+}
+
+func transcriptBytes(turns []*Turn) int {
+	size := 0
+	for _, t := range turns {
+		size += len(t.PriorTranscript) + len(t.Input) + len(t.Output)
+	}
+
+	return size
+}
+
 // chain returns a turn and the turns before it, back to the first one or to one with a prior transcript. It returns false if
 // one of them is missing or belongs to another workspace.
 func (s *Store) chain(workspace id.Workspace, turn string) ([]*Turn, bool) {
--- a/core/turnstore/store_test.go
+++ b/core/turnstore/store_test.go
@@ -26,6 +26,8 @@
 	transcript, ok := store.Transcript("w", "b")
 	require.True(t, ok)
 	require.Equal(t, "in-a;out-a\nin-b;out-b\n", string(transcript))
+	require.Equal(t, len(transcript), store.TranscriptBytes("w", "b"))
+	require.Zero(t, store.TranscriptBytes("other", "b"))
 }
 
 func TestTurnsMayBranchFromOneTurn(t *testing.T) {
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -64,6 +64,8 @@
 	HasConfig func() bool
 	// Traffic counts the bytes between hosts; nil counts nothing.
 	Traffic *traffic.Counters
+	// Memory bounds what calls between hosts hold while they are in progress; nil means no bound. It may be set until Run.
+	Memory *httpx.MemoryBudget
 	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
 	IsPartitionedFromUpstreams func() bool
 	// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host; it may be nil.
@@ -154,9 +156,9 @@
 		heldTurns:   make(map[string]*heldTurn),
 	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
-	c.httpClient = &http.Client{Transport: &countingTransport{cluster: c, inner: &http.Transport{
+	c.httpClient = &http.Client{Transport: &memoryTransport{cluster: c, inner: &countingTransport{cluster: c, inner: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
-	}}}
+	}}}}
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
 	for index := range opts.Settings.Store.Partitions {
@@ -170,12 +172,10 @@
 
 // Run takes part in the cluster until ctx ends. It fails if it cannot listen for peers.
 func (c *Cluster) Run(ctx context.Context) error {
-	server, err := httpx.NewServer(httpx.Options{Address: c.self, MaxBodyBytes: maxPeerBodyBytes})
+	server, err := c.newPeerServer(c.self)
 	if err != nil {
 		return err
 	}
-	handler := adaptor.HertzHandler(c.countCalls(fleetpb.NewSlotsServer(&slotServer{cluster: c})))
-	server.NoRoute(handler)
 	server.Start()
 	defer server.Abort()
 	conn, err := net.ListenPacket("udp4", c.self)
@@ -199,6 +199,19 @@
 	return conn.Close()
 }
 
+// newPeerServer returns a server of the calls of peers.
+func (c *Cluster) newPeerServer(address string) (*httpx.Server, error) {
+	server, err := httpx.NewServer(httpx.Options{
+		Address: address, MaxBodyBytes: maxPeerBodyBytes, Memory: c.Memory, BodyCopies: callBodyCopies, MemoryClass: memoryClassOfCall,
+	})
+	if err != nil {
+		return nil, err
+	}
+	server.NoRoute(adaptor.HertzHandler(c.countCalls(c.provideCallMemory(fleetpb.NewSlotsServer(&slotServer{cluster: c})))))
+
+	return server, nil
+}
+
 // hashSlot returns the slot of a program's or workspace's name.
 func (c *Cluster) hashSlot(name string) int {
 	return id.HashSlot(name, len(c.slots))
--- a/io/cluster/findturn.go
+++ b/io/cluster/findturn.go
@@ -93,12 +93,15 @@
 // authoritative.
 func (srv *slotServer) FindTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (*fleetpb.FindTurnReply, error) {
 	c := srv.cluster
-	reply := c.findHeldTurn(req)
+	reply, err := c.findHeldTurn(ctx, req)
+	if err != nil {
+		return nil, err
+	}
 	if reply.Outcome != fleetpb.Outcome_OUTCOME_UNKNOWN_TURN || !c.mayServeSlots(c.Now()) {
 		return reply, nil
 	}
-	if transcript, ok := c.findStoredTurn(req); ok {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, nil
+	if transcript, ok, err := c.findStoredTurn(ctx, req); ok || err != nil {
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, err
 	}
 	if c.hasIncompleteTurn(req) {
 		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}, nil
@@ -110,8 +113,8 @@
 		return reply, nil
 	}
 	reply.Slots, reply.Confirmed = c.confirmSlots(ctx, reply.Slots), true
-	if transcript, ok := c.findStoredTurn(req); ok {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, nil
+	if transcript, ok, err := c.findStoredTurn(ctx, req); ok || err != nil {
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, err
 	}
 
 	return reply, nil
@@ -127,19 +130,30 @@
 	})
 }
 
-// findStoredTurn looks up a turn in the slots that this host serves.
-func (c *Cluster) findStoredTurn(req *fleetpb.FindTurnRequest) ([]byte, bool) {
+// findStoredTurn looks up a turn in the slots that this host serves. It fails if there is no memory for a reply with the turn.
+func (c *Cluster) findStoredTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (transcript []byte, ok bool, err error) {
 	for _, s := range c.slots {
-		s.mu.Lock()
-		transcript, ok := s.turns.Transcript(id.Workspace(req.Workspace), req.Turn)
-		ok = ok && s.state == serving
-		s.mu.Unlock()
-		if ok {
-			return transcript, true
+		if transcript, ok, err = s.findTurn(ctx, req); ok || err != nil {
+			return transcript, ok, err
 		}
 	}
 
-	return nil, false
+	return nil, false, nil
+}
+
+func (s *slot) findTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (transcript []byte, ok bool, err error) {
+	workspace := id.Workspace(req.Workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != serving || !s.turns.HasTranscript(workspace, req.Turn) {
+		return nil, false, nil
+	}
+	if !reserveTranscript(ctx, s.turns.TranscriptBytes(workspace, req.Turn)) {
+		return nil, false, errNoMemory
+	}
+	transcript, ok = s.turns.Transcript(workspace, req.Turn)
+
+	return transcript, ok, nil
 }
 
 // authoritativeSlots returns the slots of which this host may say that a turn that is not there does not exist.
@@ -156,19 +170,22 @@
 
 // findHeldTurn looks up a turn among those that this host holds until they are durable. It is unsure about one that it holds
 // without the prior transcript.
-func (c *Cluster) findHeldTurn(req *fleetpb.FindTurnRequest) *fleetpb.FindTurnReply {
+func (c *Cluster) findHeldTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (*fleetpb.FindTurnReply, error) {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
 	held, ok := c.heldTurns[req.Turn]
 	if !ok || held.turn.Workspace != req.Workspace {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}, nil
 	}
 	turn := held.turn
 	if turn.Previous != "" && len(turn.Base) == 0 {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}, nil
+	}
+	if !reserveTranscript(ctx, len(turn.Base)+len(turn.Input)+len(turn.Output)) {
+		return nil, errNoMemory
 	}
 
-	return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: slices.Concat(turn.Base, turn.Input, turn.Output)}
+	return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: slices.Concat(turn.Base, turn.Input, turn.Output)}, nil
 }
 
 // hasSilentHost reports whether a listed host is silent, but was heard so recently that it may still hold turns.
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"cardamomward/core/id"
 	"cardamomward/core/tokenbudget"
@@ -24,7 +25,7 @@
 )
 
 // Recall returns the watermarks and turns of a slot that this host has in memory.
-func (srv *slotServer) Recall(_ context.Context, req *fleetpb.RecallRequest) (*fleetpb.RecallReply, error) {
+func (srv *slotServer) Recall(ctx context.Context, req *fleetpb.RecallRequest) (*fleetpb.RecallReply, error) {
 	c := srv.cluster
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
@@ -40,6 +41,7 @@
 			reply.Turns = append(reply.Turns, held.turn)
 		}
 	}
+	countReply(ctx, proto.Size(reply))
 
 	return reply, nil
 }
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -41,6 +41,9 @@
 		return reply, nil
 	}
 	if req.Previous != "" && !req.HaveChain {
+		if !reserveTranscript(ctx, s.turns.TranscriptBytes(id.Workspace(req.Workspace), req.Previous)) {
+			return nil, errNoMemory
+		}
 		transcript, ok := s.turns.Transcript(id.Workspace(req.Workspace), req.Previous)
 		if !ok {
 			reply.Outcome = fleetpb.Outcome_OUTCOME_UNKNOWN_TURN
--- a/io/cluster/storerelay.go
+++ b/io/cluster/storerelay.go
@@ -120,6 +120,8 @@
 		return &fleetpb.RelayReply{}, nil //nolint:nilerr // status zero tells the sender that there was no response
 	}
 
+	countReply(ctx, len(reply.Body))
+
 	return &fleetpb.RelayReply{Status: int32(reply.Status), Body: reply.Body}, nil
 }
 
--- a/io/gatewayhost/memory.go
+++ b/io/gatewayhost/memory.go
@@ -27,7 +27,7 @@
 	memory.OnIdleClosed = func(remote string, bytes int64) {
 		h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
 	}
-	h.proxy.Memory = memory
+	h.proxy.Memory, h.cluster.Memory = memory, memory
 	h.relay.Reserve = func() (func(), bool) { return memory.Hold(memorybudget.Relays, relayedConnBytes) }
 }
 
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -70,7 +70,7 @@
 // Hold reserves bytes that belong to no connection of a server, and returns a function that gives them back; it reports false if they
 // do not fit. Bytes of memorybudget.Storage are those of a turn in memory, and are reserved whether they fit or not.
 func (m *MemoryBudget) Hold(class memorybudget.Class, bytes int64) (release func(), ok bool) {
-	if m == nil {
+	if m == nil || bytes <= 0 {
 		return func() {}, true
 	}
 	m.mu.Lock()
@@ -95,25 +95,35 @@
 // Reserve reserves bytes for the connection from a remote address until its response has been written, and reports false if they
 // do not fit. The connections whose callers read nothing are closed first, the largest first.
 func (m *MemoryBudget) Reserve(remote string, bytes int64) bool {
-	if m == nil {
+	if m == nil || m.tryReserve(remote, bytes) {
 		return true
 	}
+	m.countRefusal(remote)
+
+	return false
+}
+
+// countRefusal counts a refused reservation, unless the connection has been closed.
+func (m *MemoryBudget) countRefusal(remote string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, open := m.byRemote[remote]; open {
+		m.refused++
+	}
+}
+
+// tryReserve is Reserve for a caller that may try again.
+func (m *MemoryBudget) tryReserve(remote string, bytes int64) bool {
 	for {
 		m.mu.Lock()
 		c, ok := m.byRemote[remote]
-		if !ok {
+		if !ok || m.budget.Reserve(c.class, c.holder, bytes) {
 			m.mu.Unlock()
 
-			return false
-		}
-		if m.budget.Reserve(c.class, c.holder, bytes) {
-			m.mu.Unlock()
-
-			return true
+			return ok
 		}
 		idle, found := m.largestIdle(c)
 		if !found {
-			m.refused++
 			m.mu.Unlock()
 
 			return false
@@ -127,6 +137,18 @@
 	}
 }
 
+// Add counts bytes that the connection from a remote address holds already, whether they fit or not.
+func (m *MemoryBudget) Add(remote string, bytes int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.byRemote[remote]; ok {
+		m.budget.Add(c.class, c.holder, bytes)
+	}
+}
+
 // largestIdle returns the connection to close; the caller holds the lock.
 func (m *MemoryBudget) largestIdle(except *conn) (*conn, bool) {
 	holder, ok := m.budget.LargestIdle(except.class, m.Now(), idleCallerTimeout)
@@ -274,8 +296,10 @@
 	if c.class != memorybudget.Storage {
 		return c.memory.Reserve(c.remoteAddr, bytes)
 	}
-	for waitUntil := time.Now().Add(storageWait); !c.memory.Reserve(c.remoteAddr, bytes); {
+	for waitUntil := time.Now().Add(storageWait); !c.memory.tryReserve(c.remoteAddr, bytes); {
 		if !time.Now().Before(waitUntil) {
+			c.memory.countRefusal(c.remoteAddr)
+
 			return false
 		}
 		time.Sleep(storagePollInterval)
