Keep slots while all hosts drain at the same time

Cause: a draining host released its slots and left the group at once. Change: a draining host keeps its slots and renews its membership until it hears a host that is not draining, from 0.2 s after the signal on, by when heartbeats of hosts that were stopped with it say so.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -98,7 +98,9 @@
 	// leaseExpiryNanos is the expiry of the membership's lease, in nanoseconds since the Unix epoch; zero before the
 	// first lease.
 	leaseExpiryNanos atomic.Int64
-	isLeaving        atomic.Bool
+	// isLeaving is set once this host drains, and isResigning once it gives up its slots and its membership.
+	isLeaving   atomic.Bool
+	isResigning atomic.Bool
 	// isStopped is set once Run ends; calls that no caller waits for are then not retried.
 	isStopped atomic.Bool
 	// mustRejoin is set while the host must leave the group before it joins again.
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -24,7 +24,7 @@
 // assigns them.
 func (c *Cluster) renewLoop(ctx context.Context) {
 	c.awaitHostList(ctx)
-	for ctx.Err() == nil && !c.isLeaving.Load() {
+	for ctx.Err() == nil && !c.isResigning.Load() {
 		var pause time.Duration
 		if c.shouldBeMember() {
 			pause = c.renewMembership(ctx)
@@ -134,7 +134,7 @@
 		}
 	}
 	c.leaseExpiryNanos.Store(requestedAt.Add(c.leaseDuration).UnixNano())
-	if c.isLeaving.Load() {
+	if c.isResigning.Load() {
 		return renewInterval
 	}
 	if c.holdsExcessSlots(len(m.Partitions)) {
@@ -210,12 +210,14 @@
 	return released
 }
 
-// Leave releases all slots and ends the membership. It waits while the store does not respond, since no other host could
-// acquire the slots, and continues to serve them meanwhile. The host stays in the list of hosts until Withdraw, since it
-// still serves callers and may hold turns that others need.
+// Leave releases all slots and ends the membership. It waits while no other host could acquire the slots, because the store does not
+// respond or all hosts are draining, and continues to serve them meanwhile. The host stays in the list of hosts until Withdraw, since
+// it still serves callers and may hold turns that others need.
 func (c *Cluster) Leave(ctx context.Context) {
 	c.isLeaving.Store(true)
 	c.peers.setDraining()
+	c.awaitStayingHost(ctx)
+	c.isResigning.Store(true)
 	for ctx.Err() == nil && !c.pingStore(ctx) {
 		topicconsumer.SleepContext(ctx, renewRetryInterval)
 	}
@@ -232,6 +234,18 @@
 	c.requestOwnersRefresh()
 }
 
+// drainNoticePeriod is how long heartbeats may take to show that a host which was told to stop at the same time is draining.
+const drainNoticePeriod = 2 * heartbeatInterval
+
+// awaitStayingHost waits until a host is heard that is not draining. If all hosts are stopped at once, turns in progress need the slots
+// until their end.
+func (c *Cluster) awaitStayingHost(ctx context.Context) {
+	noticedAt := c.Now().Add(drainNoticePeriod)
+	for ctx.Err() == nil && !c.peers.hasStayingPeerSince(noticedAt) {
+		topicconsumer.SleepContext(ctx, heartbeatInterval)
+	}
+}
+
 // withdrawTimeout bounds the deletion of this host's entry when its process stops.
 const withdrawTimeout = 300 * time.Millisecond
 
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -434,6 +434,19 @@
 	return members
 }
 
+// hasStayingPeerSince reports whether a peer that is not draining has been heard at a time or later.
+func (p *peerTable) hasStayingPeerSince(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.byHost {
+		if !other.isDraining && !other.hasLeft && !other.lastHeardAt.Before(since) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // isHostListRead reports whether the list of hosts has been read, so that hostCount is known.
 func (p *peerTable) isHostListRead() bool {
 	select {
