Repeat the request id in the refusal of a body that is not read

Cause: a body that does not fit into the memory budget is refused by the connection, whose 503 had no request id, so that callers could not tell which request it belongs to. An interim response (100 Continue) no longer counts as the response, by which the count of the request began anew. Without the comparison with continueResponse in writeBudgeted, a request that expects 100 Continue is not refused before its body arrives; without head.reset in readBudgeted, a request gets the id of the one before (TestRefusalOfBodyThatIsNotReadHasRequestID).

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -187,7 +187,8 @@
 	addServer(httpx.Options{
 		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true, Memory: h.proxy.Memory,
 		// Callers do not tell their failure domain in requests.
-		Traffic: h.traffic.Get(traffic.Caller, traffic.Unknown),
+		Traffic:       h.traffic.Get(traffic.Caller, traffic.Unknown),
+		RefusalHeader: platform.RefusalHeader,
 	}, h.proxy.HandleRequest)
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
--- a/io/gatewayhost/memory_test.go
+++ b/io/gatewayhost/memory_test.go
@@ -61,6 +61,11 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.Status, "its copies do not fit")
 	require.Contains(t, response.Body, "no-memory")
 	require.Empty(t, c.executionsOf("large"))
+	response, err = standin.CallerRequest{Path: "/look/", APIKey: "secret", Body: large + large}.Send(context.Background(), "too-large", c.hosts["host-0"].settings.CallerAddress)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.Status, "it is not read")
+	require.Equal(t, "too-large", response.Header.Get("Request-Id"))
+	require.Empty(t, c.executionsOf("too-large"))
 	require.Equal(t, http.StatusOK, c.do("host-0", standin.CallerRequest{Path: "/look/", APIKey: "secret", Body: large[:memoryBudgetBytes/8]}).Status)
 	c.requireNothingHeld()
 }
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -17,10 +18,12 @@
 	net.Listener
 
 	counter *traffic.Counter
-	// memory is nil if the connections have no budget; copies and classOf are the options BodyCopies and MemoryClass.
-	memory  *MemoryBudget
-	copies  int64
-	classOf func(path string) memorybudget.Class
+	// memory is nil if the connections have no budget; copies, classOf and refusalHeader are the options BodyCopies, MemoryClass and
+	// RefusalHeader.
+	memory        *MemoryBudget
+	copies        int64
+	classOf       func(path string) memorybudget.Class
+	refusalHeader func(request http.Header) http.Header
 
 	mu    sync.Mutex
 	conns map[string]*conn
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -1,10 +1,12 @@
 package httpx
 
 import (
+	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,8 +33,12 @@
 	dropBufferBytes = 4 << 10
 )
 
-// refusal is the response to a request whose body does not fit into the budget. It is sent before the body is read.
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.500\r\nContent-Type: application/json\r\nContent-Length: 22\r\nConnection: close\r\n\r\n{\"error\":\"no-memory\"}\n"
+// refusalBody and refusalRetryAfter are those of the response to a request whose body does not fit into the budget. It is sent before the
+// body is read.
+const (
+	refusalBody       = "{\"error\":\"no-memory\"}\n"
+	refusalRetryAfter = "0.500"
+)
 
 // errOverBudget ends a connection whose request does not fit into the budget.
 var errOverBudget = errors.New("the request does not fit into the memory budget")
@@ -311,7 +317,7 @@
 // refuse sends the refusal, and drops what the caller still sends for a short time.
 func (c *conn) refuse() {
 	c.SetDeadline(time.Now().Add(refusalTimeout)) //nolint:errcheck // the connection is about to end
-	if _, err := io.WriteString(c.Conn, refusal); err != nil {
+	if _, err := c.Conn.Write(c.encodeRefusal()); err != nil {
 		return
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -325,9 +331,29 @@
 	}
 }
 
+// encodeRefusal returns the refusal of the present request.
+func (c *conn) encodeRefusal() []byte {
+	header := http.Header{}
+	if c.listener.refusalHeader != nil {
+		header = c.listener.refusalHeader(c.head.fields())
+	}
+	header.Set("Retry-After", refusalRetryAfter)
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(refusalBody)))
+	header.Set("Connection", "close")
+	var response bytes.Buffer
+	response.WriteString("HTTP/1.1 503 Service Unavailable\r\n")
+	header.Write(&response) //nolint:errcheck // a buffer takes all bytes
+	response.WriteString("\r\n" + refusalBody)
+
+	return response.Bytes()
+}
+
 // writeBudgeted writes a part of a response and notes whether its caller reads.
 func (c *conn) writeBudgeted(p []byte) (int, error) {
-	c.hasWritten.Store(true)
+	if !bytes.Equal(p, continueResponse) {
+		c.hasWritten.Store(true)
+	}
 	written := 0
 	for {
 		c.memory.setWaiting(c)
--- a/io/httpx/memory_test.go
+++ b/io/httpx/memory_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/io/httpx"
+	"cardamomward/platform"
 )
 
 const (
@@ -102,6 +103,60 @@
 	require.Equal(t, http.StatusOK, s.get(t))
 }
 
+// Guards against callers that cannot tell which of their requests was refused, whatever way its head and body arrive, and against a
+// request id that is taken from a body or from an earlier request.
+func TestRefusalOfBodyThatIsNotReadHasRequestID(t *testing.T) {
+	budget := httpx.NewMemoryBudget(1<<20, time.Now)
+	server, err := httpx.NewServer(httpx.Options{
+		Address: "127.0.0.1:0", MaxBodyBytes: 64 << 20, Forwarding: true, Memory: budget, RefusalHeader: platform.RefusalHeader,
+	})
+	require.NoError(t, err)
+	server.NoRoute(func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(http.StatusOK) })
+	server.Start()
+	t.Cleanup(server.Abort)
+	const contentLength = "Content-Length: 2000000\r\n"
+	for name, test := range map[string]struct {
+		parts []string
+		want  string
+	}{
+		"one part":          {[]string{"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\n" + contentLength + "\r\n"}, "r-1"},
+		"other case":        {[]string{"POST / HTTP/1.1\r\nhost: h\r\nrequest-id:r-1\r\n" + contentLength + "\r\nfirst bytes"}, "r-1"},
+		"several parts":     {[]string{"POST / HTTP/1.1\r\nHost: h\r\nReq", "uest-Id: r", "-1\r\n" + contentLength, "\r", "\n", "first bytes"}, "r-1"},
+		"expects a reply":   {[]string{"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\nExpect: 100-continue\r\n" + contentLength + "\r\n"}, "r-1"},
+		"unknown length":    {[]string{"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n1e8480\r\n", strings.Repeat("x", 1<<20+1)}, "r-1"},
+		"long head":         {[]string{"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-1\r\nLong: " + strings.Repeat("x", 20<<10) + "\r\n" + contentLength + "\r\n"}, "r-1"},
+		"no request id":     {[]string{"POST / HTTP/1.1\r\nHost: h\r\n" + contentLength + "\r\n", "Request-Id: r-2\r\n\r\n"}, ""},
+		"after another one": {[]string{"POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: r-0\r\nContent-Length: 1\r\n\r\nx", "", "POST / HTTP/1.1\r\nHost: h\r\n" + contentLength + "\r\n"}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := dial(t, server)
+			responses := bufio.NewReader(conn)
+			for _, part := range test.parts {
+				if part == "" {
+					resp, err := http.ReadResponse(responses, nil)
+					require.NoError(t, err)
+					resp.Body.Close()
+				}
+				send(t, conn, part)
+				time.Sleep(20 * time.Millisecond)
+			}
+			resp, err := http.ReadResponse(responses, nil)
+			require.NoError(t, err)
+			if resp.StatusCode == http.StatusContinue {
+				resp, err = http.ReadResponse(responses, nil)
+				require.NoError(t, err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+			require.Equal(t, "{\"error\":\"no-memory\"}\n", string(body))
+			require.Equal(t, test.want, resp.Header.Get("Request-Id"))
+			require.Equal(t, "0.500", resp.Header.Get("Retry-After"))
+		})
+	}
+}
+
 func TestBodyOfUnknownLengthIsRefusedWhenItExceedsBudget(t *testing.T) {
 	s := startMemoryServer(t)
 	conn := dial(t, s.Server)
--- a/io/httpx/requesthead.go
+++ b/io/httpx/requesthead.go
@@ -1,12 +1,20 @@
 package httpx
 
 import (
+	"bufio"
 	"bytes"
+	"net/http"
+	"net/textproto"
 	"strings"
 )
 
-// endOfHead separates the head of a request from its body.
-var endOfHead = []byte("\r\n\r\n")
+var (
+	lineEnd = []byte("\r\n")
+	// endOfHead separates the head of a request from its body.
+	endOfHead = []byte("\r\n\r\n")
+	// continueResponse asks a caller for the body of its request. The response follows.
+	continueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+)
 
 // requestHead collects the head of a request as it is read, up to uncountedRequestBytes. Its zero value is empty.
 type requestHead struct {
@@ -39,7 +47,7 @@
 
 // path returns the path of the request's target.
 func (h *requestHead) path() string {
-	line, _, _ := bytes.Cut(h.data, []byte("\r\n"))
+	line, _, _ := bytes.Cut(h.data, lineEnd)
 	fields := strings.Fields(string(line))
 	if len(fields) < 2 { //nolint:mnd // the method and the target
 		return ""
@@ -48,3 +56,13 @@
 
 	return path
 }
+
+// fields returns the header fields, or those before one that is malformed or not read yet.
+func (h *requestHead) fields() http.Header {
+	_, lines, _ := bytes.Cut(h.data, lineEnd)
+	lines = append(bytes.Clone(lines[:max(0, bytes.LastIndex(lines, lineEnd)+len(lineEnd))]), lineEnd...)
+	// The fields before an error count.
+	fields, _ := textproto.NewReader(bufio.NewReader(bytes.NewReader(lines))).ReadMIMEHeader()
+
+	return http.Header(fields)
+}
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -65,6 +66,9 @@
 	BodyCopies int
 	// MemoryClass returns the class of a request by its path; nil means memorybudget.Callers for all.
 	MemoryClass func(path string) memorybudget.Class
+	// RefusalHeader returns fields of the response to a request whose body does not fit into Memory, by the request's header; nil means
+	// none beside those of any such response.
+	RefusalHeader func(request http.Header) http.Header
 }
 
 // NewServer listens on the address and returns a server that serves once Start is called.
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory, copies: int64(opts.BodyCopies), classOf: opts.MemoryClass}
+	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory, copies: int64(opts.BodyCopies), classOf: opts.MemoryClass, refusalHeader: opts.RefusalHeader}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
