Disturb links in the soak and reduce failing plans

Faults of the store and of processes leave out networks that fail beside them. The links from hosts to the store, from callers to hosts and from hosts to upstreams go through proxies of the soak now, whose faults are part of the plans; links between hosts are left out, since a host listens on the address that it announces.

--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -33,6 +33,8 @@
 	Keep string
 	// Jobs is the number of runs at a time.
 	Jobs int
+	// Reduce reruns a failing plan without single faults, down to the smallest one that still fails.
+	Reduce bool
 	// PlanFile is a kept plan that is played instead of those of the seeds.
 	PlanFile string
 }
@@ -63,6 +65,7 @@
 			&cli.StringSliceFlag{Name: "faults", Usage: "kinds of faults, separated by commas; all without it", Destination: &opts.Faults},
 			&cli.StringFlag{Name: "keep", Usage: "directory in which the plan and logs of failures are kept", Destination: &opts.Keep},
 			&cli.IntFlag{Name: "jobs", Usage: "runs at a time", Value: 1, Destination: &opts.Jobs},
+			&cli.BoolFlag{Name: "reduce", Usage: "rerun a failing plan without single faults, down to the smallest that still fails", Destination: &opts.Reduce},
 			&cli.StringFlag{Name: "plan", Usage: "file with a kept plan to play instead of those of the seeds", Destination: &opts.PlanFile},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
@@ -128,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	s := &session{options: opts, executable: executable, isTerminal: isTerminal(opts.Factory.IOStreams.Out)}
+	s := &session{options: opts, executable: executable, isTerminal: isTerminal(opts.Factory.IOStreams.Out), isSingle: len(plans) == 1}
 	queue := make(chan plan.Plan)
 	var workers sync.WaitGroup
 	for range opts.Jobs {
@@ -143,6 +146,9 @@
 	}
 	close(queue)
 	workers.Wait()
+	for _, result := range s.reported {
+		s.errs = append(s.errs, result.WriteReport(opts.Factory.IOStreams.Out))
+	}
 	fmt.Fprintf(opts.Factory.IOStreams.Out, "%d of %d runs passed\n", s.passed, len(plans))
 
 	return errors.Join(append(s.errs, ctx.Err())...)
@@ -153,10 +159,13 @@
 	options    *SoakOptions
 	executable string
 	isTerminal bool
+	isSingle   bool
 
 	mu     sync.Mutex
 	passed int
-	errs   []error
+	// reported are the results of which the report shows more than a line: those with violations, or that of a single run.
+	reported []*soak.Result
+	errs     []error
 }
 
 // play plays a plan and prints its result.
@@ -176,16 +185,50 @@
 		s.errs = append(s.errs, err)
 	case len(result.Violations) > 0:
 		fmt.Fprintf(out, "%s; see %s\n", result.Summary(), dir)
-		if err := result.WriteReport(out); err != nil {
-			s.errs = append(s.errs, err)
-		}
+		s.reported = append(s.reported, result)
 		s.errs = append(s.errs, fmt.Errorf("seed %d: %w", p.Seed, ErrViolations))
+		if s.options.Reduce {
+			s.errs = append(s.errs, s.reduce(ctx, result, dir))
+		}
 	default:
 		fmt.Fprintln(out, result.Summary())
 		s.passed++
+		if s.isSingle {
+			s.reported = append(s.reported, result)
+		}
 	}
 }
 
+const (
+	// maxReductionRuns bounds the reruns of a failing plan.
+	maxReductionRuns = 100
+	// reductionAttempts is how often a shorter plan is played before it counts as passed: processes are not scheduled alike in each run.
+	reductionAttempts = 2
+)
+
+// reduce reruns a failing plan without single faults and writes the smallest one that still breaks one of the same promises.
+func (s *session) reduce(ctx context.Context, result *soak.Result, dir string) error {
+	out := s.options.Factory.IOStreams.Out
+	reduced, err := plan.Reduce(result.Plan, maxReductionRuns, func(p plan.Plan) (bool, error) {
+		for range reductionAttempts {
+			rerun, _, err := s.run(ctx, p)
+			if err != nil {
+				return false, err
+			}
+			if rerun.BreaksPromiseOf(result) {
+				fmt.Fprintf(out, "still fails with %d faults\n", len(p.Faults))
+
+				return true, nil
+			}
+		}
+
+		return false, nil
+	})
+	fmt.Fprintf(out, "smallest plan that fails:\n%s", reduced)
+
+	return errors.Join(err, os.WriteFile(filepath.Join(dir, "reduced.txt"), []byte(reduced.String()), 0o600))
+}
+
 // run plays a plan in a directory of its own, which is removed if the run passes.
 func (s *session) run(ctx context.Context, p plan.Plan) (*soak.Result, string, error) {
 	parent := s.options.Keep
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -103,7 +103,9 @@
 	HostPaused DisturbanceKind = "host-paused"
 	// StoreDisturbed is a store that does not serve all hosts as usual.
 	StoreDisturbed DisturbanceKind = "store-disturbed"
-	// UpstreamDisturbed is an upstream that is replaced.
+	// CallersDisturbed is a host whose link to its callers is disturbed.
+	CallersDisturbed DisturbanceKind = "callers-disturbed"
+	// UpstreamDisturbed is an upstream that is replaced, or whose link is disturbed.
 	UpstreamDisturbed DisturbanceKind = "upstream-disturbed"
 	// Stall is a period in which the machine did not run the soak's own timers in time.
 	Stall DisturbanceKind = "stall"
--- a/test/soak/plan/plan.go
+++ b/test/soak/plan/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -41,11 +42,32 @@
 	Crash Kind = "crash"
 	// ChangeKeys publishes a configuration that adds an API key and withdraws another one.
 	ChangeKeys Kind = "change-keys"
+	// LinkDelay delays what passes a link in both directions, and LinkTrickle limits its bandwidth.
+	LinkDelay   Kind = "link-delay"
+	LinkTrickle Kind = "link-trickle"
+	// LinkReset resets the connections of a link.
+	LinkReset Kind = "link-reset"
+	// LinkDrop stops what passes a link without a sign, LinkDropRequests and LinkDropResponses that in one direction.
+	LinkDrop          Kind = "link-drop"
+	LinkDropRequests  Kind = "link-drop-requests"
+	LinkDropResponses Kind = "link-drop-responses"
+	// LinkRepeat sends the latest requests of a link to the store again, late.
+	LinkRepeat Kind = "link-repeat"
 )
 
-// Target is what a fault hits: the name of a host or an upstream, All or InTurn; empty for faults of the store and of keys.
+// Target is what a fault hits: the name of a host, an upstream or a link, All or InTurn; empty for faults of the store and of keys.
 type Target string
 
+// Prefixes of the names of links; the name of a host or an upstream follows.
+const (
+	// StoreLink precedes a host: its link to the store.
+	StoreLink Target = "store/"
+	// CallersLink precedes a host: the link of its callers.
+	CallersLink Target = "callers/"
+	// UpstreamLink precedes an upstream: the link of all hosts to it.
+	UpstreamLink Target = "upstream/"
+)
+
 // Targets that stand for several hosts.
 const (
 	// All hits all hosts at the same time.
@@ -103,6 +125,14 @@
 // HitsUpstreams reports whether the fault hits an upstream.
 func (k Kind) HitsUpstreams() bool { return k == Release || k == Crash }
 
+// HitsLinks reports whether the fault hits a link.
+func (k Kind) HitsLinks() bool { return strings.HasPrefix(string(k), "link-") }
+
+// DisturbsStore reports whether the fault disturbs calls of the store by all hosts or one.
+func (f Fault) DisturbsStore() bool {
+	return f.Kind.HitsStore() || f.Kind.HitsLinks() && strings.HasPrefix(string(f.Target), string(StoreLink))
+}
+
 // Without returns the plan without one of its faults.
 func (p Plan) Without(index int) Plan {
 	p.Faults = slices.Delete(slices.Clone(p.Faults), index, index+1)
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 
 	"cardamomward/test/soak/check"
@@ -54,6 +55,13 @@
 		len(r.Plan.Faults), len(r.History.Requests), len(r.History.Executions), len(r.History.Exits), peakBytes>>20, peakFiles)
 }
 
+// BreaksPromiseOf reports whether the run has broken one of the promises that another run has broken.
+func (r *Result) BreaksPromiseOf(other *Result) bool {
+	return slices.ContainsFunc(r.Violations, func(v check.Violation) bool {
+		return slices.ContainsFunc(other.Violations, func(w check.Violation) bool { return v.Promise == w.Promise })
+	})
+}
+
 // statusNames are the columns of the report's plot.
 var statusNames = []string{"whole", "cut", "rejected", "failed", "none"}
 
