--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -35,8 +35,8 @@
 	Jobs int
 	// Reduce reruns a failing plan without single faults, down to the smallest one that still fails.
 	Reduce bool
-	// PlanFile is a kept plan that is played instead of those of the seeds.
-	PlanFile string
+	// PlanFiles are kept plans that are played instead of those of the seeds.
+	PlanFiles []string
 }
 
 const (
@@ -66,7 +66,7 @@
 			&cli.StringFlag{Name: "keep", Usage: "directory in which the plan and logs of failures are kept", Destination: &opts.Keep},
 			&cli.IntFlag{Name: "jobs", Usage: "runs at a time", Value: 1, Destination: &opts.Jobs},
 			&cli.BoolFlag{Name: "reduce", Usage: "rerun a failing plan without single faults, down to the smallest that still fails", Destination: &opts.Reduce},
-			&cli.StringFlag{Name: "plan", Usage: "file with a kept plan to play instead of those of the seeds", Destination: &opts.PlanFile},
+			&cli.StringSliceFlag{Name: "plan", Usage: "file with a kept plan to play instead of those of the seeds; several one after another", Destination: &opts.PlanFiles},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
 			if runF != nil {
@@ -98,19 +98,21 @@
 		options.Kinds = append(options.Kinds, kind)
 	}
 	var plans []plan.Plan
-	if o.PlanFile != "" {
-		text, err := o.Factory.ReadFile(o.PlanFile)
+	for _, file := range o.PlanFiles {
+		text, err := o.Factory.ReadFile(file)
 		check(err == nil, "--plan: %v", err)
 		if err == nil {
 			p, err := plan.Parse(string(text))
-			check(err == nil, "--plan %s: %v", o.PlanFile, err)
+			check(err == nil, "--plan %s: %v", file, err)
+			check(err != nil || p.Hosts >= 1 && p.Hosts <= maxHosts && p.Hosts*o.Jobs <= maxProcesses,
+				"--plan %s has %d hosts; it must have 1 to %d, and at most %d processes run at a time", file, p.Hosts, maxHosts, maxProcesses)
 			plans = append(plans, p)
 		}
 	}
 	if len(findings) > 0 {
 		return nil, cmdutil.NewUsageError("%s", strings.Join(findings, "\n"))
 	}
-	if o.PlanFile == "" {
+	if len(o.PlanFiles) == 0 {
 		for i := range o.Seeds {
 			plans = append(plans, plan.Generate(plan.Seed(o.Seed+uint64(i)), options))
 		}
--- a/command/soak/soak_test.go
+++ b/command/soak/soak_test.go
@@ -45,47 +45,34 @@
 // shortSoakTimeout bounds the short soak; it only stops a soak that hangs.
 const shortSoakTimeout = 110 * time.Second
 
-// Guards against all violations that test/soak/check finds, on a short plan with a fault of each kind of process signal, of the store, of
-// upstreams and of keys.
-func TestShortSoakFindsNoViolation(t *testing.T) {
+// Guards against all violations that test/soak/check finds. The short plan has a fault of each kind of process signal, of the store, of
+// links, of upstreams and of keys. The others reproduce failures of similar systems: a planned stop under load, also with two signals, during
+// the start and without the store, that cuts accepted requests; a host that is only silent, for less and for more than each time limit, whose
+// requests are started elsewhere or given up; and restarts after which a host uses a withdrawn key or an upstream that had left.
+func TestShortSoaksFindNoViolation(t *testing.T) {
 	if testing.Short() {
-		t.Skip("the soak takes about half a minute")
+		t.Skip("each soak takes about half a minute")
+	}
+	t.Setenv(mainEnvVar, "1")
+	plans, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.Len(t, plans, 4)
+	var out bytes.Buffer
+	args := []string{"--jobs", "2", "--keep", t.TempDir()}
+	for _, name := range plans {
+		args = append(args, "--plan", name)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), shortSoakTimeout)
 	defer cancel()
-	keep := t.TempDir()
-	file := filepath.Join(keep, "plan.txt")
-	require.NoError(t, os.WriteFile(file, []byte(shortPlan), 0o600))
-	var out bytes.Buffer
-	err := run(ctx, t, &out, "--plan", file, "--keep", keep)
+	err = run(ctx, &out, args...)
 	require.NoError(t, err, out.String())
-	require.Contains(t, out.String(), "1 of 1 runs passed")
+	require.Contains(t, out.String(), "4 of 4 runs passed")
 }
 
-const shortPlan = `plan seed 1 hosts 4 duration 16s
-fault at 1s for 600ms kind pause target host-1
-fault at 1.5s for 800ms kind link-drop-responses target callers/host-0
-fault at 2s for 0s kind change-keys target none
-fault at 3s for 500ms kind kill target host-0
-fault at 3.2s for 0s kind crash target desk-0
-fault at 5s for 200ms kind terminate-twice target host-2
-fault at 6s for 1s kind release target engine-1
-fault at 8s for 1s kind link-drop target store/host-1
-fault at 9s for 500ms kind link-reset target upstream/desk-1
-fault at 9.5s for 1s kind link-repeat target store/host-2
-fault at 11s for 1.5s kind store-down target none
-fault at 11.5s for 1.2s kind store-cut target host-3
-fault at 13s for 0s kind store-forget target none
-fault at 14s for 300ms kind kill target all
-fault at 15s for 0s kind change-keys target none
-`
-
 // run runs the command with arguments.
-func run(ctx context.Context, t *testing.T, out *bytes.Buffer, args ...string) error {
-	t.Helper()
+func run(ctx context.Context, out *bytes.Buffer, args ...string) error {
 	factory := cmdutil.NewFactory()
 	factory.IOStreams.Out = out
-	t.Setenv(mainEnvVar, "1")
 
 	return root.NewCmdRoot(factory).Run(ctx, append([]string{"cardamomward", "soak"}, args...))
 }
@@ -93,7 +80,7 @@
 // Guards against a command of whose mistakes only the first is named.
 func TestAllInvalidArgumentsAreReportedTogether(t *testing.T) {
 	var out bytes.Buffer
-	err := run(t.Context(), t, &out, "--seeds", "0", "--hosts", "99", "--for", "1s", "--jobs", "0", "--faults", "burn,kill", "--plan", "missing.txt")
+	err := run(t.Context(), &out, "--seeds", "0", "--hosts", "99", "--for", "1s", "--jobs", "0", "--faults", "burn,kill", "--plan", "missing.txt")
 	var usage *cmdutil.UsageError
 	require.True(t, errors.As(err, &usage))
 	for _, flag := range []string{"--seeds", "--hosts", "--for", "--jobs", `"burn"`, "--plan"} {
@@ -110,10 +97,11 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), shortSoakTimeout)
 	defer cancel()
+	t.Setenv(mainEnvVar, "1")
 	t.Setenv(exitEnvVar, "1")
 	keep := t.TempDir()
 	var out bytes.Buffer
-	err := run(ctx, t, &out, "--seed", "7", "--hosts", "2", "--for", "3s", "--faults", "change-keys", "--reduce", "--keep", keep)
+	err := run(ctx, &out, "--seed", "7", "--hosts", "2", "--for", "3s", "--faults", "change-keys", "--reduce", "--keep", keep)
 	require.ErrorIs(t, err, soak.ErrViolations, out.String())
 	require.Equal(t, cmdutil.ExitFailure, cmdutil.ExitCodeFor(err))
 	require.Contains(t, out.String(), "no-exit-by-itself: host-0 ended by itself: exit status 3")
--- a/test/soak/check/check_test.go
+++ b/test/soak/check/check_test.go
@@ -100,6 +100,10 @@
 		addRequest(h, newRequest("r9", check.Order, "order-1", 5))
 		h.Executions = append(h.Executions, check.Execution{Request: "r9", Upstream: "desk-1"})
 	}},
+	{"stream started twice while its host was paused", "running-once", func(h *check.History) {
+		h.Executions = append(h.Executions, check.Execution{Request: "r4", Upstream: "engine-1"})
+		disturb(h, check.HostPaused, "host-0", 4.01, 4.05)
+	}},
 	{"rejected request was executed", "rejections-are-true", func(h *check.History) {
 		h.Executions = append(h.Executions, check.Execution{Request: "r5", Upstream: "desk-1"})
 	}},
@@ -154,6 +158,11 @@
 		h.Executions = append(h.Executions, check.Execution{Request: "r9", Upstream: "desk-1"})
 		disturb(h, check.StoreDisturbed, "", 9, 25)
 	}},
+	{"removed upstream is used", "removed-upstreams-are-unused", func(h *check.History) {
+		h.Removals = append(h.Removals, check.Removal{Period: check.Period{From: at(8)}, Upstream: "engine-0"})
+		addRequest(h, newRequest("r9", check.Probe, "probe-2", 13))
+		h.Executions = append(h.Executions, check.Execution{Request: "r9", Upstream: "engine-0", At: at(13)})
+	}},
 	{"process ended by itself", "no-exit-by-itself", func(h *check.History) {
 		h.Exits = append(h.Exits, check.Exit{Host: "host-2", At: at(7), State: "exit status 2"})
 	}},
@@ -166,6 +175,21 @@
 		disturb(h, check.HostDrained, "host-0", 2.5, 7)
 		h.Requests[2].Status, h.Requests[2].IsWhole, h.Requests[2].IsFromUpstream = 0, false, false
 	}},
+	{"drain of all hosts cut a request", "stop-of-all-cuts-nothing", func(h *check.History) {
+		for _, host := range h.Hosts {
+			disturb(h, check.HostDrained, host, 2.5, 7)
+		}
+		h.Requests[2].Status, h.Requests[2].IsWhole, h.Requests[2].IsFromUpstream = 0, false, false
+	}},
+	{"drain without store cut an order", "drains-cut-nothing", func(h *check.History) {
+		disturb(h, check.HostDrained, "host-0", 2.5, 7)
+		disturb(h, check.StoreDisturbed, "", 2, 7)
+		h.Requests[2].Status, h.Requests[2].IsWhole, h.Requests[2].IsFromUpstream = 0, false, false
+	}},
+	{"pause cut a request", "pauses-cut-nothing", func(h *check.History) {
+		disturb(h, check.HostPaused, "host-0", 3.01, 3.09)
+		h.Requests[2].IsWhole = false
+	}},
 	{"process uses too much memory", "resources-are-bounded", func(h *check.History) { h.Usages[0].Bytes++ }},
 	{"process has too many open files", "resources-are-bounded", func(h *check.History) { h.Usages[0].Files++ }},
 	{"program continues late", "recovery-in-time", func(h *check.History) { h.Settlements[0].ServedAt = at(46) }},
@@ -233,6 +257,21 @@
 			h.Settlements[0].ServedAt = at(46)
 			disturb(h, check.Stall, "", 31, 33)
 		},
+		"turn cut by a drain without store": func(h *check.History) {
+			disturb(h, check.HostDrained, "host-0", 1.5, 7)
+			disturb(h, check.StoreDisturbed, "", 1.5, 7)
+			h.Requests[1].IsWhole = false
+			h.Settlements = nil
+		},
+		"request executed again after the loss of its upstream": func(h *check.History) {
+			h.Executions = append(h.Executions, check.Execution{Request: "r4", Upstream: "engine-1"})
+			disturb(h, check.UpstreamDisturbed, "", 4.01, 4.05)
+		},
+		"removed upstream that is registered again": func(h *check.History) {
+			h.Removals = append(h.Removals, check.Removal{Period: check.Period{From: at(8), To: at(12.9)}, Upstream: "engine-0"})
+			addRequest(h, newRequest("r9", check.Probe, "probe-2", 13))
+			h.Executions = append(h.Executions, check.Execution{Request: "r9", Upstream: "engine-0", At: at(13)})
+		},
 		"slow end of a paused process": func(h *check.History) {
 			h.Exits[0].At = at(27)
 			disturb(h, check.HostPaused, "host-0", 22, 24)
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -121,6 +121,13 @@
 	WithdrawnAt time.Time
 }
 
+// Removal is the time in which an upstream is not registered although its process runs; To is zero if it was not registered again.
+type Removal struct {
+	Period
+
+	Upstream string
+}
+
 // Exit is the end of a host's process.
 type Exit struct {
 	Host Host
@@ -182,6 +189,7 @@
 	Executions   []Execution
 	Disturbances []Disturbance
 	Keys         []Key
+	Removals     []Removal
 	Exits        []Exit
 	Usages       []Usage
 	// FaultsEndedAt is when the last fault had ended and all hosts ran again.
@@ -213,6 +221,7 @@
 func All() []Check {
 	return []Check{
 		{"at-most-once", findRepeatedOrders},
+		{"running-once", findRestartedRequests},
 		{"rejections-are-true", findFalseRejections},
 		{"response-of-request", findForeignResponses},
 		{"streams-are-whole", findBrokenStreams},
@@ -220,8 +229,11 @@
 		{"turns-are-in-order", findWrongTranscripts},
 		{"keys-apply", findOutdatedKeys},
 		{"configuration-advances", findConfigurationsThatGoBack},
+		{"removed-upstreams-are-unused", findUsesOfRemovedUpstreams},
 		{"no-exit-by-itself", findUnexpectedExits},
 		{"drains-cut-nothing", findCutRequests},
+		{"stop-of-all-cuts-nothing", findRequestsCutByStopOfAll},
+		{"pauses-cut-nothing", findRequestsCutByPauses},
 		{"resources-are-bounded", findExcessiveUsage},
 		{"recovery-in-time", findLateRecoveries},
 	}
--- a/test/soak/check/keys.go
+++ b/test/soak/check/keys.go
@@ -37,6 +37,29 @@
 	return violations
 }
 
+// findUsesOfRemovedUpstreams finds requests that a connected host sent to an upstream whose registration had been removed.
+func findUsesOfRemovedUpstreams(h *History) []Violation {
+	requests := make(map[RequestID]*Request)
+	for i := range h.Requests {
+		requests[h.Requests[i].ID] = &h.Requests[i]
+	}
+	var violations []Violation
+	for _, e := range h.Executions {
+		r := requests[e.Request]
+		if r == nil || !h.isConnected(r) {
+			continue
+		}
+		for _, removal := range h.Removals {
+			isOver := !removal.To.IsZero() && !e.At.Before(removal.To)
+			if removal.Upstream == e.Upstream && r.SentAt.After(removal.From.Add(h.Bounds.ConfigurationApply)) && !isOver {
+				violations = append(violations, violation(e.At, "%s sent %s to %s, which was removed %s before", r.Host, r.ID, e.Upstream, e.At.Sub(removal.From)))
+			}
+		}
+	}
+
+	return violations
+}
+
 func (h *History) keysByName() map[string]Key {
 	keys := make(map[string]Key)
 	for _, k := range h.Keys {
--- a/test/soak/check/requests.go
+++ b/test/soak/check/requests.go
@@ -28,6 +28,23 @@
 	return violations
 }
 
+// findRestartedRequests finds attempts that were executed twice although no upstream was disturbed meanwhile: a host that is silent does not
+// give up what it runs, and others do not start it.
+func findRestartedRequests(h *History) []Violation {
+	executions := h.executionsByRequest()
+	isUpstream := func(d *Disturbance) bool { return d.Kind == UpstreamDisturbed || d.Kind == Stall }
+	var violations []Violation
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		if r.Kind == Order || len(executions[r.ID]) < 2 || h.isDisturbed(r.SentAt, r.EndedAt, isUpstream) {
+			continue
+		}
+		violations = append(violations, violation(r.SentAt, "%s sent to %s was executed %d times: %v", r.ID, r.Host, len(executions[r.ID]), executions[r.ID]))
+	}
+
+	return violations
+}
+
 // rejectionStatuses are the statuses by which a host says that it has not executed a request.
 var rejectionStatuses = map[int]bool{
 	http.StatusBadRequest: true, http.StatusUnauthorized: true, http.StatusPaymentRequired: true, http.StatusNotFound: true,
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -214,6 +214,18 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if f.Kind == plan.Remove {
+		u.Register(r.store, "draining")
+		sleep(ctx, upstreamDrainTimeout)
+		u.Deregister(r.store)
+		end := r.recorder.beginRemoval(string(f.Target))
+		sleep(ctx, f.For)
+		// The registration may be read before the end is recorded.
+		end()
+		u.Register(r.store, "ready")
+
+		return nil
+	}
 	defer r.recorder.beginDisturbance(check.UpstreamDisturbed, "")()
 	if f.Kind == plan.Release {
 		u.Register(r.store, "draining")
--- a/test/soak/plan/generate.go
+++ b/test/soak/plan/generate.go
@@ -17,6 +17,8 @@
 const (
 	// firstFaultAt leaves callers time to begin programs.
 	firstFaultAt = time.Second
+	// maxGap bounds the part of a fault's length that separates it from the next one, so that long faults overlap with several.
+	maxGap = 2 * time.Second
 	// grid is the resolution of times in a plan, so that a printed plan is short.
 	grid = 10 * time.Millisecond
 	// releaseDistance separates releases of upstreams from faults of the store: a release while the store is disturbed is a known
@@ -39,6 +41,8 @@
 	StoreForget:       {0, 0},
 	Release:           {500 * time.Millisecond, 1500 * time.Millisecond},
 	Crash:             {0, 0},
+	// A removal is longer than the time in which it must apply, so that hosts may not use the upstream at its end.
+	Remove:            {6 * time.Second, 9 * time.Second},
 	ChangeKeys:        {0, 0},
 	LinkDelay:         {500 * time.Millisecond, 4 * time.Second},
 	LinkTrickle:       {500 * time.Millisecond, 4 * time.Second},
@@ -64,7 +68,7 @@
 		f.Target = drawTarget(random, f.Kind, options.Hosts)
 		p.Faults = append(p.Faults, f)
 		// Half of the gaps are shorter than the fault, so that the next one overlaps with it.
-		at += (time.Duration(2*random.Float64()*float64(f.For)) + time.Duration(random.Int64N(int64(time.Second)))).Truncate(grid)
+		at += (time.Duration(2*random.Float64()*float64(min(f.For, maxGap))) + time.Duration(random.Int64N(int64(time.Second)))).Truncate(grid)
 	}
 	sortFaults(p.Faults)
 	p.Faults = slices.DeleteFunc(p.Faults, func(f Fault) bool { return f.Kind == Release && p.isNearStoreFault(f) })
@@ -100,9 +104,9 @@
 		return host
 	case kind == Release:
 		return engine
-	case kind == Crash && isInTurn:
+	case (kind == Crash || kind == Remove) && isInTurn:
 		return desk
-	case kind == Crash:
+	case kind == Crash, kind == Remove:
 		return engine
 	default:
 		return ""
--- a/test/soak/plan/plan.go
+++ b/test/soak/plan/plan.go
@@ -40,6 +40,8 @@
 	Release Kind = "release"
 	// Crash resets all connections of an upstream, whose process is replaced by one of the same version.
 	Crash Kind = "crash"
+	// Remove drains an upstream and removes its registration while its process runs on, then registers it again.
+	Remove Kind = "remove"
 	// ChangeKeys publishes a configuration that adds an API key and withdraws another one.
 	ChangeKeys Kind = "change-keys"
 	// LinkDelay delays what passes a link in both directions, and LinkTrickle limits its bandwidth.
@@ -123,7 +125,7 @@
 }
 
 // HitsUpstreams reports whether the fault hits an upstream.
-func (k Kind) HitsUpstreams() bool { return k == Release || k == Crash }
+func (k Kind) HitsUpstreams() bool { return k == Release || k == Crash || k == Remove }
 
 // HitsLinks reports whether the fault hits a link.
 func (k Kind) HitsLinks() bool { return strings.HasPrefix(string(k), "link-") }
--- a/test/soak/plan/text.go
+++ b/test/soak/plan/text.go
@@ -9,7 +9,7 @@
 )
 
 var kinds = []Kind{
-	Terminate, TerminateTwice, TerminateStarting, Pause, Kill, StoreSlow, StoreDown, StoreCut, StoreLossy, StoreForget, Release, Crash,
+	Terminate, TerminateTwice, TerminateStarting, Pause, Kill, StoreSlow, StoreDown, StoreCut, StoreLossy, StoreForget, Release, Crash, Remove,
 	ChangeKeys, LinkDelay, LinkTrickle, LinkReset, LinkDrop, LinkDropRequests, LinkDropResponses, LinkRepeat,
 }
 
--- a/test/soak/recorder.go
+++ b/test/soak/recorder.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// beginRemoval records that an upstream is not registered any more and returns the function that records its registration.
+func (r *recorder) beginRemoval(upstream string) (end func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	index := len(r.history.Removals)
+	r.history.Removals = append(r.history.Removals, check.Removal{Period: check.Period{From: time.Now()}, Upstream: upstream})
+
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.history.Removals[index].To = time.Now()
+	}
+}
+
 func (r *recorder) addStall(from, to time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
