Do not answer turns from memory once their partition is up

Cause: a slot that was served from memory because its partition did not respond counted as one whose records cannot become durable until the records had been read, so that turns were answered from memory for as long as the read took, although the store was back; a loss of all hosts then lost them. A turn that waited while the slot was loaded waited for a write that the load had discarded, for 1.5 s. Change: the slot counts as unavailable only until the partition accepts the owner's epoch; a waiting turn is stored again after a load.

--- a/io/cluster/outage_test.go
+++ b/io/cluster/outage_test.go
@@ -10,8 +10,18 @@
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/platform"
 )
 
+// simulate runs a test in simulated time, and lets the calls end that are retried until a turn's retention ends.
+func simulate(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(2 * maxHoldTime)
+		test(t)
+	})
+}
+
 // connect makes calls of a host to another one reach it.
 func connect(from, to *Cluster) {
 	from.peerClientsMu.Lock()
@@ -117,3 +127,36 @@
 		requireDurable(t, owner, store, "first")
 	})
 }
+
+// After an outage, an owner that served its slot from memory reads the slot's records first. Turns that were answered meanwhile were in
+// memory only, although the store was back.
+func TestTurnWaitsForStoreOnceItsPartitionIsUp(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		c, store := newTestCluster(t)
+		c.Settings.LinkBytesPerSecond = 75e6
+		replaceStore(t, c, &slowStore{fakeStore: store, delay: time.Second})
+		store.beforeAppend.set(func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") })
+		c.renewMembership(t.Context())
+		time.Sleep(2 * storeContactTimeout)
+		require.True(t, c.isServing())
+		endTurn := func(kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
+			reply, err := (&slotServer{cluster: c}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{Workspace: kept.Workspace, Program: kept.Program, Kept: kept})
+			require.NoError(t, err)
+
+			return reply
+		}
+		reply := endTurn(newKeptTurn("first", ""))
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+		require.False(t, reply.Durable, "the partition is down")
+		store.beforeAppend.clear()
+		time.Sleep(200 * time.Millisecond)
+		require.False(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"first"), "the records are being read")
+		second := newKeptTurn("second", "first")
+		second.Base = []byte("first;done\n")
+		reply = endTurn(second)
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+		require.True(t, reply.Durable)
+		require.True(t, store.hasRecord(c.slots[0].partition(), turnKeyPrefix+"second"))
+		requireDurable(t, c, store, "first")
+	})
+}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -51,6 +51,8 @@
 	isActingOwner bool
 	// isPartial is set while the slot is served from the hosts' in-memory state because its records cannot be read.
 	isPartial bool
+	// isClaimed is set while the partition has accepted the epoch of the load in progress, so that records can become durable soon.
+	isClaimed bool
 	// knowsAllPrograms is set while a program without an account is a new one.
 	knowsAllPrograms bool
 	// lacksReplies is set while the slot is served from the in-memory state of a part of the hosts because others have not responded,
@@ -184,7 +186,7 @@
 func (s *slot) outageDuration(now time.Time) time.Duration {
 	var since time.Time
 	switch {
-	case s.isPartial:
+	case s.isPartial && !s.isClaimed:
 		since = s.servingSince.Add(-storeContactTimeout)
 	case s.writer.isStuck(now):
 		since = s.writer.lastFailureStart()
@@ -279,7 +281,7 @@
 
 // discardState discards the state of programs and sends unwritten turns to the next owner; the caller holds the lock.
 func (s *slot) discardState() {
-	s.isPartial, s.knowsAllPrograms, s.lacksReplies = false, false, false
+	s.isPartial, s.isClaimed, s.knowsAllPrograms, s.lacksReplies = false, false, false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
 	s.pendingTurns, s.turnPartCounts, s.newestRecordAt, s.turnsInDoubtUntil = nil, nil, time.Time{}, time.Time{}
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -74,6 +74,7 @@
 
 		return err
 	})
+	s.setClaimed(epoch, err == nil)
 	if err != nil {
 		return slotContents{}, err
 	}
@@ -108,6 +109,15 @@
 	return turns
 }
 
+// setClaimed records whether the partition accepted the epoch of a load.
+func (s *slot) setClaimed(epoch int64, isClaimed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == epoch && s.state != unowned && !s.isActingOwner {
+		s.isClaimed = isClaimed
+	}
+}
+
 // startServing restores the contents and serves the slot.
 func (s *slot) startServing(ctx context.Context, epoch int64, contents slotContents) {
 	s.mu.Lock()
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -232,13 +232,22 @@
 // storeTurnDurably stores a turn and waits until it is durable or cannot become so because the store is down. The
 // caller holds the lock, which is released while it waits.
 func (s *slot) storeTurnDurably(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
-	return s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
+	for {
+		servingSince := s.servingSince
+		reply := s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
+		switch {
+		case s.state != serving || s.servingSince.Equal(servingSince) || reply.Durable || ctx.Err() != nil:
+			return reply
+		case !s.hasPriorTranscript(kept):
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+		}
+	}
 }
 
-// awaitDurable waits until a stored turn is durable or cannot become so because the store is down. The caller holds the lock, which
-// is released while it waits.
+// awaitDurable waits until a stored turn is durable or cannot become so because the store is down, or until the slot has been loaded,
+// which discards what was not durable. The caller holds the lock, which is released while it waits.
 func (s *slot) awaitDurable(ctx context.Context, durable <-chan struct{}) *fleetpb.EndTurnReply {
-	now := s.cluster.Now()
+	now, servingSince := s.cluster.Now(), s.servingSince
 	for waitDeadline := now.Add(maxDurableWait); ; s.awaitChange(ctx, outageCheckInterval) {
 		select {
 		case <-durable:
@@ -250,7 +259,7 @@
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
 		case s.isDurabilityUnavailable(now):
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
-		case !now.Before(waitDeadline) || ctx.Err() != nil:
+		case !now.Before(waitDeadline) || ctx.Err() != nil || !s.servingSince.Equal(servingSince):
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
 		}
 	}
