Write the records of reassigned slots before they are released

Cause: all leases expire in an outage of the store, so that after it the slots of all owners move to the first host that renews its own, and back. An owner released such slots at once, with the turns of the outage still to write: these were held and sent to one owner after another, while each read the slot. Change: an owner stops serving a reassigned slot, writes what it has for up to 0.15 s, as long as the next owner has not fenced it, and releases it then.

--- a/io/cluster/heldturns.go
+++ b/io/cluster/heldturns.go
@@ -119,15 +119,27 @@
 	c.heldMu.Lock()
 	turn := held.turn
 	c.heldMu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, settleCallTimeout)
-	defer cancel()
-	_, reply, err := c.tryEndTurn(ctx, &fleetpb.EndTurnRequest{
+	whole := &fleetpb.EndTurnRequest{
 		Workspace: req.Workspace, Program: req.Program, Kept: turn, Line: req.Line, Upstream: req.Upstream, Cached: req.Cached,
-	})
+	}
+	// Most owners have the previous turn, and need no transcript.
+	reply, err := c.endTurnWithTimeout(ctx, requestWithoutTranscript(whole))
+	if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+		reply, err = c.endTurnWithTimeout(ctx, whole)
+	}
 
 	return err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable
 }
 
+// endTurnWithTimeout calls the owner once, for settleCallTimeout at most.
+func (c *Cluster) endTurnWithTimeout(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleCallTimeout)
+	defer cancel()
+	_, reply, err := c.tryEndTurn(ctx, req)
+
+	return reply, err
+}
+
 // askTurnStatus asks the owner of a turn's program whether it has the turn.
 func (c *Cluster) askTurnStatus(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.TurnStatusReply, error) {
 	slot := c.hashSlot(req.Program)
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -22,6 +22,9 @@
 	// authoritativeAfter is how long a new owner must have served before it may say that a turn does not exist: until
 	// then, hosts may hold turns that its predecessor did not receive.
 	authoritativeAfter = 3 * time.Second
+	// maxRecalledTurnBytes bounds the turns of a reply to a new owner, which waits for stateTransferTimeout: a link of 22 Mbit/s carries
+	// four times as much in it, and new owners ask several hosts for several slots. Holders send the other turns to the owner.
+	maxRecalledTurnBytes = 128 << 10
 )
 
 // Recall returns the watermarks and turns of a slot that this host has in memory.
@@ -36,13 +39,17 @@
 			reply.Marks = append(reply.Marks, &fleetpb.ProgramMark{Program: string(program), Tokens: int64(count.Tokens), Durable: int64(count.Durable)})
 		}
 	}
+	turnBytes := 0
 	for turn, held := range c.heldTurns {
 		switch {
 		case c.hashSlot(held.turn.Program) != int(req.Slot):
 		case req.ById:
 			reply.TurnIds = append(reply.TurnIds, turn)
 		case len(req.Turns) == 0 || slices.Contains(req.Turns, turn):
-			reply.Turns = append(reply.Turns, held.turn)
+			if size := proto.Size(held.turn); turnBytes+size <= maxRecalledTurnBytes {
+				turnBytes += size
+				reply.Turns = append(reply.Turns, held.turn)
+			}
 		}
 	}
 	countReply(ctx, proto.Size(reply))
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cardamomward/core/eligibility"
@@ -198,11 +199,18 @@
 			held[partition.Number] = struct{}{}
 		}
 	}
-	released := false
+	var reassigned []*slot
 	for _, s := range c.slots {
 		if _, ok := held[s.index]; ok {
 			s.acquire(ctx, m.Generation)
-		} else if s.release("reassigned") {
+		} else {
+			reassigned = append(reassigned, s)
+		}
+	}
+	c.flushReassigned(ctx, reassigned)
+	released := false
+	for _, s := range reassigned {
+		if s.release("reassigned") {
 			released = true
 		}
 	}
@@ -210,6 +218,24 @@
 	return released
 }
 
+// reassignFlushTimeout bounds the wait for the records of reassigned slots to become durable. Nobody serves the slots meanwhile.
+const reassignFlushTimeout = 150 * time.Millisecond
+
+// flushReassigned stops serving slots that the store has reassigned, and waits until their records are durable, the next owners have
+// fenced this host, or reassignFlushTimeout has passed. After an outage of the store all leases have expired, so that slots move to the
+// first host that renews its own and back, while their owners have the turns of the outage still to write.
+func (c *Cluster) flushReassigned(ctx context.Context, slots []*slot) {
+	ctx, cancel := context.WithTimeout(ctx, reassignFlushTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, s := range slots {
+		if s.stopServing() {
+			wg.Go(func() { s.flush(ctx) })
+		}
+	}
+}
+
 // Leave releases all slots and ends the membership. It waits while no other host could acquire the slots, because the store does not
 // respond or all hosts are draining, and continues to serve them meanwhile. The host stays in the list of hosts until Withdraw, since
 // it still serves callers and may hold turns that others need.
--- a/io/cluster/outage_test.go
+++ b/io/cluster/outage_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/platform"
@@ -160,3 +162,69 @@
 		requireDurable(t, c, store, "first")
 	})
 }
+
+// The replies of hosts that hold the turns of a long outage took longer than a new owner waits, and the counts of programs were lost
+// with them.
+func TestReplyToNewOwnerIsSmallAndHeldTurnsReachItAnyway(t *testing.T) {
+	const turns = 200
+	simulate(t, func(t *testing.T) {
+		holder, store := newTestCluster(t)
+		store.lastResponseTime.set(func() time.Time { return time.Time{} })
+		holder.recordWatermark(string(testProgram), 100, 50)
+		var ids []string
+		for i := range turns {
+			kept := newKeptTurn(fmt.Sprintf("turn-%d", i), "")
+			kept.Input = make([]byte, 10_000)
+			ids = append(ids, kept.Id)
+			_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: kept})
+			require.NoError(t, err)
+		}
+		reply, err := (&slotServer{cluster: holder}).Recall(t.Context(), &fleetpb.RecallRequest{ById: true})
+		require.NoError(t, err)
+		require.Len(t, reply.Marks, 1)
+		require.ElementsMatch(t, ids, reply.TurnIds)
+		require.Less(t, proto.Size(reply), 4<<10)
+		reply, err = (&slotServer{cluster: holder}).Recall(t.Context(), &fleetpb.RecallRequest{Turns: ids})
+		require.NoError(t, err)
+		require.NotEmpty(t, reply.Turns)
+		require.Less(t, proto.Size(reply), maxRecalledTurnBytes+4<<10)
+		owner := newTestHost(t, store, "127.0.0.2")
+		store.lastResponseTime.clear()
+		connect(holder, owner)
+		join(t, owner)
+		for _, id := range ids {
+			requireDurable(t, owner, store, id)
+		}
+	})
+}
+
+// All leases expire during an outage, so the slots of hosts that were not lost move, too.
+func TestOwnerWritesTurnsOfOutageBeforeItReleasesReassignedSlot(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		c, store := newTestCluster(t)
+		join(t, c)
+		store.beforeAppend.set(func(platform.AppendBatch) error { return platform.ErrInDoubt.New("no response") })
+		time.Sleep(time.Second)
+		kept := newKeptTurn("first", "")
+		reply, err := (&slotServer{cluster: c}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{Workspace: kept.Workspace, Program: kept.Program, Kept: kept})
+		require.NoError(t, err)
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+		require.False(t, reply.Durable)
+		store.mu.Lock()
+		store.parts = nil
+		store.generation++
+		store.mu.Unlock()
+		var outcome fleetpb.Outcome
+		store.beforeAppend.set(func(platform.AppendBatch) error {
+			reply, err := (&slotServer{cluster: c}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{Workspace: kept.Workspace, Program: kept.Program})
+			require.NoError(t, err)
+			outcome = reply.Outcome
+
+			return nil
+		})
+		c.renewMembership(t.Context())
+		requireDurable(t, c, store, "first")
+		require.Equal(t, fleetpb.Outcome_OUTCOME_NOT_OWNER, outcome, "the slot is served no more")
+		require.False(t, c.isServing())
+	})
+}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -53,6 +53,8 @@
 	isPartial bool
 	// isClaimed is set while the partition has accepted the epoch of the load in progress, so that records can become durable soon.
 	isClaimed bool
+	// isReleasing is set while the slot is served no more, but its records are still written.
+	isReleasing bool
 	// knowsAllPrograms is set while a program without an account is a new one.
 	knowsAllPrograms bool
 	// lacksReplies is set while the slot is served from the in-memory state of a part of the hosts because others have not responded,
@@ -213,7 +215,19 @@
 		s.actForOwner(context.WithoutCancel(ctx))
 	}
 
-	return s.state == serving && !s.awaitsConfirmation(now) && c.mayServeSlots(now)
+	return s.state == serving && !s.isReleasing && !s.awaitsConfirmation(now) && c.mayServeSlots(now)
+}
+
+// stopServing stops serving the slot, and reports whether it has records that can be written before it is released.
+func (s *slot) stopServing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isReleasing = s.state == serving && !s.isActingOwner && !s.isPartial && s.writer.hasPending()
+	if s.isReleasing {
+		s.writer.wakeUp()
+	}
+
+	return s.isReleasing
 }
 
 // actingCheckInterval is the interval of the checks whether the store responds to a host that acts for an owner.
@@ -271,7 +285,7 @@
 		return false
 	}
 	s.cluster.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
-	s.state, s.isActingOwner, s.unconfirmedSince = unowned, false, time.Time{}
+	s.state, s.isActingOwner, s.isReleasing, s.unconfirmedSince = unowned, false, false, time.Time{}
 	s.discardState()
 	s.quotaAllocators, s.limitBuckets = nil, nil
 	s.notifyChanged()
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -267,7 +267,7 @@
 
 // isAuthoritative reports whether a turn that is not in this slot does not exist; the caller holds the lock.
 func (s *slot) isAuthoritative(now time.Time) bool {
-	return s.state == serving && !s.isPartial && s.unconfirmedSince.IsZero() && !now.Before(s.turnsInDoubtUntil) && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
+	return s.state == serving && !s.isReleasing && !s.isPartial && s.unconfirmedSince.IsZero() && !now.Before(s.turnsInDoubtUntil) && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
 }
 
 // Admit grants a lease of a workspace's rate, or admits the start of a program.
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -279,9 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
-		callCtx, cancelCall := context.WithTimeout(ctx, settleCallTimeout)
-		_, reply, err := c.tryEndTurn(callCtx, req)
-		cancelCall()
+		reply, err := c.endTurnWithTimeout(ctx, req)
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
 			return
 		}
