Look up registrations without the lock of upstreams' limits

Cause: each second a host removes the limits and cold starts of upstreams that are not registered any more. It looked each of them up in the registrations while it held the lock of the limits; a registration that is applied holds the lock of the registrations and waits for that of the limits, in which its cold start is recorded. Where both met, the host stopped for good: no request, no heartbeat, and its process did not end. Change: the upstreams are collected, looked up without the lock, and removed unless a registration came meanwhile.

Result: TestRegistrationIsRecordedWhileUnlistedLimitsAreRemoved fails if the lock is held during the lookups, and TestUpstreamThatRegistersDuringCleanUpIsNotForgotten without the comparison of registrationCount.

--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -1,6 +1,8 @@
 package coldstart
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cardamomward/core/id"
@@ -207,6 +209,9 @@
 	return statements
 }
 
+// Upstreams returns the upstreams of which something is known, in no particular order.
+func (x *Index) Upstreams() []id.Upstream { return slices.Collect(maps.Keys(x.entries)) }
+
 // RemoveUnlisted removes upstreams that are not registered and have not been cold for 30 s.
 func (x *Index) RemoveUnlisted(now time.Time, isListed func(id.Upstream) bool) {
 	for upstream, e := range x.entries {
--- a/core/upstreamlimit/index.go
+++ b/core/upstreamlimit/index.go
@@ -1,6 +1,8 @@
 package upstreamlimit
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cardamomward/core/id"
@@ -114,6 +116,9 @@
 	return statements
 }
 
+// Upstreams returns the upstreams with a statement, in no particular order.
+func (x *Index) Upstreams() []id.Upstream { return slices.Collect(maps.Keys(x.statements)) }
+
 // RemoveUnlisted removes the statements, older than 30 s, of upstreams that are not registered any more.
 func (x *Index) RemoveUnlisted(now time.Time, isListed func(id.Upstream) bool) {
 	for upstream, statement := range x.statements {
--- a/io/cluster/coldstart.go
+++ b/io/cluster/coldstart.go
@@ -13,6 +13,7 @@
 func (c *Cluster) RecordRegistration(instance *registry.Instance, remaining time.Duration, policy coldstart.Policy) {
 	now := c.Now()
 	c.limits.mu.Lock()
+	c.limits.registrationCount++
 	statement, began := c.limits.cold.RecordRegistration(now, instance, remaining, policy)
 	c.limits.mu.Unlock()
 	if began {
--- a/io/cluster/coldstart_test.go
+++ b/io/cluster/coldstart_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/coldstart"
+	"cardamomward/core/id"
 	"cardamomward/core/registry"
 	"cardamomward/core/upstreamlimit"
 	"cardamomward/io/fleet/fleetpb"
@@ -197,3 +198,52 @@
 	require.True(t, isCold)
 	require.Empty(t, peer.coldToGossip(now), "delays of messages would add up")
 }
+
+// recordConcurrently records a registration in another goroutine, and requires that this does not wait for the caller.
+func recordConcurrently(t *testing.T, c *Cluster, instance *registry.Instance, policy coldstart.Policy) {
+	t.Helper()
+	recorded := make(chan struct{})
+	go func() {
+		defer close(recorded)
+		c.RecordRegistration(instance, 0, policy)
+	}()
+	select {
+	case <-recorded:
+	case <-time.After(testTimeout):
+		require.FailNow(t, "the registration waits")
+	}
+}
+
+// The lookup of an upstream waits for a registration that is being applied, and that waits until it is recorded here: a host whose
+// clean-up held the lock in between served nothing from then on.
+func TestRegistrationIsRecordedWhileUnlistedLimitsAreRemoved(t *testing.T) {
+	c, _ := newTestCluster(t)
+	c.RecordRegistration(coldInstance(), 0, coldPolicy)
+	// An upstream that has never been cold is looked up at each clean-up.
+	c.RecordRegistration(&registry.Instance{ID: "never-cold"}, 0, coldstart.Policy{})
+	lookups := 0
+	c.RemoveUnlistedLimits(func(id.Upstream) bool {
+		lookups++
+		recordConcurrently(t, c, coldInstance(), coldPolicy)
+
+		return true
+	})
+	require.Positive(t, lookups)
+}
+
+// An upstream that registers after its lookup must not be forgotten: it would not be paced if the configuration is read later.
+func TestUpstreamThatRegistersDuringCleanUpIsNotForgotten(t *testing.T) {
+	c, _ := newTestCluster(t)
+	instance := coldInstance()
+	c.RecordRegistration(instance, 0, coldstart.Policy{})
+	c.RemoveUnlistedLimits(func(id.Upstream) bool {
+		recordConcurrently(t, c, instance, coldstart.Policy{})
+
+		return false
+	})
+	isCold, _ := c.ColdDelay(instance, coldPolicy)
+	require.True(t, isCold)
+	c.RemoveUnlistedLimits(func(id.Upstream) bool { return false })
+	isCold, _ = c.ColdDelay(instance, coldPolicy)
+	require.False(t, isCold, "an upstream that is not registered is forgotten")
+}
--- a/io/cluster/upstreamlimit.go
+++ b/io/cluster/upstreamlimit.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +33,8 @@
 	mu    sync.Mutex
 	index upstreamlimit.Index
 	cold  coldstart.Index
+	// registrationCount is the number of registrations that have been recorded.
+	registrationCount int
 	// pacers hold this host's access to each limit that it has asked for.
 	pacers map[id.Upstream]*limitPacer
 }
@@ -97,17 +101,35 @@
 	return limits
 }
 
-// RemoveUnlistedLimits removes the limits of upstreams that are not registered any more.
+// RemoveUnlistedLimits removes the limits of upstreams that are not registered any more. isListed is called without a lock: it needs
+// that of the registrations, under which RecordRegistration is called.
 func (c *Cluster) RemoveUnlistedLimits(isListed func(id.Upstream) bool) {
 	c.limits.mu.Lock()
-	defer c.limits.mu.Unlock()
-	c.limits.index.RemoveUnlisted(c.Now(), isListed)
-	c.limits.cold.RemoveUnlisted(c.Now(), isListed)
-	for upstream := range c.limits.pacers {
+	known := slices.Concat(c.limits.index.Upstreams(), c.limits.cold.Upstreams(), slices.Collect(maps.Keys(c.limits.pacers)))
+	recorded := c.limits.registrationCount
+	c.limits.mu.Unlock()
+	unlisted := make(map[id.Upstream]struct{})
+	for _, upstream := range known {
 		if !isListed(upstream) {
-			delete(c.limits.pacers, upstream)
+			unlisted[upstream] = struct{}{}
 		}
 	}
+	c.limits.mu.Lock()
+	defer c.limits.mu.Unlock()
+	if c.limits.registrationCount != recorded {
+		// An upstream may have registered since it was looked up; the next clean-up removes what is still unlisted.
+		return
+	}
+	wasListed := func(upstream id.Upstream) bool {
+		_, isUnlisted := unlisted[upstream]
+
+		return !isUnlisted
+	}
+	c.limits.index.RemoveUnlisted(c.Now(), wasListed)
+	c.limits.cold.RemoveUnlisted(c.Now(), wasListed)
+	for upstream := range unlisted {
+		delete(c.limits.pacers, upstream)
+	}
 }
 
 // admission is what bounds the requests to an upstream: its limit, its cold start, or both.
