Test that a stream resumed within one response is not sent to a process of unknown version

Cause: no test failed without the check of upstreams' reports before the host's own resumption inside one response (docs/decisions/stream-versions.md).

Change: a stream breaks after the registrations were last read, and the first candidate reports another process, does not respond, or has no reports while other versions are known. The test requires that it gets no request and that the stream goes on at the second one.

--- a/io/reverseproxy/property_test.go
+++ b/io/reverseproxy/property_test.go
@@ -120,6 +120,8 @@
 
 	config *routing.Config
 	route  *routing.Route
+	// dialDuration is how long it takes to connect to an upstream.
+	dialDuration time.Duration
 
 	mu        sync.Mutex
 	script    []*scriptedAttempt
@@ -233,6 +235,7 @@
 
 // dial connects to an upstream. Only its first connection is an attempt; later ones test whether it is reachable.
 func (f *fakeUpstreams) dial(_ context.Context, _, address string) (net.Conn, error) {
+	time.Sleep(f.dialDuration)
 	f.mu.Lock()
 	attempt, isProbe := f.byAddress[address]
 	if !isProbe {
@@ -415,10 +418,17 @@
 // connection is closed.
 func (f *fakeUpstreams) call(t *testing.T) callerResponse {
 	t.Helper()
+
+	return f.callWith(t, f, f)
+}
+
+// callWith is call with other registrations and reports.
+func (f *fakeUpstreams) callWith(t *testing.T, discovery Discovery, reports ReportReader) callerResponse {
+	t.Helper()
 	client := &upstreamclient.Client{Dial: f.dial}
 	defer func() { client.CloseExpired(time.Now().Add(time.Hour)) }()
 	p := &Proxy{
-		Discovery: f, UpstreamClient: client, Crashes: f, Streams: f, Loads: f, Limits: f, Shutdowns: f, Reports: f, Logger: logr.Discard(), Now: time.Now,
+		Discovery: discovery, UpstreamClient: client, Crashes: f, Streams: f, Loads: f, Limits: f, Shutdowns: f, Reports: reports, Logger: logr.Discard(), Now: time.Now,
 		ShouldCloseConnections: func() bool { return false },
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/io/reverseproxy/resumption_test.go
+++ b/io/reverseproxy/resumption_test.go
@@ -1,7 +1,9 @@
 package reverseproxy
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,3 +52,68 @@
 		}
 	}
 }
+
+// reportingUpstreams are upstreams of which the first one that is asked for its report is another process than the registered one, or does
+// not show which. The registrations were read last at readAt.
+type reportingUpstreams struct {
+	*fakeUpstreams
+
+	readAt      time.Time
+	firstReport streamorigin.Report
+	asked       []string
+}
+
+// HasReadSince implements Discovery.
+func (u *reportingUpstreams) HasReadSince(at time.Time) bool { return !at.After(u.readAt) }
+
+// HasSoleVersion implements Discovery.
+func (u *reportingUpstreams) HasSoleVersion(id.Service, id.SoftwareVersion, time.Duration) bool {
+	return false
+}
+
+// IsReading implements Discovery.
+func (u *reportingUpstreams) IsReading() bool { return false }
+
+// Read implements ReportReader.
+func (u *reportingUpstreams) Read(_ context.Context, address string, _ time.Duration) streamorigin.Report {
+	u.asked = append(u.asked, address)
+	report := streamorigin.Report{Kind: streamorigin.ReportReceived, Incarnation: 1}
+	if len(u.asked) == 1 {
+		report = u.firstReport
+	}
+	report.RequestedAt = time.Now()
+
+	return report
+}
+
+// Guards against streams that the host itself resumes inside one response at an upstream that has restarted since its registration was
+// read, perhaps with another software version.
+func TestStreamResumedWithinResponseIsNotSentToUpstreamThatMayHaveRestarted(t *testing.T) {
+	for name, firstReport := range map[string]streamorigin.Report{
+		"restarted":                      {Kind: streamorigin.ReportReceived, Incarnation: 2},
+		"no response":                    {},
+		"no reports, and other versions": {Kind: streamorigin.ReportUnsupported},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := &routing.Route{
+					Name: "r", Host: "h", Prefix: "/", Kind: routing.Stream, Resumable: true, Timeout: 5 * time.Second, MaxAttempts: 3, Public: true,
+					Services: []routing.WeightedService{{Service: propertyService, Weight: 1}},
+				}
+				script := []*scriptedAttempt{{event: bodyCut, eventsBeforeCut: 2}}
+				for len(script) < propertyUpstreams {
+					script = append(script, &scriptedAttempt{event: answered})
+				}
+				upstreams := &reportingUpstreams{fakeUpstreams: newFakeUpstreams(route, script), readAt: time.Now(), firstReport: firstReport}
+				// The stream breaks after the registrations have been read.
+				upstreams.dialDuration = 10 * time.Millisecond
+				response := upstreams.callWith(t, upstreams, upstreams)
+				require.Len(t, upstreams.asked, 2, "each candidate is asked for its report")
+				require.Nil(t, upstreams.attemptAt(upstreams.asked[0]), "the request is not sent to a process of unknown version")
+				require.NotNil(t, upstreams.attemptAt(upstreams.asked[1]), "the stream goes on at the registered process")
+				require.True(t, response.isComplete)
+				require.Equal(t, streamText(0, streamEvents), response.body)
+			})
+		})
+	}
+}
