Send a relayed read to the store too once the direct path works again

Cause: while a host's own link to the store fails, its reads go through a peer, and the direct path is probed only when a call begins. If the peers stop responding as the link returns, the read in progress and the next one wait for their time limits: with silent connections besides and a store that takes 100 ms for a call, a configuration was applied 4.0 s after the link had returned, but the host counts as connected to the store 3 s after it.

Change: the direct path is probed also while a read is relayed, as before at most each 0.3 s, and once it works, the read is sent there too. The first response counts.

--- a/io/cluster/storerelay.go
+++ b/io/cluster/storerelay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,8 @@
 	maxRelayStoreAge = 600 * time.Millisecond
 	// defaultRelayTimeout bounds a relayed call whose sender gives no timeout.
 	defaultRelayTimeout = 2 * time.Second
+	// directPathCheckInterval is the interval at which a relayed read checks whether the direct path works again.
+	directPathCheckInterval = 100 * time.Millisecond
 	// probeTimeout bounds a probe of the direct path.
 	probeTimeout = 250 * time.Millisecond
 )
@@ -38,10 +41,54 @@
 		return c.callStoreDirectly(ctx, call)
 	}
 	c.probeDirectPath(ctx)
+	if call.Method == http.MethodGet {
+		return c.readStoreViaPeer(ctx, peer, call)
+	}
 
 	return c.callStoreViaPeer(ctx, peer, call)
 }
 
+// storeResult is the outcome of a call to the store.
+type storeResult struct {
+	response platform.StoreResponse
+	err      error
+}
+
+// readStoreViaPeer relays a read through a peer. Once the direct path works again, the read is also sent there, since the peer may have
+// stopped responding; the first response counts.
+func (c *Cluster) readStoreViaPeer(ctx context.Context, peer string, call platform.StoreRequest) (platform.StoreResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan storeResult, 2)
+	go func() {
+		response, err := c.callStoreViaPeer(ctx, peer, call)
+		results <- storeResult{response, err}
+	}()
+	ticker := time.NewTicker(directPathCheckInterval)
+	defer ticker.Stop()
+	for running := 1; ; {
+		select {
+		case result := <-results:
+			if running--; result.err == nil || running == 0 {
+				return result.response, result.err
+			}
+		case <-ticker.C:
+			if c.isDirectPathBlocked() {
+				c.probeDirectPath(ctx)
+
+				continue
+			}
+			ticker.Stop()
+			running++
+			go func() {
+				// The circuit breaker is not told of the outcome: the time left may be too short for a long poll.
+				response, err := c.Store.RoundTripDirect(ctx, call)
+				results <- storeResult{response, err}
+			}()
+		}
+	}
+}
+
 func (c *Cluster) isDirectPathBlocked() bool {
 	c.directPath.mu.Lock()
 	defer c.directPath.mu.Unlock()
