Make the soak hit running orders, keys withdrawn for long and removed upstreams

Plain upstreams respond after 80 ms instead of 20, six callers instead of three send orders, probes also use older keys, and upstreams are removed without a drain before.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -17,7 +17,7 @@
 const (
 	programCallers = 6
 	streamCallers  = 3
-	orderCallers   = 3
+	orderCallers   = 6
 	// attemptTimeout bounds an attempt at a host that does not respond; the request itself has 3 s.
 	attemptTimeout = 4 * time.Second
 	// moveShare is the share of requests before which a caller moves to another host; else it uses its open connection again.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -215,8 +215,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if f.Kind == plan.Remove {
-		u.Register(r.store, "draining")
-		sleep(ctx, upstreamDrainTimeout)
 		u.Deregister(r.store)
 		end := r.recorder.beginRemoval(string(f.Target))
 		sleep(ctx, f.For)
--- a/test/soak/keys.go
+++ b/test/soak/keys.go
@@ -40,13 +40,21 @@
 	r.recorder.log("version %d of the configuration adds %s", r.keys.version, added.Name)
 }
 
-// recentKeys is the number of the latest keys that are tested.
-const recentKeys = 3
+// recentKeys is the number of the latest keys that are tested most, and olderKeys that of the others that are tested: a key is withdrawn for
+// long only after others have followed.
+const (
+	recentKeys = 3
+	olderKeys  = 12
+)
 
-// pick returns the next key, the valid one, or one that was withdrawn lately.
+// pick returns the next key, the valid one, or one that was withdrawn.
 func (k *keyring) pick(random *rand.Rand) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	back := random.IntN(recentKeys)
+	if random.IntN(2) == 0 {
+		back = random.IntN(olderKeys)
+	}
 
-	return keyName(max(0, len(k.all)-random.IntN(recentKeys)))
+	return keyName(max(0, len(k.all)-back))
 }
--- a/test/soak/plan/plan.go
+++ b/test/soak/plan/plan.go
@@ -40,7 +40,7 @@
 	Release Kind = "release"
 	// Crash resets all connections of an upstream, whose process is replaced by one of the same version.
 	Crash Kind = "crash"
-	// Remove drains an upstream and removes its registration while its process runs on, then registers it again.
+	// Remove removes the registration of an upstream whose process runs on, without draining it, then registers it again.
 	Remove Kind = "remove"
 	// ChangeKeys publishes a configuration that adds an API key and withdraws another one.
 	ChangeKeys Kind = "change-keys"
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -28,8 +28,9 @@
 const (
 	eventCount    = 5
 	eventInterval = 20 * time.Millisecond
-	// responseDelay is the time before a response of a plain upstream.
-	responseDelay = 20 * time.Millisecond
+	// responseDelay is the time before a response of a plain upstream, long enough that faults often hit a running order: with 20 ms a host
+	// that repeats orders was not found.
+	responseDelay = 80 * time.Millisecond
 	// tagHeader is the request header field that names the operation; upstreams repeat its value.
 	tagHeader = "Soak-Operation"
 	// secondVersion is the software version of half of the engines, which releases exchange with the other one.
