Check token budgets in the soak

Budgets are a promise over all hosts that the soak did not observe. Two callers run programs until their budget is refused; the check allows one turn more, a quarter and another turn after most hosts were gone, and reports refusals that no count of turns explains.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,7 @@
 const (
 	programCallers = 6
 	streamCallers  = 3
+	budgetCallers  = 2
 	orderCallers   = 6
 	// attemptTimeout bounds an attempt at a host that does not respond; the request itself has 3 s.
 	attemptTimeout = 4 * time.Second
@@ -28,6 +30,9 @@
 	// recovery is told from none.
 	settleLimit = recovery + 15*time.Second
 	maxTurns    = 8
+	// budgetTokens is the budget of programs that spend all of it, and maxBudgetTurns bounds their turns.
+	budgetTokens   = 600
+	maxBudgetTurns = 30
 	// branchShare is the share of turns that another program continues from an earlier turn.
 	branchShare = 0.2
 )
@@ -72,6 +77,9 @@
 	for i := range orderCallers {
 		start(fmt.Sprintf("order-%d", i), func(c *caller) { c.repeat(ctx, c.sendOrder) })
 	}
+	for i := range budgetCallers {
+		start(fmt.Sprintf("budget-%d", i), func(c *caller) { c.repeat(ctx, c.spendBudget) })
+	}
 	for _, h := range r.hosts {
 		start("probe-"+string(h.name), func(c *caller) {
 			c.host, c.key = h, func() string { return r.keys.pick(c.random) }
@@ -273,6 +281,28 @@
 	c.run.recorder.addReceived(check.Received{Operation: operation, Events: stream.Events, IsComplete: stream.IsComplete})
 }
 
+// spendBudget runs turns of a program until its budget is spent.
+func (c *caller) spendBudget(ctx context.Context) {
+	program := c.newOperation()
+	for turn := 0; turn < maxBudgetTurns && ctx.Err() == nil && !c.isSettling(); turn++ {
+		c.move(moveShare)
+		operation := c.newOperation()
+		request := c.newRequest(check.Stream, operation)
+		request.Program, request.Budget = program, budgetTokens
+		call := standin.NewTurnRequest(paths[check.Stream], request.Key, program, "", operation)
+		call.Header[tagHeader], call.Header["Token-Budget"] = operation, strconv.Itoa(budgetTokens)
+		c.record(ctx, &request, func(ctx context.Context) (standin.CallerResponse, error) {
+			return call.SendWith(ctx, c.client, string(request.ID), c.host.callerAddress)
+		})
+		if request.Status == http.StatusPaymentRequired {
+			return
+		}
+		if request.Status != http.StatusOK {
+			c.pause(ctx)
+		}
+	}
+}
+
 // maxOrderAttempts bounds the attempts at an order.
 const maxOrderAttempts = 10
 
--- a/test/soak/check/check_test.go
+++ b/test/soak/check/check_test.go
@@ -1,6 +1,7 @@
 package check_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 	h := &check.History{
 		Bounds: check.Bounds{
 			Retention: time.Minute, Recovery: 15 * time.Second, ConfigurationApply: 4 * time.Second, StableWindow: 5 * time.Second,
-			DrainLimit: 5 * time.Second, HostBytes: 1 << 20, HostFiles: 100, EventCount: eventCount, Versions: []string{"v1", "v2"},
+			DrainLimit: 5 * time.Second, TokensPerEvent: 10, MaxTurnTokens: 100, HostBytes: 1 << 20, HostFiles: 100, EventCount: eventCount, Versions: []string{"v1", "v2"},
 		},
 		Hosts: []check.Host{"host-0", "host-1", "host-2", "host-3", "host-4"},
 		Keys: []check.Key{
@@ -85,6 +86,21 @@
 	require.Empty(t, check.Run(newHistory()))
 }
 
+// addBudgetTurns adds streams of a program with a budget of 200 tokens, each of which uses 50, and then a refusal.
+func addBudgetTurns(h *check.History, count int) {
+	for i := range count + 1 {
+		id := fmt.Sprintf("b%d", i)
+		r := newRequest(id, check.Stream, id, 6+0.2*float64(i))
+		r.Program, r.Budget = "p-b", 200
+		if i == count {
+			r.Status, r.IsFromUpstream, r.Body = 402, false, ""
+		} else {
+			h.Executions = append(h.Executions, check.Execution{Request: r.ID, Upstream: "engine-0", At: r.SentAt})
+		}
+		addRequest(h, r)
+	}
+}
+
 // violationCase changes a history so that it has exactly one violation.
 type violationCase struct {
 	name    string
@@ -139,6 +155,14 @@
 		}
 	}},
 	{"turn has another transcript", "turns-are-in-order", func(h *check.History) { h.Executions[1].Body = "two one" }},
+	{"program exceeds its budget", "budgets-hold", func(h *check.History) { addBudgetTurns(h, 7) }},
+	{"budget is refused too early", "budgets-hold", func(h *check.History) { addBudgetTurns(h, 1) }},
+	{"program exceeds its budget by more than a quarter after a loss of most hosts", "budgets-hold", func(h *check.History) {
+		addBudgetTurns(h, 10)
+		for _, host := range h.Hosts {
+			disturb(h, check.HostLost, host, 6.1, 6.5)
+		}
+	}},
 	{"withdrawn key is served", "keys-apply", func(h *check.History) {
 		r := newRequest("r9", check.Probe, "probe-2", 16)
 		r.Key = "key-1"
@@ -222,6 +246,13 @@
 			r.Status, r.IsFromUpstream = 503, false
 			h.Requests = append([]check.Request{r}, h.Requests...)
 		},
+		"budget that is spent up to the last turn": func(h *check.History) { addBudgetTurns(h, 4) },
+		"budget charged after a loss of most hosts": func(h *check.History) {
+			addBudgetTurns(h, 1)
+			for _, host := range h.Hosts[:3] {
+				disturb(h, check.HostLost, host, 5, 6)
+			}
+		},
 		"turn is older than its retention": func(h *check.History) { addRequest(h, newContinuation(61)) },
 		"turn answered in an outage that all hosts did not survive": func(h *check.History) {
 			addRequest(h, newContinuation(10))
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -38,8 +38,11 @@
 	// Previous is the turn that a turn continues from, and Transcript the text that an upstream must receive for the turn.
 	Previous   RequestID
 	Transcript string
-	SentAt     time.Time
-	EndedAt    time.Time
+	// Program and Budget are set for requests of programs whose budget is checked.
+	Program string
+	Budget  Tokens
+	SentAt  time.Time
+	EndedAt time.Time
 	// Status is zero if no response arrived.
 	Status int
 	// IsFromUpstream is set if the response says that an upstream produced it, AnsweredID is the request that it names.
@@ -175,6 +178,9 @@
 	// HostBytes and HostFiles limit the resources of a process.
 	HostBytes int64
 	HostFiles int
+	// TokensPerEvent is the number of tokens of an event, and MaxTurnTokens the most that a turn may be charged.
+	TokensPerEvent Tokens
+	MaxTurnTokens  Tokens
 	// EventCount is the number of events of a stream, and Versions are the software versions of upstreams.
 	EventCount int
 	Versions   []string
@@ -227,6 +233,7 @@
 		{"streams-are-whole", findBrokenStreams},
 		{"turns-are-retained", findLostTurns},
 		{"turns-are-in-order", findWrongTranscripts},
+		{"budgets-hold", findWrongBudgets},
 		{"keys-apply", findOutdatedKeys},
 		{"configuration-advances", findConfigurationsThatGoBack},
 		{"removed-upstreams-are-unused", findUsesOfRemovedUpstreams},
--- a/test/soak/report.go
+++ b/test/soak/report.go
@@ -28,8 +28,8 @@
 	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		fmt.Fprintf(w, "%s %s %s to %s operation %s key %s previous %q until %s status %d from-upstream %t whole %t left %t body %.400q\n",
-			r.SentAt.Format(logTimeFormat), r.ID, r.Kind, r.Host, r.Operation, r.Key, r.Previous, r.EndedAt.Format(logTimeFormat), r.Status,
+		fmt.Fprintf(w, "%s %s %s to %s operation %s key %s program %q previous %q until %s status %d from-upstream %t whole %t left %t body %.400q\n",
+			r.SentAt.Format(logTimeFormat), r.ID, r.Kind, r.Host, r.Operation, r.Key, r.Program, r.Previous, r.EndedAt.Format(logTimeFormat), r.Status,
 			r.IsFromUpstream, r.IsWhole, r.HasLeft, r.Body)
 	}
 	for _, e := range h.Executions {
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -90,7 +90,7 @@
 	r := &run{options: options, recorder: &recorder{events: events}, upstreams: make(map[plan.Target]*upstream), links: make(map[plan.Target]*faultyLink), settling: make(chan struct{})}
 	r.recorder.history.Bounds = check.Bounds{
 		Retention: retention, Recovery: recovery, ConfigurationApply: configurationApply, StableWindow: stableWindow, DrainLimit: drainLimit,
-		HostBytes: hostBytes, HostFiles: hostFiles, EventCount: eventCount, Versions: []string{standin.InitialVersion, secondVersion},
+		TokensPerEvent: 10, MaxTurnTokens: 100, HostBytes: hostBytes, HostFiles: hostFiles, EventCount: eventCount, Versions: []string{standin.InitialVersion, secondVersion},
 	}
 	r.store = standin.NewStore()
 	defer r.store.Close()
