Check the rate of a workspace over all hosts in the soak

Rates are a promise over all hosts that the soak did not observe. Three callers of a second workspace send several times its rate, and the check counts what upstreams executed in each window of 5 s.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -19,6 +19,7 @@
 	programCallers = 6
 	streamCallers  = 3
 	budgetCallers  = 2
+	rateCallers    = 3
 	orderCallers   = 6
 	// attemptTimeout bounds an attempt at a host that does not respond; the request itself has 3 s.
 	attemptTimeout = 4 * time.Second
@@ -33,6 +34,8 @@
 	// budgetTokens is the budget of programs that spend all of it, and maxBudgetTurns bounds their turns.
 	budgetTokens   = 600
 	maxBudgetTurns = 30
+	// ratePause is the time after a refusal at which a caller of the limited workspace sends again.
+	ratePause = 30 * time.Millisecond
 	// branchShare is the share of turns that another program continues from an earlier turn.
 	branchShare = 0.2
 )
@@ -80,6 +83,17 @@
 	for i := range budgetCallers {
 		start(fmt.Sprintf("budget-%d", i), func(c *caller) { c.repeat(ctx, c.spendBudget) })
 	}
+	for i := range rateCallers {
+		start(fmt.Sprintf("rate-%d", i), func(c *caller) {
+			c.key = func() string { return limitedKey }
+			for !c.isSettling() && ctx.Err() == nil {
+				c.move(moveShare)
+				if request := c.probe(ctx); request.Status != http.StatusOK {
+					sleep(ctx, ratePause)
+				}
+			}
+		})
+	}
 	for _, h := range r.hosts {
 		start("probe-"+string(h.name), func(c *caller) {
 			c.host, c.key = h, func() string { return r.keys.pick(c.random) }
@@ -321,6 +335,6 @@
 }
 
 // probe tests an API key at the caller's host.
-func (c *caller) probe(ctx context.Context) {
-	c.send(ctx, check.Probe, c.newOperation(), "", "", "")
+func (c *caller) probe(ctx context.Context) check.Request {
+	return c.send(ctx, check.Probe, c.newOperation(), "", "", "")
 }
--- a/test/soak/check/budgets.go
+++ b/test/soak/check/budgets.go
@@ -1,7 +1,9 @@
 package check
 
 import (
+	"cmp"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -81,3 +83,38 @@
 
 	return false
 }
+
+// findExcessiveRates finds the first window in which upstreams executed more requests of the limited workspace than its rate allows. The
+// times at which upstreams received the requests count; a request that reaches an upstream twice counts once, as it was admitted once.
+func findExcessiveRates(h *History) []Violation {
+	limited := make(map[RequestID]bool)
+	for i := range h.Requests {
+		if r := &h.Requests[i]; r.Key == h.Bounds.RateKey {
+			limited[r.ID] = true
+		}
+	}
+	var executions []Execution
+	for _, e := range h.Executions {
+		if limited[e.Request] {
+			executions = append(executions, e)
+			limited[e.Request] = false
+		}
+	}
+	slices.SortFunc(executions, func(a, b Execution) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	begin := 0
+	for end, e := range executions {
+		for e.At.Sub(executions[begin].At) >= h.Bounds.RateWindow {
+			begin++
+		}
+		isDelayed := func(d *Disturbance) bool {
+			return d.Kind == UpstreamDisturbed || d.Kind == Stall || d.Kind == HostPaused
+		}
+		count := end - begin + 1
+		// Requests that were held on their way arrive together.
+		if float64(count) > h.Bounds.RequestsPerWindow && !h.isDisturbed(executions[begin].At.Add(-h.Bounds.RateWindow), e.At, isDelayed) {
+			return []Violation{violation(e.At, "%d requests of %s were executed within %s; at most %.0f are allowed", count, h.Bounds.RateKey, h.Bounds.RateWindow, h.Bounds.RequestsPerWindow)}
+		}
+	}
+
+	return nil
+}
--- a/test/soak/check/check_test.go
+++ b/test/soak/check/check_test.go
@@ -35,7 +35,7 @@
 	h := &check.History{
 		Bounds: check.Bounds{
 			Retention: time.Minute, Recovery: 15 * time.Second, ConfigurationApply: 4 * time.Second, StableWindow: 5 * time.Second,
-			DrainLimit: 5 * time.Second, TokensPerEvent: 10, MaxTurnTokens: 100, HostBytes: 1 << 20, HostFiles: 100, EventCount: eventCount, Versions: []string{"v1", "v2"},
+			DrainLimit: 5 * time.Second, TokensPerEvent: 10, MaxTurnTokens: 100, RequestsPerWindow: 20, RateWindow: 5 * time.Second, RateKey: "key-limited", HostBytes: 1 << 20, HostFiles: 100, EventCount: eventCount, Versions: []string{"v1", "v2"},
 		},
 		Hosts: []check.Host{"host-0", "host-1", "host-2", "host-3", "host-4"},
 		Keys: []check.Key{
@@ -101,6 +101,17 @@
 	}
 }
 
+// addLimitedRequests adds requests of the limited workspace, one every 100 ms.
+func addLimitedRequests(h *check.History, count int) {
+	for i := range count {
+		id := fmt.Sprintf("l%d", i)
+		r := newRequest(id, check.Probe, id, 6+0.1*float64(i))
+		r.Key = "key-limited"
+		addRequest(h, r)
+		h.Executions = append(h.Executions, check.Execution{Request: r.ID, Upstream: "desk-0", At: r.SentAt})
+	}
+}
+
 // violationCase changes a history so that it has exactly one violation.
 type violationCase struct {
 	name    string
@@ -163,6 +174,7 @@
 			disturb(h, check.HostLost, host, 6.1, 6.5)
 		}
 	}},
+	{"workspace exceeds its rate", "rates-hold", func(h *check.History) { addLimitedRequests(h, 21) }},
 	{"withdrawn key is served", "keys-apply", func(h *check.History) {
 		r := newRequest("r9", check.Probe, "probe-2", 16)
 		r.Key = "key-1"
@@ -253,6 +265,11 @@
 				disturb(h, check.HostLost, host, 5, 6)
 			}
 		},
+		"workspace at its rate": func(h *check.History) { addLimitedRequests(h, 20) },
+		"requests of a workspace held by a paused host": func(h *check.History) {
+			addLimitedRequests(h, 21)
+			disturb(h, check.HostPaused, "host-1", 4, 6)
+		},
 		"turn is older than its retention": func(h *check.History) { addRequest(h, newContinuation(61)) },
 		"turn answered in an outage that all hosts did not survive": func(h *check.History) {
 			addRequest(h, newContinuation(10))
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -178,6 +178,10 @@
 	// HostBytes and HostFiles limit the resources of a process.
 	HostBytes int64
 	HostFiles int
+	// RequestsPerWindow is the most requests of RateKey that upstreams may execute in each RateWindow.
+	RequestsPerWindow float64
+	RateWindow        time.Duration
+	RateKey           string
 	// TokensPerEvent is the number of tokens of an event, and MaxTurnTokens the most that a turn may be charged.
 	TokensPerEvent Tokens
 	MaxTurnTokens  Tokens
@@ -234,6 +238,7 @@
 		{"turns-are-retained", findLostTurns},
 		{"turns-are-in-order", findWrongTranscripts},
 		{"budgets-hold", findWrongBudgets},
+		{"rates-hold", findExcessiveRates},
 		{"keys-apply", findOutdatedKeys},
 		{"configuration-advances", findConfigurationsThatGoBack},
 		{"removed-upstreams-are-unused", findUsesOfRemovedUpstreams},
--- a/test/soak/host.go
+++ b/test/soak/host.go
@@ -97,6 +97,7 @@
 			FirstStart: true, CPUCores: 1, MemoryBytes: hostBytes, MaxOpenFiles: hostFiles,
 			Store: platform.StoreSettings{Address: storeAddress, Partitions: 12, MaxCallBytes: 1 << 20, MinLeaseDuration: time.Second},
 			Bounds: platform.Bounds{
+				RateWindow: rateWindow, RateOvershoot: rateOvershoot, RateSlackRequests: rateSlackRequests,
 				GracePeriod: gracePeriod, ResolveTTL: 5 * time.Second, ConfigurationApply: configurationApply, DrainTimeout: upstreamDrainTimeout,
 			},
 		}
--- a/test/soak/keys.go
+++ b/test/soak/keys.go
@@ -13,6 +13,13 @@
 // permanentKey is the API key that is never withdrawn.
 const permanentKey = "key-permanent"
 
+const (
+	// limitedKey is the API key of the workspace whose rate is checked. Its callers send several times the rate.
+	limitedKey        = "key-limited"
+	requestsPerSecond = 10
+	burst             = 10
+)
+
 // keyring holds the API keys of a run.
 type keyring struct {
 	mu      sync.Mutex
@@ -30,6 +37,7 @@
 	r.keys.version++
 	added := check.Key{Name: keyName(len(r.keys.all)), AddedIn: r.keys.version}
 	configuration := standin.Configuration{Version: r.keys.version, APIKeys: []string{permanentKey, added.Name}}
+	configuration.Limited = &standin.LimitedWorkspace{APIKey: limitedKey, RequestsPerSecond: requestsPerSecond, Burst: burst}
 	configuration.WriteToStore(r.store)
 	acknowledgedAt := time.Now()
 	added.AddedAt = acknowledgedAt
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -21,6 +21,9 @@
 	recovery           = 15 * time.Second
 	configurationApply = 4 * time.Second
 	stableWindow       = 5 * time.Second
+	rateWindow         = 5 * time.Second
+	rateOvershoot      = 0.1
+	rateSlackRequests  = 10
 	// upstreamDrainTimeout is how long a draining upstream accepts requests.
 	upstreamDrainTimeout = 3 * time.Second
 )
@@ -90,6 +93,7 @@
 	r := &run{options: options, recorder: &recorder{events: events}, upstreams: make(map[plan.Target]*upstream), links: make(map[plan.Target]*faultyLink), settling: make(chan struct{})}
 	r.recorder.history.Bounds = check.Bounds{
 		Retention: retention, Recovery: recovery, ConfigurationApply: configurationApply, StableWindow: stableWindow, DrainLimit: drainLimit,
+		RateWindow: rateWindow, RequestsPerWindow: (requestsPerSecond*rateWindow.Seconds()+burst)*(1+rateOvershoot) + rateSlackRequests, RateKey: limitedKey,
 		TokensPerEvent: 10, MaxTurnTokens: 100, HostBytes: hostBytes, HostFiles: hostFiles, EventCount: eventCount, Versions: []string{standin.InitialVersion, secondVersion},
 	}
 	r.store = standin.NewStore()
