--- a/test/soak/keys.go
+++ b/test/soak/keys.go
@@ -13,6 +13,13 @@
 // permanentKey is the API key that is never withdrawn.
 const permanentKey = "key-permanent"
 
+const (
+	// limitedKey is the API key of the workspace whose rate is checked. Its callers send several times the rate.
+	limitedKey        = "key-limited"
+	requestsPerSecond = 10
+	burst             = 10
+)
+
 // keyring holds the API keys of a run.
 type keyring struct {
 	mu      sync.Mutex
@@ -30,6 +37,7 @@
 	r.keys.version++
 	added := check.Key{Name: keyName(len(r.keys.all)), AddedIn: r.keys.version}
 	configuration := standin.Configuration{Version: r.keys.version, APIKeys: []string{permanentKey, added.Name}}
+	configuration.Limited = &standin.LimitedWorkspace{APIKey: limitedKey, RequestsPerSecond: requestsPerSecond, Burst: burst}
 	configuration.WriteToStore(r.store)
 	acknowledgedAt := time.Now()
 	added.AddedAt = acknowledgedAt
@@ -40,13 +48,21 @@
 	r.recorder.log("version %d of the configuration adds %s", r.keys.version, added.Name)
 }
 
-// recentKeys is the number of the latest keys that are tested.
-const recentKeys = 3
+// recentKeys is the number of the latest keys that are tested most, and olderKeys that of the others that are tested: a key is withdrawn for
+// long only after others have followed.
+const (
+	recentKeys = 3
+	olderKeys  = 12
+)
 
-// pick returns the next key, the valid one, or one that was withdrawn lately.
+// pick returns the next key, the valid one, or one that was withdrawn.
 func (k *keyring) pick(random *rand.Rand) string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	back := random.IntN(recentKeys)
+	if random.IntN(2) == 0 {
+		back = random.IntN(olderKeys)
+	}
 
-	return keyName(max(0, len(k.all)-random.IntN(recentKeys)))
+	return keyName(max(0, len(k.all)-back))
 }
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -21,6 +21,9 @@
 	recovery           = 15 * time.Second
 	configurationApply = 4 * time.Second
 	stableWindow       = 5 * time.Second
+	rateWindow         = 5 * time.Second
+	rateOvershoot      = 0.1
+	rateSlackRequests  = 10
 	// upstreamDrainTimeout is how long a draining upstream accepts requests.
 	upstreamDrainTimeout = 3 * time.Second
 )
@@ -28,8 +31,9 @@
 const (
 	eventCount    = 5
 	eventInterval = 20 * time.Millisecond
-	// responseDelay is the time before a response of a plain upstream.
-	responseDelay = 20 * time.Millisecond
+	// responseDelay is the time before a response of a plain upstream, long enough that faults often hit a running order: with 20 ms a host
+	// that repeats orders was not found.
+	responseDelay = 80 * time.Millisecond
 	// tagHeader is the request header field that names the operation; upstreams repeat its value.
 	tagHeader = "Soak-Operation"
 	// secondVersion is the software version of half of the engines, which releases exchange with the other one.
@@ -89,7 +93,8 @@
 	r := &run{options: options, recorder: &recorder{events: events}, upstreams: make(map[plan.Target]*upstream), links: make(map[plan.Target]*faultyLink), settling: make(chan struct{})}
 	r.recorder.history.Bounds = check.Bounds{
 		Retention: retention, Recovery: recovery, ConfigurationApply: configurationApply, StableWindow: stableWindow, DrainLimit: drainLimit,
-		HostBytes: hostBytes, HostFiles: hostFiles, EventCount: eventCount, Versions: []string{standin.InitialVersion, secondVersion},
+		RateWindow: rateWindow, RequestsPerWindow: (requestsPerSecond*rateWindow.Seconds()+burst)*(1+rateOvershoot) + rateSlackRequests, RateKey: limitedKey,
+		TokensPerEvent: 10, MaxTurnTokens: 100, HostBytes: hostBytes, HostFiles: hostFiles, EventCount: eventCount, Versions: []string{standin.InitialVersion, secondVersion},
 	}
 	r.store = standin.NewStore()
 	defer r.store.Close()
