Send short heartbeats between owners of slots in large fleets

Cause: at 830 hosts each of the 24 owners sent 75.6 KB/s against a budget of 28, of which 46 were complete heartbeats to the other owners. Change: hosts in a fleet of more than 301 say in complete heartbeats that they understand short ones (reads_short). An owner then sends complete heartbeats to as many of 16 random peers as the budget allows, and short ones, which name their sender by a hash and have no loads, to the rest and to the other owners.

--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -7,10 +7,12 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"cardamomward/core/affinity"
 	"cardamomward/core/crashcount"
+	"cardamomward/core/eviction"
 	"cardamomward/core/id"
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/traffic"
@@ -35,6 +37,9 @@
 	// then still receives about one list a second, since it receives as many heartbeats as it sends.
 	heartbeatsPerOwnerListInLarge = 128
 	ownerListSpreadDuration       = 10 * time.Second
+	// minCompleteFanoutOfOwner bounds from below the random recipients of an owner's complete heartbeat, so that a peer among 830 hears the
+	// owner's loads every 28 s on average; short heartbeats are heard as often as all were before.
+	minCompleteFanoutOfOwner = 3
 )
 
 // heartbeatLoop sends heartbeats until ctx ends and evicts owners that have stopped sending theirs.
@@ -49,10 +54,14 @@
 		}
 		p.detectProcessPause(p.cluster.Now())
 		p.evictSilentOwners(ctx)
-		data, targets := p.buildHeartbeat(p.cluster.Now())
+		next := p.buildHeartbeats(p.cluster.Now())
 		limits := p.buildLimits(p.cluster.Now())
 		leaving := p.buildLeaving(p.cluster.Now())
-		for _, target := range targets {
+		for i, target := range slices.Concat(next.targets, next.shortTargets) {
+			data := next.complete
+			if i >= len(next.targets) {
+				data = next.short
+			}
 			conn.WriteTo(data, target) //nolint:errcheck // a lost heartbeat is followed by the next
 			if limits != nil {
 				conn.WriteTo(limits, target) //nolint:errcheck // the next heartbeat repeats them
@@ -65,6 +74,13 @@
 	}
 }
 
+// heartbeats are the encoded heartbeats of one interval: the complete one, and the short one of an owner in a large cluster, each with
+// its recipients.
+type heartbeats struct {
+	complete, short       []byte
+	targets, shortTargets []*net.UDPAddr
+}
+
 // buildLimits returns the encoded limits and cold starts of upstreams of which this host has lately learned, or nil. They are sent
 // apart from the heartbeat, whose size is bounded.
 func (p *peerTable) buildLimits(now time.Time) []byte {
@@ -82,8 +98,8 @@
 	return data
 }
 
-// buildHeartbeat returns the next encoded heartbeat and its recipients.
-func (p *peerTable) buildHeartbeat(now time.Time) ([]byte, []*net.UDPAddr) {
+// buildHeartbeats returns the heartbeats of the next interval.
+func (p *peerTable) buildHeartbeats(now time.Time) heartbeats {
 	current := p.cluster.ownership.Load()
 	crashes := p.cluster.crashesToGossip(now)
 	isPartitioned := p.cluster.IsPartitionedFromUpstreams()
@@ -108,22 +124,40 @@
 	}
 	heartbeat.Evicted = p.evictionsToGossip(now)
 	heartbeat.Member = p.cluster.leaseExpiryNanos.Load() != 0
-	targets := p.heartbeatTargets(proto.Size(heartbeat))
-	p.cluster.workspaces.addTo(heartbeat, now, len(targets), len(p.byHost))
-	data, err := proto.Marshal(heartbeat)
+	heartbeat.ReadsShort = len(p.byHost) > largeClusterPeers
+	short := p.shortHeartbeat(heartbeat)
+	next := p.heartbeatTargets(now, heartbeat, proto.Size(short))
+	p.cluster.workspaces.addTo(heartbeat, now, len(next.targets), len(p.byHost))
+	var err error
+	if next.complete, err = proto.Marshal(heartbeat); err == nil {
+		next.short, err = proto.Marshal(short)
+	}
 	if err != nil {
 		p.cluster.Logger.Error(err, "beat-failed")
 
-		return nil, nil
+		return heartbeats{}
 	}
 	p.sumRemoteRequests(now)
 	if p.tracksWork {
 		p.work.SumPeers(now, p.silenceTimeout())
 	}
 
-	return data, targets
+	return next
 }
 
+// shortHeartbeat returns a heartbeat without what is not needed to detect failures and to act on them.
+func (p *peerTable) shortHeartbeat(complete *fleetpb.Beat) *fleetpb.Beat {
+	return &fleetpb.Beat{
+		Sender: hashSender(p.cluster.Settings.Name), Sequence: complete.Sequence, Draining: complete.Draining, Left: complete.Left,
+		StoreAgeMillis: complete.StoreAgeMillis, Generation: complete.Generation, Crashes: complete.Crashes, Evicted: complete.Evicted,
+		Member: complete.Member, Partitioned: complete.Partitioned,
+	}
+}
+
+// hashSender returns the hash by which short heartbeats name their sender; two of 830 hosts have the same one with a probability of
+// 2e-14.
+func hashSender(host id.Host) uint64 { return xxhash.Sum64String(string(host)) }
+
 // isOwnerListDue reports whether the next heartbeat contains the owners of all slots; the caller holds the lock.
 func (p *peerTable) isOwnerListDue(now time.Time, generation int64) bool {
 	if generation != p.gossipedGeneration {
@@ -147,31 +181,74 @@
 	return min(heartbeatFanout, max(minHeartbeatFanoutInLarge, bytesPerHeartbeat/(heartbeatBytes+datagramHeaderBytes)))
 }
 
-// heartbeatTargets returns the recipients of the next heartbeat, of the given size without a report; the caller holds the lock.
-func (p *peerTable) heartbeatTargets(heartbeatBytes int) []*net.UDPAddr {
-	targets := make([]*net.UDPAddr, 0, len(p.byHost))
+// completeFanoutOfOwner returns how many of the recipients of an owner's heartbeat get the complete one in a large cluster, where the
+// others get the short one; both have the given sizes. reportBytesPerSecond are left for reports.
+func completeFanoutOfOwner(recipients, completeBytes, shortBytes, reportBytesPerSecond int) int {
+	bytesPerHeartbeat := (heartbeatBytesPerSecondInLarge - reportBytesPerSecond) * int(heartbeatInterval/time.Millisecond) / 1000
+	left := bytesPerHeartbeat - recipients*(shortBytes+datagramHeaderBytes)
+
+	return min(heartbeatFanout, max(minCompleteFanoutOfOwner, left/max(1, completeBytes-shortBytes)))
+}
+
+// heartbeatTargets returns the recipients of the next heartbeat, which has no report yet; the caller holds the lock.
+func (p *peerTable) heartbeatTargets(now time.Time, complete *fleetpb.Beat, shortBytes int) heartbeats {
+	targets := make([]*peer, 0, len(p.byHost))
 	for _, other := range p.byHost {
-		targets = append(targets, other.udpAddr)
+		targets = append(targets, other)
 	}
 	if len(targets) <= heartbeatFanout {
-		return targets
+		return heartbeats{targets: addressesOfPeers(targets)}
 	}
 	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	owners := p.cluster.ownership.Load().owners
+	reportRate := p.cluster.workspaces.maxReportRate(len(targets))
 	if !p.hasLeft && !slices.Contains(owners, p.selfEntry.PeerAddress) {
-		return targets[:randomFanout(len(targets), heartbeatBytes, p.cluster.workspaces.maxReportRate(len(targets)))]
+		return heartbeats{targets: addressesOfPeers(targets[:randomFanout(len(targets), proto.Size(complete), reportRate)])}
 	}
 	// The other hosts decide by the heartbeats of owners whether slots are free, so owners do not send fewer in large clusters.
-	targets = targets[:heartbeatFanout]
+	selected := slices.Clip(targets[:heartbeatFanout])
 	// Owners receive every heartbeat of each other, for failure detection, and that of a host that has left at once,
 	// since they acquire its slots.
-	for _, other := range p.byHost {
-		if slices.Contains(owners, other.PeerAddress) && !slices.Contains(targets, other.udpAddr) {
-			targets = append(targets, other.udpAddr)
+	for _, other := range targets[heartbeatFanout:] {
+		if slices.Contains(owners, other.PeerAddress) {
+			selected = append(selected, other)
+		}
+	}
+	isOwnerChange := len(complete.Owners) > 0 && now.Sub(p.generationChangedAt) < ownerListSpreadDuration
+	if len(targets) <= largeClusterPeers || p.hasLeft || isOwnerChange {
+		return heartbeats{targets: addressesOfPeers(selected)}
+	}
+	completeFanout := completeFanoutOfOwner(len(selected), proto.Size(complete), shortBytes, reportRate)
+	next := heartbeats{targets: addressesOfPeers(selected[:completeFanout])}
+	for _, other := range selected[completeFanout:] {
+		if p.readsShortHeartbeats(now, other, slices.Contains(owners, other.PeerAddress)) {
+			next.shortTargets = append(next.shortTargets, other.udpAddr)
+		} else {
+			next.targets = append(next.targets, other.udpAddr)
 		}
 	}
 
-	return targets
+	return next
+}
+
+// readsShortHeartbeats reports whether a peer is known to understand short heartbeats. One that is silent may be replaced by a process of
+// an earlier release; owners hear every heartbeat of each other. The caller holds the lock.
+func (p *peerTable) readsShortHeartbeats(now time.Time, other *peer, isOwner bool) bool {
+	limit := p.silenceTimeout()
+	if isOwner {
+		limit = eviction.SilenceTimeout
+	}
+
+	return other.readsShort && now.Sub(other.lastHeardAt) < limit
+}
+
+func addressesOfPeers(peers []*peer) []*net.UDPAddr {
+	addresses := make([]*net.UDPAddr, 0, len(peers))
+	for _, other := range peers {
+		addresses = append(addresses, other.udpAddr)
+	}
+
+	return addresses
 }
 
 // sendDatagram sends a datagram to peers, which may not receive it.
@@ -220,6 +297,25 @@
 	}
 }
 
+// senderOf returns the peer that has sent a heartbeat, and false if there is none; the caller holds the lock.
+func (p *peerTable) senderOf(heartbeat *fleetpb.Beat) (*peer, bool) {
+	if heartbeat.Sender == 0 {
+		sender, ok := p.byHost[id.Host(heartbeat.Host)]
+
+		return sender, ok
+	}
+	if sender, ok := p.byHost[p.hostBySender[heartbeat.Sender]]; ok {
+		return sender, true
+	}
+	p.hostBySender = make(map[uint64]id.Host, len(p.byHost))
+	for host := range p.byHost {
+		p.hostBySender[hashSender(host)] = host
+	}
+	sender, ok := p.byHost[p.hostBySender[heartbeat.Sender]]
+
+	return sender, ok
+}
+
 // handleHeartbeat applies a heartbeat. One that arrives out of order does not change the sender's state, unless the
 // sender was silent for so long that it may have restarted.
 func (p *peerTable) handleHeartbeat(now time.Time, heartbeat *fleetpb.Beat) {
@@ -236,7 +332,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sender, ok := p.byHost[id.Host(heartbeat.Host)]
+	sender, ok := p.senderOf(heartbeat)
 	if !ok || (heartbeat.Sequence <= sender.lastSequence && now.Sub(sender.lastHeardAt) < baseSilenceTimeout) {
 		return
 	}
@@ -248,6 +344,10 @@
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
 	sender.storeRespondedAt = reportedTime(now, heartbeat.StoreAgeMillis)
 	sender.isPartitioned = heartbeat.Partitioned
+	if heartbeat.Sender != 0 {
+		return
+	}
+	sender.readsShort, sender.loadsHeardAt = heartbeat.ReadsShort, now
 	p.cluster.workspaces.recordReport(now, heartbeat)
 	sender.runningRequests = make(map[id.Upstream]int, len(heartbeat.Loads))
 	sender.upstreamErrors = nil
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -69,7 +69,11 @@
 	hasBeenMember bool
 	// storeRespondedAt is the time of the store's last response to the peer, by this host's clock.
 	storeRespondedAt time.Time
-	runningRequests  map[id.Upstream]int
+	// readsShort is set if the peer's last complete heartbeat says that it understands short ones.
+	readsShort bool
+	// loadsHeardAt is when the last complete heartbeat arrived, from which runningRequests and upstreamErrors are.
+	loadsHeardAt    time.Time
+	runningRequests map[id.Upstream]int
 	// upstreamErrors holds the error scores of upstreams that the peer reports.
 	upstreamErrors map[id.Upstream]float64
 	// isPartitioned is set while the peer's links to upstreams fail, and relayBusyUntil after it refused to relay a connection.
@@ -108,12 +112,14 @@
 	// gossipedEvictions maps the members that this host has evicted to the time until which its heartbeats report them.
 	gossipedEvictions map[string]time.Time
 	byHost            map[id.Host]*peer
-	localRequests     map[id.Upstream]int
-	remoteRequests    map[id.Upstream]int
-	remoteErrors      map[id.Upstream]float64
-	cachedParts       affinity.CacheIndex
-	domains           peerDomains
-	work              workleft.Tracker
+	// hostBySender maps the hashes of the names in byHost to them; it may be outdated.
+	hostBySender   map[uint64]id.Host
+	localRequests  map[id.Upstream]int
+	remoteRequests map[id.Upstream]int
+	remoteErrors   map[id.Upstream]float64
+	cachedParts    affinity.CacheIndex
+	domains        peerDomains
+	work           workleft.Tracker
 	// tracksWork is set if the choice of upstreams uses the work that peers report; it does not change after the start.
 	tracksWork    bool
 	gossipedReads []gossipedRead
@@ -317,7 +323,7 @@
 	clear(p.remoteErrors)
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
-		if now.Sub(other.lastHeardAt) > limit {
+		if now.Sub(other.loadsHeardAt) > limit {
 			continue
 		}
 		for upstream, running := range other.runningRequests {
--- a/io/cluster/workspaceload.go
+++ b/io/cluster/workspaceload.go
@@ -154,8 +154,8 @@
 	defer p.mu.Unlock()
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
-		if silence := now.Sub(other.lastHeardAt); silence <= limit {
-			age += silence
+		if now.Sub(other.lastHeardAt) <= limit {
+			age += min(limit, now.Sub(other.loadsHeardAt))
 			peers++
 		}
 	}
