Leave slots to other owners right after an outage of the store

Cause: the first host that renewed its lease after an outage, in which all leases expire, was assigned all slots, and fenced and read all of them at once. The other owners still had the turns of the outage to write, and their slots moved back up to three times within 2 s. Change: as after its start, a host whose lease has expired takes no slots for up to 1.2 s while it is assigned more than twice its share, and renews its lease every 60 ms meanwhile. Result: TestHostDoesNotTakeSlotsOfOthersRightAfterOutage (simulated time) fails without the condition isRejoinPhase in holdsExcessSlots, and if that phase does not end. io/cluster passed with -race but for a fault of that test itself, which passes since.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -108,10 +108,11 @@
 	refreshOwnersSignal chan struct{}
 	// renewSignal triggers a renewal before its interval has passed.
 	renewSignal chan struct{}
-	// isMember is set while this host is in the group, and lastOwnedAt is when it last owned a slot. Only the renewal
-	// loop uses them.
+	// isMember is set while this host is in the group, lastOwnedAt is when it last owned a slot, and rejoinedAt when it last joined the
+	// group without a valid lease. Only the renewal loop uses them.
 	isMember    bool
 	lastOwnedAt time.Time
+	rejoinedAt  time.Time
 
 	peerClientsMu sync.Mutex
 	peerClients   map[string]fleetpb.Slots
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -134,21 +134,21 @@
 			s.requireConfirmation(ctx)
 		}
 	}
+	if requestedAt.UnixNano() > c.leaseExpiryNanos.Load() {
+		c.rejoinedAt = requestedAt
+	}
 	c.leaseExpiryNanos.Store(requestedAt.Add(c.leaseDuration).UnixNano())
 	if c.isResigning.Load() {
 		return renewInterval
 	}
-	if c.holdsExcessSlots(len(m.Partitions)) {
-		return startupRenewInterval
-	}
-	released := c.applyHeldSlots(ctx, m)
+	released := c.applyHeldSlots(ctx, m, !c.holdsExcessSlots(len(m.Partitions)))
 	if changed {
 		c.requestOwnersRefresh()
 	}
 	switch {
 	case released || c.mustRejoin.Load():
 		return 0
-	case c.isStartupPhase():
+	case c.isStartupPhase() || c.isRejoinPhase():
 		return startupRenewInterval
 	}
 
@@ -168,10 +168,21 @@
 	return c.Now().Sub(c.peers.startedAt) <= startupPhaseDuration
 }
 
-// holdsExcessSlots reports whether a host that has just started holds more than twice its share of slots. Other
-// starting hosts will soon be assigned them, and loading all of them would keep this host busy until then.
+// isRejoinPhase reports whether other hosts may be renewing leases that expired at the same time as this host's, in an outage of the
+// store.
+func (c *Cluster) isRejoinPhase() bool {
+	return c.Now().Sub(c.rejoinedAt) <= startupPhaseDuration
+}
+
+// holdsExcessSlots reports whether a host that has just started, or whose lease has expired, holds more than twice its share of slots.
+// Other hosts will soon be assigned them. Loading all of them would keep this host busy until then, and would fence owners that still
+// have the turns of an outage to write.
 func (c *Cluster) holdsExcessSlots(held int) bool {
-	if !c.isStartupPhase() || c.ownsAnySlot() {
+	if c.isStartupPhase() {
+		if c.ownsAnySlot() {
+			return false
+		}
+	} else if !c.isRejoinPhase() {
 		return false
 	}
 
@@ -191,8 +202,8 @@
 	return true
 }
 
-// applyHeldSlots acquires the slots that a membership holds, releases all others and reports whether any was released.
-func (c *Cluster) applyHeldSlots(ctx context.Context, m platform.GroupMembership) bool {
+// applyHeldSlots acquires the slots that a membership holds, if it may, releases all others and reports whether any was released.
+func (c *Cluster) applyHeldSlots(ctx context.Context, m platform.GroupMembership, mayAcquire bool) bool {
 	held := make(map[int]struct{}, len(m.Partitions))
 	for _, partition := range m.Partitions {
 		if partition.Topic == c.slotTopic && partition.Number < len(c.slots) {
@@ -201,10 +212,10 @@
 	}
 	var reassigned []*slot
 	for _, s := range c.slots {
-		if _, ok := held[s.index]; ok {
-			s.acquire(ctx, m.Generation)
-		} else {
+		if _, ok := held[s.index]; !ok {
 			reassigned = append(reassigned, s)
+		} else if mayAcquire {
+			s.acquire(ctx, m.Generation)
 		}
 	}
 	c.flushReassigned(ctx, reassigned)
--- a/io/cluster/outage_test.go
+++ b/io/cluster/outage_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"cardamomward/core/id"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/platform"
 )
@@ -25,10 +26,12 @@
 }
 
 // connect makes calls of a host to another one reach it.
-func connect(from, to *Cluster) {
-	from.peerClientsMu.Lock()
-	defer from.peerClientsMu.Unlock()
-	from.peerClients[to.self] = &slotServer{cluster: to}
+func connect(from, to *Cluster) { from.setPeerClient(to.self, &slotServer{cluster: to}) }
+
+func (c *Cluster) setPeerClient(member string, client fleetpb.Slots) {
+	c.peerClientsMu.Lock()
+	defer c.peerClientsMu.Unlock()
+	c.peerClients[member] = client
 }
 
 // requireDurable requires that the store has a turn soon. The limit allows for a busy machine.
@@ -120,7 +123,7 @@
 		owner := newTestHost(t, store, "127.0.0.2")
 		hanging := &hangingOwner{Slots: &slotServer{cluster: owner}}
 		hanging.calls.Store(1)
-		holder.peerClients[owner.self] = hanging
+		holder.setPeerClient(owner.self, hanging)
 		join(t, owner)
 		holder.setOwnership(&ownership{owners: []string{owner.self}})
 		_, err := (&slotServer{cluster: holder}).Hold(t.Context(), &fleetpb.HoldRequest{Turn: newKeptTurn("first", "")})
@@ -228,3 +231,43 @@
 		require.False(t, c.isServing())
 	})
 }
+
+// The first host that renews its lease after an outage is assigned all slots until the others have renewed theirs.
+func TestHostDoesNotTakeSlotsOfOthersRightAfterOutage(t *testing.T) {
+	const slots, share = 12, 2
+	for name, test := range map[string]struct {
+		assigned int
+		isTaken  bool
+	}{"all slots": {slots, false}, "its share": {share, true}} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T) {
+				c, store := newTestCluster(t)
+				for index := 1; index < slots; index++ {
+					c.slots = append(c.slots, newSlot(c, index))
+				}
+				renew := func() {
+					c.peers.mu.Lock()
+					for i := range slots/share - 1 {
+						address := fmt.Sprintf("127.0.1.%d:1", i)
+						c.peers.byHost[id.Host(address)] = &peer{hostEntry: hostEntry{PeerAddress: address, CPUCores: c.Settings.CPUCores}, listedAt: time.Now()}
+						c.setPeerClient(address, &slotServer{cluster: c})
+					}
+					c.peers.mu.Unlock()
+					c.renewMembership(t.Context())
+				}
+				store.mu.Lock()
+				store.parts = nil
+				for _, s := range c.slots[:test.assigned] {
+					store.parts = append(store.parts, s.partition())
+				}
+				store.mu.Unlock()
+				time.Sleep(2 * startupPhaseDuration)
+				renew()
+				require.Equal(t, test.isTaken, c.ownsAnySlot())
+				time.Sleep(startupPhaseDuration + time.Millisecond)
+				renew()
+				require.True(t, c.ownsAnySlot(), "the others have not renewed their leases")
+			})
+		})
+	}
+}
