Find turns of other programs while a slot has no owner

Cause: the search for a turn of another program asked nobody while any slot had no owner, so after a loss of all hosts such turns were found only once all slots had owners again. Change: the owners that are known are asked; a turn that they lack is still unsure, since a slot without an owner is not vouched for. The end of a turn whose owner lacks the previous turn also with the whole transcript in the call is retried after a pause instead of at once. No test shows the pause.

--- a/io/cluster/findturn.go
+++ b/io/cluster/findturn.go
@@ -55,9 +55,8 @@
 // findTurnAt looks up a turn at members. It is missing only if all of them respond and, together, vouch for at
 // least requiredSlots slots.
 func (c *Cluster) findTurnAt(ctx context.Context, members []string, requiredSlots int, req *fleetpb.FindTurnRequest) ([]byte, fleetpb.Outcome) {
-	if slices.Contains(members, "") {
-		return nil, fleetpb.Outcome_OUTCOME_UNSURE
-	}
+	// A slot without an owner is not vouched for, but the turn may be in another one.
+	members = slices.DeleteFunc(slices.Clone(members), func(member string) bool { return member == "" })
 	replies := make(chan *fleetpb.FindTurnReply, len(members))
 	for _, member := range members {
 		go func() {
--- a/io/cluster/findturn_test.go
+++ b/io/cluster/findturn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,22 @@
 	_, outcome = c.findTurn(t.Context(), request)
 	require.Equal(t, fleetpb.Outcome_OUTCOME_UNKNOWN_TURN, outcome)
 }
+
+// After a loss of all hosts, no turn of another program was found until all slots had owners again.
+func TestTurnIsFoundWhileOtherSlotHasNoOwner(t *testing.T) {
+	c, _ := newTestCluster(t)
+	c.slots = append(c.slots, newSlot(c, 1))
+	c.setOwnership(&ownership{owners: []string{c.self, ""}})
+	join(t, c)
+	kept := newKeptTurn("first", "")
+	for i := 0; c.hashSlot(kept.Program) != 0; i++ {
+		kept.Program = fmt.Sprint("program-", i)
+	}
+	storeTurn(t, c, kept)
+	transcript, outcome := c.findTurn(t.Context(), &fleetpb.BeginTurnRequest{Workspace: string(testWorkspace), Previous: "first"})
+	require.Equal(t, fleetpb.Outcome_OUTCOME_OK, outcome)
+	require.Equal(t, "first;done\n", string(transcript))
+	serveForLong(c)
+	_, outcome = c.findTurn(t.Context(), &fleetpb.BeginTurnRequest{Workspace: string(testWorkspace), Previous: "other"})
+	require.Equal(t, fleetpb.Outcome_OUTCOME_UNSURE, outcome, "the next owner of the other slot may have the turn")
+}
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -152,7 +152,7 @@
 	shortReq := requestWithoutTranscript(req)
 	for ctx.Err() == nil {
 		owner, reply, err := c.tryEndTurn(ctx, shortReq)
-		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN && shortReq != req {
 			shortReq = req
 
 			continue
