--- a/io/discovery/age_test.go
+++ b/io/discovery/age_test.go
@@ -105,11 +105,15 @@
 }
 
 // respondStale makes the store respond as it would have before the configuration changed.
-func respondStale(s *standin.MemoryStore) {
+func respondStale(s *standin.MemoryStore) { s.Intercept(serveStale()) }
+
+// serveStale returns a function that responds as the store would have before the configuration changed.
+func serveStale() func(w http.ResponseWriter, r *http.Request, next http.Handler) {
 	old := standin.NewMemoryStore()
 	old.Close()
 	putConfiguration(old, 1)
-	s.Intercept(func(w http.ResponseWriter, r *http.Request, _ http.Handler) { old.ServeHTTP(w, r) })
+
+	return func(w http.ResponseWriter, r *http.Request, _ http.Handler) { old.ServeHTTP(w, r) }
 }
 
 // readFaults are the ways in which a read of the configuration can go wrong.
@@ -183,6 +187,11 @@
 		alterResponses(s, func(body []byte) []byte { return append(body, make([]byte, 64)...) })
 	}), false},
 	{"responses older than the last", throughout(respondStale), false},
+	{"expired offset, and responses older than the last", func(s *standin.MemoryStore, outage time.Duration) {
+		expireOffset(s, serveStale())
+		time.Sleep(outage)
+		s.Intercept(nil)
+	}, false},
 	{"several in a row", func(s *standin.MemoryStore, outage time.Duration) {
 		throughout(func(s *standin.MemoryStore) { respondWith(s, http.StatusServiceUnavailable) })(s, outage/8)
 		s.ResetConns()
