Let a small host survive slow callers while others relay through it

Cause: 800 callers that read 1 MB slowly, with 224 relayed connections, brought a host of 112 MB with a budget to 128 to 277 MB. The server library keeps a reference to a large response body until the next response on its connection, which the budget does not count; and bodies were read into growing buffers at the same time, of which each held a part of the memory and waited for the rest, so that most calls failed. Change: with a budget, bodies of 4 KB and more are written from a stream, and a body of known length is read into a buffer of that size once there is memory for all of it.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -62,8 +62,9 @@
 	done     chan struct{}
 	instance *gatewayhost.Host
 	drain    func()
-	// pause and resume are set only for a host that runs in a process of its own.
+	// pause, resume and process are set only for a host that runs in a process of its own.
 	pause, resume func()
+	process       *os.Process
 }
 
 var nextPortMu sync.Mutex
--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -80,11 +80,8 @@
 
 func (r *budgetedReader) Read(p []byte) (int, error) {
 	needed := int64(bufferGrowth * len(p))
-	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.Memory.Reserve(r.remote, needed); {
-		if !r.proxy.Now().Before(waitUntil) {
-			return 0, io.ErrShortBuffer
-		}
-		time.Sleep(memoryPollInterval)
+	if !r.awaitMemory(needed) {
+		return 0, io.ErrShortBuffer
 	}
 	n, err := r.inner.Read(p)
 	r.proxy.Memory.Release(r.remote, needed-int64(bufferGrowth*n))
@@ -93,5 +90,30 @@
 	return n, err
 }
 
+// awaitMemory reserves bytes, and reports false if there is no memory for them within memoryWait.
+func (r *budgetedReader) awaitMemory(bytes int64) bool {
+	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.Memory.Reserve(r.remote, bytes); {
+		if !r.proxy.Now().Before(waitUntil) {
+			return false
+		}
+		time.Sleep(memoryPollInterval)
+	}
+
+	return true
+}
+
+// readExactly reads a body of a known length into a buffer of that size, which is allocated once there is memory for all of it. Many
+// bodies that are read at the same time would otherwise each hold a part and wait for the rest.
+func (r *budgetedReader) readExactly(length int64) ([]byte, error) {
+	if !r.awaitMemory(length) {
+		return nil, io.ErrShortBuffer
+	}
+	r.reserved += length
+	body := make([]byte, length)
+	_, err := io.ReadFull(r.inner, body)
+
+	return body, err
+}
+
 // release gives the memory of a response back that is not forwarded.
 func (r *budgetedReader) release() { r.proxy.Memory.Release(r.remote, r.reserved) }
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -58,7 +58,11 @@
 func (p *Proxy) readBody(req *proxiedRequest, sent *sentRequest) ([]byte, error) {
 	if p.Memory != nil {
 		reader := &budgetedReader{inner: sent.Body, proxy: p, remote: req.remote}
-		body, err := readWhole(reader)
+		read := func() ([]byte, error) { return readWhole(reader) }
+		if length := sent.ContentLength; length > 0 && length <= maxBufferedBodyBytes && req.Method != http.MethodHead {
+			read = func() ([]byte, error) { return reader.readExactly(length) }
+		}
+		body, err := read()
 		if err != nil {
 			reader.release()
 		}
@@ -108,10 +112,24 @@
 func (p *Proxy) writeResponse(c *app.RequestContext, req *proxiedRequest, sent *sentRequest, body []byte) {
 	platform.CopyResponseHeader(&c.Response.Header, sent.Header)
 	c.Response.SetStatusCode(sent.Status)
-	c.Response.SetBodyRaw(body)
+	p.setResponseBody(c, body)
 	p.logRequest(req, sent.Status, "answered")
 }
 
+// setResponseBody sets the body of a response. With a memory budget, a large one is written from a stream: the server's connection refers
+// to other bodies of 4 KB and more until its next response, so that idle connections would hold bodies that are not counted.
+func (p *Proxy) setResponseBody(c *app.RequestContext, body []byte) {
+	if p.Memory == nil || len(body) < maxRetainedBodyBytes {
+		c.Response.SetBodyRaw(body)
+
+		return
+	}
+	c.Response.SetBodyStream(bytes.NewReader(body), len(body))
+}
+
+// maxRetainedBodyBytes bounds the bodies that are not written from a stream.
+const maxRetainedBodyBytes = 4 << 10
+
 // failRequest responds to a request that no upstream answered; if the caller has disconnected it closes the connection. A
 // 502 after the deadline becomes a 504.
 func (p *Proxy) failRequest(ctx context.Context, c *app.RequestContext, req *proxiedRequest, errResp *errorResponse) {
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -54,6 +54,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// ContentLength is the length of the body, -1 if the response does not state it.
+	ContentLength int64
 
 	client          *Client
 	conn            *conn
@@ -176,7 +178,7 @@
 			return ErrResponseLost.New("the head of the response begins with a piece of another")
 		}
 		if x.belongsToRequest(req, resp) {
-			x.resp, x.Status, x.Header, x.Body = resp, resp.StatusCode, resp.Header, resp.Body
+			x.resp, x.Status, x.Header, x.Body, x.ContentLength = resp, resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
 
 			return nil
 		}
