Wait in a test until the writer has forgotten a written batch

Change: it waits for that, and requires that the partition has one record, so that a second copy still fails it.

--- a/io/cluster/handover_test.go
+++ b/io/cluster/handover_test.go
@@ -61,7 +61,11 @@
 	require.Len(t, s.writer.pendingRecords(), 1)
 	store.beforeAppend.clear()
 	storeTurn(t, c, newKeptTurn("first", ""))
-	require.Empty(t, s.writer.pendingRecords(), "the turn is durable")
+	// The writer forgets the batch after the reply.
+	require.Eventually(t, func() bool { return !s.writer.hasPending() }, testTimeout, time.Millisecond)
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	require.EqualValues(t, 1, store.partition(s.partition()).end, "the turn is written once")
 }
 
 func TestTokensOfTurnAnsweredDuringOutageAreCountedOnceByNextOwner(t *testing.T) {
