Claim the ports of hosts in tests for each process

Cause: processes that run the tests of io/gatewayhost at the same time chose their ports by the process id modulo 50, so that two of them could take each other's ports between the check and the start of a host: 2 of 14 processes failed with "address already in use" and then at the wait for the hosts. Change: a process listens on the first port of each range that it uses.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -67,22 +67,59 @@
 	pause, resume func()
 }
 
-var nextPortMu sync.Mutex
+const (
+	// firstTestPort is the first of the ports of hosts. All are below the kernel's ephemeral port range, so that no outgoing connection
+	// takes the port of a killed host.
+	firstTestPort = 20_000
+	// portRanges is the number of ranges of portsPerRange ports. A process uses those whose first port it listens on: processes that
+	// run tests at the same time took each other's ports.
+	portRanges    = 50
+	portsPerRange = 200
+)
+
+var (
+	nextPortMu sync.Mutex
+	// nextPort is the next port to try, and lastPort the end of the range.
+	nextPort, lastPort int
+	// claimedRanges keeps the ranges of this process until it ends.
+	claimedRanges []net.Listener
+)
+
+func listenOnLoopback(port int) (net.Listener, error) {
+	return net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+}
+
+// claimPortRange claims a range that no other process uses; the caller holds the lock.
+func claimPortRange(t *testing.T) {
+	t.Helper()
+	for i := range portRanges {
+		first := firstTestPort + (os.Getpid()+i)%portRanges*portsPerRange
+		listener, err := listenOnLoopback(first)
+		if err == nil {
+			claimedRanges = append(claimedRanges, listener)
+			nextPort, lastPort = first+1, first+portsPerRange
 
-// nextPort stays below the kernel's ephemeral port range, so that no outgoing connection takes the port of a killed host.
-var nextPort = 20_000 + os.Getpid()%50*200
+			return
+		}
+	}
+	require.FailNow(t, "all ports are in use")
+}
 
 func freePort(t *testing.T) int {
 	t.Helper()
 	nextPortMu.Lock()
 	defer nextPortMu.Unlock()
 	for {
+		if nextPort >= lastPort {
+			claimPortRange(t)
+		}
+		port := nextPort
 		nextPort++
-		listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(nextPort)))
+		listener, err := listenOnLoopback(port)
 		if err == nil {
 			require.NoError(t, listener.Close())
 
-			return nextPort
+			return port
 		}
 	}
 }
