--- a/command/soak/soak_test.go
+++ b/command/soak/soak_test.go
@@ -58,7 +58,14 @@
 	require.NoError(t, err)
 	require.Len(t, plans, 4)
 	var out bytes.Buffer
-	args := []string{"--jobs", "2", "--keep", t.TempDir()}
+	keep, err := os.MkdirTemp("", "soak-test-") // The logs of a failure outlive the test.
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if !t.Failed() {
+			os.RemoveAll(keep) //nolint:errcheck // only the system's temporary files grow
+		}
+	})
+	args := []string{"--jobs", "2", "--keep", keep}
 	for _, name := range plans {
 		args = append(args, "--plan", name)
 	}
