--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -64,6 +64,8 @@
 	HasConfig func() bool
 	// Traffic counts the bytes between hosts; nil counts nothing.
 	Traffic *traffic.Counters
+	// Memory bounds what calls between hosts hold while they are in progress; nil means no bound. It may be set until Run.
+	Memory *httpx.MemoryBudget
 	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
 	IsPartitionedFromUpstreams func() bool
 	// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host; it may be nil.
@@ -96,7 +98,9 @@
 	// leaseExpiryNanos is the expiry of the membership's lease, in nanoseconds since the Unix epoch; zero before the
 	// first lease.
 	leaseExpiryNanos atomic.Int64
-	isLeaving        atomic.Bool
+	// isLeaving is set once this host drains, and isResigning once it gives up its slots and its membership.
+	isLeaving   atomic.Bool
+	isResigning atomic.Bool
 	// isStopped is set once Run ends; calls that no caller waits for are then not retried.
 	isStopped atomic.Bool
 	// mustRejoin is set while the host must leave the group before it joins again.
@@ -104,10 +108,11 @@
 	refreshOwnersSignal chan struct{}
 	// renewSignal triggers a renewal before its interval has passed.
 	renewSignal chan struct{}
-	// isMember is set while this host is in the group, and lastOwnedAt is when it last owned a slot. Only the renewal
-	// loop uses them.
+	// isMember is set while this host is in the group, lastOwnedAt is when it last owned a slot, and rejoinedAt when it last joined the
+	// group without a valid lease. Only the renewal loop uses them.
 	isMember    bool
 	lastOwnedAt time.Time
+	rejoinedAt  time.Time
 
 	peerClientsMu sync.Mutex
 	peerClients   map[string]fleetpb.Slots
@@ -157,9 +162,9 @@
 		pushSlots:   make(chan struct{}, maxConcurrentPushes),
 	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
-	c.httpClient = &http.Client{Transport: &countingTransport{cluster: c, inner: &http.Transport{
+	c.httpClient = &http.Client{Transport: &memoryTransport{cluster: c, inner: &countingTransport{cluster: c, inner: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
-	}}}
+	}}}}
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
 	for index := range opts.Settings.Store.Partitions {
@@ -173,12 +178,10 @@
 
 // Run takes part in the cluster until ctx ends. It fails if it cannot listen for peers.
 func (c *Cluster) Run(ctx context.Context) error {
-	server, err := httpx.NewServer(httpx.Options{Address: c.self, MaxBodyBytes: maxPeerBodyBytes})
+	server, err := c.newPeerServer(c.self)
 	if err != nil {
 		return err
 	}
-	handler := adaptor.HertzHandler(c.countCalls(fleetpb.NewSlotsServer(&slotServer{cluster: c})))
-	server.NoRoute(handler)
 	server.Start()
 	defer server.Abort()
 	conn, err := net.ListenPacket("udp4", c.self)
@@ -193,6 +196,7 @@
 	wg.Go(func() { c.refreshOwnersLoop(ctx) })
 	wg.Go(func() { c.removeExpiredLoop(ctx) })
 	wg.Go(func() { c.handOverLoop(ctx) })
+	wg.Go(func() { c.releaseActingSlotsLoop(ctx) })
 	for _, s := range c.slots {
 		wg.Go(func() { s.writer.run(ctx) })
 	}
@@ -202,6 +206,19 @@
 	return conn.Close()
 }
 
+// newPeerServer returns a server of the calls of peers.
+func (c *Cluster) newPeerServer(address string) (*httpx.Server, error) {
+	server, err := httpx.NewServer(httpx.Options{
+		Address: address, MaxBodyBytes: maxPeerBodyBytes, Memory: c.Memory, BodyCopies: callBodyCopies, MemoryClass: memoryClassOfCall,
+	})
+	if err != nil {
+		return nil, err
+	}
+	server.NoRoute(adaptor.HertzHandler(c.countCalls(c.provideCallMemory(fleetpb.NewSlotsServer(&slotServer{cluster: c})))))
+
+	return server, nil
+}
+
 // hashSlot returns the slot of a program's or workspace's name.
 func (c *Cluster) hashSlot(name string) int {
 	return id.HashSlot(name, len(c.slots))
--- a/io/cluster/findturn.go
+++ b/io/cluster/findturn.go
@@ -9,8 +9,12 @@
 	"cardamomward/io/fleet/fleetpb"
 )
 
-// maxConfirmations bounds the comparisons with the store that a request causes.
-const maxConfirmations = 2
+const (
+	// maxConfirmations bounds the comparisons with the store that a request causes.
+	maxConfirmations = 2
+	// silentHolderTimeout is the silence after which a host counts as lost with the turns that it holds.
+	silentHolderTimeout = 20 * time.Second
+)
 
 // turnSearch is the search for the turn that a request continues.
 type turnSearch struct {
@@ -51,9 +55,8 @@
 // findTurnAt looks up a turn at members. It is missing only if all of them respond and, together, vouch for at
 // least requiredSlots slots.
 func (c *Cluster) findTurnAt(ctx context.Context, members []string, requiredSlots int, req *fleetpb.FindTurnRequest) ([]byte, fleetpb.Outcome) {
-	if slices.Contains(members, "") {
-		return nil, fleetpb.Outcome_OUTCOME_UNSURE
-	}
+	// A slot without an owner is not vouched for, but the turn may be in another one.
+	members = slices.DeleteFunc(slices.Clone(members), func(member string) bool { return member == "" })
 	replies := make(chan *fleetpb.FindTurnReply, len(members))
 	for _, member := range members {
 		go func() {
@@ -93,12 +96,15 @@
 // authoritative.
 func (srv *slotServer) FindTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (*fleetpb.FindTurnReply, error) {
 	c := srv.cluster
-	reply := c.findHeldTurn(req)
+	reply, err := c.findHeldTurn(ctx, req)
+	if err != nil {
+		return nil, err
+	}
 	if reply.Outcome != fleetpb.Outcome_OUTCOME_UNKNOWN_TURN || !c.mayServeSlots(c.Now()) {
 		return reply, nil
 	}
-	if transcript, ok := c.findStoredTurn(req); ok {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, nil
+	if transcript, ok, err := c.findStoredTurn(ctx, req); ok || err != nil {
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, err
 	}
 	if c.hasIncompleteTurn(req) {
 		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}, nil
@@ -110,8 +116,8 @@
 		return reply, nil
 	}
 	reply.Slots, reply.Confirmed = c.confirmSlots(ctx, reply.Slots), true
-	if transcript, ok := c.findStoredTurn(req); ok {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, nil
+	if transcript, ok, err := c.findStoredTurn(ctx, req); ok || err != nil {
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: transcript}, err
 	}
 
 	return reply, nil
@@ -127,19 +133,30 @@
 	})
 }
 
-// findStoredTurn looks up a turn in the slots that this host serves.
-func (c *Cluster) findStoredTurn(req *fleetpb.FindTurnRequest) ([]byte, bool) {
+// findStoredTurn looks up a turn in the slots that this host serves. It fails if there is no memory for a reply with the turn.
+func (c *Cluster) findStoredTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (transcript []byte, ok bool, err error) {
 	for _, s := range c.slots {
-		s.mu.Lock()
-		transcript, ok := s.turns.Transcript(id.Workspace(req.Workspace), req.Turn)
-		ok = ok && s.state == serving
-		s.mu.Unlock()
-		if ok {
-			return transcript, true
+		if transcript, ok, err = s.findTurn(ctx, req); ok || err != nil {
+			return transcript, ok, err
 		}
 	}
 
-	return nil, false
+	return nil, false, nil
+}
+
+func (s *slot) findTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (transcript []byte, ok bool, err error) {
+	workspace := id.Workspace(req.Workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != serving || !s.turns.HasTranscript(workspace, req.Turn) {
+		return nil, false, nil
+	}
+	if !reserveTranscript(ctx, s.turns.TranscriptBytes(workspace, req.Turn)) {
+		return nil, false, errNoMemory
+	}
+	transcript, ok = s.turns.Transcript(workspace, req.Turn)
+
+	return transcript, ok, nil
 }
 
 // authoritativeSlots returns the slots of which this host may say that a turn that is not there does not exist.
@@ -156,19 +173,22 @@
 
 // findHeldTurn looks up a turn among those that this host holds until they are durable. It is unsure about one that it holds
 // without the prior transcript.
-func (c *Cluster) findHeldTurn(req *fleetpb.FindTurnRequest) *fleetpb.FindTurnReply {
+func (c *Cluster) findHeldTurn(ctx context.Context, req *fleetpb.FindTurnRequest) (*fleetpb.FindTurnReply, error) {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
 	held, ok := c.heldTurns[req.Turn]
 	if !ok || held.turn.Workspace != req.Workspace {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}, nil
 	}
 	turn := held.turn
 	if turn.Previous != "" && len(turn.Base) == 0 {
-		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+		return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}, nil
+	}
+	if !reserveTranscript(ctx, len(turn.Base)+len(turn.Input)+len(turn.Output)) {
+		return nil, errNoMemory
 	}
 
-	return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: slices.Concat(turn.Base, turn.Input, turn.Output)}
+	return &fleetpb.FindTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK, Chain: slices.Concat(turn.Base, turn.Input, turn.Output)}, nil
 }
 
 // hasSilentHost reports whether a listed host is silent, but was heard so recently that it may still hold turns.
@@ -178,7 +198,7 @@
 	limit := p.silenceTimeout()
 	for _, other := range p.byHost {
 		silentFor := now.Sub(laterOf(other.lastHeardAt, other.listedAt))
-		if silentFor > limit && silentFor < max(limit, settleTimeout) {
+		if silentFor > limit && silentFor < max(limit, silentHolderTimeout) {
 			return true
 		}
 	}
--- a/io/cluster/heldturns.go
+++ b/io/cluster/heldturns.go
@@ -21,6 +21,8 @@
 	// maxPushDelay bounds the random delay before a holder sends a turn that its owner lacks, so that the first of several holders
 	// spares the others the transfer.
 	maxPushDelay = 200 * time.Millisecond
+	// maxHoldTime bounds how long a host holds a copy of a turn, which it does until the end of the turn's retention.
+	maxHoldTime = budgetRetention
 	// maxConcurrentPushes bounds the turns that a host sends to owners at the same time: on a slow link more of them time out.
 	maxConcurrentPushes = 4
 )
@@ -33,7 +35,7 @@
 	isDurable bool
 }
 
-// holdUntilDurable holds a turn in memory and makes sure that its owner has it until it is durable or settleTimeout has passed.
+// holdUntilDurable holds a turn in memory and makes sure that its owner has it until it is durable or its retention ends.
 func (c *Cluster) holdUntilDurable(ctx context.Context, req *fleetpb.EndTurnRequest) *heldTurn {
 	c.heldMu.Lock()
 	defer c.heldMu.Unlock()
@@ -60,9 +62,9 @@
 
 // settleHeldTurn asks the owner of a held turn whether it is durable, and sends the turn only to an owner that lacks it: in an
 // outage, several hosts hold each turn with its transcript, and sending these again and again takes all bandwidth of small owners.
-// It returns false if the turn is not durable after settleTimeout.
+// It returns false if the turn is not durable after holdTime.
 func (c *Cluster) settleHeldTurn(ctx context.Context, req *fleetpb.EndTurnRequest, held *heldTurn) bool {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	ctx, cancel := context.WithTimeout(ctx, holdTime(req.Kept))
 	defer cancel()
 	interval := minStatusInterval
 	for isMissing := false; ctx.Err() == nil && !c.isStopped.Load(); {
@@ -93,6 +95,12 @@
 	return false
 }
 
+// holdTime returns for how long a host holds a copy of a turn: until the end of its retention, however long the outage takes in which
+// it was answered.
+func holdTime(turn *fleetpb.KeptTurn) time.Duration {
+	return min(maxHoldTime, max(settleTimeout, time.Duration(turn.RetentionMillis)*time.Millisecond))
+}
+
 // isUnknownCall reports whether a peer of an earlier release does not know the call.
 func isUnknownCall(err error) bool {
 	var callErr twirp.Error
@@ -111,13 +119,27 @@
 	c.heldMu.Lock()
 	turn := held.turn
 	c.heldMu.Unlock()
-	_, reply, err := c.tryEndTurn(ctx, &fleetpb.EndTurnRequest{
+	whole := &fleetpb.EndTurnRequest{
 		Workspace: req.Workspace, Program: req.Program, Kept: turn, Line: req.Line, Upstream: req.Upstream, Cached: req.Cached,
-	})
+	}
+	// Most owners have the previous turn, and need no transcript.
+	reply, err := c.endTurnWithTimeout(ctx, requestWithoutTranscript(whole))
+	if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+		reply, err = c.endTurnWithTimeout(ctx, whole)
+	}
 
 	return err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable
 }
 
+// endTurnWithTimeout calls the owner once, for settleCallTimeout at most.
+func (c *Cluster) endTurnWithTimeout(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.EndTurnReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, settleCallTimeout)
+	defer cancel()
+	_, reply, err := c.tryEndTurn(ctx, req)
+
+	return reply, err
+}
+
 // askTurnStatus asks the owner of a turn's program whether it has the turn.
 func (c *Cluster) askTurnStatus(ctx context.Context, req *fleetpb.EndTurnRequest) (*fleetpb.TurnStatusReply, error) {
 	slot := c.hashSlot(req.Program)
@@ -125,6 +147,8 @@
 	if member == "" {
 		return &fleetpb.TurnStatusReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}, nil
 	}
+	ctx, cancelTimeout := context.WithTimeout(ctx, settleCallTimeout)
+	defer cancelTimeout()
 	ctx, cancel := c.withOwnerContext(ctx, slot, member)
 	defer cancel()
 
--- a/io/cluster/heldturns_test.go
+++ b/io/cluster/heldturns_test.go
@@ -54,8 +54,8 @@
 	return holder
 }
 
-// startOutage makes the store silent for its hosts until the returned function is called.
-func startOutage(store *fakeStore) (end func()) {
+// silenceStore makes the store silent for its hosts until the returned function is called.
+func silenceStore(store *fakeStore) (end func()) {
 	before := time.Now().Add(-time.Minute)
 	store.beforeAppend.set(func(platform.AppendBatch) error { return errors.New("the store is unavailable") })
 	store.lastResponseTime.set(func() time.Time { return before })
@@ -87,7 +87,7 @@
 func TestHeldTurnIsNotSentAgainToOwnerThatHasIt(t *testing.T) {
 	c, store := newTestCluster(t)
 	join(t, c)
-	endOutage := startOutage(store)
+	endOutage := silenceStore(store)
 	turn := newKeptTurn("first", "")
 	reply, err := (&slotServer{cluster: c}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{Workspace: turn.Workspace, Program: turn.Program, Kept: turn})
 	require.NoError(t, err)
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cardamomward/core/eligibility"
@@ -24,7 +25,7 @@
 // assigns them.
 func (c *Cluster) renewLoop(ctx context.Context) {
 	c.awaitHostList(ctx)
-	for ctx.Err() == nil && !c.isLeaving.Load() {
+	for ctx.Err() == nil && !c.isResigning.Load() {
 		var pause time.Duration
 		if c.shouldBeMember() {
 			pause = c.renewMembership(ctx)
@@ -133,21 +134,21 @@
 			s.requireConfirmation(ctx)
 		}
 	}
+	if requestedAt.UnixNano() > c.leaseExpiryNanos.Load() {
+		c.rejoinedAt = requestedAt
+	}
 	c.leaseExpiryNanos.Store(requestedAt.Add(c.leaseDuration).UnixNano())
-	if c.isLeaving.Load() {
+	if c.isResigning.Load() {
 		return renewInterval
 	}
-	if c.holdsExcessSlots(len(m.Partitions)) {
-		return startupRenewInterval
-	}
-	released := c.applyHeldSlots(ctx, m)
+	released := c.applyHeldSlots(ctx, m, !c.holdsExcessSlots(len(m.Partitions)))
 	if changed {
 		c.requestOwnersRefresh()
 	}
 	switch {
 	case released || c.mustRejoin.Load():
 		return 0
-	case c.isStartupPhase():
+	case c.isStartupPhase() || c.isRejoinPhase():
 		return startupRenewInterval
 	}
 
@@ -167,10 +168,21 @@
 	return c.Now().Sub(c.peers.startedAt) <= startupPhaseDuration
 }
 
-// holdsExcessSlots reports whether a host that has just started holds more than twice its share of slots. Other
-// starting hosts will soon be assigned them, and loading all of them would keep this host busy until then.
+// isRejoinPhase reports whether other hosts may be renewing leases that expired at the same time as this host's, in an outage of the
+// store.
+func (c *Cluster) isRejoinPhase() bool {
+	return c.Now().Sub(c.rejoinedAt) <= startupPhaseDuration
+}
+
+// holdsExcessSlots reports whether a host that has just started, or whose lease has expired, holds more than twice its share of slots.
+// Other hosts will soon be assigned them. Loading all of them would keep this host busy until then, and would fence owners that still
+// have the turns of an outage to write.
 func (c *Cluster) holdsExcessSlots(held int) bool {
-	if !c.isStartupPhase() || c.ownsAnySlot() {
+	if c.isStartupPhase() {
+		if c.ownsAnySlot() {
+			return false
+		}
+	} else if !c.isRejoinPhase() {
 		return false
 	}
 
@@ -190,19 +202,26 @@
 	return true
 }
 
-// applyHeldSlots acquires the slots that a membership holds, releases all others and reports whether any was released.
-func (c *Cluster) applyHeldSlots(ctx context.Context, m platform.GroupMembership) bool {
+// applyHeldSlots acquires the slots that a membership holds, if it may, releases all others and reports whether any was released.
+func (c *Cluster) applyHeldSlots(ctx context.Context, m platform.GroupMembership, mayAcquire bool) bool {
 	held := make(map[int]struct{}, len(m.Partitions))
 	for _, partition := range m.Partitions {
 		if partition.Topic == c.slotTopic && partition.Number < len(c.slots) {
 			held[partition.Number] = struct{}{}
 		}
 	}
-	released := false
+	var reassigned []*slot
 	for _, s := range c.slots {
-		if _, ok := held[s.index]; ok {
+		if _, ok := held[s.index]; !ok {
+			reassigned = append(reassigned, s)
+		} else if mayAcquire {
 			s.acquire(ctx, m.Generation)
-		} else if s.release("reassigned") {
+		}
+	}
+	c.flushReassigned(ctx, reassigned)
+	released := false
+	for _, s := range reassigned {
+		if s.release("reassigned") {
 			released = true
 		}
 	}
@@ -210,12 +229,32 @@
 	return released
 }
 
-// Leave releases all slots and ends the membership. It waits while the store does not respond, since no other host could
-// acquire the slots, and continues to serve them meanwhile. The host stays in the list of hosts until Withdraw, since it
-// still serves callers and may hold turns that others need.
+// reassignFlushTimeout bounds the wait for the records of reassigned slots to become durable. Nobody serves the slots meanwhile.
+const reassignFlushTimeout = 150 * time.Millisecond
+
+// flushReassigned stops serving slots that the store has reassigned, and waits until their records are durable, the next owners have
+// fenced this host, or reassignFlushTimeout has passed. After an outage of the store all leases have expired, so that slots move to the
+// first host that renews its own and back, while their owners have the turns of the outage still to write.
+func (c *Cluster) flushReassigned(ctx context.Context, slots []*slot) {
+	ctx, cancel := context.WithTimeout(ctx, reassignFlushTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, s := range slots {
+		if s.stopServing() {
+			wg.Go(func() { s.flush(ctx) })
+		}
+	}
+}
+
+// Leave releases all slots and ends the membership. It waits while no other host could acquire the slots, because the store does not
+// respond or all hosts are draining, and continues to serve them meanwhile. The host stays in the list of hosts until Withdraw, since
+// it still serves callers and may hold turns that others need.
 func (c *Cluster) Leave(ctx context.Context) {
 	c.isLeaving.Store(true)
 	c.peers.setDraining()
+	c.awaitStayingHost(ctx)
+	c.isResigning.Store(true)
 	for ctx.Err() == nil && !c.pingStore(ctx) {
 		topicconsumer.SleepContext(ctx, renewRetryInterval)
 	}
@@ -232,6 +271,18 @@
 	c.requestOwnersRefresh()
 }
 
+// drainNoticePeriod is how long heartbeats may take to show that a host which was told to stop at the same time is draining.
+const drainNoticePeriod = 2 * heartbeatInterval
+
+// awaitStayingHost waits until a host is heard that is not draining. If all hosts are stopped at once, turns in progress need the slots
+// until their end.
+func (c *Cluster) awaitStayingHost(ctx context.Context) {
+	noticedAt := c.Now().Add(drainNoticePeriod)
+	for ctx.Err() == nil && !c.peers.hasStayingPeerSince(noticedAt) {
+		topicconsumer.SleepContext(ctx, heartbeatInterval)
+	}
+}
+
 // withdrawTimeout bounds the deletion of this host's entry when its process stops.
 const withdrawTimeout = 300 * time.Millisecond
 
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,8 +51,16 @@
 	isActingOwner bool
 	// isPartial is set while the slot is served from the hosts' in-memory state because its records cannot be read.
 	isPartial bool
+	// isClaimed is set while the partition has accepted the epoch of the load in progress, so that records can become durable soon.
+	isClaimed bool
+	// isReleasing is set while the slot is served no more, but its records are still written.
+	isReleasing bool
 	// knowsAllPrograms is set while a program without an account is a new one.
 	knowsAllPrograms bool
+	// lacksReplies is set while the slot is served from the in-memory state of a part of the hosts because others have not responded,
+	// and recalledAt is when they were last asked.
+	lacksReplies bool
+	recalledAt   time.Time
 	// unconfirmedSince is since when another host may have owned the slot after its records were read; zero if none has.
 	unconfirmedSince time.Time
 	// confirmationRequests counts the times when a confirmation became necessary.
@@ -131,12 +140,43 @@
 		return
 	}
 	now := s.cluster.Now()
-	s.isPartial, s.knowsAllPrograms = true, rememberAllPrograms(state.replies)
-	s.mergeInMemoryState(now, state.replies, turns)
+	s.isPartial, s.recalledAt = true, now
 	s.state, s.servingSince, s.isNew = serving, now, false
+	s.mergeRecall(now, state, turns)
+}
+
+// recallRetryInterval is how long after the last request the hosts are asked again for their in-memory state.
+const recallRetryInterval = 300 * time.Millisecond
+
+// recallMissingState asks the hosts again for their in-memory state if too few responded: one busy moment of them must not make the
+// slot refuse first turns until the end of the outage. The caller holds the lock.
+func (s *slot) recallMissingState(ctx context.Context, now time.Time) {
+	if !s.isPartial || !s.lacksReplies || now.Sub(s.recalledAt) < recallRetryInterval {
+		return
+	}
+	s.recalledAt = now
+	epoch, isActingOwner, servingSince := s.epoch, s.isActingOwner, s.servingSince
+	go func() {
+		state := s.cluster.collectInMemoryState(ctx, s.index)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		isCurrent := s.epoch == epoch && s.isActingOwner == isActingOwner && s.servingSince.Equal(servingSince)
+		// The counts of a part of the hosts have been merged before; merging them again would charge unused reservations.
+		if s.state == serving && s.isPartial && s.lacksReplies && isCurrent && rememberAllPrograms(state.replies) {
+			// Holders send their turns once they find them missing.
+			s.mergeRecall(s.cluster.Now(), state, nil)
+		}
+	}()
+}
+
+// mergeRecall merges the hosts' in-memory state and held turns into a slot that is served from them; the caller holds the lock.
+func (s *slot) mergeRecall(now time.Time, state inMemoryState, turns []*fleetpb.KeptTurn) {
+	s.knowsAllPrograms = rememberAllPrograms(state.replies)
+	s.lacksReplies = !s.knowsAllPrograms && slices.Contains(state.replies, nil)
+	s.mergeInMemoryState(now, state.replies, turns)
 	s.notifyChanged()
 	s.cluster.Logger.Info("slot-recalled", "slot", s.index, "owner", s.cluster.ownership.Load().owners[s.index],
-		"deputy", isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len(), "complete", s.knowsAllPrograms)
+		"deputy", s.isActingOwner, "programs", s.ledger.Len(), "turns", s.turns.Len(), "complete", s.knowsAllPrograms)
 }
 
 // isDurabilityUnavailable reports whether the slot's records cannot become durable now, while this host hears a
@@ -148,7 +188,7 @@
 func (s *slot) outageDuration(now time.Time) time.Duration {
 	var since time.Time
 	switch {
-	case s.isPartial:
+	case s.isPartial && !s.isClaimed:
 		since = s.servingSince.Add(-storeContactTimeout)
 	case s.writer.isStuck(now):
 		since = s.writer.lastFailureStart()
@@ -175,7 +215,44 @@
 		s.actForOwner(context.WithoutCancel(ctx))
 	}
 
-	return s.state == serving && !s.awaitsConfirmation(now) && c.mayServeSlots(now)
+	return s.state == serving && !s.isReleasing && !s.awaitsConfirmation(now) && c.mayServeSlots(now)
+}
+
+// stopServing stops serving the slot, and reports whether it has records that can be written before it is released.
+func (s *slot) stopServing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isReleasing = s.state == serving && !s.isActingOwner && !s.isPartial && s.writer.hasPending()
+	if s.isReleasing {
+		s.writer.wakeUp()
+	}
+
+	return s.isReleasing
+}
+
+// actingCheckInterval is the interval of the checks whether the store responds to a host that acts for an owner.
+const actingCheckInterval = 100 * time.Millisecond
+
+// releaseActingSlotsLoop gives up the slots of which this host is the acting owner once the store responds, until ctx ends.
+func (c *Cluster) releaseActingSlotsLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if now := c.Now(); !c.isStoreSilent(now) {
+			for _, s := range c.slots {
+				s.releaseActing()
+			}
+		}
+		topicconsumer.SleepContext(ctx, actingCheckInterval)
+	}
+}
+
+// releaseActing gives up the slot if this host is its acting owner. The turns that it has are then sent to the owner: nobody may call
+// this host for the slot again, and it may be the only one that has them.
+func (s *slot) releaseActing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isActingOwner {
+		s.releaseLocked("store-returned")
+	}
 }
 
 // release gives up the slot and reports whether it was owned.
@@ -208,7 +285,7 @@
 		return false
 	}
 	s.cluster.Logger.Info("slot-released", "slot", s.index, "epoch", s.epoch, "reason", reason)
-	s.state, s.isActingOwner, s.unconfirmedSince = unowned, false, time.Time{}
+	s.state, s.isActingOwner, s.isReleasing, s.unconfirmedSince = unowned, false, false, time.Time{}
 	s.discardState()
 	s.quotaAllocators, s.limitBuckets = nil, nil
 	s.notifyChanged()
@@ -218,7 +295,7 @@
 
 // discardState discards the state of programs and sends unwritten turns to the next owner; the caller holds the lock.
 func (s *slot) discardState() {
-	s.isPartial, s.knowsAllPrograms = false, false
+	s.isPartial, s.isClaimed, s.knowsAllPrograms, s.lacksReplies = false, false, false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
 	s.pendingTurns, s.turnPartCounts, s.newestRecordAt, s.turnsInDoubtUntil = nil, nil, time.Time{}, time.Time{}
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -41,6 +41,9 @@
 		return reply, nil
 	}
 	if req.Previous != "" && !req.HaveChain {
+		if !reserveTranscript(ctx, s.turns.TranscriptBytes(id.Workspace(req.Workspace), req.Previous)) {
+			return nil, errNoMemory
+		}
 		transcript, ok := s.turns.Transcript(id.Workspace(req.Workspace), req.Previous)
 		if !ok {
 			reply.Outcome = fleetpb.Outcome_OUTCOME_UNKNOWN_TURN
@@ -53,6 +56,7 @@
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
 		if !s.knowsAllPrograms && s.ledger.Count(program).Tokens == 0 {
+			s.recallMissingState(context.WithoutCancel(ctx), srv.cluster.Now())
 			reply.Outcome = fleetpb.Outcome_OUTCOME_UNSURE
 
 			return reply, nil
@@ -228,13 +232,22 @@
 // storeTurnDurably stores a turn and waits until it is durable or cannot become so because the store is down. The
 // caller holds the lock, which is released while it waits.
 func (s *slot) storeTurnDurably(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
-	return s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
+	for {
+		servingSince := s.servingSince
+		reply := s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
+		switch {
+		case s.state != serving || s.servingSince.Equal(servingSince) || reply.Durable || ctx.Err() != nil:
+			return reply
+		case !s.hasPriorTranscript(kept):
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+		}
+	}
 }
 
-// awaitDurable waits until a stored turn is durable or cannot become so because the store is down. The caller holds the lock, which
-// is released while it waits.
+// awaitDurable waits until a stored turn is durable or cannot become so because the store is down, or until the slot has been loaded,
+// which discards what was not durable. The caller holds the lock, which is released while it waits.
 func (s *slot) awaitDurable(ctx context.Context, durable <-chan struct{}) *fleetpb.EndTurnReply {
-	now := s.cluster.Now()
+	now, servingSince := s.cluster.Now(), s.servingSince
 	for waitDeadline := now.Add(maxDurableWait); ; s.awaitChange(ctx, outageCheckInterval) {
 		select {
 		case <-durable:
@@ -246,7 +259,7 @@
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
 		case s.isDurabilityUnavailable(now):
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_OK}
-		case !now.Before(waitDeadline) || ctx.Err() != nil:
+		case !now.Before(waitDeadline) || ctx.Err() != nil || !s.servingSince.Equal(servingSince):
 			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
 		}
 	}
@@ -254,7 +267,7 @@
 
 // isAuthoritative reports whether a turn that is not in this slot does not exist; the caller holds the lock.
 func (s *slot) isAuthoritative(now time.Time) bool {
-	return s.state == serving && !s.isPartial && s.unconfirmedSince.IsZero() && !now.Before(s.turnsInDoubtUntil) && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
+	return s.state == serving && !s.isReleasing && !s.isPartial && s.unconfirmedSince.IsZero() && !now.Before(s.turnsInDoubtUntil) && (s.isNew || now.Sub(s.servingSince) >= authoritativeAfter)
 }
 
 // Admit grants a lease of a workspace's rate, or admits the start of a program.
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -21,8 +21,11 @@
 	ownerWaitShare = 0.3
 	// ownerRetryInterval is the retry interval of calls to an owner.
 	ownerRetryInterval = 50 * time.Millisecond
-	// settleTimeout bounds the retries of an EndTurn call that no caller waits for.
+	// settleTimeout bounds the retries of an EndTurn call that no caller waits for and that has no turn to store.
 	settleTimeout = 20 * time.Second
+	// settleCallTimeout bounds one of the calls. It is longer than an owner waits for a turn to become durable, and covers the transfer of
+	// a large transcript. A call to an owner that restarts may otherwise wait until the connection is found dead.
+	settleCallTimeout = 2 * time.Second
 	// settleRetryInterval is the interval of those retries.
 	settleRetryInterval = 200 * time.Millisecond
 	// deadlineReserve is how long before a caller's deadline the wait for a turn to become durable ends.
@@ -149,7 +152,7 @@
 	shortReq := requestWithoutTranscript(req)
 	for ctx.Err() == nil {
 		owner, reply, err := c.tryEndTurn(ctx, shortReq)
-		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN {
+		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_UNKNOWN_TURN && shortReq != req {
 			shortReq = req
 
 			continue
@@ -276,7 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !c.isStopped.Load() {
-		_, reply, err := c.tryEndTurn(ctx, req)
+		reply, err := c.endTurnWithTimeout(ctx, req)
 		if err == nil && reply.Outcome == fleetpb.Outcome_OUTCOME_OK && reply.Durable {
 			return
 		}
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -118,10 +118,7 @@
 		h.cluster.ReportWorkspaceLoads()
 	}
 	if limit := int64(settings.Memory.BudgetShare * float64(h.settings.MemoryBytes)); limit > 0 {
-		h.proxy.Memory = httpx.NewMemoryBudget(limit, h.now)
-		h.proxy.Memory.OnIdleClosed = func(remote string, bytes int64) {
-			h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
-		}
+		h.useMemoryBudget(limit)
 	}
 }
 
@@ -190,7 +187,8 @@
 	addServer(httpx.Options{
 		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true, Memory: h.proxy.Memory,
 		// Callers do not tell their failure domain in requests.
-		Traffic: h.traffic.Get(traffic.Caller, traffic.Unknown),
+		Traffic:       h.traffic.Get(traffic.Caller, traffic.Unknown),
+		RefusalHeader: platform.RefusalHeader,
 	}, h.proxy.HandleRequest)
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
 
@@ -16,8 +18,12 @@
 	net.Listener
 
 	counter *traffic.Counter
-	// memory is nil if the connections have no budget.
-	memory *MemoryBudget
+	// memory is nil if the connections have no budget; copies, classOf and refusalHeader are the options BodyCopies, MemoryClass and
+	// RefusalHeader.
+	memory        *MemoryBudget
+	copies        int64
+	classOf       func(path string) memorybudget.Class
+	refusalHeader func(request http.Header) http.Header
 
 	mu    sync.Mutex
 	conns map[string]*conn
@@ -90,6 +96,9 @@
 	return c, nil
 }
 
+// bodyCopies returns how many copies of a body are reserved before it is read.
+func (l *listener) bodyCopies() int64 { return max(1, l.copies) }
+
 // closeAll closes all connections.
 func (l *listener) closeAll() {
 	l.mu.Lock()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/cloudwego/hertz/pkg/network/standard"
 
 	"cardamomward/core/apierror"
+	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
 
@@ -59,6 +61,14 @@
 	Forwarding bool
 	// Memory bounds what is held for requests and responses; nil means no bound.
 	Memory *MemoryBudget
+	// BodyCopies is how many copies of a body Memory reserves before it is read, for the server's buffer and those of the handler; zero
+	// means one.
+	BodyCopies int
+	// MemoryClass returns the class of a request by its path; nil means memorybudget.Callers for all.
+	MemoryClass func(path string) memorybudget.Class
+	// RefusalHeader returns fields of the response to a request whose body does not fit into Memory, by the request's header; nil means
+	// none beside those of any such response.
+	RefusalHeader func(request http.Header) http.Header
 }
 
 // NewServer listens on the address and returns a server that serves once Start is called.
@@ -67,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory}
+	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory, copies: int64(opts.BodyCopies), classOf: opts.MemoryClass, refusalHeader: opts.RefusalHeader}
 	options := []config.Option{
 		server.WithListener(listener),
 		server.WithHostPorts(listener.Addr().String()),
