--- a/command/soak/soak.go
+++ b/command/soak/soak.go
@@ -25,7 +25,7 @@
 	Seed  uint64
 	Seeds int
 	Hosts int
-	// For is how long faults are injected in each run.
+	// For is the duration of the faults of each run.
 	For time.Duration
 	// Faults are the kinds of faults; none means all.
 	Faults []string
@@ -206,7 +206,7 @@
 const (
 	// maxReductionRuns bounds the reruns of a failing plan.
 	maxReductionRuns = 100
-	// reductionAttempts is how often a shorter plan is played before it counts as passed: processes are not scheduled alike in each run.
+	// reductionAttempts is the number of plays of a shorter plan before it counts as passed: processes are not scheduled alike in each run.
 	reductionAttempts = 2
 )
 
--- a/core/cacheaware/balancer.go
+++ b/core/cacheaware/balancer.go
@@ -25,7 +25,7 @@
 	delta int
 }
 
-// upstreamState is what this host knows about an upstream.
+// upstreamState is this host's view of an upstream.
 type upstreamState struct {
 	id         id.Upstream
 	domain     id.FailureDomain
--- a/core/coldstart/coldstart.go
+++ b/core/coldstart/coldstart.go
@@ -23,7 +23,7 @@
 
 // Policy describes the cold starts of a service; the zero value means that its upstreams are never cold.
 type Policy struct {
-	// Duration is how long an upstream is cold after its start.
+	// Duration is the time for which an upstream is cold after its start.
 	Duration time.Duration
 	// RequestsPerSecond is the rate that a cold upstream takes from all hosts together; zero means that upstreams are never cold.
 	RequestsPerSecond float64
@@ -55,18 +55,18 @@
 type Statement struct {
 	Upstream    id.Upstream
 	Incarnation int64
-	// Until is when it ends.
+	// Until is its end.
 	Until time.Time
 	// Rate is the number of requests per second that the upstream takes from all hosts meanwhile.
 	Rate   float64
 	Source Source
 }
 
-// entry is what is known of an upstream's process.
+// entry is the state of an upstream's process.
 type entry struct {
 	Statement
 
-	// readAt is when the registration of the process was first read; zero if it has not been read.
+	// readAt is the time of the first read of the process's registration; zero if it has not been read.
 	readAt      time.Time
 	gossipUntil time.Time
 }
--- a/core/eviction/eviction.go
+++ b/core/eviction/eviction.go
@@ -17,7 +17,7 @@
 	evictionStagger = 100 * time.Millisecond
 )
 
-// Peer is what this host knows of another one.
+// Peer is this host's view of another one.
 type Peer struct {
 	// Member is the address by which hosts identify each other.
 	Member string
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -27,7 +27,7 @@
 	ExpectedServiceMS float64
 }
 
-// UpstreamState is what the host knows of an upstream.
+// UpstreamState is the host's view of an upstream.
 type UpstreamState struct {
 	// RunningRequests counts the requests of all hosts that run or wait at the upstream.
 	RunningRequests int
--- a/core/memorybudget/memorybudget.go
+++ b/core/memorybudget/memorybudget.go
@@ -5,7 +5,7 @@
 // Holder identifies who holds bytes, such as a connection.
 type Holder uint64
 
-// Class is what bytes are held for. A class may have guaranteed bytes, which the others cannot take.
+// Class is the purpose of held bytes. A class may have guaranteed bytes, which the others cannot take.
 type Class int
 
 const (
@@ -32,7 +32,7 @@
 type account struct {
 	class Class
 	bytes int64
-	// waitsSince is when the holder began to wait for its caller without progress; zero while it does not wait.
+	// waitsSince is the start of the holder's wait for its caller without progress; zero while it does not wait.
 	waitsSince time.Time
 }
 
--- a/io/cluster/callmemory.go
+++ b/io/cluster/callmemory.go
@@ -14,13 +14,13 @@
 )
 
 const (
-	// callBodyCopies is how many copies of a request's body a host holds that serves a call: the server's buffer, the one that is
+	// callBodyCopies is the number of copies of a request's body at a host that serves a call: the server's buffer, the one that is
 	// decoded, and what was decoded.
 	callBodyCopies = 3
-	// replyCopies is how many copies of a transcript a host holds that replies with it: the assembled one, the encoded reply, and the
+	// replyCopies is the number of copies of a transcript at a host that replies with it: the assembled one, the encoded reply, and the
 	// buffer that is sent.
 	replyCopies = 3
-	// receivedReplyCopies is how many copies of a reply its receiver holds beside what it keeps: a buffer that grows by copying.
+	// receivedReplyCopies is the number of copies of a reply at its receiver beside what it keeps: a buffer that grows by copying.
 	receivedReplyCopies = 2
 	// uncountedCallBytes is the size of the bodies that are not counted; the bodies of calls that contain no text are smaller.
 	uncountedCallBytes = 8 << 10
--- a/io/cluster/confirmation.go
+++ b/io/cluster/confirmation.go
@@ -99,7 +99,7 @@
 	return slices.DeleteFunc(slots, func(index int32) bool { return results[index] != upToDate })
 }
 
-// completeness is whether an owner has all records of its partition.
+// completeness is the result of the check that an owner has all records of its partition.
 type completeness int
 
 const (
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -271,7 +271,7 @@
 	c.requestOwnersRefresh()
 }
 
-// drainNoticePeriod is how long heartbeats may take to show that a host which was told to stop at the same time is draining.
+// drainNoticePeriod is the longest time until heartbeats show that a host which was told to stop at the same time is draining.
 const drainNoticePeriod = 2 * heartbeatInterval
 
 // awaitStayingHost waits until a host is heard that is not draining. If all hosts are stopped at once, turns in progress need the slots
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -71,7 +71,7 @@
 	storeRespondedAt time.Time
 	// readsShort is set if the peer's last complete heartbeat says that it understands short ones.
 	readsShort bool
-	// loadsHeardAt is when the last complete heartbeat arrived, from which runningRequests and upstreamErrors are.
+	// loadsHeardAt is the time of the last complete heartbeat, from which runningRequests and upstreamErrors are.
 	loadsHeardAt    time.Time
 	runningRequests map[id.Upstream]int
 	// upstreamErrors holds the error scores of upstreams that the peer reports.
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -145,7 +145,7 @@
 	s.mergeRecall(now, state, turns)
 }
 
-// recallRetryInterval is how long after the last request the hosts are asked again for their in-memory state.
+// recallRetryInterval is the interval at which the hosts are asked again for their in-memory state.
 const recallRetryInterval = 300 * time.Millisecond
 
 // recallMissingState asks the hosts again for their in-memory state if too few responded: one busy moment of them must not make the
--- a/io/cluster/storerelay_test.go
+++ b/io/cluster/storerelay_test.go
@@ -62,10 +62,10 @@
 // stableWindow is the time without disturbance after which a host counts as connected to the store.
 const stableWindow = 3 * time.Second
 
-// storeLatency is how long the store takes for each call.
+// storeLatency is the store's latency.
 const storeLatency = 100 * time.Millisecond
 
-// linkFault is how the link of a host to the store fails.
+// linkFault is a fault of the link between a host and the store.
 type linkFault string
 
 const (
@@ -79,7 +79,7 @@
 type relayRun struct {
 	// period is the time in which a configuration must be applied.
 	period time.Duration
-	// outage is how long the link fails, and silentFor how long before its end the peers stop to respond to this host.
+	// outage is the duration of the fault, and silentFor the time before its end from which the peers stop to respond to this host.
 	outage, silentFor time.Duration
 	fault             linkFault
 	// changeAfter is the time from the end of the outage to the change of the configuration; it may be negative.
--- a/io/discovery/age_test.go
+++ b/io/discovery/age_test.go
@@ -207,7 +207,7 @@
 type ageRun struct {
 	period time.Duration
 	fault  readFault
-	// faultAt is when the fault begins, and changeAt when the configuration changes, since the host has read the first one.
+	// faultAt is the start of the fault, and changeAt the change of the configuration, since the host has read the first one.
 	faultAt, changeAt time.Duration
 	outage            time.Duration
 	// idleConns is the number of further connections of the host that are idle when the fault begins.
--- a/io/gatewayhost/race_test.go
+++ b/io/gatewayhost/race_test.go
@@ -2,5 +2,5 @@
 
 package gatewayhost_test
 
-// memoryOverhead is how much more memory the race detector takes.
+// memoryOverhead is the factor by which the race detector increases the memory.
 const memoryOverhead = int64(10)
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -20,12 +20,12 @@
 	uncountedRequestBytes = 8 << 10
 	// writeChunkBytes is the size of the parts in which a response is written, to notice that its caller reads.
 	writeChunkBytes = 64 << 10
-	// idleCallerTimeout is how long a caller may read nothing of a response before its connection may be closed.
+	// idleCallerTimeout is the time without a read of a response after which its connection may be closed.
 	idleCallerTimeout = 3 * time.Second
 	// refusalTimeout bounds how long a refused body is read and dropped, so that the caller receives the refusal before its
 	// connection is reset.
 	refusalTimeout = 500 * time.Millisecond
-	// storageWait is how long a request of memorybudget.Storage waits for memory, during which it is not read, and storagePollInterval
+	// storageWait is the longest wait of a request of memorybudget.Storage for memory, during which it is not read, and storagePollInterval
 	// how often it tries.
 	storageWait         = time.Second
 	storagePollInterval = 5 * time.Millisecond
@@ -238,7 +238,7 @@
 	m.budget.SetProgress(c.holder)
 }
 
-// budgetedConn is what a connection counts toward the memory budget. A connection is read by one goroutine at a time.
+// budgetedConn is the part of a connection that counts toward the memory budget. A connection is read by one goroutine at a time.
 type budgetedConn struct {
 	holder memorybudget.Holder
 	// class is that of the present request.
@@ -246,7 +246,7 @@
 	// readBytes were read of the present request, and reservedBytes are reserved for it.
 	readBytes     int64
 	reservedBytes int64
-	// head is what was read of the present request's head.
+	// head is the read part of the present request's head.
 	head requestHead
 }
 
--- a/io/httpx/memoryclass_test.go
+++ b/io/httpx/memoryclass_test.go
@@ -16,7 +16,7 @@
 
 const (
 	classLimit = 8 << 20
-	// classGuarantee is what each class is guaranteed.
+	// classGuarantee is the guarantee of each class.
 	classGuarantee = 1 << 20
 	classCopies    = 3
 )
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -61,7 +61,7 @@
 	Forwarding bool
 	// Memory bounds what is held for requests and responses; nil means no bound.
 	Memory *MemoryBudget
-	// BodyCopies is how many copies of a body Memory reserves before it is read, for the server's buffer and those of the handler; zero
+	// BodyCopies is the number of copies of a body that Memory reserves before it is read, for the server's buffer and those of the handler; zero
 	// means one.
 	BodyCopies int
 	// MemoryClass returns the class of a request by its path; nil means memorybudget.Callers for all.
--- a/io/topicconsumer/consumer.go
+++ b/io/topicconsumer/consumer.go
@@ -20,7 +20,7 @@
 	maxListTimeout = 3 * time.Second
 	// retryInterval is the pause between calls while the store fails.
 	retryInterval = 150 * time.Millisecond
-	// recoveryPeriod is how long RecoveryLongPoll applies after a failure: until the host counts as connected to the store again.
+	// recoveryPeriod is the time for which RecoveryLongPoll applies after a failure: until the host counts as connected to the store again.
 	recoveryPeriod = 3 * time.Second
 	// minOutageDuration is the duration of failures after which a success counts as the end of an outage.
 	minOutageDuration = time.Second
--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -25,7 +25,7 @@
 	attemptTimeout = 4 * time.Second
 	// moveShare is the share of requests before which a caller moves to another host; else it uses its open connection again.
 	moveShare = 0.2
-	// giveUpAfter is when a caller ends a program or stream that it cannot continue, before the last fault has ended.
+	// giveUpAfter is the time after which a caller ends a program or stream that it cannot continue, before the last fault has ended.
 	giveUpAfter = 20 * time.Second
 	// settleLimit bounds the attempts to continue a program after the last fault: longer than the limit that is checked, so that a late
 	// recovery is told from none.
--- a/test/soak/check/budgets.go
+++ b/test/soak/check/budgets.go
@@ -14,7 +14,7 @@
 // program after a loss of most hosts (docs/decisions/platform.md).
 const undurableBudgetDivisor = 4
 
-// program is what was observed of a program with a budget.
+// program is the observed part of a program with a budget.
 type program struct {
 	first, last *Request
 	budget      Tokens
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -166,14 +166,14 @@
 
 // Bounds are the limits of a run.
 type Bounds struct {
-	// Retention is how long a turn must be found, and Recovery how long after the last fault a program may be refused.
+	// Retention is the time for which a turn must be found, and Recovery that after the last fault in which a program may be refused.
 	Retention time.Duration
 	Recovery  time.Duration
-	// ConfigurationApply is how long a connected host may use an older configuration, and StableWindow how long a host must have been
+	// ConfigurationApply is the time for which a connected host may use an older configuration, and StableWindow how long a host must have been
 	// undisturbed to count as connected.
 	ConfigurationApply time.Duration
 	StableWindow       time.Duration
-	// DrainLimit is how long a process may take to end after SIGTERM.
+	// DrainLimit is the time in which a process must end after SIGTERM.
 	DrainLimit time.Duration
 	// HostBytes and HostFiles limit the resources of a process.
 	HostBytes int64
@@ -190,7 +190,7 @@
 	Versions   []string
 }
 
-// History is what was observed in a run.
+// History is the record of a run.
 type History struct {
 	Bounds       Bounds
 	Hosts        []Host
@@ -202,7 +202,7 @@
 	Removals     []Removal
 	Exits        []Exit
 	Usages       []Usage
-	// FaultsEndedAt is when the last fault had ended and all hosts ran again.
+	// FaultsEndedAt is the end of the last fault, with all hosts running again.
 	FaultsEndedAt time.Time
 	Settlements   []Settlement
 }
--- a/test/soak/check/turns.go
+++ b/test/soak/check/turns.go
@@ -9,7 +9,7 @@
 	// memoryWindow is how long before and after its end a turn counts as answered during a disturbance of the store: a host takes the
 	// store for down 0.7 s after its last response.
 	memoryWindow = 2 * time.Second
-	// writeBackLimit is how long after a disturbance of the store turns may be held only in memory.
+	// writeBackLimit is the time after a disturbance of the store in which turns may be held only in memory.
 	writeBackLimit = 4 * time.Second
 	// memoryCopies is the number of hosts that hold a turn answered without the store.
 	memoryCopies = 4
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -204,7 +204,7 @@
 	p.awaitEnd()
 }
 
-// upstreamSettleTime is how long after a fault of an upstream responses may still show it.
+// upstreamSettleTime is the time after a fault of an upstream in which responses may still show it.
 const upstreamSettleTime = time.Second
 
 func (r *run) injectAtUpstream(ctx context.Context, f plan.Fault) error {
--- a/test/soak/link/link.go
+++ b/test/soak/link/link.go
@@ -43,7 +43,7 @@
 
 const (
 	chunkBytes = 16 << 10
-	// minTrickleBytes is what passes at once through a link with limited bandwidth.
+	// minTrickleBytes is the size of the pieces that pass through a link with limited bandwidth.
 	minTrickleBytes = 16
 	// repeatedRequests and maxRepeatedBytes bound what Repeat sends again, and repeatTimeout how long it waits for a response.
 	repeatedRequests = 4
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -24,7 +24,7 @@
 	rateWindow         = 5 * time.Second
 	rateOvershoot      = 0.1
 	rateSlackRequests  = 10
-	// upstreamDrainTimeout is how long a draining upstream accepts requests.
+	// upstreamDrainTimeout is the time for which a draining upstream accepts requests.
 	upstreamDrainTimeout = 3 * time.Second
 )
 
@@ -44,7 +44,7 @@
 	// four heartbeats after which an owner counts as silent.
 	stallTick = 20 * time.Millisecond
 	minStall  = 200 * time.Millisecond
-	// quietTime is how long callers run after the last fault before their programs settle.
+	// quietTime is the time between the last fault and the end of new programs.
 	quietTime = time.Second
 )
 
