--- a/command/cmdutil/operator.go
+++ b/command/cmdutil/operator.go
@@ -86,7 +86,7 @@
 // Hint returns what to do next about an error, empty if the error itself says so.
 func Hint(err error) string {
 	if errorx.IsOfType(err, httpx.ErrNoResponse) {
-		return "no answer; check the address in --operator or " + OperatorAddressEnvVar + ", or ask another host: all know the same. " +
+		return "no answer; check the address in --operator, " + OperatorAddressEnvVar + " or --gateway, or ask another host: all know the same. " +
 			"A change may still have come into force: look before you repeat it"
 	}
 
--- a/command/gateway/gateway.go
+++ b/command/gateway/gateway.go
@@ -28,6 +28,8 @@
 	Verbosity int
 	// MetricsPort is the port on which the host serves its metrics as text; zero disables them.
 	MetricsPort int
+	// OperatorTokenFile has the bearer token of the operator endpoint on the metrics port; empty disables the endpoint.
+	OperatorTokenFile string
 }
 
 // NewCmdGateway returns the command that runs a gateway host, which serves callers and forwards their requests to upstreams.
@@ -45,6 +47,9 @@
 			},
 			&cli.StringFlag{Name: "gateway-settings", Usage: "YAML file with the settings of optional parts", Destination: &opts.GatewaySettingsFile},
 			&cli.IntFlag{Name: "metrics-port", Usage: "serve counters as text on this port of the host", Destination: &opts.MetricsPort},
+			&cli.StringFlag{
+				Name: "operator-token-file", Usage: "file with the token of the operator endpoint on the metrics port", Destination: &opts.OperatorTokenFile,
+			},
 			&cli.IntFlag{Name: "verbosity", Usage: "write events up to this level", Destination: &opts.Verbosity},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
@@ -54,6 +59,7 @@
 
 			return gatewayRun(ctx, opts)
 		},
+		Commands: []*cli.Command{NewCmdExplain(f, nil)},
 	}
 }
 
@@ -66,12 +72,21 @@
 	if err != nil {
 		return err
 	}
+	operatorToken := ""
+	if opts.OperatorTokenFile != "" {
+		if opts.MetricsPort == 0 {
+			return cmdutil.NewUsageError("--operator-token-file needs --metrics-port, the port of the operator endpoint")
+		}
+		if operatorToken, err = readToken(opts.Factory, opts.OperatorTokenFile); err != nil {
+			return err
+		}
+	}
 	out := logfmt.NewAsyncWriter(opts.Factory.IOStreams.Out)
 	defer out.Close() //nolint:errcheck // Close always returns nil
 	logger := logfmt.New(out, opts.Factory.Now, opts.Verbosity)
 	gatewayhost.LimitMemory(settings.MemoryBytes)
 	host := gatewayhost.New(settings, logger, opts.Factory.Now)
-	host.MetricsPort = opts.MetricsPort
+	host.MetricsPort, host.OperatorToken = opts.MetricsPort, operatorToken
 	host.Configure(gatewaySettings)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP)
--- a/command/root/reference.go
+++ b/command/root/reference.go
@@ -36,13 +36,16 @@
 
 func writeCommand(b *strings.Builder, cmd *cli.Command, parent string) {
 	name := parent + " " + cmd.Name
-	if len(cmd.Commands) > 0 {
-		for _, sub := range cmd.Commands {
-			writeCommand(b, sub, name)
-		}
-
-		return
+	// A command that only groups others has no flags.
+	if len(cmd.Commands) == 0 || len(cmd.Flags) > 0 {
+		writeEntry(b, cmd, name)
+	}
+	for _, sub := range cmd.Commands {
+		writeCommand(b, sub, name)
 	}
+}
+
+func writeEntry(b *strings.Builder, cmd *cli.Command, name string) {
 	fmt.Fprintf(b, "\n## %s\n\n%s\n", strings.TrimSpace(name+" "+cmd.ArgsUsage), cmd.Usage)
 	if len(cmd.Flags) > 0 {
 		b.WriteString("\n")
--- a/core/leastcost/leastcost.go
+++ b/core/leastcost/leastcost.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		cost := EstimateCostMS(candidate, request, stateOf(candidate))
-		if best == nil || cost < bestCost || (cost == bestCost && rendezvousScore(candidate.ID, request.AffinityKey) > rendezvousScore(best.ID, request.AffinityKey)) {
+		if best == nil || isPreferred(candidate, cost, best, bestCost, request.AffinityKey) {
 			best, bestCost = candidate, cost
 		}
 	}
@@ -69,24 +69,53 @@
 	return best
 }
 
+// isPreferred reports whether a candidate goes before another one: at a lower cost, or by the rendezvous hash at the same cost.
+func isPreferred(candidate *registry.Instance, cost float64, other *registry.Instance, otherCost float64, affinityKey string) bool {
+	return cost < otherCost || (cost == otherCost && rendezvousScore(candidate.ID, affinityKey) > rendezvousScore(other.ID, affinityKey))
+}
+
+// Cost is the estimated cost of a request at an upstream, by component in milliseconds.
+type Cost struct {
+	FailuresMS       float64
+	AdmissionDelayMS float64
+	PrefillMS        float64
+	// DecodeMS is the time to generate the output, or that of the whole request to a plain service.
+	DecodeMS   float64
+	QueueingMS float64
+}
+
+// TotalMS returns the sum of the components.
+func (c Cost) TotalMS() float64 {
+	return c.FailuresMS + c.AdmissionDelayMS + c.PrefillMS + c.DecodeMS + c.QueueingMS
+}
+
 // EstimateCostMS returns the estimated cost of a request at an upstream in milliseconds.
 func EstimateCostMS(candidate *registry.Instance, request Request, state UpstreamState) float64 {
+	return EstimateCost(candidate, request, state).TotalMS()
+}
+
+// EstimateCost returns the estimated cost of a request at an upstream by component.
+func EstimateCost(candidate *registry.Instance, request Request, state UpstreamState) Cost {
 	concurrency := float64(max(1, candidate.Concurrency))
 	runningRequests := float64(state.RunningRequests)
-	cost := failurePenaltyMS * state.FailureScore
+	cost := Cost{FailuresMS: failurePenaltyMS * state.FailureScore}
 	if candidate.ID != request.LastUpstream {
-		cost += state.AdmissionDelayMS
+		cost.AdmissionDelayMS = state.AdmissionDelayMS
 	}
 	if !request.IsModelCall {
-		return cost + state.UnitLatencyMS*(1+runningRequests/concurrency) + queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
+		cost.DecodeMS = state.UnitLatencyMS * (1 + runningRequests/concurrency)
+		cost.QueueingMS = queueingDelayMS(runningRequests, concurrency, state.UnitLatencyMS)
+
+		return cost
 	}
 	concurrentRequests := min(runningRequests, concurrency)
 	prefillMS := float64(request.uncachedTokens(candidate.ID, state.CachesSharedPrefix)) * prefillToDecodeRatio * state.UnitLatencyMS
 	decodeMS := float64(request.ExpectedOutputTokens) * state.UnitLatencyMS
-	cost += prefillMS * (1 + prefillInterference*concurrentRequests)
-	cost += decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
+	cost.PrefillMS = prefillMS * (1 + prefillInterference*concurrentRequests)
+	cost.DecodeMS = decodeMS * (1 + 2*SlowdownPerRequest*concurrentRequests)
+	cost.QueueingMS = queueingDelayMS(runningRequests, concurrency, decodeMS)
 
-	return cost + queueingDelayMS(runningRequests, concurrency, decodeMS)
+	return cost
 }
 
 // queueingDelayMS estimates the time in milliseconds until the upstream can start another request.
--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -95,6 +96,19 @@
 // Available returns the upstreams of a service that may get new requests, sorted by id; callers must not change the slice.
 func (r *Registry) Available(service id.Service) []*Instance { return r.byService[service] }
 
+// Registered returns all upstreams of a service, including draining ones, sorted by id.
+func (r *Registry) Registered(service id.Service) []*Instance {
+	var registered []*Instance
+	for _, instance := range r.entries {
+		if instance.Service == service {
+			registered = append(registered, instance)
+		}
+	}
+	slices.SortFunc(registered, func(a, b *Instance) int { return cmp.Compare(a.ID, b.ID) })
+
+	return registered
+}
+
 // SoleVersion returns the software version of all upstreams of a service, draining ones included, and false if they have
 // several versions or there are none.
 func (r *Registry) SoleVersion(service id.Service) (id.SoftwareVersion, bool) {
--- a/core/upstreamstats/tracker.go
+++ b/core/upstreamstats/tracker.go
@@ -71,6 +71,16 @@
 	return fallback
 }
 
+// LatencyAge returns the age of an upstream's latest latency sample, and false if MillisPerUnit does not use its samples.
+func (t *Tracker) LatencyAge(now time.Time, upstream id.Upstream) (time.Duration, bool) {
+	r, ok := t.stats[upstream]
+	if !ok || r.sampledAt.IsZero() || now.Sub(r.sampledAt) > latencyTTL {
+		return 0, false
+	}
+
+	return now.Sub(r.sampledAt), true
+}
+
 // FailureScore returns the number of failures of an upstream, each weighted by exponential decay over its age.
 func (t *Tracker) FailureScore(now time.Time, upstream id.Upstream) float64 {
 	r, ok := t.stats[upstream]
--- a/io/discovery/watcher.go
+++ b/io/discovery/watcher.go
@@ -51,6 +51,14 @@
 	return w.registry.Available(service)
 }
 
+// RegisteredUpstreams returns all upstreams of a service, including those that may not receive new requests.
+func (w *Watcher) RegisteredUpstreams(service id.Service) []*registry.Instance {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.registry.Registered(service)
+}
+
 // SoleVersion returns the software version of all upstreams of a service, and false if they have several versions or there
 // are none.
 func (w *Watcher) SoleVersion(service id.Service) (id.SoftwareVersion, bool) {
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -1,12 +1,20 @@
 package gatewayhost
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
+	"cardamomward/core/apierror"
+	"cardamomward/io/httpx"
+	"cardamomward/io/reverseproxy"
 	"cardamomward/platform"
 )
 
@@ -49,6 +57,56 @@
 	c.Data(http.StatusOK, "application/json", body)
 }
 
+// ExplainPath is the path of the operator endpoint that explains the placement of a request.
+const ExplainPath = "/explain"
+
+// maxOperatorBodyBytes limits the body of a request to the operator endpoint.
+const maxOperatorBodyBytes = 64 << 10
+
+// serveOperator serves the metrics and, if the host has an operator token, the operator endpoint.
+func (h *Host) serveOperator(ctx context.Context, c *app.RequestContext) {
+	if string(c.Path()) == ExplainPath {
+		h.serveExplain(c)
+
+		return
+	}
+	h.serveMetrics(ctx, c)
+}
+
+// serveExplain explains where a request would be sent. It changes no state of the host.
+func (h *Host) serveExplain(c *app.RequestContext) {
+	if h.OperatorToken == "" || string(c.Method()) != http.MethodPost {
+		httpx.WriteError(c, apierror.New(apierror.NotFound, "the host has no operator endpoint here; start it with --operator-token-file and send POST %s", ExplainPath))
+
+		return
+	}
+	token, ok := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
+	// The hashes have equal lengths, so that the time of the comparison depends on neither token.
+	got, want := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(h.OperatorToken))
+	if !ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		httpx.WriteError(c, apierror.New(apierror.Unauthenticated, "the operator token is missing or wrong"))
+
+		return
+	}
+	var query reverseproxy.PlacementQuery
+	decoder := json.NewDecoder(bytes.NewReader(c.Request.Body()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&query); err != nil {
+		httpx.WriteError(c, apierror.New(apierror.InvalidRequest, "the query is invalid: %v", err))
+
+		return
+	}
+	explanation, err := h.proxy.ExplainPlacement(&query)
+	if err != nil {
+		httpx.WriteError(c, err)
+
+		return
+	}
+	explanation.GatewayHost = h.settings.Name
+	explanation.StoreAgeMS = h.now().Sub(h.discovery.LastStoreResponse()).Seconds() * 1000
+	httpx.WriteJSON(c, http.StatusOK, explanation)
+}
+
 func (h *Host) serveMetrics(_ context.Context, c *app.RequestContext) {
 	c.SetContentType("text/plain; charset=utf-8")
 	if err := h.metrics.WriteText(c); err != nil {
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -47,6 +47,8 @@
 type Host struct {
 	// MetricsPort is the port of the metrics server; zero means none.
 	MetricsPort int
+	// OperatorToken is the bearer token of the operator endpoint on the metrics server; empty disables the endpoint.
+	OperatorToken string
 	// DialUpstream connects to an upstream; nil means a TCP connection.
 	DialUpstream upstreamclient.DialFunc
 
@@ -162,7 +164,9 @@
 	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
 	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
 	if h.MetricsPort > 0 {
-		addServer(httpx.Options{Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort))}, h.serveMetrics)
+		addServer(httpx.Options{
+			Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort)), MaxBodyBytes: maxOperatorBodyBytes,
+		}, h.serveOperator)
 	}
 	if len(failures) > 0 {
 		for _, s := range servers {
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -44,6 +44,8 @@
 	newLogger func(name string) logr.Logger
 	// servesMetrics makes each host serve its metrics.
 	servesMetrics bool
+	// operatorToken is the token of the hosts' operator endpoint; empty disables it.
+	operatorToken string
 	// network holds the links between hosts and upstreams.
 	network netsim.Network
 	// runsProcesses runs each host in a process of its own; processOutput returns where its logs go and may be nil.
@@ -142,6 +144,7 @@
 	h.instance = gatewayhost.New(h.settings, logger, time.Now)
 	if c.servesMetrics {
 		h.instance.MetricsPort = freePort(c.t)
+		h.instance.OperatorToken = c.operatorToken
 	}
 	h.instance.DialUpstream = upstreamclient.DialFunc(c.network.DialerFrom(name))
 	h.drain = func() { h.instance.Drain(context.Background()) }
--- a/io/reverseproxy/balancing.go
+++ b/io/reverseproxy/balancing.go
@@ -54,12 +54,18 @@
 
 // chooseUpstream returns the available upstream with the least estimated cost, or nil if all are excluded.
 func (p *Proxy) chooseUpstream(req *proxiedRequest, excluded map[id.Upstream]struct{}) *registry.Instance {
-	request := req.balancerRequest()
-	part, shared := req.sharedPromptPart()
-	now := p.Now()
 	p.statsMu.Lock()
 	defer p.statsMu.Unlock()
-	stateOf := func(instance *registry.Instance) leastcost.UpstreamState {
+
+	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), req.balancerRequest(), p.upstreamStates(req), excluded)
+}
+
+// upstreamStates returns a function that returns what is known of an upstream for the request; the caller holds statsMu.
+func (p *Proxy) upstreamStates(req *proxiedRequest) func(*registry.Instance) leastcost.UpstreamState {
+	part, shared := req.sharedPromptPart()
+	now := p.Now()
+
+	return func(instance *registry.Instance) leastcost.UpstreamState {
 		return leastcost.UpstreamState{
 			RunningRequests:    p.Loads.RunningRequests(instance.ID),
 			UnitLatencyMS:      p.stats.MillisPerUnit(now, instance.Service, instance.ID, defaultUnitLatencyMS),
@@ -68,8 +74,6 @@
 			AdmissionDelayMS:   p.Limits.AdmissionDelay(instance).Seconds() * 1000,
 		}
 	}
-
-	return leastcost.ChooseUpstream(p.eligibleUpstreams(req), request, stateOf, excluded)
 }
 
 // RemoveUnlistedStats removes the statistics of upstreams that are not registered any more.
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -25,6 +25,8 @@
 	Config() *routing.Config
 	// AvailableUpstreams returns the upstreams of a service that may receive new requests.
 	AvailableUpstreams(service id.Service) []*registry.Instance
+	// RegisteredUpstreams returns all upstreams of a service, including those that may not receive new requests.
+	RegisteredUpstreams(service id.Service) []*registry.Instance
 	// SoleVersion returns the software version of all upstreams of a service, and false if they have several.
 	SoleVersion(service id.Service) (id.SoftwareVersion, bool)
 	// GetUpstream returns a registered upstream, and false if it is not registered.
