--- a/command/root/root.go
+++ b/command/root/root.go
@@ -21,6 +21,7 @@
 	"cardamomward/command/serve"
 	"cardamomward/command/service"
 	"cardamomward/command/settings"
+	"cardamomward/command/soak"
 	"cardamomward/command/standin"
 	"cardamomward/command/status"
 	"cardamomward/command/workspace"
@@ -49,6 +50,7 @@
 			dump.NewCmdDump(f, nil),
 			explain.NewCmdExplain(f, nil),
 			load.NewCmdLoad(f, nil),
+			soak.NewCmdSoak(f, nil),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/test/soak/check/history.go
+++ b/test/soak/check/history.go
@@ -126,6 +126,8 @@
 	// State is the exit state as the operating system tells it, and IsSuccess is set for exit code 0.
 	State     string
 	IsSuccess bool
+	// WasReady is set if the process served callers; a signal may end an earlier one before it handles signals.
+	WasReady bool
 	// KilledAt and TerminatedAt are when the soak sent SIGKILL and the first SIGTERM; zero if it did not.
 	KilledAt     time.Time
 	TerminatedAt time.Time
