Add review case 4: line feeds are missing in continued turns

Cause: the reader of events drops the line feed after an empty first data line, so that the retained turn differs from what the client received.

--- a/review/_kit/casekit/main.go
+++ b/review/_kit/casekit/main.go
@@ -13,10 +13,12 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(ctx context.Context, record *harness.Record) (bool, error){
-	"lost":   playLost,
-	"spent":  playSpent,
-	"relay":  playRelay,
-	"poison": playPoison,
+	"lost":    playLost,
+	"spent":   playSpent,
+	"relay":   playRelay,
+	"poison":  playPoison,
+	"lines":   playLines,
+	"resumed": playResumed,
 }
 
 // maxDuration bounds a case.
