--- a/review/_kit/casekit/turns.go
+++ b/review/_kit/casekit/turns.go
@@ -179,7 +179,9 @@
 	if err := fleet.Start(ctx); err != nil {
 		return false, err
 	}
-	harness.Sleep(ctx, warmUp)
+	if disturb != nil {
+		harness.Sleep(ctx, warmUp)
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	isBroken, reached := false, 0
