Add review case 2: two hosts act for one slot in a store outage

Cause: a list of owners that was read while partitions still moved stays, and a host whose own list names it acts for a slot that another host serves. Budgets of programs are granted twice.

--- a/review/_kit/casekit/lost.go
+++ b/review/_kit/casekit/lost.go
@@ -17,7 +17,7 @@
 	// turnCount is the number of turns in the outage.
 	turnCount = 400
 	// turnWorkers is the number of programs that run at the same time.
-	turnWorkers = 16
+	turnWorkers = 12
 )
 
 // keptTurn is a turn that was answered whole.
@@ -46,8 +46,8 @@
 	if harness.IsTroubled() {
 		fleet.SetStoreDown(true)
 	}
-	harness.Sleep(ctx, 1500*time.Millisecond)
-	kept := runKeptTurns(ctx, record, fleet, downAt.Add(outage-700*time.Millisecond))
+	harness.Sleep(ctx, time.Second)
+	kept := runKeptTurns(ctx, record, victims, downAt.Add(outage-700*time.Millisecond))
 	record.Say("%d turns were answered whole", len(kept))
 	if harness.IsTroubled() {
 		var wg sync.WaitGroup
@@ -75,8 +75,8 @@
 	return continueTurns(ctx, record, others, kept), nil
 }
 
-// runKeptTurns runs turns of new programs through all hosts until a time, and returns those that were answered whole.
-func runKeptTurns(ctx context.Context, record *harness.Record, fleet *harness.Fleet, until time.Time) []keptTurn {
+// runKeptTurns runs turns of new programs through hosts until a time, and returns those that were answered whole.
+func runKeptTurns(ctx context.Context, record *harness.Record, hosts []*harness.Host, until time.Time) []keptTurn {
 	var mu sync.Mutex
 	var kept []keptTurn
 	var wg sync.WaitGroup
@@ -92,7 +92,7 @@
 				if time.Now().After(until) {
 					return
 				}
-				_, id, isWhole := p.turn(ctx, record, fleet.Hosts[(worker+rand.IntN(len(fleet.Hosts)))%len(fleet.Hosts)], "/chat/1", "")
+				_, id, isWhole := p.turn(ctx, record, hosts[(worker+rand.IntN(len(hosts)))%len(hosts)], "/chat/1", "")
 				if !isWhole {
 					continue
 				}
--- a/review/_kit/casekit/main.go
+++ b/review/_kit/casekit/main.go
@@ -17,6 +17,7 @@
 	"spent":   playSpent,
 	"relay":   playRelay,
 	"poison":  playPoison,
+	"holders": playHolders,
 	"lines":   playLines,
 	"resumed": playResumed,
 }
--- a/review/_kit/harness/harness.go
+++ b/review/_kit/harness/harness.go
@@ -42,6 +42,9 @@
 	lastPeerPort  = 7795
 )
 
+// storeDelay is how long the store takes for an answer: "4 ms an answer".
+const storeDelay = 4 * time.Millisecond
+
 // StableWindow is the deployment's stable_window_ms.
 const StableWindow = 3 * time.Second
 
@@ -121,6 +124,7 @@
 		return nil, err
 	}
 	f := &Fleet{Record: record, Store: standin.NewStore(), dir: dir, root: root, words: strings.Fields(string(match[1])), stop: make(chan struct{})}
+	f.Store.SetFaults(standin.Faults{ResponseDelay: storeDelay})
 	network := ""
 	for range 50 {
 		candidate := fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))
@@ -190,19 +194,20 @@
 	f.mu.Lock()
 	f.isDown = down
 	f.mu.Unlock()
-	f.Store.SetFaults(standin.Faults{Down: down})
+	f.Store.SetFaults(standin.Faults{Down: down, ResponseDelay: storeDelay})
 	f.Record.Say("store down: %v", down)
 }
 
 // OnClose adds a function that Close calls.
 func (f *Fleet) OnClose(do func()) { f.closers = append(f.closers, do) }
 
-// Start starts all hosts at once, and returns once all are ready and have been so for the stable window.
+// Start starts all hosts within 0.3 s, and returns once all are ready and have been so for the stable window.
 func (f *Fleet) Start(ctx context.Context) error {
 	for _, h := range f.Hosts {
 		if err := h.Start(); err != nil {
 			return err
 		}
+		Sleep(ctx, 300*time.Millisecond/time.Duration(len(f.Hosts)))
 	}
 	for _, h := range f.Hosts {
 		if err := h.AwaitReady(ctx); err != nil {
