--- a/review/_kit/casekit/poison.go
+++ b/review/_kit/casekit/poison.go
@@ -1,17 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
 
-	"cardamomward/platform"
 	"cardamomward/platform/standin"
 	"cardamomward/review/_kit/harness"
 )
@@ -34,7 +32,7 @@
 	store  *standin.Store
 	mu     sync.Mutex
 	number int
-	alive  map[string]*httptest.Server
+	alive  map[string]*standin.Upstream
 	// reaches are the times at which the request that crashes runners began to run.
 	reaches []time.Time
 	crashes []time.Time
@@ -44,36 +42,27 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.number++
-	id := fmt.Sprintf("i-desk-%d", d.number)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(id, w, r) }))
-	d.alive[id] = server
-	value, _ := json.Marshal(map[string]any{
-		"service": "desk", "address": server.Listener.Addr().String(), "zone": standin.InitialFailureDomain, "version": "v1", "slots": 6,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
-	})
-	d.store.PutRecord(platform.UpstreamsTopic, id, value)
-	d.record.Write("%s: registered at %s", id, server.Listener.Addr())
+	u := standin.NewUpstream(fmt.Sprintf("i-desk-%d", d.number), "desk", 0)
+	inner := u.Config.Handler
+	u.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(u.ID, inner, w, r) })
+	d.alive[u.ID] = u
+	u.Register(d.store, "ready")
+	d.record.Write("%s: registered at %s", u.ID, u.Address())
 }
 
-func (d *deskPool) serve(id string, w http.ResponseWriter, r *http.Request) {
+func (d *deskPool) serve(id string, inner http.Handler, w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	if r.Header.Get("Expect-Instance") != id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-
-		return
-	}
 	if string(body) == poisonBody {
 		d.record.Write("%s: began to run %s, which crashes it", id, r.Header.Get("Request-Id"))
 		d.crash(id)
 		panic(http.ErrAbortHandler)
 	}
-	d.record.Write("%s: ran %s", id, r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Signature", "sig-"+id)
-	io.WriteString(w, "done")
+	d.record.Write("%s: got %s", id, r.Header.Get("Request-Id"))
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	inner.ServeHTTP(w, r)
 }
 
 // crash ends a runner; another one is there after runnerRestart, and the entry of the old one goes after runnerSilence.
@@ -82,13 +71,12 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.reaches, d.crashes = append(d.reaches, now), append(d.crashes, now)
-	server := d.alive[id]
+	u := d.alive[id]
 	delete(d.alive, id)
-	server.Listener.Close()
-	go server.CloseClientConnections()
+	go u.Crash()
 	time.AfterFunc(runnerRestart, d.startRunner)
 	time.AfterFunc(runnerSilence, func() {
-		d.store.PutRecord(platform.UpstreamsTopic, id, nil)
+		u.Deregister(d.store)
 		d.record.Write("%s: entry removed", id)
 	})
 }
@@ -114,7 +102,7 @@
 	}
 	defer fleet.Close()
 	standin.Configuration{Version: 1, APIKeys: []string{harness.Key}}.WriteToStore(fleet.Store)
-	pool := &deskPool{record: record, store: fleet.Store, alive: make(map[string]*httptest.Server)}
+	pool := &deskPool{record: record, store: fleet.Store, alive: make(map[string]*standin.Upstream)}
 	for range deskRunners {
 		pool.startRunner()
 	}
@@ -123,7 +111,7 @@
 	}
 	send := func(h *harness.Host, body string) int {
 		id := harness.NewRequestID()
-		status, _, text, _ := harness.Post(ctx, h.CallerAddress(), "/order/1", map[string]string{"Request-Id": id}, body, time.Second)
+		status, _, text, _ := harness.Post(ctx, h.CallerAddress(), "/order/1", map[string]string{"Request-Id": id}, body)
 		record.Write("%s by %s: status %d %s", id, h.Name, status, strings.TrimSpace(text))
 
 		return status
--- a/review/_kit/casekit/program.go
+++ b/review/_kit/casekit/program.go
@@ -19,8 +19,6 @@
 	maxTurnTokens  = eventsPerTurn * tokensPerEvent
 	// budgetTokens is the Token-Budget of the programs.
 	budgetTokens = 800
-	// clientTimeout is the deadline of a client attempt.
-	clientTimeout = 3 * time.Second
 )
 
 // program is an agent program, whose turns follow one another.
@@ -44,12 +42,12 @@
 	if previous != "" {
 		header["Previous-Turn"] = previous
 	}
-	status, answer, text, complete := harness.Post(ctx, host.CallerAddress(), path, header, "input of "+id+"\n", clientTimeout)
+	status, isSigned, text, complete := harness.Post(ctx, host.CallerAddress(), path, header, "input of "+id+"\n")
 	events := 0
 	if status == http.StatusOK {
 		events = harness.Events(text)
 	}
-	isWhole = status == http.StatusOK && complete && events == eventsPerTurn && answer.Get("Response-Signature") != ""
+	isWhole = status == http.StatusOK && complete && events == eventsPerTurn && isSigned
 	record.Write("%s: turn %s by %s after %q: status %d, %d events, whole %v %s", p.name, id, host.Name, previous, status, events, isWhole, reasonOf(status, text))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -109,8 +107,8 @@
 }
 
 // busiestOwner returns the host that the store's group gives the most partitions.
-func busiestOwner(fleet *harness.Fleet) (*harness.Host, error) {
-	counts, err := fleet.OwnedPartitions()
+func busiestOwner(ctx context.Context, fleet *harness.Fleet) (*harness.Host, error) {
+	counts, err := fleet.OwnedPartitions(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/review/_kit/casekit/relay.go
+++ b/review/_kit/casekit/relay.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -28,13 +28,10 @@
 
 // engine is a runner whose streams have no length and end with their connection.
 type engine struct {
-	id       string
+	upstream *standin.Upstream
 	record   *harness.Record
 	listener *net.TCPListener
-	born     time.Time
 	gate     sync.RWMutex
-	mu       sync.Mutex
-	sent     map[string]int
 }
 
 func newEngine(id string, record *harness.Record) (*engine, error) {
@@ -42,7 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, record: record, listener: listener.(*net.TCPListener), born: time.Now(), sent: make(map[string]int)}
+	upstream := standin.NewUpstream(id, "engines", relayEvents)
+	upstream.EventInterval, upstream.RegisteredAddress = eventPause, listener.Addr().String()
+	e := &engine{upstream: upstream, record: record, listener: listener.(*net.TCPListener)}
 	go e.run()
 
 	return e, nil
@@ -98,7 +97,7 @@
 		}
 		fillers = append(fillers, conn)
 	}
-	e.record.Write("%s: the queue of new connections is full with %d", e.id, len(fillers))
+	e.record.Write("%s: the queue of new connections is full with %d", e.upstream.ID, len(fillers))
 
 	return func() {
 		for _, conn := range fillers {
@@ -107,61 +106,67 @@
 		e.setBacklog(512)
 		e.listener.SetDeadline(time.Time{})
 		e.gate.Unlock()
-		e.record.Write("%s: accepts connections again", e.id)
+		e.record.Write("%s: accepts connections again", e.upstream.ID)
 	}, nil
 }
 
 func (e *engine) serve(conn net.Conn) {
 	defer conn.Close()
-	for {
-		req, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		id := req.Header.Get("Request-Id")
-		if req.URL.Path == "/report" {
-			body, _ := json.Marshal(map[string]any{"stage": "both", "born": e.born.UnixMilli()})
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	w := &unframedWriter{conn: conn, header: make(http.Header)}
+	e.upstream.Config.Handler.ServeHTTP(w, req)
+	e.record.Write("%s: answered %s, broken %v", e.upstream.ID, req.Header.Get("Request-Id"), w.err)
+}
 
-			continue
-		}
-		if req.Header.Get("Expect-Instance") != e.id {
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+// unframedWriter writes an answer without a length, whose end is the end of the connection.
+type unframedWriter struct {
+	conn     net.Conn
+	header   http.Header
+	hasBegun bool
+	err      error
+}
 
-			continue
-		}
-		e.stream(conn, id)
+// Header returns the fields of the answer.
+func (w *unframedWriter) Header() http.Header { return w.header }
 
+// WriteHeader writes the head of the answer.
+func (w *unframedWriter) WriteHeader(status int) {
+	if w.hasBegun {
 		return
 	}
+	w.hasBegun = true
+	w.header.Set("Connection", "close")
+	w.header.Del("Content-Length")
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	w.header.Write(&head)
+	head.WriteString("\r\n")
+	w.conn.Write(head.Bytes())
 }
 
-// stream sends a stream without a length, whose end is the end of the connection.
-func (e *engine) stream(conn net.Conn, id string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: sig-%s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, e.id)
-	for number := 1; number <= relayEvents; number++ {
-		if _, err := fmt.Fprintf(conn, "id: %d\ndata: word-%d of %s\n\n", number, number, id); err != nil {
-			e.record.Write("%s: the connection of %s broke at event %d", e.id, id, number)
-
-			return
-		}
-		e.mu.Lock()
-		e.sent[id] = number
-		e.mu.Unlock()
-		time.Sleep(eventPause)
+func (w *unframedWriter) Write(data []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	n, err := w.conn.Write(data)
+	if err != nil {
+		w.err = err
 	}
-	e.record.Write("%s: sent %s whole", e.id, id)
+
+	return n, err
 }
 
+// Flush does nothing, since nothing is held back.
+func (w *unframedWriter) Flush() {}
+
+// register writes the runner's entry, with room for all requests.
 func (e *engine) register(store *standin.Store) {
 	value, _ := json.Marshal(map[string]any{
-		"service": "engines", "address": e.listener.Addr().String(), "zone": standin.InitialFailureDomain, "version": "v1", "slots": 64,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": e.born.UnixMilli(),
+		"service": e.upstream.Service, "address": e.upstream.RegisteredAddress, "zone": standin.InitialFailureDomain,
+		"version": standin.InitialVersion, "slots": 2 * relayRequests, "state": "ready", "sequence": 1, "born": time.Now().UnixMilli(),
 	})
-	store.PutRecord(platform.UpstreamsTopic, e.id, value)
+	store.PutRecord(platform.UpstreamsTopic, e.upstream.ID, value)
 }
 
 // playRelay lets a host reach a runner through other hosts, because a burst of connections fills the runner's queue of new ones, and kills
@@ -178,6 +183,7 @@
 		return false, err
 	}
 	fleet.OnClose(func() { runner.listener.Close() })
+	fleet.OnClose(runner.upstream.Close)
 	runner.register(fleet.Store)
 	if err := fleet.Start(ctx); err != nil {
 		return false, err
@@ -194,7 +200,7 @@
 		wg.Go(func() {
 			id := harness.NewRequestID()
 			header := map[string]string{"Request-Id": id, "Token-Usage": "500,100", "Prompt-Prefix": "aa:400," + id[:8] + ":100", "Model": "m"}
-			status, answer, text, complete := harness.Post(ctx, entry.CallerAddress(), "/draft/1", header, "input", 3*time.Second)
+			status, isSigned, text, complete := harness.Post(ctx, entry.CallerAddress(), "/draft/1", header, "input")
 			events := harness.Events(text)
 			record.Write("%s by %s: status %d, %d events, complete %v", id, entry.Name, status, events, complete)
 			mu.Lock()
@@ -202,9 +208,9 @@
 			switch {
 			case status == http.StatusOK && complete && events == relayEvents:
 				whole++
-			case status == http.StatusOK && complete:
+			case status == http.StatusOK && complete && isSigned:
 				early++
-				record.Say("MIXED: the answer %s with signature %s ended as complete after %d of %d events", id, answer.Get("Response-Signature"), events, relayEvents)
+				record.Say("MIXED: the answer %s, which a runner has signed, ended as complete after %d of %d events", id, events, relayEvents)
 			default:
 				failed++
 			}
--- a/review/_kit/casekit/spent.go
+++ b/review/_kit/casekit/spent.go
@@ -32,7 +32,7 @@
 	if err := fleet.Start(ctx); err != nil {
 		return false, err
 	}
-	victim, err := busiestOwner(fleet)
+	victim, err := busiestOwner(ctx, fleet)
 	if err != nil {
 		return false, err
 	}
--- a/review/_kit/casekit/turns.go
+++ b/review/_kit/casekit/turns.go
@@ -4,9 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,85 +18,70 @@
 
 // chatEngine is a runner whose events have the data that textOf returns.
 type chatEngine struct {
-	id     string
+	*standin.Upstream
+
 	record *harness.Record
-	server *httptest.Server
-	events int
-	born   time.Time
-	pause  time.Duration
 	textOf func(number int) string
-	mu     sync.Mutex
-	bodies map[string]string
 }
 
 func newChatEngine(id string, record *harness.Record, events int, pause time.Duration, textOf func(number int) string) *chatEngine {
-	e := &chatEngine{id: id, record: record, events: events, pause: pause, born: time.Now().Add(-time.Minute), textOf: textOf, bodies: make(map[string]string)}
-	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+	e := &chatEngine{Upstream: standin.NewUpstream(id, "engines", events), record: record, textOf: textOf}
+	e.EventInterval = pause
+	inner := e.Config.Handler
+	e.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		record.Write("%s: got %s after event %q", id, r.Header.Get("Request-Id"), r.Header.Get("Last-Event-Id"))
+		inner.ServeHTTP(&textWriter{w, textOf}, r)
+	})
 
 	return e
 }
 
-func (e *chatEngine) register(store *standin.Store) {
-	value, _ := json.Marshal(map[string]any{
-		"service": "engines", "address": e.server.Listener.Addr().String(), "zone": standin.InitialFailureDomain, "version": "v1", "slots": 16,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": e.born.UnixMilli(),
-	})
-	store.PutRecord(platform.UpstreamsTopic, e.id, value)
+// textWriter replaces the data of the stand-in's events, with a data line for each line of text as text/event-stream has them.
+type textWriter struct {
+	http.ResponseWriter
+
+	textOf func(number int) string
 }
 
-// serve runs a turn: it sends the events after Last-Event-Id, each with its text in data lines as text/event-stream has them.
-func (e *chatEngine) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	if r.URL.Path == "/report" {
-		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, "{\"stage\":\"both\",\"born\":%d}", e.born.UnixMilli())
-
-		return
-	}
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if r.Header.Get("Expect-Instance") != e.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-
-		return
-	}
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.record.Write("%s: runs %s after event %d with the body %q", e.id, id, after, body)
-	e.mu.Lock()
-	e.bodies[id] = string(body)
-	e.mu.Unlock()
-	w.Header().Set("Response-Signature", "sig-"+e.id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for number := after + 1; number <= e.events; number++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", number, strings.ReplaceAll(e.textOf(number), "\n", "\ndata: "))
-		http.NewResponseController(w).Flush()
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(e.pause):
-		}
+var standinData = regexp.MustCompile(`data: word-(\d+)`)
+
+func (w *textWriter) Write(data []byte) (int, error) {
+	replaced := standinData.ReplaceAllFunc(data, func(match []byte) []byte {
+		number, _ := strconv.Atoi(string(standinData.FindSubmatch(match)[1]))
+
+		return []byte("data: " + strings.ReplaceAll(w.textOf(number), "\n", "\ndata: "))
+	})
+	if _, err := w.ResponseWriter.Write(replaced); err != nil {
+		return 0, err
 	}
+
+	return len(data), nil
 }
 
+// Unwrap lets the stand-in flush its events.
+func (w *textWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // output returns the data of all events, each followed by a line feed.
 func (e *chatEngine) output() string {
 	var text strings.Builder
-	for number := 1; number <= e.events; number++ {
+	for number := 1; number <= e.EventCount; number++ {
 		text.WriteString(e.textOf(number) + "\n")
 	}
 
 	return text.String()
 }
 
+// body returns the body with which a request has run.
 func (e *chatEngine) body(id string) (string, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	body, ok := e.bodies[id]
+	for _, request := range e.ExecutedRequests() {
+		if request.RequestID() == id {
+			e.record.Write("%s: ran %s with the body %q", e.ID, id, request.Body)
+
+			return request.Body, true
+		}
+	}
 
-	return body, ok
+	return "", false
 }
 
 // sendTurn sends a turn and returns its id, what arrived and whether the answer was complete.
@@ -110,7 +94,7 @@
 	for name, value := range more {
 		header[name] = value
 	}
-	status, _, text, complete := harness.Post(ctx, host.CallerAddress(), "/chat/1", header, body, clientTimeout)
+	status, _, text, complete := harness.Post(ctx, host.CallerAddress(), "/chat/1", header, body)
 	record.Write("turn %s by %s with %v: status %d, %d events, complete %v", id, host.Name, more, status, harness.Events(text), complete)
 
 	return id, text, complete && status == http.StatusOK
@@ -174,8 +158,8 @@
 		}
 	}
 	e := newChatEngine("i-engine-1", record, events, pause, text)
-	fleet.OnClose(e.server.Close)
-	e.register(fleet.Store)
+	fleet.OnClose(e.Close)
+	fleet.KeepRegistered(e.Upstream)
 	if err := fleet.Start(ctx); err != nil {
 		return false, err
 	}
