Mark the regular end of relayed responses

Cause: the kernel of a killed relay closes its connections as regularly as the upstream's own end, and relayed bytes had no frame that tells them apart. Change: relays frame the upstream's bytes by their length, and send an empty frame after its regular end only. The framing is agreed on in the CONNECT request and its response. Any other end, and any end at a relay of an earlier release, is unexpected.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -21,44 +21,56 @@
 	ErrUpstream = errs.NewType("upstream")
 )
 
-// Dial connects to an upstream through the host that listens on an address.
+// Dial connects to an upstream through the host that listens on an address. Reads from the connection return io.EOF only if the upstream
+// has ended its bytes, not if the relay is lost.
 func Dial(ctx context.Context, relay, upstream string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", relay)
 	if err != nil {
 		return nil, ErrBusy.Wrap(err, "connect to relay %s", relay)
 	}
-	if err := requestConnection(ctx, conn, relay, upstream); err != nil {
+	framing, err := requestConnection(ctx, conn, relay, upstream)
+	if err != nil {
 		conn.Close()
 
 		return nil, err
 	}
+	tcp, ok := conn.(*net.TCPConn)
+	switch {
+	case !ok:
+		conn.Close()
 
-	return conn, nil
+		return nil, ErrBusy.New("the connection to relay %s is not a TCP connection", relay)
+	case framing == lengthPrefixed:
+		return newFramedConn(tcp), nil
+	default:
+		return rawConn{tcp}, nil
+	}
 }
 
-func requestConnection(ctx context.Context, conn net.Conn, relay, upstream string) error {
+// requestConnection requests a connection to an upstream and returns the framing of its bytes.
+func requestConnection(ctx context.Context, conn net.Conn, relay, upstream string) (framing string, err error) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", upstream, upstream); err != nil {
-		return ErrBusy.Wrap(err, "request a connection from relay %s", relay)
+	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", upstream, upstream, framingHeader, lengthPrefixed); err != nil {
+		return "", ErrBusy.Wrap(err, "request a connection from relay %s", relay)
 	}
 	reader := bufio.NewReaderSize(conn, 512) //nolint:mnd // the response is short
 	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return ErrBusy.Wrap(err, "read the response of relay %s", relay)
+		return "", ErrBusy.Wrap(err, "read the response of relay %s", relay)
 	}
 	resp.Body.Close()
 	switch {
 	case resp.StatusCode == http.StatusBadGateway:
-		return ErrUpstream.New("relay %s cannot connect to %s", relay, upstream)
+		return "", ErrUpstream.New("relay %s cannot connect to %s", relay, upstream)
 	case resp.StatusCode == http.StatusForbidden:
-		return ErrUnknownUpstream.New("relay %s does not know %s", relay, upstream)
+		return "", ErrUnknownUpstream.New("relay %s does not know %s", relay, upstream)
 	case resp.StatusCode != http.StatusOK:
-		return ErrBusy.New("relay %s responds with status %d", relay, resp.StatusCode)
+		return "", ErrBusy.New("relay %s responds with status %d", relay, resp.StatusCode)
 	case reader.Buffered() > 0 || !stop():
-		return ErrBusy.Wrap(ctx.Err(), "relay %s responded too late or sent further bytes", relay)
+		return "", ErrBusy.Wrap(ctx.Err(), "relay %s responded too late or sent further bytes", relay)
 	}
 
-	return nil
+	return resp.Header.Get(framingHeader), nil
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -1,9 +1,13 @@
 package relay_test
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,6 +102,141 @@
 	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
 }
 
+// interruptedListener keeps the connections that it accepts, so that a test can end them as the kernel does for a process that is killed.
+type interruptedListener struct {
+	net.Listener
+
+	accepted chan net.Conn
+}
+
+func (l *interruptedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted <- conn
+	}
+
+	return conn, err
+}
+
+// relayEnd ends a relay: its connection to the caller, or its context.
+type relayEnd func(t *testing.T, conn net.Conn, stop context.CancelFunc)
+
+// killRelay ends the connection as the kernel does for a process that is killed.
+func killRelay(t *testing.T, conn net.Conn, _ context.CancelFunc) {
+	t.Helper()
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+}
+
+// stopRelay stops the relay as a host does that shuts down.
+func stopRelay(_ *testing.T, _ net.Conn, stop context.CancelFunc) { stop() }
+
+// readUntilRelayIsLost returns the result of reading a response whose relay ends after the first half. The proxy between both may ignore
+// framing, as earlier releases do.
+func readUntilRelayIsLost(t *testing.T, end relayEnd, proxy func(address string) string) (string, error) {
+	t.Helper()
+	upstream := listen(t, func(conn net.Conn) {
+		io.ReadFull(conn, make([]byte, len("request"))) //nolint:errcheck // the response follows in any case
+		conn.Write([]byte("half"))                      //nolint:errcheck // the test reads it
+		io.Copy(io.Discard, conn)                       //nolint:errcheck // the response goes on until the relay is lost
+	})
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener := &interruptedListener{Listener: inner, accepted: make(chan net.Conn, 1)}
+	server, _ := newRelay(t, func(*relay.Server) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); server.Serve(ctx, listener) }()
+	t.Cleanup(func() { cancel(); <-done })
+	conn := dial(t, proxy(inner.Addr().String()), upstream)
+	_, err = conn.Write([]byte("request"))
+	require.NoError(t, err)
+	half := make([]byte, len("half"))
+	_, err = io.ReadFull(conn, half)
+	require.NoError(t, err)
+	end(t, <-listener.accepted, cancel)
+	rest, err := io.ReadAll(conn)
+
+	return string(half) + string(rest), err
+}
+
+// Responses without a length ended with their relay and looked complete.
+func TestResponseWhoseRelayIsLostDoesNotLookComplete(t *testing.T) {
+	for name, end := range map[string]relayEnd{"killed": killRelay, "stopped": stopRelay} {
+		t.Run(name, func(t *testing.T) {
+			response, err := readUntilRelayIsLost(t, end, func(address string) string { return address })
+			require.Error(t, err)
+			require.Equal(t, "half", response)
+		})
+	}
+}
+
+// A relay of an earlier release does not say how the upstream's bytes have ended.
+func TestResponseThroughRelayOfEarlierReleaseDoesNotLookComplete(t *testing.T) {
+	response, err := readUntilRelayIsLost(t, killRelay, func(address string) string {
+		return listen(t, func(caller net.Conn) {
+			defer caller.Close()
+			server, err := net.Dial("tcp4", address)
+			if err != nil {
+				return
+			}
+			defer server.Close()
+			req, err := http.ReadRequest(bufio.NewReader(caller))
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(server, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", req.Host, req.Host) //nolint:errcheck // the test reads the response
+			go io.Copy(server, caller)                                                         //nolint:errcheck // any end is the caller's
+			io.Copy(caller, server)                                                            //nolint:errcheck // any end is the relay's
+		})
+	})
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, "half", response)
+}
+
+// A host of an earlier release requests no framing.
+func TestCallerOfEarlierReleaseGetsBytesWithoutFrames(t *testing.T) {
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		io.ReadFull(conn, make([]byte, len("request"))) //nolint:errcheck // the response follows in any case
+		conn.Write([]byte("response"))                  //nolint:errcheck // the test reads it
+	})
+	_, address := newRelay(t, func(*relay.Server) {})
+	conn, err := net.Dial("tcp4", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", upstream, upstream)
+	require.NoError(t, err)
+	head := make([]byte, len("HTTP/1.1 200 OK\r\n\r\n"))
+	_, err = io.ReadFull(conn, head)
+	require.NoError(t, err)
+	require.Equal(t, "HTTP/1.1 200 OK\r\n\r\n", string(head))
+	_, err = conn.Write([]byte("request"))
+	require.NoError(t, err)
+	response, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "response", string(response))
+}
+
+func TestLargeResponsePassesThroughRelayUnchanged(t *testing.T) {
+	sent := make([]byte, 1<<20)
+	for i := range sent {
+		sent[i] = byte(i * i >> 8)
+	}
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		io.ReadFull(conn, make([]byte, len("request"))) //nolint:errcheck // the response follows in any case
+		conn.Write(sent)                                //nolint:errcheck // the test reads it
+	})
+	_, address := newRelay(t, func(*relay.Server) {})
+	conn := dial(t, address, upstream)
+	_, err := conn.Write([]byte("request"))
+	require.NoError(t, err)
+	received, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.True(t, bytes.Equal(sent, received))
+}
+
 func TestUpstreamSeesThatCallerHasCanceled(t *testing.T) {
 	canceled := make(chan struct{})
 	upstream := listen(t, func(conn net.Conn) {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -100,13 +100,17 @@
 	defer upstream.releasePlace()
 	defer upstream.Close()
 	defer context.AfterFunc(ctx, func() { upstream.Close() })()
-	if _, err := fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status)); err != nil {
+	isFramed, framing := req.Header.Get(framingHeader) == lengthPrefixed, ""
+	if isFramed {
+		framing = framingHeader + ": " + lengthPrefixed + "\r\n"
+	}
+	if _, err := fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\n%s\r\n", status, http.StatusText(status), framing); err != nil {
 		return
 	}
 	if err := caller.SetDeadline(time.Time{}); err != nil {
 		return
 	}
-	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), func() bool { return s.IsEvacuated(upstream.domain) })
+	splice(s.countPeer(caller), s.countUpstream(upstream, req.Host), isFramed, func() bool { return s.IsEvacuated(upstream.domain) })
 }
 
 func (s *Server) countPeer(conn net.Conn) end {
@@ -194,8 +198,8 @@
 }
 
 // splice copies bytes in both directions until both have ended. The end of the upstream's bytes is passed on as it is: a reset as a
-// reset, so that a response that it breaks off does not look complete.
-func splice(caller, upstream end, isEvacuated func() bool) {
+// reset, so that a response that it breaks off does not look complete. Hosts of earlier releases get the upstream's bytes without frames.
+func splice(caller, upstream end, isFramed bool, isEvacuated func() bool) {
 	done := make(chan struct{})
 	var answered atomic.Bool
 	answered.Store(true)
@@ -205,7 +209,14 @@
 		// The caller never closes only its sending direction: it has canceled its request.
 		upstream.Close()
 	}()
-	if err := copyBytes(countingWriter{caller}, &responseReader{countingReader{upstream}, &answered}); err != nil {
+	responses := &responseReader{countingReader{upstream}, &answered}
+	var err error
+	if isFramed {
+		err = copyFrames(countingWriter{caller}, responses)
+	} else {
+		err = copyBytes(countingWriter{caller}, responses)
+	}
+	if err != nil {
 		reset(caller.Conn)
 	} else {
 		closeWrite(caller.Conn)
@@ -259,6 +270,16 @@
 	return err
 }
 
+// copyFrames copies as frames until the end, which it marks, or an error.
+func copyFrames(dst io.Writer, src io.Reader) error {
+	frames := &frameWriter{Writer: dst}
+	if err := copyBytes(frames, src); err != nil {
+		return err
+	}
+
+	return frames.end()
+}
+
 // countingWriter counts the bytes that are sent to an end.
 type countingWriter struct{ end end }
 
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -72,11 +72,20 @@
 	return n, err
 }
 
+// bufferedConn is a connection with a buffer of its own.
+type bufferedConn interface {
+	// Buffered returns the number of bytes that were received and not read.
+	Buffered() int
+}
+
 // isOpenAndIdle reports whether the connection is open and has no unread bytes, which would belong to no request.
 func (c *conn) isOpenAndIdle() bool {
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if buffered, ok := c.Conn.(bufferedConn); ok && buffered.Buffered() > 0 {
+		return false
+	}
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
