Keep empty data lines of events in retained turns

Cause: the reader of events took data without bytes for no data line yet. Change: a data line makes data, empty or not. The reader follows the standard in the ends of lines, the byte order mark and ids with NUL, and events without data add nothing to the transcript and the tokens.

--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -225,11 +225,15 @@
 	return errA != nil || errB != nil || a > b
 }
 
-// recordEvent records an event that was forwarded: its id, tokens and, if the turn is retained, its data.
+// recordEvent records an event that was forwarded: its id, tokens and, if the turn is retained, its data. Callers are not given an event
+// without data, which only sets the id.
 func (req *proxiedRequest) recordEvent(event upstreamclient.Event) {
 	if event.ID != "" {
 		req.lastSentEventID = event.ID
 	}
+	if event.Data == nil {
+		return
+	}
 	if req.service.Engine != nil {
 		req.outputTokens += req.service.Engine.TokensPerEvent
 	}
--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -13,20 +13,30 @@
 	maxEventBytes = 1 << 20
 )
 
+// byteOrderMark may start a stream and belongs to no field.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw is the event's unmodified bytes, including the empty line that ends it.
 	Raw []byte
-	// ID and Data are the values of the event's id and data fields.
-	ID   string
+	// ID is the value of the event's last id field.
+	ID string
+	// Data is the values of the event's data fields, joined by line feeds; nil if it has none, unlike an event with empty data.
 	Data []byte
 }
 
 // IsComment reports whether the event has neither an id nor data, as comments that keep a connection open.
 func (e Event) IsComment() bool { return e.ID == "" && e.Data == nil }
 
-// EventReader splits a response body into complete server-sent events.
-type EventReader struct{ r *bufio.Reader }
+// EventReader splits a response body into complete server-sent events. A line ends with a line feed, a carriage return, or both.
+type EventReader struct {
+	r *bufio.Reader
+	// hasBegun is set once the first line was read.
+	hasBegun bool
+	// isAfterReturn is set while a line feed that follows belongs to the carriage return before it.
+	isAfterReturn bool
+}
 
 // NewEventReader returns a reader of the events of a response body.
 func NewEventReader(body io.Reader) *EventReader {
@@ -38,41 +48,91 @@
 func (e *EventReader) Next() (Event, error) {
 	var event Event
 	for {
-		line, err := e.readLine()
-		if err != nil {
-			if err == io.EOF && len(event.Raw)+len(line) > 0 { //nolint:errorlint // bufio returns io.EOF itself
-				err = io.ErrUnexpectedEOF
-			}
-
+		line, err := e.readLine(&event)
+		switch {
+		case err == io.EOF && string(event.Raw) == "\n": //nolint:errorlint // bufio returns io.EOF itself
+			// The line feed ends the empty line of the event before.
+			return event, nil
+		case err == io.EOF && len(event.Raw) > 0: //nolint:errorlint // bufio returns io.EOF itself
+			return Event{}, io.ErrUnexpectedEOF
+		case err != nil:
 			return Event{}, err
-		}
-		event.Raw = append(event.Raw, line...)
-		if len(event.Raw) > maxEventBytes {
-			return Event{}, errEventTooLarge()
-		}
-		content := bytes.TrimRight(line, "\r\n")
-		if len(content) == 0 {
+		case len(line) == 0:
 			return event, nil
 		}
-		event.parseField(content)
+		event.parseField(line)
 	}
 }
 
-// readLine returns the next line, or an error once it is longer than an event may be.
-func (e *EventReader) readLine() ([]byte, error) {
-	line, err := e.r.ReadSlice('\n')
-	if err != bufio.ErrBufferFull { //nolint:errorlint // bufio returns it itself
-		return line, err
+// readLine appends the next line to the event's raw bytes, and returns it without its end. It does not wait for what follows a carriage
+// return, since the event may be complete.
+func (e *EventReader) readLine(event *Event) (line []byte, err error) {
+	if err := e.skipLineFeed(event); err != nil {
+		return nil, err
 	}
-	var long []byte
-	for err == bufio.ErrBufferFull { //nolint:errorlint // bufio returns it itself
-		if long = append(long, line...); len(long) > maxEventBytes {
+	for start := len(event.Raw); ; {
+		if _, err := e.r.Peek(1); err != nil {
+			return nil, err
+		}
+		buffered, _ := e.r.Peek(e.r.Buffered()) //nolint:errcheck // these bytes are available
+		length := bytes.IndexAny(buffered, "\r\n")
+		isWhole := length >= 0
+		if !isWhole {
+			length = len(buffered)
+		}
+		event.Raw = append(event.Raw, buffered[:length]...)
+		end := len(event.Raw)
+		if isWhole {
+			terminator := lineEnd(buffered[length:])
+			e.isAfterReturn = string(terminator) == "\r" && length+1 == len(buffered)
+			event.Raw = append(event.Raw, terminator...)
+			length += len(terminator)
+		}
+		e.r.Discard(length) //nolint:errcheck // these bytes are available
+		if len(event.Raw) > maxEventBytes {
 			return nil, errEventTooLarge()
 		}
-		line, err = e.r.ReadSlice('\n')
+		if isWhole {
+			return e.withoutByteOrderMark(event.Raw[start:end]), nil
+		}
+	}
+}
+
+// skipLineFeed reads the line feed that belongs to the carriage return before it.
+func (e *EventReader) skipLineFeed(event *Event) error {
+	if !e.isAfterReturn {
+		return nil
+	}
+	next, err := e.r.Peek(1)
+	if err != nil {
+		return err
+	}
+	e.isAfterReturn = false
+	if next[0] == '\n' {
+		event.Raw = append(event.Raw, '\n')
+		e.r.Discard(1) //nolint:errcheck // the byte is available
 	}
 
-	return append(long, line...), err
+	return nil
+}
+
+// lineEnd returns the end of a line that begins the data.
+func lineEnd(data []byte) []byte {
+	if bytes.HasPrefix(data, []byte("\r\n")) {
+		return data[:2]
+	}
+
+	return data[:1]
+}
+
+// withoutByteOrderMark returns a line without the byte order mark that may begin the first one.
+func (e *EventReader) withoutByteOrderMark(line []byte) []byte {
+	if !e.hasBegun {
+		e.hasBegun = true
+		line = bytes.TrimPrefix(line, byteOrderMark)
+	}
+
+	return line
 }
 
 func errEventTooLarge() error {
@@ -85,9 +145,13 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "id":
-		e.ID = string(value)
+		if !bytes.ContainsRune(value, 0) {
+			e.ID = string(value)
+		}
 	case "data":
-		if e.Data != nil {
+		if e.Data == nil {
+			e.Data = make([]byte, 0, len(value))
+		} else {
 			e.Data = append(e.Data, '\n')
 		}
 		e.Data = append(e.Data, value...)
