Copy token counts of an outage to other hosts before turns run

Cause: counts of turns that are admitted from memory were at the owner and at the caller's host alone, and forgotten turns were charged only after the loss of most hosts. Change: the owner admits a turn that is not durable once four hosts have the count (HoldCounts), or all of a smaller fleet. A loss of as many is charged, and hosts that are not heard any more count as lost. Owners tell others of the counts of their own callers' programs at any time. TestMemoryOfMajorityDecidesWhichCountsAreForgotten keeps its cases, has two more and is called after what decides now; the fake host that is busy answers the new call.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -179,6 +179,13 @@
 	a.settledTokens += tokens
 }
 
+// Cancel gives back the reservation of a turn that does not run.
+func (l *Ledger) Cancel(program id.Program, attempt string) {
+	if a, ok := l.accounts[program]; ok {
+		delete(a.reservations, attempt)
+	}
+}
+
 // MarkDurable records that a watermark has become durable.
 func (l *Ledger) MarkDurable(watermark Watermark) {
 	a, ok := l.accounts[watermark.Program]
--- a/io/cluster/forgottenturns_test.go
+++ b/io/cluster/forgottenturns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 	"cardamomward/platform"
 )
 
-func TestMemoryOfMajorityDecidesWhichCountsAreForgotten(t *testing.T) {
+func TestLossOfAllHoldersDecidesWhichCountsAreForgotten(t *testing.T) {
 	now := time.Now()
 	complete := &fleetpb.RecallReply{Complete: true, AgeMillis: 100_000}
 	started := func(age time.Duration) *fleetpb.RecallReply {
@@ -29,9 +30,16 @@
 		"most have restarted":     {[]*fleetpb.RecallReply{started(time.Second), started(3 * time.Second), complete}, now.Add(-3 * time.Second)},
 		"most have just started":  {[]*fleetpb.RecallReply{started(time.Second), started(3 * time.Second), nil}, now.Add(-time.Second)},
 		"most have not responded": {[]*fleetpb.RecallReply{complete, nil, nil}, now},
+		"four of eleven have restarted": {
+			append(slices.Repeat([]*fleetpb.RecallReply{complete}, 7), started(time.Second), started(2*time.Second), started(4*time.Second), started(3*time.Second)),
+			now.Add(-4 * time.Second),
+		},
+		"three of eleven have restarted": {
+			append(slices.Repeat([]*fleetpb.RecallReply{complete}, 8), started(time.Second), started(2*time.Second), started(3*time.Second)), time.Time{},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, test.since, rememberedSince(now, test.replies))
+			require.Equal(t, test.since, rememberedSince(now, inMemoryState{replies: test.replies}.memoryAges()))
 		})
 	}
 }
@@ -55,7 +63,7 @@
 			written := now.Add(-test.newestRecord)
 			s.ledger.Restore(tokenbudget.Watermark{Program: testProgram, Tokens: durable, ExpiresAt: now.Add(time.Minute), WrittenAt: written})
 			s.recordWrittenAt(written)
-			s.chargeForgottenTurns(now, []*fleetpb.RecallReply{{AgeMillis: test.restarted.Milliseconds()}})
+			s.chargeForgottenTurns(now, []time.Duration{test.restarted})
 			_, watermark := s.ledger.Reserve(now, tokenbudget.Turn{
 				Program: testProgram, Attempt: "a", BudgetTokens: budget, MaxTokens: maxTokens, Deadline: now.Add(time.Second), Retention: time.Minute,
 			}, false)
--- a/io/cluster/inmemorystate.go
+++ b/io/cluster/inmemorystate.go
@@ -62,19 +62,6 @@
 	return c.Settings.FirstStart || now.Sub(c.peers.startedAt) >= budgetRetention
 }
 
-// rememberAllPrograms reports whether a majority of the hosts that were asked remember all programs that they have served.
-// Programs that none of the hosts knows are then new.
-func rememberAllPrograms(replies []*fleetpb.RecallReply) bool {
-	complete := 0
-	for _, reply := range replies {
-		if reply.GetComplete() {
-			complete++
-		}
-	}
-
-	return 2*complete > len(replies)
-}
-
 const (
 	// clockSkewMargin bounds how much the clocks of two hosts differ.
 	clockSkewMargin = 500 * time.Millisecond
@@ -82,32 +69,43 @@
 	minRestartDelay = 200 * time.Millisecond
 )
 
-// rememberedSince returns since when a majority of the hosts that were asked remember the counts of programs, or zero if
-// they remember those of all programs. Turns that were admitted before, and that are not durable, may be forgotten.
-func rememberedSince(now time.Time, replies []*fleetpb.RecallReply) time.Time {
-	if rememberAllPrograms(replies) {
+// rememberedSince returns since when enough hosts remember the counts of programs, or zero if they remember those of all programs. Turns
+// that were admitted before, and that are not durable, may be forgotten: as many hosts as hold a count, or a majority of a small fleet,
+// have been lost since, by the time for which each host has remembered counts.
+func rememberedSince(now time.Time, ages []time.Duration) time.Time {
+	if len(ages) == 0 {
+		return now
+	}
+	ages = slices.Sorted(slices.Values(ages))
+	age := ages[min(countCopies-1, (len(ages)-1)/2)] //nolint:mnd // a majority
+	if age >= budgetRetention {
 		return time.Time{}
 	}
-	ages := make([]int64, 0, len(replies))
-	for _, reply := range replies {
+
+	return now.Add(-age)
+}
+
+// memoryAges returns for how long each host has remembered counts. A host that did not respond, or is not heard any more, has lost the
+// counts of before.
+func (s inMemoryState) memoryAges() []time.Duration {
+	ages := slices.Clone(s.silentFor)
+	for _, reply := range s.replies {
 		if reply.GetComplete() {
-			ages = append(ages, budgetRetention.Milliseconds())
+			ages = append(ages, budgetRetention)
 		} else {
-			ages = append(ages, reply.GetAgeMillis())
+			ages = append(ages, time.Duration(reply.GetAgeMillis())*time.Millisecond)
 		}
 	}
-	slices.Sort(ages)
-	if len(ages) == 0 {
-		return now
-	}
 
-	return now.Add(-time.Duration(ages[(len(ages)-1)/2]) * time.Millisecond)
+	return ages
 }
 
 // inMemoryState is the state of a slot that hosts have in memory: the reply of each member, or nil if there was none in time.
 type inMemoryState struct {
 	members []string
 	replies []*fleetpb.RecallReply
+	// silentFor is for how long each listed host has not been heard that is not live, was not stopped, and was heard within budgetRetention.
+	silentFor []time.Duration
 }
 
 // collectInMemoryState collects the state of a slot that all hosts have in memory, with the ids of the turns that they hold. It waits
@@ -123,7 +121,7 @@
 		requests[member] = &fleetpb.RecallRequest{Slot: int32(slot), ById: true}
 	}
 	replies := c.recall(ctx, requests)
-	state := inMemoryState{members: members}
+	state := inMemoryState{members: members, silentFor: c.peers.lostHosts(c.Now())}
 	for _, member := range members {
 		state.replies = append(state.replies, replies[member])
 	}
@@ -224,6 +222,19 @@
 
 // replicateTurn copies a turn to the given number of members, and returns those that have it.
 func (c *Cluster) replicateTurn(ctx context.Context, turn *fleetpb.KeptTurn, members []string, copies int) []string {
+	return replicate(ctx, members, copies, func(ctx context.Context, member string) error {
+		_, err := c.peerClient(member).Hold(ctx, &fleetpb.HoldRequest{Turn: turn})
+		if err != nil {
+			c.Logger.Info("copy-failed", "turn", turn.Id, "peer", member, "error", err)
+		}
+
+		return err
+	})
+}
+
+// replicate calls members in random order until the given number of calls has succeeded, and returns the members that succeeded. Calls
+// that are needed run at the same time.
+func replicate(ctx context.Context, members []string, copies int, call func(ctx context.Context, member string) error) []string {
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	var mu sync.Mutex
 	var holders []string
@@ -235,9 +246,7 @@
 			wg.Go(func() {
 				callCtx, cancel := context.WithTimeout(ctx, stateTransferTimeout)
 				defer cancel()
-				if _, err := c.peerClient(member).Hold(callCtx, &fleetpb.HoldRequest{Turn: turn}); err != nil {
-					c.Logger.Info("copy-failed", "turn", turn.Id, "peer", member, "error", err)
-
+				if call(callCtx, member) != nil {
 					return
 				}
 				mu.Lock()
--- a/io/cluster/recall_test.go
+++ b/io/cluster/recall_test.go
@@ -32,6 +32,14 @@
 	return p.reply, nil
 }
 
+func (p busyPeer) HoldCounts(context.Context, *fleetpb.HoldCountsRequest) (*fleetpb.HoldCountsReply, error) {
+	if p.isBusy.Load() {
+		return nil, context.DeadlineExceeded
+	}
+
+	return &fleetpb.HoldCountsReply{}, nil
+}
+
 // startOutage makes the store unavailable to a host that has just released its slot, and adds two peers that it hears.
 func startOutage(t *testing.T, c *Cluster, store *fakeStore, reply *fleetpb.RecallReply) (isBusy *atomic.Bool, recalls *atomic.Int64) {
 	t.Helper()
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -162,7 +162,7 @@
 		defer s.mu.Unlock()
 		isCurrent := s.epoch == epoch && s.isActingOwner == isActingOwner && s.servingSince.Equal(servingSince)
 		// The counts of a part of the hosts have been merged before; merging them again would charge unused reservations.
-		if s.state == serving && s.isPartial && s.lacksReplies && isCurrent && rememberAllPrograms(state.replies) {
+		if s.state == serving && s.isPartial && s.lacksReplies && isCurrent && rememberedSince(s.cluster.Now(), state.memoryAges()).IsZero() {
 			// Holders send their turns once they find them missing.
 			s.mergeRecall(s.cluster.Now(), state, nil)
 		}
@@ -171,7 +171,7 @@
 
 // mergeRecall merges the hosts' in-memory state and held turns into a slot that is served from them; the caller holds the lock.
 func (s *slot) mergeRecall(now time.Time, state inMemoryState, turns []*fleetpb.KeptTurn) {
-	s.knowsAllPrograms = rememberAllPrograms(state.replies)
+	s.knowsAllPrograms = rememberedSince(now, state.memoryAges()).IsZero()
 	s.lacksReplies = !s.knowsAllPrograms && slices.Contains(state.replies, nil)
 	s.mergeInMemoryState(now, state.replies, turns)
 	s.notifyChanged()
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -45,7 +45,7 @@
 // slotContents is the stored records of a slot and the state that hosts have of it in memory.
 type slotContents struct {
 	records   []platform.Record
-	replies   []*fleetpb.RecallReply
+	memory    inMemoryState
 	heldTurns []*fleetpb.KeptTurn
 	startedAt time.Time
 	// isFenced is set once the partition has accepted the new epoch, which shows that it is up.
@@ -93,7 +93,7 @@
 	}
 
 	return slotContents{
-		records: records, replies: memory.replies, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
+		records: records, memory: memory, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
 	}, nil
 }
 
@@ -134,8 +134,8 @@
 	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
 	s.removeIncompleteTurns(&parts)
-	s.chargeForgottenTurns(now, contents.replies)
-	s.mergeInMemoryState(now, contents.replies, contents.heldTurns)
+	s.chargeForgottenTurns(now, contents.memory.memoryAges())
+	s.mergeInMemoryState(now, contents.memory.replies, contents.heldTurns)
 	s.knowsAllPrograms = true
 	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
 	s.notifyChanged()
@@ -150,15 +150,15 @@
 // memory.
 const undurableTurnsAfter = 1500 * time.Millisecond
 
-// chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if a majority of the hosts has
-// been started since the newest record was written, and that is long enough ago for such an outage. Turns that nobody knows may
+// chargeForgottenTurns charges programs for turns that may have been admitted during an outage, if as many hosts as hold a count have
+// been lost since the newest record was written, and that is long enough ago for such an outage. Turns that nobody knows may
 // have been answered then. An owner that read the slot after such a loss has stored the loss with its records, which hide the outage
 // from the owners after it. It is called before any record is queued.
-func (s *slot) chargeForgottenTurns(now time.Time, replies []*fleetpb.RecallReply) {
+func (s *slot) chargeForgottenTurns(now time.Time, memoryAges []time.Duration) {
 	if loss := s.ledger.AssumedLoss(); !loss.IsZero() {
 		s.turnsInDoubtUntil = loss.Add(budgetRetention)
 	}
-	if since := rememberedSince(now, replies); !since.IsZero() && since.Sub(s.newestRecordAt) >= undurableTurnsAfter+minRestartDelay {
+	if since := rememberedSince(now, memoryAges); !since.IsZero() && since.Sub(s.newestRecordAt) >= undurableTurnsAfter+minRestartDelay {
 		s.ledger.AssumeLoss(since.Add(clockSkewMargin))
 		s.turnsInDoubtUntil = now.Add(budgetRetention)
 		s.cluster.Logger.Info("counts-in-doubt", "slot", s.index, "remembered", now.Sub(since), "newest", now.Sub(s.newestRecordAt))
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -59,6 +59,7 @@
 			c.requestOwnersRefresh()
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
 			c.recordWatermark(req.Program, reply.Mark, reply.Durable)
+			c.shareOwnCount(ctx, req, reply)
 			if req.HaveChain {
 				reply.Chain = foundTranscript
 			}
--- a/io/gatewayhost/budget_test.go
+++ b/io/gatewayhost/budget_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/platform/standin"
@@ -124,3 +125,47 @@
 func TestLargeBudgetsHoldWhenAllHostsAreLostWhilePartitionsAreDown(t *testing.T) {
 	requireBudgetsHoldOverOutageAndLoss(t, 10*maxTurnTokens)
 }
+
+// Programs run in an outage of the store through a host that owns the slots of some of them. The counts of these were lost with it, and
+// their whole budget was spent once more.
+func TestBudgetsHoldWhenHostThatOwnsAndServesProgramsIsLostInOutage(t *testing.T) {
+	const programs, budget, maxTokens, tokensOfTurn = 24, 1000, 100, 50
+	c := newTestCluster(t, 4)
+	turns := make([]int, programs)
+	sendTurn := func(host string, program int) int {
+		response := c.do(host, standin.NewTurnRequest("/draft/", "secret", fmt.Sprintf("program-%d", program), "", "x"))
+		if response.Status == http.StatusOK {
+			turns[program]++
+		}
+
+		return response.Status
+	}
+	c.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(2 * time.Second)
+	var tasks sync.WaitGroup
+	for program := range programs {
+		tasks.Go(func() {
+			for until := time.Now().Add(2 * time.Second); turns[program] < 5 && time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+				sendTurn("host-0", program)
+			}
+		})
+	}
+	tasks.Wait()
+	c.kill("host-0")
+	c.store.SetFaults(standin.Faults{})
+	c.start("host-0")
+	for program := range programs {
+		tasks.Go(func() {
+			for until := time.Now().Add(waitTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+				if sendTurn(c.names[1+program%3], program) == http.StatusPaymentRequired {
+					return
+				}
+			}
+			assert.Fail(t, "the budget is never spent")
+		})
+	}
+	tasks.Wait()
+	for program := range programs {
+		require.LessOrEqual(t, turns[program]*tokensOfTurn, budget+maxTokens, "program %d", program)
+	}
+}
