Charge forgotten turns also where hosts report an earlier count

Each count is copied to hosts of its own, so hosts that do not respond to a new owner in time leave it with an earlier count, and any reported count replaced the charge for forgotten turns. Change: after a loss, what hosts report counts towards the charge. Its watermark says that the charge is still due, so that a later owner charges it. TestTurnsThatHostsRememberAreNotCharged required that reported counts are not charged, which is the fault; its other case is TestTurnsWrittenSinceLossAreNotCharged, and TestForgottenTurnsAreChargedByNextOwnerToo expects the charge.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -55,6 +55,8 @@
 	WrittenAt time.Time
 	// ChargedLoss is the time up to which forgotten turns are charged in the tokens of a restored watermark; zero if none are.
 	ChargedLoss time.Time
+	// LossUncharged is set if forgotten turns are still to be charged.
+	LossUncharged bool
 }
 
 type reservation struct {
@@ -78,6 +80,10 @@
 	hasDurableLoss bool
 	// isLossSettled is set if no turns of the program can have been forgotten, or they have been charged.
 	isLossSettled bool
+	// restoredTokens is the restored watermark, and recalledTokens are those beyond it that hosts have reported. Hosts may have missed
+	// later turns, so these count towards the charge and do not replace it.
+	restoredTokens id.Tokens
+	recalledTokens id.Tokens
 }
 
 // Ledger keeps the token accounts of the programs of a slot at the slot's owner; its zero value is empty.
@@ -140,7 +146,7 @@
 func (l *Ledger) chargeLoss(now time.Time, a *account, turn Turn) {
 	isForgotten := a.writtenAt.Before(l.rememberedSince) && a.chargedLoss.Before(l.rememberedSince)
 	if !a.isLossSettled && isForgotten && now.Before(l.rememberedSince.Add(turn.Retention)) {
-		a.lossTokens = maxUndurableTokens(turn.BudgetTokens)
+		a.lossTokens = max(0, maxUndurableTokens(turn.BudgetTokens)-a.recalledTokens)
 	}
 	a.isLossSettled = true
 }
@@ -192,21 +198,24 @@
 	if !ok {
 		return
 	}
-	a.durableTokens, a.hasDurableWatermark, a.hasDurableLoss = watermark.Tokens, true, true
+	a.durableTokens, a.hasDurableWatermark, a.hasDurableLoss = watermark.Tokens, true, !watermark.LossUncharged
 }
 
 // Restore opens an account at a durable watermark.
 func (l *Ledger) Restore(watermark Watermark) {
 	a := l.account(watermark.Program)
 	a.settledTokens, a.durableTokens, a.hasDurableWatermark = watermark.Tokens, watermark.Tokens, true
-	a.expiresAt, a.writtenAt, a.chargedLoss = watermark.ExpiresAt, watermark.WrittenAt, watermark.ChargedLoss
+	a.restoredTokens, a.expiresAt = watermark.Tokens, watermark.ExpiresAt
+	if !watermark.LossUncharged {
+		a.writtenAt, a.chargedLoss = watermark.WrittenAt, watermark.ChargedLoss
+	}
 }
 
 // RaiseTo raises a program's token count to at least the given one, which other hosts have reported. It returns the
 // watermark to make durable, whose tokens are zero if there is none.
 func (l *Ledger) RaiseTo(program id.Program, count Count, expiresAt time.Time) Watermark {
 	a := l.account(program)
-	a.isLossSettled = true
+	a.recalledTokens = max(a.recalledTokens, count.Tokens-a.restoredTokens)
 	if committedTokens := a.committedTokens(); count.Tokens > committedTokens {
 		a.settledTokens += count.Tokens - committedTokens
 	}
@@ -217,8 +226,10 @@
 	if a.committedTokens() <= a.durableTokens {
 		return Watermark{}
 	}
+	watermark := a.watermark(program)
+	watermark.LossUncharged = !a.isLossSettled && !l.rememberedSince.IsZero()
 
-	return a.watermark(program)
+	return watermark
 }
 
 // RemoveExpired removes expired accounts and returns the programs whose durable watermark is to be deleted.
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -135,26 +135,51 @@
 	require.Equal(t, tokenbudget.Exhausted, decision)
 }
 
-func TestTurnsThatHostsRememberAreNotCharged(t *testing.T) {
-	for name, restore := range map[string]func(l *tokenbudget.Ledger){
-		"written since": func(l *tokenbudget.Ledger) {
-			l.Restore(tokenbudget.Watermark{Program: "p", Tokens: 400, ExpiresAt: start.Add(time.Minute), WrittenAt: start})
-		},
-		"reported": func(l *tokenbudget.Ledger) {
-			l.RaiseTo("p", tokenbudget.Count{Tokens: 400}, start.Add(time.Minute))
-		},
+func TestTurnsWrittenSinceLossAreNotCharged(t *testing.T) {
+	var l tokenbudget.Ledger
+	l.AssumeLoss(start)
+	l.Restore(tokenbudget.Watermark{Program: "p", Tokens: 400, ExpiresAt: start.Add(time.Minute), WrittenAt: start})
+	require.EqualValues(t, 400, l.Count("p").Tokens)
+	_, watermark := l.Reserve(start, largeTurn("a"), true)
+	require.EqualValues(t, 800, watermark.Tokens)
+}
+
+// Hosts that are left after a loss may remember an earlier count than those that were lost.
+func TestReportedCountIsChargedWhatLaterTurnsMayHaveSpent(t *testing.T) {
+	const durable, charge, maxTokens = 200, 800, 400
+	for name, test := range map[string]struct{ reported, want id.Tokens }{
+		"nothing is reported":    {0, durable + charge + maxTokens},
+		"some turns":             {durable + 300, durable + charge + maxTokens},
+		"all undurable turns":    {durable + charge, durable + charge + maxTokens},
+		"beyond what is charged": {durable + charge + 100, durable + charge + 100 + maxTokens},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var l tokenbudget.Ledger
+			l.Restore(tokenbudget.Watermark{Program: "p", Tokens: durable, ExpiresAt: start.Add(time.Minute), WrittenAt: start.Add(-time.Second)})
 			l.AssumeLoss(start)
-			restore(&l)
-			require.EqualValues(t, 400, l.Count("p").Tokens)
-			_, watermark := l.Reserve(start, largeTurn("a"), true)
-			require.EqualValues(t, 800, watermark.Tokens)
+			watermark := l.RaiseTo("p", tokenbudget.Count{Tokens: test.reported}, start.Add(time.Minute))
+			require.Equal(t, test.reported > durable, watermark.LossUncharged)
+			if watermark.Tokens > 0 {
+				l.MarkDurable(watermark)
+			}
+			_, watermark = l.Reserve(start, largeTurn("a"), false)
+			require.Equal(t, test.want, watermark.Tokens)
+			require.False(t, watermark.LossUncharged)
 		})
 	}
 }
 
+// The first owner after a loss writes counts that hosts report before their programs return and are charged.
+func TestWatermarkWithoutChargeIsChargedByNextOwner(t *testing.T) {
+	var l tokenbudget.Ledger
+	l.AssumeLoss(start)
+	l.Restore(tokenbudget.Watermark{
+		Program: "p", Tokens: 400, ExpiresAt: start.Add(time.Minute), WrittenAt: start.Add(time.Second), ChargedLoss: start, LossUncharged: true,
+	})
+	_, watermark := l.Reserve(start.Add(time.Second), largeTurn("a"), false)
+	require.EqualValues(t, 400+800+400, watermark.Tokens)
+}
+
 // The next owner of a slot reads watermarks that include the charge, and must not charge their programs again.
 func TestChargeForLossThatWatermarkIncludesIsNotRepeated(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -377,6 +402,8 @@
 		s.storeUnavailable = false
 	case "lose-all":
 		s.failOwner(false)
+	case "lose-holders":
+		s.loseHolders(rt)
 	}
 	require.LessOrEqual(rt, s.generatedTokens, id.Tokens(simulatedBudget+simulatedMaxTokens))
 
@@ -392,6 +419,34 @@
 	})
 }
 
+// loseHolders replaces the owner, while the hosts that are left have heard of a part of the tokens that are not durable.
+func (s *simulation) loseHolders(rt *rapid.T) {
+	s.generatedTokens += id.Tokens(len(s.running) * simulatedMaxTokens)
+	highest := s.reported.Recent(s.now, time.Hour)["p"].Tokens
+	clear(s.running)
+	s.pending, s.ledger, s.reported = nil, tokenbudget.Ledger{}, tokenbudget.ReportedWatermarks{}
+	s.ledger.AssumeLoss(s.now)
+	if s.durable.Tokens > 0 {
+		s.ledger.Restore(tokenbudget.Watermark{Program: "p", Tokens: s.durable.Tokens, ExpiresAt: s.now.Add(time.Hour)})
+	}
+	count := tokenbudget.Count{Tokens: id.Tokens(rapid.IntRange(0, int(highest)).Draw(rt, "heard"))}
+	if watermark := s.ledger.RaiseTo("p", count, s.now.Add(time.Hour)); watermark.Tokens > 0 {
+		s.pending = append(s.pending, watermark)
+	}
+}
+
+func TestBudgetHoldsIfHostsThatAreLeftRememberEarlierCount(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := simulation{running: map[string]bool{}, now: start}
+		events := []string{"begin", "begin", "end", "write", "outage", "recovery", "lose-holders"}
+		for step := range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			if s.step(rt, step, events) == "lose-holders" {
+				events = events[:6]
+			}
+		}
+	})
+}
+
 func TestBudgetHoldsAcrossFailureOfAllHosts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		s := simulation{running: map[string]bool{}, now: start}
--- a/io/cluster/forgottenturns_test.go
+++ b/io/cluster/forgottenturns_test.go
@@ -126,7 +126,7 @@
 		"after a turn": {nothing, func(t *testing.T, first *Cluster) { storeTurn(t, first, newKeptTurn("turn", "")) }, durable + charge},
 		"after the watermark of a count that a host remembers": {func(_ *testing.T, first *Cluster) {
 			first.recordWatermark("written", int64(durable+maxTokens), int64(durable))
-		}, nothing, durable + maxTokens},
+		}, nothing, durable + maxTokens + charge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			first, store := newTestCluster(t)
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -201,6 +201,7 @@
 		s.ledger.Restore(tokenbudget.Watermark{
 			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
 			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written, ChargedLoss: loss,
+			LossUncharged: kind.Budget.LossUncharged,
 		})
 	case *fleetpb.Record_Turn:
 		s.recordWrittenAt(time.UnixMilli(kind.Turn.EndedUnixMillis))
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -137,6 +137,7 @@
 func (s *slot) writeWatermark(now time.Time, watermark tokenbudget.Watermark, urgent bool) {
 	value, err := proto.Marshal(&fleetpb.Record{LossUnixMillis: s.lossUnixMillis(now), Kind: &fleetpb.Record_Budget{Budget: &fleetpb.BudgetMark{
 		Mark: int64(watermark.Tokens), RetentionMillis: watermark.ExpiresAt.Sub(now).Milliseconds(), WrittenUnixMillis: now.UnixMilli(),
+		LossUncharged: watermark.LossUncharged,
 	}}})
 	if err != nil {
 		s.cluster.Logger.Error(err, "mark-lost", "program", watermark.Program)
