--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -184,7 +184,7 @@
 			if err != nil {
 				return
 			}
-			fmt.Fprintf(server, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", req.Host, req.Host) //nolint:errcheck // the test reads the response
+			fmt.Fprintf(server, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", req.Host, req.Host)
 			go io.Copy(server, caller)                                                         //nolint:errcheck // any end is the caller's
 			io.Copy(caller, server)                                                            //nolint:errcheck // any end is the relay's
 		})
--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -74,7 +74,7 @@
 		if _, err := e.r.Peek(1); err != nil {
 			return nil, err
 		}
-		buffered, _ := e.r.Peek(e.r.Buffered()) //nolint:errcheck // these bytes are available
+		buffered, _ := e.r.Peek(e.r.Buffered())
 		length := bytes.IndexAny(buffered, "\r\n")
 		isWhole := length >= 0
 		if !isWhole {
--- a/io/upstreamclient/exchange_test.go
+++ b/io/upstreamclient/exchange_test.go
@@ -243,7 +243,7 @@
 // A caller gets an event whose stream ends its lines with carriage returns at once, not with the next event.
 func TestEventThatEndsWithCarriageReturnIsNotDelayed(t *testing.T) {
 	reader, writer := io.Pipe()
-	defer time.AfterFunc(time.Second, func() { writer.Close() }).Stop()
+	defer time.AfterFunc(time.Second, func() { writer.CloseWithError(io.ErrNoProgress) }).Stop() //nolint:errcheck // the writer returns no error
 	events := upstreamclient.NewEventReader(reader)
 	go writer.Write([]byte("data: a\r\n\r")) //nolint:errcheck // the test reads it
 	event, err := events.Next()
