--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -578,6 +578,15 @@
 	c.store.PutRecord(platform.ConfigurationTopic, platform.ConfigurationKey, []byte(`{"version":9,"routes":[{"kind":"odd"}]}`))
 	c.store.PutRecord(platform.UpstreamsTopic, "odd", []byte(`{"service":"desk","address":7}`))
 	c.store.PutRecord(platform.UpstreamsTopic, "torn", []byte{0xff})
+	for key, entry := range map[string]string{
+		"nested":  strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+		"many":    `{"service":"desk","address":"127.0.0.1:9","slots":1e400,"state":"ready","born":1}`,
+		"port":    `{"service":"desk","address":"127.0.0.1:99999","slots":4,"state":"ready","born":1}`,
+		"no-port": `{"service":"desk","address":"127.0.0.1:0","slots":9000000000000000000,"state":"ready","born":1}`,
+		"a\r\nb":  `{"service":"desk","address":"127.0.0.1:9","slots":4,"state":"ready","born":1}`,
+	} {
+		c.store.PutRecord(platform.UpstreamsTopic, key, []byte(entry))
+	}
 	time.Sleep(500 * time.Millisecond)
 	for range 5 {
 		require.Equal(t, http.StatusOK, c.do("host-0", standin.CallerRequest{Path: "/look/", APIKey: "secret"}).Status)
