--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -185,8 +185,8 @@
 				return
 			}
 			fmt.Fprintf(server, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", req.Host, req.Host)
-			go io.Copy(server, caller)                                                         //nolint:errcheck // any end is the caller's
-			io.Copy(caller, server)                                                            //nolint:errcheck // any end is the relay's
+			go io.Copy(server, caller) //nolint:errcheck // any end is the caller's
+			io.Copy(caller, server)    //nolint:errcheck // any end is the relay's
 		})
 	})
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
