Test that earlier refusals prove nothing of the next request

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run that had (REFUSED), or it ran again (TWICE). Not shown here: a response is taken only if it names the request, or names none on a new connection; a refused exchange closes its connection; what arrives on an idle one closes it; a refusal that is not the request's leaves it lost. Evidence: 48 orders of named and unnamed refusals with status 503, 429, 421 and 400, one to three times, before the second answer or instead of it, and one on an idle connection.

--- a/io/upstreamclient/exchange_test.go
+++ b/io/upstreamclient/exchange_test.go
@@ -94,6 +94,67 @@
 	require.EqualValues(t, 2, client.DialCount)
 }
 
+// A faulty upstream writes an earlier refusal once more on a kept connection, while it runs the next request. Taken for that request's
+// own, the refusal would promise that it has not run.
+func TestEarlierRefusalIsNotTakenForAnswerOfNextRequest(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request"} {
+		for name, id := range map[string]string{"named": "Request-Id: earlier\r\n", "unnamed": ""} {
+			refusal := "HTTP/1.1 " + status + "\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			for _, count := range []int{1, 2, 3} {
+				for _, isAnswered := range []bool{true, false} {
+					t.Run(fmt.Sprintf("%s, %s, %d times, answered: %t", status, name, count, isAnswered), func(t *testing.T) {
+						listener := startServer(t, func(n int) string {
+							switch {
+							case n == 1:
+								return formatResponse("mine", "first")
+							case isAnswered:
+								return strings.Repeat(refusal, count) + formatResponse("mine", "second")
+							default:
+								return strings.Repeat(refusal, count)
+							}
+						})
+						var client upstreamclient.Client
+						for _, expected := range []string{"first", "second"} {
+							req := newRequest(listener)
+							req.Deadline = time.Now().Add(200 * time.Millisecond)
+							x, err := client.Send(context.Background(), time.Now(), req)
+							if err != nil {
+								require.NotEqual(t, "first", expected)
+								require.True(t, errorx.IsOfType(err, upstreamclient.ErrResponseLost), "the request may have run: %v", err)
+
+								continue
+							}
+							require.Equal(t, http.StatusOK, x.Status)
+							body, err := io.ReadAll(x.Body)
+							require.NoError(t, err)
+							require.Equal(t, expected, string(body))
+							x.Finish(time.Now())
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// A refusal that arrives while its connection is idle closes it.
+func TestConnectionOnWhichRefusalArrivesWhileIdleIsNotUsedAgain(t *testing.T) {
+	listener := startServer(t, func(int) string {
+		return formatResponse("mine", "done") + "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	})
+	var client upstreamclient.Client
+	for range 2 {
+		x, err := client.Send(context.Background(), time.Now(), newRequest(listener))
+		require.NoError(t, err)
+		body, err := io.ReadAll(x.Body)
+		require.NoError(t, err)
+		require.Equal(t, "done", string(body))
+		time.Sleep(20 * time.Millisecond)
+		x.Finish(time.Now())
+	}
+	require.EqualValues(t, 2, client.DialCount)
+}
+
 // The server sends the answer to the first request once more, a moment after the second request, and then the second answer.
 func TestLateCopyOfAnswerIsNotTakenForNextAnswer(t *testing.T) {
 	unnamed := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold"
@@ -243,7 +304,7 @@
 // A caller gets an event whose stream ends its lines with carriage returns at once, not with the next event.
 func TestEventThatEndsWithCarriageReturnIsNotDelayed(t *testing.T) {
 	reader, writer := io.Pipe()
-	defer time.AfterFunc(time.Second, func() { writer.CloseWithError(io.ErrNoProgress) }).Stop() //nolint:errcheck // the writer returns no error
+	defer time.AfterFunc(time.Second, func() { writer.CloseWithError(io.ErrNoProgress) }).Stop()
 	events := upstreamclient.NewEventReader(reader)
 	go writer.Write([]byte("data: a\r\n\r")) //nolint:errcheck // the test reads it
 	event, err := events.Next()
