Continue streams without an attempt only after a read of registrations

Callers would see: a stream with events of two versions. Cause: for a caller that names no attempt, the host concluded from reads of up to 4 s before that its service had one version only. For callers that name one, it was not shown. Evidence: TestStreamWithoutAttemptIsConfirmedByReadAfterItsResumption and TestStreamWithoutAttemptGoesOnOnlyIfItsServiceHasOneVersionAfterARead fail on the code before. TestStreamOfReleaseStaysAtItsVersionAtHostThatIsOutOfStep, with a host that stands still or is cut off from the store, passes before as well. Change: such a stream goes on once the registrations have been read after it was taken up and show one version; the resumption waits for that as others do.

--- a/core/streamorigin/history.go
+++ b/core/streamorigin/history.go
@@ -145,12 +145,17 @@
 func (h *History) IsRead(now time.Time) bool { return now.Sub(h.readAt) <= maxReadAge }
 
 // Confirm reports whether the stream of an origin began at the recorded process. The process served at connectedAt, by the clock of
-// this host, as on a connection that was open then; zero means that this host did not begin the stream.
+// this host, as on a connection that was open then; zero means that this host did not begin the stream. An origin without an upstream is
+// that of a stream whose caller names no attempt; it is confirmed by a read after the caller's resumption, as the host may have been out
+// of step while upstreams of another version registered.
 func (h *History) Confirm(origin Origin, connectedAt time.Time) bool {
 	if h.Verify(origin) != Known {
 		return false
 	}
-	if origin.IsConfirmed || origin.Upstream == "" || h.HasReadSince(origin.StartedAt.Add(clockTolerance)) {
+	if origin.Upstream == "" {
+		return h.HasReadSince(origin.StartedAt)
+	}
+	if origin.IsConfirmed || h.HasReadSince(origin.StartedAt.Add(clockTolerance)) {
 		return true
 	}
 
--- a/core/streamorigin/report_test.go
+++ b/core/streamorigin/report_test.go
@@ -80,6 +80,20 @@
 	require.False(t, h.Confirm(origin, start), "another process has registered")
 }
 
+// A host that has stood still, or was cut off, for less than the age at which its reads count as missing continued streams of an
+// upstream that it had not read of.
+func TestStreamWithoutAttemptIsConfirmedByReadAfterItsResumption(t *testing.T) {
+	h := newHistory(bornAt(-time.Minute, "v1"))
+	h.RecordRead(start)
+	h.RecordApplied(start)
+	resumedAt := start.Add(3 * time.Second)
+	require.Equal(t, streamorigin.Known, h.VerifySoleVersion(resumedAt, "engines", "v1", 0))
+	origin := streamorigin.Origin{Service: "engines", Version: "v1", StartedAt: resumedAt}
+	require.False(t, h.Confirm(origin, time.Time{}))
+	h.RecordApplied(resumedAt.Add(250 * time.Millisecond))
+	require.True(t, h.Confirm(origin, time.Time{}))
+}
+
 func TestOriginThatOtherHostConfirmsNeedsNoRead(t *testing.T) {
 	recorded := bornAt(-time.Minute, "v1")
 	origin := originOf(recorded, 0)
--- a/io/reverseproxy/resumption.go
+++ b/io/reverseproxy/resumption.go
@@ -84,6 +84,11 @@
 		IsOriginConfirmed: p.Discovery.ConfirmOrigin(*req.origin, time.Time{}),
 		HasSoleVersion:    p.Discovery.HasSoleVersion(req.origin.Service, req.origin.Version, streamorigin.SoleVersionPeriod(req.routeTimeout())),
 	}
+	if req.origin.Upstream == "" {
+		// The stream may have begun at any version that has served.
+		isSole := evidence.IsOriginConfirmed && evidence.HasSoleVersion
+		evidence.IsOriginConfirmed, evidence.HasSoleVersion = isSole, isSole
+	}
 	req.resumption.verifiedAt = p.Now()
 	current, isRegistered := p.Discovery.GetUpstream(candidate.ID)
 	isCurrent := isRegistered && current.Incarnation == candidate.Incarnation && current.Address == candidate.Address
--- a/io/reverseproxy/resumption_test.go
+++ b/io/reverseproxy/resumption_test.go
@@ -117,3 +117,47 @@
 		})
 	}
 }
+
+// serviceRegistrations are the registrations of a service whose upstreams have no reports.
+type serviceRegistrations struct {
+	Discovery
+
+	isRead, isSole bool
+}
+
+func (r serviceRegistrations) ConfirmOrigin(streamorigin.Origin, time.Time) bool { return r.isRead }
+func (r serviceRegistrations) HasReadSince(time.Time) bool                       { return r.isRead }
+func (r serviceRegistrations) GetUpstream(upstream id.Upstream) (*registry.Instance, bool) {
+	return &registry.Instance{ID: upstream}, upstream == "engine-0"
+}
+
+func (r serviceRegistrations) HasSoleVersion(id.Service, id.SoftwareVersion, time.Duration) bool {
+	return r.isSole
+}
+
+func (serviceRegistrations) Read(context.Context, string, time.Duration) streamorigin.Report {
+	return streamorigin.Report{Kind: streamorigin.ReportUnsupported}
+}
+
+// Guards against a stream whose caller names no attempt and that goes on at the only version of which the host has read, though
+// upstreams of another one have registered since.
+func TestStreamWithoutAttemptGoesOnOnlyIfItsServiceHasOneVersionAfterARead(t *testing.T) {
+	for name, test := range map[string]struct {
+		registrations serviceRegistrations
+		want          streamorigin.Decision
+	}{
+		"not read since":      {serviceRegistrations{isSole: true}, streamorigin.TryNext},
+		"read, one version":   {serviceRegistrations{isSole: true, isRead: true}, streamorigin.Continue},
+		"read, two versions":  {serviceRegistrations{isRead: true}, streamorigin.Refuse},
+		"not read, two known": {serviceRegistrations{}, streamorigin.TryNext},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &Proxy{Discovery: test.registrations, Reports: test.registrations, Logger: logr.Discard(), Now: time.Now}
+			req := &proxiedRequest{
+				Request: &inbound.Request{ID: "request"}, route: &routing.Route{}, service: &routing.Service{},
+				deadline: time.Now().Add(time.Second), origin: &streamorigin.Origin{Service: "engines", Version: "v1", StartedAt: time.Now()},
+			}
+			require.Equal(t, test.want, p.gatherEvidence(t.Context(), req, &registry.Instance{ID: "engine-0"}).Decide())
+		})
+	}
+}
