Ask for copies of counts by what is not durable, without charges

Cause: on reading the change again, a charge for forgotten turns counted as tokens beyond the durable ones, so that after a loss of hosts the first turn of each program asked three hosts for copies although the store was up, and was refused where they did not answer. Change: the ledger says how many tokens are not durable, as it does for its own decisions. Result: the tests of core/tokenbudget and those of turns, counts and outages in io/cluster pass.

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -259,6 +259,16 @@
 	return Count{Tokens: a.committedTokens(), Durable: a.durableTokens}
 }
 
+// Undurable returns how many of a program's tokens its durable watermark lacks, without those that are charged for a loss.
+func (l *Ledger) Undurable(program id.Program) id.Tokens {
+	a, ok := l.accounts[program]
+	if !ok {
+		return 0
+	}
+
+	return a.undurableTokens()
+}
+
 // HasUsage reports whether a program has settled or reserved tokens.
 func (l *Ledger) HasUsage(program id.Program) bool {
 	a, ok := l.accounts[program]
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// The charge alone must not make an owner ask other hosts for copies of a count.
+func TestChargeForLossIsNotUndurable(t *testing.T) {
+	var l tokenbudget.Ledger
+	l.AssumeLoss(start)
+	require.Zero(t, l.Undurable("p"))
+	l.Reserve(start, largeTurn("a"), false)
+	require.EqualValues(t, 800+400, l.Count("p").Tokens)
+	require.EqualValues(t, 400, l.Undurable("p"))
+}
+
 // The first owner after a loss writes counts that hosts report before their programs return and are charged.
 func TestWatermarkWithoutChargeIsChargedByNextOwner(t *testing.T) {
 	var l tokenbudget.Ledger
--- a/io/cluster/counts.go
+++ b/io/cluster/counts.go
@@ -51,9 +51,7 @@
 // mustReplicateCount reports whether a turn that was just admitted may run only once other hosts have its program's count: the count cannot
 // become durable now, or the turn was admitted beyond the durable one. The caller holds the lock.
 func (s *slot) mustReplicateCount(now time.Time, program id.Program, req *fleetpb.BeginTurnRequest) bool {
-	count := s.ledger.Count(program)
-
-	return s.isDurabilityUnavailable(now) || count.Tokens > count.Durable+id.Tokens(req.MaxTokens)
+	return s.isDurabilityUnavailable(now) || s.ledger.Undurable(program) > id.Tokens(req.MaxTokens)
 }
 
 // replicateReservation copies the count of a program for which a turn was just admitted, and gives the reservation back if too few hosts
