--- a/io/cluster/counts_test.go
+++ b/io/cluster/counts_test.go
@@ -107,6 +107,7 @@
 func TestSilentHostsCountAsLostWithTheirCounts(t *testing.T) {
 	c, _ := newTestCluster(t)
 	now := time.Now()
+	c.peers.mu.Lock()
 	for name, p := range map[id.Host]*peer{
 		"live":           {lastHeardAt: now},
 		"silent":         {lastHeardAt: now.Add(-3 * time.Second)},
@@ -116,5 +117,6 @@
 	} {
 		c.peers.byHost[name] = p
 	}
+	c.peers.mu.Unlock()
 	require.Equal(t, []time.Duration{3 * time.Second}, c.peers.lostHosts(now))
 }
--- a/io/cluster/handover_test.go
+++ b/io/cluster/handover_test.go
@@ -18,8 +18,7 @@
 func endTurnDuringOutage(t *testing.T, outage, deadline time.Duration) (isWhole, isStored bool, took time.Duration) {
 	t.Helper()
 	c, store := newTestCluster(t)
-	c.peers.byHost["other"] = &peer{hostEntry: hostEntry{PeerAddress: testOwner}, listedAt: time.Now()}
-	c.setPeerClient(testOwner, &slotServer{cluster: newTestHost(t, store, "127.0.0.2")})
+	c.addPeer(testOwner, &slotServer{cluster: newTestHost(t, store, "127.0.0.2")})
 	join(t, c)
 	time.AfterFunc(outage, silenceStore(store))
 	startedAt := time.Now()
@@ -54,8 +53,7 @@
 	simulate(t, func(t *testing.T) {
 		draining, store := holdDuringOutage(t, newKeptTurn("first", ""))
 		staying := newTestHost(t, store, "127.0.0.2")
-		draining.peers.byHost["staying"] = &peer{hostEntry: hostEntry{PeerAddress: staying.self}, listedAt: time.Now()}
-		connect(draining, staying)
+		draining.addPeer(staying.self, &slotServer{cluster: staying})
 		draining.isLeaving.Store(true)
 		require.Equal(t, 1, draining.CountTurnsToHandOver())
 		draining.handOverTurns(t.Context())
