Give each host of a test its own copy of the settings

Change: a host gets a copy of its settings. Result: five tests that restart or configure hosts pass twice with the race detector; the package was not run whole since.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -183,7 +183,9 @@
 	if c.newLogger != nil {
 		logger = c.newLogger(name)
 	}
-	h.instance = gatewayhost.New(h.settings, logger, time.Now)
+	// A process that was killed may still read its settings while the next one gets others.
+	settings := *h.settings
+	h.instance = gatewayhost.New(&settings, logger, time.Now)
 	if c.gatewaySettings != nil {
 		h.instance.Configure(c.gatewaySettings)
 	}
