Serve metrics with status 200

Callers of the metrics port got the metrics with status 404: the handler serves all paths as the server's NoRoute handler, for which the library sets 404 before it calls it, and only the other handlers set a status of their own. Monitoring drops such a response.

Evidence: the harness of io/gatewayhost now requires 200 whenever it reads metrics. TestMemoryOfEndlessResponsesIsReleased failed with 404 before the change and passes with it.

--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -115,6 +115,7 @@
 }
 
 func (h *Host) serveMetrics(_ context.Context, c *app.RequestContext) {
+	c.SetStatusCode(http.StatusOK)
 	c.SetContentType("text/plain; charset=utf-8")
 	if err := h.metrics.WriteText(c); err != nil {
 		h.logger.Error(err, "metrics-failed")
--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -251,6 +251,7 @@
 	c.t.Helper()
 	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", c.hosts[name].instance.MetricsPort)) //nolint:noctx // a test
 	require.NoError(c.t, err)
+	require.Equal(c.t, http.StatusOK, resp.StatusCode, "monitoring drops metrics of other statuses")
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(c.t, err)
