Test that clients beyond the limits do not exhaust a host

Callers saw a host end: clients that the operator does not control sent heads and bodies without end and kept their connections open.

The tests start the command's own gateway process with 64 MB and crowds of 200 clients (600 where descriptors are limited to 300), twice at the same process. They require that the process lives, that its peak of resident memory and its open descriptors stay within the limits of its settings, and that one ordinary request of each kind is answered beside the crowd and after it. No time and no share is checked.

--- /dev/null
+++ b/core/intake/pool.go
@@ -0,0 +1,266 @@
+package intake
+
+import (
+	"container/list"
+	"time"
+)
+
+// Port identifies a listener of a process.
+type Port int
+
+// stalledAfter is the time without progress of a response after which its connection may be closed for another one.
+const stalledAfter = 3 * time.Second
+
+// phase is what a connection does.
+type phase int
+
+const (
+	// awaitingFirst connections have not sent a whole request yet, and awaitingNext ones wait for a further request.
+	awaitingFirst phase = iota
+	awaitingNext
+	// receiving connections have sent a part of a request.
+	receiving
+	// handling connections wait for the response to a request.
+	handling
+	// writing connections wait for the client to read.
+	writing
+	// evicted connections are about to close.
+	evicted
+)
+
+// entry is the account of a connection.
+type entry[C comparable] struct {
+	conn  C
+	port  Port
+	phase phase
+	// since is the beginning of the phase; a connection keeps the time of its first byte, or of its accept, until its request is whole.
+	since time.Time
+	bytes int64
+	// ports and holder are the places in the queues of the port and of the holders of unfinished requests; nil if it is in none.
+	place, holder *list.Element
+}
+
+// queues are the connections of a port that may be closed for others, the oldest of each phase first.
+type queues struct {
+	limit, count                int
+	unfinished, waiting, stalls list.List
+}
+
+// Pool accounts for the connections of all ports of a process. It is not safe for use from many goroutines.
+type Pool[C comparable] struct {
+	limit, used int64
+	ports       map[Port]*queues
+	entries     map[C]*entry[C]
+	// holders are the connections with bytes of an unfinished request, the oldest first.
+	holders list.List
+}
+
+// New returns a pool of some bytes.
+func New[C comparable](limit int64) *Pool[C] {
+	return &Pool[C]{limit: limit, ports: make(map[Port]*queues), entries: make(map[C]*entry[C])}
+}
+
+// SetMaxConns bounds the connections of a port.
+func (p *Pool[C]) SetMaxConns(port Port, limit int) { p.port(port).limit = limit }
+
+func (p *Pool[C]) port(port Port) *queues {
+	if _, ok := p.ports[port]; !ok {
+		p.ports[port] = &queues{}
+	}
+
+	return p.ports[port]
+}
+
+// Limit returns the bytes that may be held at the same time, and Used those that are held.
+func (p *Pool[C]) Limit() int64 { return p.limit }
+
+// Used returns the bytes that are held.
+func (p *Pool[C]) Used() int64 { return p.used }
+
+// Conns returns the number of connections of a port.
+func (p *Pool[C]) Conns(port Port) int { return p.port(port).count }
+
+// Add takes a new connection. If its port has too many, it returns the one to close first, if there is one: the connection that has taken
+// longest for a request, then the one that has waited longest for a further request, then one whose client does not read. The new
+// connection is refused if there is none.
+func (p *Pool[C]) Add(now time.Time, port Port, conn C) (victim C, hasVictim, ok bool) {
+	q := p.port(port)
+	if q.limit > 0 && q.count >= q.limit {
+		if victim, hasVictim = p.oldest(now, q); !hasVictim {
+			return victim, false, false
+		}
+		p.Evict(victim)
+	}
+	e := &entry[C]{conn: conn, port: port, phase: awaitingFirst, since: now}
+	p.entries[conn] = e
+	q.count++
+	e.place = q.unfinished.PushBack(e)
+
+	return victim, hasVictim, true
+}
+
+// OldestConn returns the connection of a port to close when descriptors are short.
+func (p *Pool[C]) OldestConn(now time.Time, port Port) (conn C, ok bool) {
+	return p.oldest(now, p.port(port))
+}
+
+func (p *Pool[C]) oldest(now time.Time, q *queues) (conn C, ok bool) {
+	for _, queue := range []*list.List{&q.unfinished, &q.waiting} {
+		if first := queue.Front(); first != nil {
+			return first.Value.(*entry[C]).conn, true
+		}
+	}
+	if first := q.stalls.Front(); first != nil {
+		if e := first.Value.(*entry[C]); now.Sub(e.since) >= stalledAfter {
+			return e.conn, true
+		}
+	}
+
+	return conn, false
+}
+
+// Begin notes the first byte of a request.
+func (p *Pool[C]) Begin(now time.Time, conn C) {
+	e, ok := p.entries[conn]
+	if !ok || (e.phase != awaitingFirst && e.phase != awaitingNext) {
+		return
+	}
+	q := p.port(e.port)
+	if e.phase == awaitingNext {
+		p.leave(e)
+		e.since = now
+		e.place = q.unfinished.PushBack(e)
+	}
+	e.phase = receiving
+}
+
+// Reserve takes bytes for the request of a connection. If they do not fit, it returns the connection to close first: the one that
+// has held an unfinished request longest. It reports false without one if there is none, or if it is the connection itself.
+func (p *Pool[C]) Reserve(conn C, bytes int64) (victim C, hasVictim, ok bool) {
+	e, known := p.entries[conn]
+	if !known || e.phase == evicted {
+		return victim, false, false
+	}
+	if p.used+bytes > p.limit {
+		victim, hasVictim = p.OldestHolder(conn)
+
+		return victim, hasVictim, false
+	}
+	p.used += bytes
+	e.bytes += bytes
+	if e.holder == nil && e.phase == receiving {
+		e.holder = p.pushHolder(e)
+	}
+
+	return victim, false, true
+}
+
+// pushHolder adds a holder behind those whose requests began earlier, which is near the end in most cases.
+func (p *Pool[C]) pushHolder(e *entry[C]) *list.Element {
+	for other := p.holders.Back(); other != nil; other = other.Prev() {
+		if !other.Value.(*entry[C]).since.After(e.since) {
+			return p.holders.InsertAfter(e, other)
+		}
+	}
+
+	return p.holders.PushFront(e)
+}
+
+// OldestHolder returns the connection that has held an unfinished request longest, and false if that is the connection that asks.
+func (p *Pool[C]) OldestHolder(asking C) (conn C, ok bool) {
+	first := p.holders.Front()
+	if first == nil || first.Value.(*entry[C]).conn == asking {
+		return conn, false
+	}
+
+	return first.Value.(*entry[C]).conn, true
+}
+
+// Release gives back bytes of a connection, at most those that it has.
+func (p *Pool[C]) Release(conn C, bytes int64) {
+	if e, ok := p.entries[conn]; ok {
+		bytes = min(bytes, e.bytes)
+		e.bytes -= bytes
+		p.used -= bytes
+	}
+}
+
+// Finish notes that a request has arrived whole, and reports false if its connection is to be closed.
+func (p *Pool[C]) Finish(conn C) bool {
+	e, ok := p.entries[conn]
+	if !ok || e.phase == evicted {
+		return false
+	}
+	p.leave(e)
+	e.phase = handling
+
+	return true
+}
+
+// AwaitNext notes that the response to a request has been sent, which ends what the connection holds.
+func (p *Pool[C]) AwaitNext(now time.Time, conn C) {
+	e, ok := p.entries[conn]
+	if !ok || e.phase == evicted {
+		return
+	}
+	p.leave(e)
+	p.Release(conn, e.bytes)
+	e.phase, e.since = awaitingNext, now
+	e.place = p.port(e.port).waiting.PushBack(e)
+}
+
+// BeginWrite notes that a connection waits for its client to read, and EndWrite that it has read.
+func (p *Pool[C]) BeginWrite(now time.Time, conn C) {
+	if e, ok := p.entries[conn]; ok && e.phase == handling {
+		e.phase, e.since = writing, now
+		e.place = p.port(e.port).stalls.PushBack(e)
+	}
+}
+
+// EndWrite notes that the client of a connection has read.
+func (p *Pool[C]) EndWrite(conn C) {
+	if e, ok := p.entries[conn]; ok && e.phase == writing {
+		p.leave(e)
+		e.phase = handling
+	}
+}
+
+// Evict marks a connection that is about to close, so that no other one is closed in its place. What it holds counts until Remove.
+func (p *Pool[C]) Evict(conn C) {
+	if e, ok := p.entries[conn]; ok {
+		p.leave(e)
+		e.phase = evicted
+	}
+}
+
+// Remove forgets a connection that is closed.
+func (p *Pool[C]) Remove(conn C) {
+	e, ok := p.entries[conn]
+	if !ok {
+		return
+	}
+	p.leave(e)
+	p.used -= e.bytes
+	p.port(e.port).count--
+	delete(p.entries, conn)
+}
+
+// leave takes a connection out of the queues.
+func (p *Pool[C]) leave(e *entry[C]) {
+	q := p.port(e.port)
+	if e.place != nil {
+		switch e.phase {
+		case awaitingFirst, receiving:
+			q.unfinished.Remove(e.place)
+		case awaitingNext:
+			q.waiting.Remove(e.place)
+		case writing:
+			q.stalls.Remove(e.place)
+		case handling, evicted:
+		}
+	}
+	if e.holder != nil {
+		p.holders.Remove(e.holder)
+	}
+	e.place, e.holder = nil, nil
+}
--- /dev/null
+++ b/test/clients/clients_linux_test.go
@@ -0,0 +1,186 @@
+package clients
+
+import "testing"
+
+// Each test guards against a host that ends, hangs, exceeds its memory or leaves ordinary callers without an answer.
+
+func TestAnnouncedChunksAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: announcedChunk}.run(t)
+}
+
+func TestAnnouncedChunksAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: announcedChunk, hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestAnnouncedLengthsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: announcedLength}.run(t)
+}
+
+func TestAnnouncedLengthsAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: announcedLength, hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestContinuedBodiesThatDoNotArriveAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: continued}.run(t)
+}
+
+func TestUnendedLargeChunksAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: sendChunks(1<<20, 14<<20)}.run(t)
+}
+
+func TestUnendedSmallChunksAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: sendChunks(4<<10, 100<<10)}.run(t)
+}
+
+func TestUnendedChunksOfOneByteAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: sendChunks(1, 600<<10)}.run(t)
+}
+
+func TestUnendedChunksOfOneByteAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: sendChunks(1, endlessBytes), hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestEndlessChunkExtensionsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: endlessExtension}.run(t)
+}
+
+func TestEndlessTrailersAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: endlessTrailer}.run(t)
+}
+
+func TestLongHeadsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: longHead}.run(t)
+}
+
+func TestEndlessHeadsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: endlessHead}.run(t)
+}
+
+func TestEndlessRequestLinesAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: endlessLine}.run(t)
+}
+
+func TestEmptyLinesAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: emptyLines}.run(t)
+}
+
+func TestKeptConnectionsAfterLargeRequestsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: completeAndStay}.run(t)
+}
+
+func TestKeptConnectionsAfterLargeRequestsAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: completeAndStay, hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestPipelinedRequestsAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: pipeline}.run(t)
+}
+
+func TestAnnouncedChunksAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: announcedChunk}.run(t)
+}
+
+func TestEndlessTrailersAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: endlessTrailer}.run(t)
+}
+
+func TestLongHeadsAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: longHead}.run(t)
+}
+
+func TestEndlessHeadsAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: endlessHead}.run(t)
+}
+
+func TestEmptyLinesAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: emptyLines}.run(t)
+}
+
+func TestPipelinedRequestsAtDirectory(t *testing.T) {
+	crowd{addresses: atDirectory, client: pipeline}.run(t)
+}
+
+func TestEndlessTrailersAtReadiness(t *testing.T) {
+	crowd{addresses: atReadiness, client: endlessTrailer}.run(t)
+}
+
+func TestEndlessHeadsAtReadiness(t *testing.T) {
+	crowd{addresses: atReadiness, client: endlessHead}.run(t)
+}
+
+func TestAnnouncedLengthsAtMetrics(t *testing.T) {
+	crowd{addresses: atMetrics, client: announcedLength}.run(t)
+}
+
+func TestEndlessTrailersAtMetrics(t *testing.T) {
+	crowd{addresses: atMetrics, client: endlessTrailer}.run(t)
+}
+
+func TestEndlessHeadsAtMetrics(t *testing.T) {
+	crowd{addresses: atMetrics, client: endlessHead}.run(t)
+}
+
+func TestAnnouncedChunksAtPeerPort(t *testing.T) {
+	crowd{addresses: atPeers, client: announcedChunk}.run(t)
+}
+
+func TestEndlessTrailersAtPeerPort(t *testing.T) {
+	crowd{addresses: atPeers, client: endlessTrailer}.run(t)
+}
+
+func TestEndlessHeadsAtPeerPort(t *testing.T) {
+	crowd{addresses: atPeers, client: endlessHead}.run(t)
+}
+
+func TestEndlessHeadsAtRelay(t *testing.T) {
+	crowd{addresses: atRelay, client: endlessHead}.run(t)
+}
+
+func TestEndlessRequestLinesAtRelay(t *testing.T) {
+	crowd{addresses: atRelay, client: endlessLine}.run(t)
+}
+
+func TestLongHeadsAtAllPorts(t *testing.T) {
+	crowd{addresses: atAll, client: longHead, size: crowdSize / 2}.run(t)
+}
+
+// The following crowds have more connections than the host has descriptors.
+
+const (
+	fewFiles       = 300
+	idleCrowdSize  = 600
+	idlePerAddress = 200
+)
+
+func TestIdleConnectionsAtCallerPortTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atCallers, client: nothing, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestIdleConnectionsAtDirectoryTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atDirectory, client: nothing, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestIdleConnectionsAtReadinessTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atReadiness, client: nothing, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestIdleConnectionsAtPeerPortTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atPeers, client: nothing, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestIdleConnectionsAtRelayTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atRelay, client: nothing, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestIdleConnectionsAtAllPortsTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atAll, client: nothing, size: idlePerAddress, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+func TestUnreadResponsesAtDirectoryTakeAllDescriptors(t *testing.T) {
+	crowd{addresses: atDirectory, client: askOnly, size: idleCrowdSize, hostOptions: hostOptions{files: fewFiles}}.run(t)
+}
+
+// Guards against memory that idle connections take, however many descriptors the host has.
+func TestIdleConnectionsTakeNoMemory(t *testing.T) {
+	crowd{addresses: atCallers, client: nothing, size: 8 * crowdSize}.run(t)
+}
