Receive requests whole and within a bound before the server library sees them

Callers saw a host that ended: a few hundred clients with requests that never end took it above the memory of its machine. One failed Accept ended a listener for good, and nobody noticed.

Cause: bytes were held before anybody counted them. The server library allocates what a chunk announces, rounds up to powers of two, copies while it grows, reads trailers and, at ports without a limit, 1 MB of head, and keeps up to 512 KB for each idle connection. Its accept loop returns at the first error.

Change: core/http1 follows the framing of a request within limits and reserves each buffer before it is allocated, for bytes that have arrived. core/intake decides which connection is closed when there is not enough: the one whose unfinished request is oldest. io/httpx implements the library's transport over whole requests, whose framing is made explicit, and goes on after errors of Accept. The memory budget is reserved by what has arrived, too; an announced body that could never fit is still refused at once.

--- a/core/intake/pool.go
+++ b/core/intake/pool.go
@@ -24,8 +24,9 @@
 	handling
 	// writing connections wait for the client to read.
 	writing
-	// evicted connections are about to close.
+	// evicted connections are about to give back what they hold and to close, and refused ones to close.
 	evicted
+	refused
 )
 
 // entry is the account of a connection.
@@ -36,10 +37,13 @@
 	// since is the beginning of the phase; a connection keeps the time of its first byte, or of its accept, until its request is whole.
 	since time.Time
 	bytes int64
-	// ports and holder are the places in the queues of the port and of the holders of unfinished requests; nil if it is in none.
+	// place and holder are those in the queues of the port and of the holders of unfinished requests; nil if it is in none.
 	place, holder *list.Element
 }
 
+// isClosing reports whether the connection is about to close.
+func (e *entry[C]) isClosing() bool { return e.phase == evicted || e.phase == refused }
+
 // queues are the connections of a port that may be closed for others, the oldest of each phase first.
 type queues struct {
 	limit, count                int
@@ -138,7 +142,7 @@
 // has held an unfinished request longest. It reports false without one if there is none, or if it is the connection itself.
 func (p *Pool[C]) Reserve(conn C, bytes int64) (victim C, hasVictim, ok bool) {
 	e, known := p.entries[conn]
-	if !known || e.phase == evicted {
+	if !known || e.isClosing() {
 		return victim, false, false
 	}
 	if p.used+bytes > p.limit {
@@ -176,6 +180,19 @@
 	return first.Value.(*entry[C]).conn, true
 }
 
+// OldestHolderOfPort returns the connection of the same port that has held an unfinished request longest, and false if that is the connection
+// that asks.
+func (p *Pool[C]) OldestHolderOfPort(asking C) (conn C, ok bool) {
+	own, known := p.entries[asking]
+	for first := p.holders.Front(); known && first != nil; first = first.Next() {
+		if e := first.Value.(*entry[C]); e.port == own.port {
+			return e.conn, e != own
+		}
+	}
+
+	return conn, false
+}
+
 // Release gives back bytes of a connection, at most those that it has.
 func (p *Pool[C]) Release(conn C, bytes int64) {
 	if e, ok := p.entries[conn]; ok {
@@ -188,7 +205,7 @@
 // Finish notes that a request has arrived whole, and reports false if its connection is to be closed.
 func (p *Pool[C]) Finish(conn C) bool {
 	e, ok := p.entries[conn]
-	if !ok || e.phase == evicted {
+	if !ok || e.isClosing() {
 		return false
 	}
 	p.leave(e)
@@ -200,7 +217,7 @@
 // AwaitNext notes that the response to a request has been sent, which ends what the connection holds.
 func (p *Pool[C]) AwaitNext(now time.Time, conn C) {
 	e, ok := p.entries[conn]
-	if !ok || e.phase == evicted {
+	if !ok || e.isClosing() {
 		return
 	}
 	p.leave(e)
@@ -233,6 +250,18 @@
 	}
 }
 
+// Refuse notes that a connection holds nothing any more and is about to close. Until then it is the first to be closed for others.
+func (p *Pool[C]) Refuse(conn C) {
+	e, ok := p.entries[conn]
+	if !ok {
+		return
+	}
+	p.leave(e)
+	p.Release(conn, e.bytes)
+	e.phase = refused
+	e.place = p.port(e.port).unfinished.PushFront(e)
+}
+
 // Remove forgets a connection that is closed.
 func (p *Pool[C]) Remove(conn C) {
 	e, ok := p.entries[conn]
@@ -250,7 +279,7 @@
 	q := p.port(e.port)
 	if e.place != nil {
 		switch e.phase {
-		case awaitingFirst, receiving:
+		case awaitingFirst, receiving, refused:
 			q.unfinished.Remove(e.place)
 		case awaitingNext:
 			q.waiting.Remove(e.place)
--- /dev/null
+++ b/core/intake/pool_test.go
@@ -0,0 +1,175 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cardamomward/core/intake"
+)
+
+const (
+	callers intake.Port = iota
+	directory
+)
+
+// at returns a time some seconds after the start of a test.
+func at(seconds int) time.Time { return time.Unix(1000+int64(seconds), 0) }
+
+// Guards against ordinary requests that are refused because others came first and never end.
+func TestOldestUnfinishedRequestYields(t *testing.T) {
+	p := intake.New[string](100)
+	for i, conn := range []string{"first", "second", "third", "late"} {
+		_, _, ok := p.Add(at(i), callers, conn)
+		require.True(t, ok)
+	}
+	// The second begins its first request before the first one does, but was accepted later.
+	for i, conn := range []string{"second", "first", "third"} {
+		p.Begin(at(10+i), conn)
+		_, _, ok := p.Reserve(conn, 33)
+		require.True(t, ok)
+	}
+	p.Begin(at(20), "late")
+	victim, hasVictim, ok := p.Reserve("late", 33)
+	require.False(t, ok)
+	require.True(t, hasVictim)
+	require.Equal(t, "first", victim)
+	p.Evict(victim)
+	require.EqualValues(t, 99, p.Used(), "it holds its memory until it is gone")
+	victim, _, _ = p.Reserve("late", 33)
+	require.Equal(t, "second", victim, "none is closed twice")
+	p.Refuse("first")
+	_, _, ok = p.Reserve("late", 33)
+	require.True(t, ok)
+	require.False(t, p.Finish("first"))
+	require.True(t, p.Finish("third"))
+	victim, _, _ = p.Reserve("late", 50)
+	require.Equal(t, "second", victim)
+	p.Evict("second")
+	p.Remove("second")
+	_, hasVictim, ok = p.Reserve("late", 50)
+	require.False(t, ok, "what remains belongs to a request that is handled")
+	require.False(t, hasVictim)
+	p.AwaitNext(at(30), "third")
+	_, _, ok = p.Reserve("late", 50)
+	require.True(t, ok)
+}
+
+// Guards against a port that one crowd keeps from all others, and against requests in progress that are cut off for new connections.
+func TestFullPortClosesTheLeastUsefulConnection(t *testing.T) {
+	p := intake.New[string](100)
+	p.SetMaxConns(callers, 3)
+	p.SetMaxConns(directory, 1)
+	for i, conn := range []string{"handled", "kept", "silent"} {
+		_, hasVictim, ok := p.Add(at(i), callers, conn)
+		require.True(t, ok)
+		require.False(t, hasVictim)
+	}
+	for _, conn := range []string{"handled", "kept"} {
+		p.Begin(at(5), conn)
+		require.True(t, p.Finish(conn))
+	}
+	p.AwaitNext(at(6), "kept")
+	add := func(seconds int, conn string) (string, bool) {
+		victim, hasVictim, ok := p.Add(at(seconds), callers, conn)
+		require.Equal(t, ok, hasVictim, "the port is full")
+		if hasVictim {
+			p.Remove(victim)
+		}
+
+		return victim, ok
+	}
+	victim, _ := add(10, "a")
+	require.Equal(t, "silent", victim)
+	p.Begin(at(11), "a")
+	require.True(t, p.Finish("a"))
+	victim, _ = add(12, "b")
+	require.Equal(t, "kept", victim)
+	p.Begin(at(13), "b")
+	require.True(t, p.Finish("b"))
+	_, ok := add(14, "c")
+	require.False(t, ok, "all requests are in progress")
+	p.BeginWrite(at(15), "handled")
+	_, ok = add(17, "c")
+	require.False(t, ok, "its client may read soon")
+	victim, _ = add(18, "c")
+	require.Equal(t, "handled", victim, "its client reads nothing")
+	_, _, ok = p.Add(at(19), directory, "d")
+	require.True(t, ok, "ports do not take each other's connections")
+	require.Equal(t, 3, p.Conns(callers))
+}
+
+// Guards against accounts that do not return to zero whatever connections do, and against queues that keep closed connections.
+func TestPoolIsEmptyAfterAnySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := intake.New[int](1000)
+		p.SetMaxConns(callers, 5)
+		open := make(map[int]bool)
+		next := 0
+		remove := func(conn int) {
+			p.Evict(conn)
+			p.Remove(conn)
+			delete(open, conn)
+		}
+		for step := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now := at(step)
+			conn := rapid.IntRange(0, next).Draw(t, "conn")
+			switch rapid.IntRange(0, 9).Draw(t, "operation") {
+			case 0, 1:
+				victim, hasVictim, ok := p.Add(now, callers, next)
+				if hasVictim {
+					require.True(t, open[victim])
+					remove(victim)
+				}
+				if ok {
+					open[next] = true
+				}
+				next++
+			case 2:
+				p.Begin(now, conn)
+			case 3, 4:
+				victim, hasVictim, _ := p.Reserve(conn, rapid.Int64Range(0, 600).Draw(t, "bytes"))
+				if hasVictim {
+					require.True(t, open[victim])
+					require.NotEqual(t, conn, victim)
+					remove(victim)
+				}
+			case 5:
+				p.Finish(conn)
+			case 6:
+				p.AwaitNext(now, conn)
+			case 7:
+				p.BeginWrite(now, conn)
+			case 8:
+				p.EndWrite(conn)
+			case 9:
+				p.Refuse(conn)
+			}
+			require.LessOrEqual(t, p.Used(), p.Limit())
+			require.GreaterOrEqual(t, p.Used(), int64(0))
+			require.Equal(t, len(open), p.Conns(callers))
+			require.LessOrEqual(t, p.Conns(callers), 5)
+		}
+		for conn := range open {
+			p.Remove(conn)
+		}
+		require.Zero(t, p.Used())
+		_, ok := p.OldestConn(at(1000), callers)
+		require.False(t, ok)
+	})
+}
+
+// Guards against ports that together take all descriptors of a host.
+func TestPortsLeaveDescriptorsToOthers(t *testing.T) {
+	for _, files := range []int{300, 3075, 8200} {
+		limits := intake.LimitConns(files, 112<<20)
+		sum := limits.Callers + limits.Peers + limits.Directory + limits.Readiness + limits.Metrics + limits.Relay + 2*limits.Relayed
+		require.LessOrEqual(t, sum, files*25/32, "%d files", files)
+		require.GreaterOrEqual(t, files-sum, limits.Callers*3/4, "each request of a caller needs a connection to an upstream")
+	}
+	require.EqualValues(t, 14<<20, intake.Bytes(112<<20))
+	require.EqualValues(t, 64<<20, intake.Bytes(0))
+	require.Equal(t, intake.ConnLimits{Callers: 4096, Peers: 2048, Directory: 1024, Readiness: 256, Metrics: 256, Relayed: 512, Relay: 256}, intake.LimitConns(0, 0))
+}
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -1,14 +1,14 @@
 package httpx
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"cardamomward/core/intake"
 	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
@@ -18,6 +18,12 @@
 	net.Listener
 
 	counter *traffic.Counter
+	// intake bounds the requests and connections, and port identifies the listener there.
+	intake *Intake
+	port   intake.Port
+	// limits returns the limits of the next request; readTimeout and idleTimeout bound its arrival and the wait for it.
+	limits                   func() RequestLimits
+	readTimeout, idleTimeout time.Duration
 	// memory is nil if the connections have no budget; copies, classOf and refusalHeader are the options BodyCopies, MemoryClass and
 	// RefusalHeader.
 	memory        *MemoryBudget
@@ -25,64 +31,25 @@
 	classOf       func(path string) memorybudget.Class
 	refusalHeader func(request http.Header) http.Header
 
+	logger   logr.Logger
+	refusals refusalLog
+
 	mu    sync.Mutex
 	conns map[string]*conn
 }
 
-// conn is a connection that its listener tracks by the remote address.
-type conn struct {
-	net.Conn
-
-	listener   *listener
-	remoteAddr string
-	// requestBegunNanos is when the first byte was read since the last response, in nanoseconds since the Unix epoch; zero if
-	// none was.
-	requestBegunNanos atomic.Int64
-
-	// memory is nil if the connection has no budget.
-	memory *MemoryBudget
-	budgetedConn
-	// hasWritten is set once a part of a response has been written, until the next request is read.
-	hasWritten atomic.Bool
-	// isHandled is set while a handler runs for the connection.
-	isHandled atomic.Bool
-}
-
-// Read reads from the connection and notes when a request begins.
-func (c *conn) Read(p []byte) (int, error) {
-	read := c.Conn.Read
-	if c.memory != nil {
-		read = c.readBudgeted
-	}
-	n, err := read(p)
-	c.listener.counter.AddReceived(n)
-	if n > 0 {
-		c.requestBegunNanos.CompareAndSwap(0, time.Now().UnixNano())
+// accept waits for the next connection and tracks it. It takes none if the port has no place for it.
+func (l *listener) accept() (c *conn, isTaken bool, err error) {
+	inner, err := l.Accept()
+	if err != nil {
+		return nil, false, err
 	}
+	c = newConn(l, inner)
+	if !l.intake.add(l.port, c) {
+		inner.Close()
 
-	return n, err
-}
-
-// Write writes a part of a response to the connection.
-func (c *conn) Write(p []byte) (int, error) {
-	c.requestBegunNanos.Store(0)
-	write := c.Conn.Write
-	if c.memory != nil {
-		write = c.writeBudgeted
+		return nil, false, nil
 	}
-	n, err := write(p)
-	c.listener.counter.AddSent(n)
-
-	return n, err
-}
-
-// Accept waits for the next connection and tracks it.
-func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: inner, listener: l, remoteAddr: inner.RemoteAddr().String(), memory: l.memory}
 	if c.memory != nil {
 		c.memory.add(c)
 	}
@@ -93,7 +60,28 @@
 	}
 	l.conns[c.remoteAddr] = c
 
-	return c, nil
+	return c, true, nil
+}
+
+// forget stops tracking a connection.
+func (l *listener) forget(c *conn) {
+	l.mu.Lock()
+	if l.conns[c.remoteAddr] == c {
+		delete(l.conns, c.remoteAddr)
+	}
+	l.mu.Unlock()
+	if c.memory != nil {
+		c.memory.remove(c)
+	}
+}
+
+// headTimeout returns the time limit of a request's head.
+func (l *listener) headTimeout(limits RequestLimits) time.Duration {
+	if limits.HeadTimeout > 0 {
+		return min(limits.HeadTimeout, l.readTimeout)
+	}
+
+	return l.readTimeout
 }
 
 // bodyCopies returns how many copies of a body are reserved before it is read.
@@ -153,54 +141,3 @@
 
 	return !ok || c.isClosedByPeer()
 }
-
-// isClosedByPeer peeks at the socket without consuming data.
-func (c *conn) isClosedByPeer() bool {
-	bytes, err := c.peek()
-
-	return bytes == 0 && !isWouldBlock(err)
-}
-
-// hasUnreadBytes reports whether the peer has sent bytes that were not read yet.
-func (c *conn) hasUnreadBytes() bool {
-	bytes, _ := c.peek()
-
-	return bytes > 0
-}
-
-// peek returns how many of the next bytes, at most one, have arrived.
-func (c *conn) peek() (bytes int, err error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, syscall.EAGAIN
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var peekErr error
-	err = control.Control(func(fd uintptr) {
-		var buf [1]byte
-		bytes, _, peekErr = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-
-	return max(0, bytes), errors.Join(err, peekErr)
-}
-
-func isWouldBlock(err error) bool {
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-}
-
-// Close closes the connection and stops tracking it.
-func (c *conn) Close() error {
-	c.listener.mu.Lock()
-	if c.listener.conns[c.remoteAddr] == c {
-		delete(c.listener.conns, c.remoteAddr)
-	}
-	c.listener.mu.Unlock()
-	if c.memory != nil {
-		c.memory.remove(c)
-	}
-
-	return c.Conn.Close()
-}
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -1,48 +1,23 @@
 package httpx
 
 import (
-	"bytes"
-	"context"
-	"errors"
-	"net"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app"
-
 	"cardamomward/core/memorybudget"
 )
 
 const (
-	// uncountedRequestBytes is what a connection may read of a request without a reservation; the header of most requests fits.
+	// uncountedRequestBytes is what a request may hold without a reservation; most requests fit.
 	uncountedRequestBytes = 8 << 10
-	// writeChunkBytes is the size of the parts in which a response is written, to notice that its caller reads.
-	writeChunkBytes = 64 << 10
 	// idleCallerTimeout is the time without a read of a response after which its connection may be closed.
 	idleCallerTimeout = 3 * time.Second
-	// refusalTimeout bounds how long a refused body is read and dropped, so that the caller receives the refusal before its
-	// connection is reset.
-	refusalTimeout = 500 * time.Millisecond
 	// storageWait is the longest wait of a request of memorybudget.Storage for memory, during which it is not read, and storagePollInterval
 	// how often it tries.
 	storageWait         = time.Second
 	storagePollInterval = 5 * time.Millisecond
-	// dropBufferBytes is the size of the buffer for dropped bodies.
-	dropBufferBytes = 4 << 10
-)
-
-// refusalBody and refusalRetryAfter are those of the response to a request whose body does not fit into the budget. It is sent before the
-// body is read.
-const (
-	refusalBody       = "{\"error\":\"no-memory\"}\n"
-	refusalRetryAfter = "0.500"
 )
 
-// errOverBudget ends a connection whose request does not fit into the budget.
-var errOverBudget = errors.New("the request does not fit into the memory budget")
-
 // MemoryBudget bounds the bytes that are held for the connections of a server; it may be used from many goroutines. A nil
 // *MemoryBudget has no bound.
 type MemoryBudget struct {
@@ -238,130 +213,110 @@
 	m.budget.SetProgress(c.holder)
 }
 
-// budgetedConn is the part of a connection that counts toward the memory budget. A connection is read by one goroutine at a time.
-type budgetedConn struct {
-	holder memorybudget.Holder
-	// class is that of the present request.
-	class memorybudget.Class
-	// readBytes were read of the present request, and reservedBytes are reserved for it.
-	readBytes     int64
+// budgetedRequest is what the present request of a connection takes of the memory budget.
+type budgetedRequest struct {
+	class    memorybudget.Class
+	hasClass bool
+	// heldBytes are the bytes of the request's buffers, and reservedBytes what is reserved for them and their copies.
+	heldBytes     int64
 	reservedBytes int64
-	// head is the read part of the present request's head.
-	head requestHead
 }
 
-// trackHandler marks connections while their requests are handled. The server reads from them meanwhile to detect that the
-// caller disconnects, which does not end the response.
-func (m *MemoryBudget) trackHandler(ctx context.Context, request *app.RequestContext) {
-	m.mu.Lock()
-	c, ok := m.byRemote[request.RemoteAddr().String()]
-	m.mu.Unlock()
-	if ok {
-		c.isHandled.Store(true)
-		defer c.isHandled.Store(false)
-	}
-	request.Next(ctx)
-}
+// requestMemory accounts for the buffers of a connection's request.
+type requestMemory struct{ conn *conn }
 
-// readBudgeted reads a part of a request. The server's buffer is as large as the rest of a body whose length is known, so that a
-// body that does not fit is refused before it is read; others are refused when they exceed the budget.
-func (c *conn) readBudgeted(p []byte) (int, error) {
-	if !c.isHandled.Load() && c.hasWritten.Swap(false) {
-		c.memory.endResponse(c)
-		c.readBytes, c.reservedBytes = 0, 0
-		c.head.reset()
-	}
-	if c.readBytes == 0 {
-		// The server offers the buffer of an earlier body, which is not reserved while the connection is idle.
-		p = p[:min(len(p), uncountedRequestBytes)]
-	}
-	needed := c.readBytes + int64(len(p))
-	if needed > uncountedRequestBytes {
-		needed *= c.listener.bodyCopies()
+// Reserve reserves bytes before they are allocated. Other connections are closed if necessary, those with the oldest unfinished requests
+// first.
+func (m requestMemory) Reserve(bytes int64) bool {
+	c := m.conn
+	if !c.listener.intake.reserve(c, bytes) {
+		return false
 	}
-	if needed > uncountedRequestBytes && needed > c.reservedBytes {
-		if !c.reserveRequest(needed - c.reservedBytes) {
-			c.refuse()
-
-			return 0, errOverBudget
+	if c.memory != nil {
+		for !c.reserveBudgeted(bytes) {
+			if c.class == memorybudget.Storage || !c.listener.intake.evictOldestHolder(c) {
+				c.listener.intake.release(c, bytes)
+				c.memory.countRefusal(c.remoteAddr)
+
+				return false
+			}
 		}
-		c.reservedBytes = needed
-	}
-	n, err := c.Conn.Read(p)
-	c.readBytes += int64(n)
-	if c.head.add(p[:n]) && c.listener.classOf != nil {
-		c.class = c.listener.classOf(c.head.path())
 	}
 
-	return n, err
+	return true
 }
 
-// reserveRequest reserves bytes of a request, which are not read yet. A request without which an answered turn does not become durable
-// waits for memory, since only others of its kind can hold what it is guaranteed, and none for long.
-func (c *conn) reserveRequest(bytes int64) bool {
-	if c.class != memorybudget.Storage {
-		return c.memory.Reserve(c.remoteAddr, bytes)
+// Release gives bytes back.
+func (m requestMemory) Release(bytes int64) {
+	c := m.conn
+	c.listener.intake.release(c, bytes)
+	if c.memory == nil {
+		return
 	}
-	for waitUntil := time.Now().Add(storageWait); !c.memory.tryReserve(c.remoteAddr, bytes); {
-		if !time.Now().Before(waitUntil) {
-			c.memory.countRefusal(c.remoteAddr)
-
-			return false
-		}
-		time.Sleep(storagePollInterval)
+	c.heldBytes -= bytes
+	if needed := c.budgetFor(c.heldBytes); needed < c.reservedBytes {
+		c.memory.Release(c.remoteAddr, c.reservedBytes-needed)
+		c.reservedBytes = needed
 	}
-
-	return true
 }
 
-// refuse sends the refusal, and drops what the caller still sends for a short time.
-func (c *conn) refuse() {
-	c.SetDeadline(time.Now().Add(refusalTimeout)) //nolint:errcheck // the connection is about to end
-	if _, err := c.Conn.Write(c.encodeRefusal()); err != nil {
-		return
+// CanHold reports whether a body could fit if nothing else were held. A call between hosts always fits by itself.
+func (m requestMemory) CanHold(bytes int64) bool {
+	c := m.conn
+	if _, limit := c.listener.intake.Usage(); bytes > limit {
+		return false
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite() //nolint:errcheck // the connection is about to end
+	if c.memory == nil {
+		return true
 	}
-	buf := make([]byte, dropBufferBytes)
-	for {
-		if _, err := c.Conn.Read(buf); err != nil {
-			return
-		}
+	c.classify()
+	if c.class == memorybudget.Calls || c.class == memorybudget.Storage {
+		return true
 	}
+	_, limit, _ := c.memory.Usage()
+
+	return c.budgetFor(bytes) <= limit
 }
 
-// encodeRefusal returns the refusal of the present request.
-func (c *conn) encodeRefusal() []byte {
-	header := http.Header{}
-	if c.listener.refusalHeader != nil {
-		header = c.listener.refusalHeader(c.head.fields())
+// budgetFor returns what is reserved for a request: nothing for a small one, else all copies of it.
+func (c *conn) budgetFor(bytes int64) int64 {
+	if bytes <= uncountedRequestBytes {
+		return 0
 	}
-	header.Set("Retry-After", refusalRetryAfter)
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(refusalBody)))
-	header.Set("Connection", "close")
-	var response bytes.Buffer
-	response.WriteString("HTTP/1.1 503 Service Unavailable\r\n")
-	header.Write(&response) //nolint:errcheck // a buffer takes all bytes
-	response.WriteString("\r\n" + refusalBody)
-
-	return response.Bytes()
+
+	return bytes * c.listener.bodyCopies()
 }
 
-// writeBudgeted writes a part of a response and notes whether its caller reads.
-func (c *conn) writeBudgeted(p []byte) (int, error) {
-	if !bytes.Equal(p, continueResponse) {
-		c.hasWritten.Store(true)
+// classify sets the class of the request once its head is known.
+func (c *conn) classify() {
+	if !c.hasClass && c.request.HasHead() && c.listener.classOf != nil {
+		c.class, c.hasClass = c.listener.classOf(headPath(c.request.Head())), true
 	}
-	written := 0
-	for {
-		c.memory.setWaiting(c)
-		n, err := c.Conn.Write(p[:min(len(p), writeChunkBytes)])
-		c.memory.setProgress(c)
-		written += n
-		if p = p[n:]; err != nil || len(p) == 0 {
-			return written, err
+}
+
+// reserveBudgeted reserves bytes of the request and their copies.
+func (c *conn) reserveBudgeted(bytes int64) bool {
+	c.classify()
+	needed := c.budgetFor(c.heldBytes + bytes)
+	if needed > c.reservedBytes {
+		if !c.reserveRequest(needed - c.reservedBytes) {
+			return false
 		}
+		c.reservedBytes = needed
+	}
+	c.heldBytes += bytes
+
+	return true
+}
+
+// reserveRequest reserves bytes of a request, which are not read yet. A request without which an answered turn does not become durable
+// waits for memory, since only others of its kind can hold what it is guaranteed, and none for long.
+func (c *conn) reserveRequest(bytes int64) bool {
+	isReserved := c.memory.tryReserve(c.remoteAddr, bytes)
+	for waitUntil := time.Now().Add(storageWait); !isReserved && c.class == memorybudget.Storage && time.Now().Before(waitUntil); {
+		time.Sleep(storagePollInterval)
+		isReserved = c.memory.tryReserve(c.remoteAddr, bytes)
 	}
+
+	return isReserved
 }
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -14,9 +14,12 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/http1"
+	"github.com/go-logr/logr"
 
 	"cardamomward/core/apierror"
+	corehttp1 "cardamomward/core/http1"
 	"cardamomward/core/memorybudget"
 	"cardamomward/core/traffic"
 )
@@ -24,6 +27,8 @@
 const (
 	// defaultReadTimeout bounds the time to read a request.
 	defaultReadTimeout = 20 * time.Second
+	// defaultHeaderBytes bounds the head of a request.
+	defaultHeaderBytes = 64 << 10
 	// defaultIdleTimeout is the time limit of an idle connection.
 	defaultIdleTimeout = 2 * time.Minute
 )
@@ -36,20 +41,31 @@
 type Server struct {
 	*server.Hertz
 
-	listener  *listener
-	runResult chan error
+	listener *listener
+	// ended gets the result of the server once it has ended.
+	ended chan error
 }
 
 // Options are the options of a server.
 type Options struct {
 	// Address is the IP address and port to listen on; port 0 selects a free port.
 	Address string
+	// Listen opens the listener; nil means net.Listen.
+	Listen func(network, address string) (net.Listener, error)
 	// MaxBodyBytes bounds a request body; values below 1 count as 1.
 	MaxBodyBytes int
 	// DrainTimeout bounds the time that Close waits for open connections to end.
 	DrainTimeout time.Duration
-	// MaxHeaderBytes bounds the header of a request; zero means the library's default.
+	// MaxHeaderBytes bounds the head of a request; zero means 64 KB.
 	MaxHeaderBytes int
+	// RequestLimits returns limits that may change, in place of MaxBodyBytes and MaxHeaderBytes.
+	RequestLimits func() RequestLimits
+	// Intake bounds the requests of all servers of a process; nil means 64 MB for this one.
+	Intake *Intake
+	// MaxConns bounds the open connections; zero means no bound.
+	MaxConns int
+	// Logger logs refused requests and failures to accept connections.
+	Logger logr.Logger
 	// ReadTimeout bounds the time to read a request; zero means 20 s.
 	ReadTimeout time.Duration
 	// IdleTimeout is the time limit of an idle connection; zero means 2 min.
@@ -73,45 +89,56 @@
 
 // NewServer listens on the address and returns a server that serves once Start is called.
 func NewServer(opts Options) (*Server, error) {
-	inner, err := net.Listen("tcp", opts.Address)
+	listen := opts.Listen
+	if listen == nil {
+		listen = net.Listen
+	}
+	inner, err := listen("tcp", opts.Address)
 	if err != nil {
 		return nil, err
 	}
-	listener := &listener{Listener: inner, counter: opts.Traffic, memory: opts.Memory, copies: int64(opts.BodyCopies), classOf: opts.MemoryClass, refusalHeader: opts.RefusalHeader}
+	s := &Server{listener: opts.newListener(inner), ended: make(chan error, 1)}
+	transport := &transport{listener: s.listener, sensesClose: opts.Forwarding}
 	options := []config.Option{
-		server.WithListener(listener),
-		server.WithHostPorts(listener.Addr().String()),
-		server.WithTransport(standard.NewTransporter),
+		server.WithHostPorts(inner.Addr().String()),
+		server.WithTransport(func(*config.Options) network.Transporter { return transport }),
 		server.WithDisablePrintRoute(true),
-		server.WithHandleMethodNotAllowed(true),
-		server.WithMaxRequestBodySize(max(opts.MaxBodyBytes, 1)),
-		server.WithReadTimeout(cmp.Or(opts.ReadTimeout, defaultReadTimeout)),
-		server.WithIdleTimeout(cmp.Or(opts.IdleTimeout, defaultIdleTimeout)),
+		server.WithHandleMethodNotAllowed(!opts.Forwarding),
 		server.WithExitWaitTime(opts.DrainTimeout),
-		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
-	}
-	if opts.MaxHeaderBytes > 0 {
-		options = append(options, server.WithMaxHeaderBytes(opts.MaxHeaderBytes))
 	}
 	if opts.Forwarding {
-		options = append(options,
-			server.WithSenseClientDisconnection(true),
-			server.WithDisableDefaultDate(true),
-			server.WithDisableDefaultContentType(true),
-			server.WithDisablePreParseMultipartForm(true),
-			server.WithHandleMethodNotAllowed(false),
-			server.WithRedirectTrailingSlash(false),
-		)
+		options = append(options, server.WithRedirectTrailingSlash(false))
 	}
-
-	s := &Server{Hertz: server.New(options...), listener: listener, runResult: make(chan error, 1)}
-	if opts.Memory != nil {
-		s.Use(opts.Memory.trackHandler)
+	s.Hertz = server.New(options...)
+	transport.protocol = http1.NewServer()
+	transport.protocol.Core = s.Hertz
+	// The transport bounds requests and waits for them; without an idle timeout the library returns after each request.
+	transport.protocol.Option = http1.Option{
+		NoDefaultServerHeader: true, NoDefaultDate: opts.Forwarding, NoDefaultContentType: opts.Forwarding, DisablePreParseMultipartForm: true,
 	}
 
 	return s, nil
 }
 
+// newListener returns the listener of a server with the options' limits.
+func (o *Options) newListener(inner net.Listener) *listener {
+	l := &listener{
+		Listener: inner, counter: o.Traffic, intake: o.Intake, limits: o.RequestLimits, memory: o.Memory, copies: int64(o.BodyCopies),
+		classOf: o.MemoryClass, refusalHeader: o.RefusalHeader, logger: o.Logger,
+		readTimeout: cmp.Or(o.ReadTimeout, defaultReadTimeout), idleTimeout: cmp.Or(o.IdleTimeout, defaultIdleTimeout),
+	}
+	if l.intake == nil {
+		l.intake = NewIntake(defaultIntakeBytes, time.Now)
+	}
+	l.port = l.intake.addPort(o.MaxConns)
+	if l.limits == nil {
+		limits := RequestLimits{Limits: corehttp1.Limits{HeadBytes: cmp.Or(o.MaxHeaderBytes, defaultHeaderBytes), BodyBytes: int64(max(o.MaxBodyBytes, 1))}}
+		l.limits = func() RequestLimits { return limits }
+	}
+
+	return l
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -122,9 +149,12 @@
 
 // Start serves in the background.
 func (s *Server) Start() {
-	go func() { s.runResult <- s.Run() }()
+	go func() { s.ended <- s.Run() }()
 }
 
+// Ended returns a channel that gets one value once the server does not accept connections any more.
+func (s *Server) Ended() <-chan error { return s.ended }
+
 // Close stops accepting connections, waits for open connections to end until ctx is done or DrainTimeout has passed, and
 // closes the rest.
 func (s *Server) Close(ctx context.Context) error {
