Bound CONNECT requests before they are accepted

Callers saw a host end: 200 connections to the port on which hosts relay connections for each other took 446 to 500 MB within the second that a request may take, and 600 silent ones took all descriptors.

Cause: the request was read without a bound, and connections counted only once their request had been accepted.

Change: a CONNECT request has 4 KB at most. Connections whose request is awaited have a limit, beyond which the oldest is closed.

--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// requestTimeout bounds the arrival of a CONNECT request.
-	requestTimeout = time.Second
+	// requestTimeout bounds the arrival of a CONNECT request, and maxRequestBytes its size.
+	requestTimeout  = time.Second
+	maxRequestBytes = 4 << 10
 	// dialTimeout bounds the connection to the upstream.
 	dialTimeout = 300 * time.Millisecond
 	// copyBufferBytes is the size of the buffer of each direction of a connection.
@@ -43,6 +44,8 @@
 	IsEvacuated func(domain id.FailureDomain) bool
 	// MaxConns limits the connections that are relayed at the same time.
 	MaxConns int
+	// MaxUnaccepted limits the connections whose CONNECT request is awaited; zero means no limit.
+	MaxUnaccepted int
 	// Reserve reserves the memory of a connection, and returns a function that gives it back; it reports false if there is none. Nil
 	// reserves nothing.
 	Reserve func() (release func(), ok bool)
@@ -51,8 +54,9 @@
 	UpstreamCounter func(address string) *traffic.Counter
 	Logger          logr.Logger
 
-	connCount atomic.Int64
-	conns     sync.WaitGroup
+	connCount  atomic.Int64
+	conns      sync.WaitGroup
+	unaccepted unacceptedConns
 }
 
 // ConnCount returns the number of connections that are relayed now.
@@ -74,12 +78,14 @@
 
 			continue
 		}
+		s.unaccepted.add(conn, s.MaxUnaccepted)
 		s.conns.Go(func() { s.serveConn(ctx, conn) })
 	}
 }
 
 func (s *Server) serveConn(ctx context.Context, caller net.Conn) {
 	defer caller.Close()
+	defer s.unaccepted.remove(caller)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { caller.Close() })()
@@ -87,11 +93,13 @@
 	if err := caller.SetDeadline(time.Now().Add(requestTimeout)); err != nil {
 		return
 	}
-	req, err := http.ReadRequest(bufio.NewReaderSize(caller, 512)) //nolint:mnd // a CONNECT request is short
+	head := &io.LimitedReader{R: caller, N: maxRequestBytes}
+	req, err := http.ReadRequest(bufio.NewReaderSize(head, 512)) //nolint:mnd // a CONNECT request is short
 	if err != nil {
 		return
 	}
 	upstream, status := s.connect(ctx, req)
+	s.unaccepted.remove(caller)
 	if upstream == nil {
 		fmt.Fprintf(caller, "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 
