Bound requests and connections of a host by its own limits

Callers got no answer from a host whose descriptors a crowd of 600 silent connections had taken, at whichever port, nor from its other ports. Requests beyond the configured limits were read whole before they were refused.

Cause: no port had a number of connections, so one took the descriptors of all others and of calls to upstreams, peers and the store. max_header_bytes, max_body_bytes and header_timeout_ms applied to requests that had been read.

Change: all servers of a host share an eighth of its memory for requests. Each port has a share of the host's descriptors or of the process's, if those are fewer; 7/32 are left for other uses. Callers' requests have the limits of the newest configuration while they arrive. A host ends with an error if one of its servers ends while it runs.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,6 +67,10 @@
 	Traffic *traffic.Counters
 	// Memory bounds what calls between hosts hold while they are in progress; nil means no bound. It may be set until Run.
 	Memory *httpx.MemoryBudget
+	// Intake bounds what calls between hosts hold while they arrive, and MaxCallConns their connections; nil and zero mean the defaults of
+	// a server. They may be set until Run.
+	Intake       *httpx.Intake
+	MaxCallConns int
 	// IsPartitionedFromUpstreams reports whether this host's links to upstreams fail.
 	IsPartitionedFromUpstreams func() bool
 	// UpstreamErrors returns the error scores of upstreams that have lately returned server errors to this host; it may be nil.
@@ -176,8 +181,10 @@
 	return c
 }
 
-// Run takes part in the cluster until ctx ends. It fails if it cannot listen for peers.
+// Run takes part in the cluster until ctx ends. It fails if it cannot listen for peers, or not any more.
 func (c *Cluster) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	server, err := c.newPeerServer(c.self)
 	if err != nil {
 		return err
@@ -200,16 +207,21 @@
 	for _, s := range c.slots {
 		wg.Go(func() { s.writer.run(ctx) })
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case err = <-server.Ended():
+		err = errors.Join(errors.New("the server of calls between hosts has ended"), err)
+		cancel()
+	}
 	c.isStopped.Store(true)
 
-	return conn.Close()
+	return errors.Join(err, conn.Close())
 }
 
 // newPeerServer returns a server of the calls of peers.
 func (c *Cluster) newPeerServer(address string) (*httpx.Server, error) {
 	server, err := httpx.NewServer(httpx.Options{
-		Address: address, MaxBodyBytes: maxPeerBodyBytes, Memory: c.Memory, BodyCopies: callBodyCopies, MemoryClass: memoryClassOfCall,
+		Address: address, MaxBodyBytes: maxPeerBodyBytes, Intake: c.Intake, MaxConns: c.MaxCallConns, Logger: c.Logger, Memory: c.Memory, BodyCopies: callBodyCopies, MemoryClass: memoryClassOfCall,
 	})
 	if err != nil {
 		return nil, err
--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -133,6 +133,8 @@
 	}
 	used, limit, refused := h.proxy.Memory.Usage()
 	fmt.Fprintf(c, "memory-held-bytes %d\nmemory-budget-bytes %d\nmemory-refusals %d\n", used, limit, refused)
+	used, limit = h.intake.Usage()
+	fmt.Fprintf(c, "request-buffer-bytes %d\nrequest-buffer-limit-bytes %d\n", used, limit)
 	fmt.Fprintf(c, "cold-upstreams %d\n", h.countColdUpstreams())
 	fmt.Fprintf(c, "relayed-conns %d\nupstreams-partitioned %d\nupstreams-leaving %d\nevacuated-domains %d\n", h.relay.ConnCount(), partitioned,
 		h.cluster.AnnouncedShutdowns(), h.discovery.EvacuationCount())
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -14,6 +15,7 @@
 
 	"cardamomward/core/gatewaysettings"
 	"cardamomward/core/id"
+	"cardamomward/core/intake"
 	"cardamomward/core/routing"
 	"cardamomward/core/streamorigin"
 	"cardamomward/core/traffic"
@@ -66,6 +68,7 @@
 	cluster        *cluster.Cluster
 	proxy          *reverseproxy.Proxy
 	relay          *relay.Server
+	intake         *httpx.Intake
 	metrics        reverseproxy.Metrics
 	traffic        traffic.Counters
 	draining       atomic.Bool
@@ -88,11 +91,14 @@
 		IsPartitionedFromUpstreams: h.upstreamClient.IsPartitioned,
 		UpstreamErrors:             func() map[id.Upstream]float64 { return h.proxy.UpstreamErrors() },
 	})
+	connLimits := h.connLimits()
+	h.intake = httpx.NewIntake(intake.Bytes(settings.MemoryBytes), now)
+	h.cluster.Intake, h.cluster.MaxCallConns = h.intake, connLimits.Peers
 	h.discovery.ColdStarts = h.cluster
 	h.upstreamClient.Relays, h.upstreamClient.CounterFor = h.cluster, h.upstreamTraffic
 	h.relay = &relay.Server{
 		Dial: h.upstreamClient.DialDirectly, IsAvailable: h.canRelay, DomainOfAddress: h.discovery.DomainOfAddress,
-		IsEvacuated: h.discovery.IsEvacuated, MaxConns: h.maxRelayedConns(), Logger: logger,
+		IsEvacuated: h.discovery.IsEvacuated, MaxConns: connLimits.Relayed, MaxUnaccepted: connLimits.Relay, Logger: logger,
 		PeerCounter: h.relayedPeerTraffic, UpstreamCounter: h.relayedUpstreamTraffic,
 	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
@@ -147,8 +153,10 @@
 		return err
 	}
 	tasks.Go(func() { h.relay.Serve(ctx, relayListener) })
+	ended := make(chan error, len(servers))
 	for _, s := range servers {
 		s.Start()
+		tasks.Go(func() { ended <- awaitEnd(ctx, s) })
 	}
 	tasks.Go(func() { h.cleanUpLoop(ctx, servers) })
 	h.logger.Info("started", "host", h.settings.Name, "callers", h.settings.CallerAddress)
@@ -158,6 +166,7 @@
 		h.finishRequests(ctx, servers)
 		h.cluster.Withdraw(ctx)
 	case err = <-clusterResult:
+	case err = <-ended:
 	}
 	h.logger.Info("stopped", "host", h.settings.Name)
 	for _, s := range servers {
@@ -167,14 +176,26 @@
 	return err
 }
 
+// awaitEnd waits for a server to end, which is an error unless the host ends first: callers would not reach the host any more.
+func awaitEnd(ctx context.Context, server *httpx.Server) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-server.Ended():
+		return errors.Join(fmt.Errorf("the server at %s has ended", server.Address()), err)
+	}
+}
+
 // listen opens the servers, or none of them if one fails.
 func (h *Host) listen() ([]*httpx.Server, error) {
 	var servers []*httpx.Server
 	var failures []error
+	limits := h.connLimits()
 	addServer := func(opts httpx.Options, handler app.HandlerFunc) {
 		if opts.Address == "" {
 			return
 		}
+		opts.Intake, opts.Logger = h.intake, h.logger
 		server, err := httpx.NewServer(opts)
 		if err != nil {
 			failures = append(failures, err)
@@ -185,16 +206,16 @@
 		servers = append(servers, server)
 	}
 	addServer(httpx.Options{
-		Address: h.settings.CallerAddress, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: maxHeaderBytes, Forwarding: true, Memory: h.proxy.Memory,
+		Address: h.settings.CallerAddress, RequestLimits: h.requestLimits, MaxConns: limits.Callers, Forwarding: true, Memory: h.proxy.Memory,
 		// Callers do not tell their failure domain in requests.
 		Traffic:       h.traffic.Get(traffic.Caller, traffic.Unknown),
 		RefusalHeader: platform.RefusalHeader,
 	}, h.proxy.HandleRequest)
-	addServer(httpx.Options{Address: h.settings.ReadinessAddress}, h.serveReadiness)
-	addServer(httpx.Options{Address: h.settings.ResolveAddress}, h.serveDirectory)
+	addServer(httpx.Options{Address: h.settings.ReadinessAddress, MaxConns: limits.Readiness}, h.serveReadiness)
+	addServer(httpx.Options{Address: h.settings.ResolveAddress, MaxConns: limits.Directory}, h.serveDirectory)
 	if h.MetricsPort > 0 {
 		addServer(httpx.Options{
-			Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort)), MaxBodyBytes: maxOperatorBodyBytes,
+			Address: net.JoinHostPort(h.settings.IP, strconv.Itoa(h.MetricsPort)), MaxBodyBytes: maxOperatorBodyBytes, MaxConns: limits.Metrics,
 		}, h.serveOperator)
 	}
 	if len(failures) > 0 {
@@ -291,30 +312,6 @@
 	return h.draining.Load() || h.cluster.IsIsolated(h.now())
 }
 
-const (
-	// relayedConnBytes is the memory that a relayed connection takes at most, and relayMemoryShare the share of the host's memory for
-	// all of them.
-	relayedConnBytes = 64 << 10
-	relayMemoryShare = 0.25
-	// relayFileShare is the share of the host's open files for relayed connections, which take two each.
-	relayFileShare = 0.25
-	// defaultMaxRelayedConns applies to hosts whose limits are unknown.
-	defaultMaxRelayedConns = 512
-)
-
-// maxRelayedConns returns the number of connections that this host relays at the same time.
-func (h *Host) maxRelayedConns() int {
-	limit := defaultMaxRelayedConns
-	if h.settings.MemoryBytes > 0 {
-		limit = min(limit, int(relayMemoryShare*float64(h.settings.MemoryBytes))/relayedConnBytes)
-	}
-	if h.settings.MaxOpenFiles > 0 {
-		limit = min(limit, int(relayFileShare*float64(h.settings.MaxOpenFiles))/2)
-	}
-
-	return limit
-}
-
 // canRelay reports whether this host relays connections of other hosts to upstreams.
 func (h *Host) canRelay() bool {
 	return !h.draining.Load() && !h.upstreamClient.IsPartitioned()
--- a/io/gatewayhost/memory.go
+++ b/io/gatewayhost/memory.go
@@ -16,6 +16,9 @@
 	storageShare = 1.0 / 8
 )
 
+// relayedConnBytes is the memory that a relayed connection takes at most.
+const relayedConnBytes = 64 << 10
+
 // useMemoryBudget bounds what is held for callers, relayed connections and calls between hosts.
 func (h *Host) useMemoryBudget(limit int64) {
 	memory := httpx.NewMemoryBudget(limit, h.now)
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		panic(err)
 	}
-	defer os.RemoveAll(dir)
+	defer os.RemoveAll(dir) //nolint:errcheck // a temporary folder
 	command = filepath.Join(dir, "cardamomward")
 	if output, err := exec.CommandContext(context.Background(), "go", "build", "-o", command, "cardamomward/cmd/cardamomward").CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build the command: %v\n%s", err, output))
@@ -140,7 +140,7 @@
 			}
 		}
 		for _, listener := range listeners {
-			listener.Close()
+			listener.Close() //nolint:errcheck // only the port was tested
 		}
 		if len(ports) == count {
 			return ports
