Leave memory for the executable's pages on small hosts

Callers saw hosts exceed their memory beside large requests, by garbage: a process of 64 MB had 64.1 MB resident with 200 requests of 600 KB.

Cause: the runtime may use three quarters of the host's memory before it collects harder, and does not count the pages of the executable (about 15 MB resident) nor what the kernel buffers; on a small host the quarter that is left is less than that.

Change: at least 32 MB are left, but no more than half of the host's memory. Hosts of 128 MB and more are as before.

--- a/io/gatewayhost/memory.go
+++ b/io/gatewayhost/memory.go
@@ -34,11 +34,14 @@
 	h.relay.Reserve = func() (func(), bool) { return memory.Hold(memorybudget.Relays, relayedConnBytes) }
 }
 
+// uncountedProcessBytes is left for memory that the runtime does not count, such as the pages of the executable and what the kernel buffers. A
+// quarter of the host's memory is left if that is more, half if it is less.
+const uncountedProcessBytes = 32 << 20
+
 // LimitMemory makes the garbage collector work harder as this process nears the memory that its host allows, in bytes; zero
 // means that the host states no limit.
 func LimitMemory(bytes int64) {
 	if bytes > 0 {
-		// A quarter is left for memory that the runtime does not count, such as what the kernel buffers.
-		debug.SetMemoryLimit(bytes / 4 * 3)
+		debug.SetMemoryLimit(max(bytes/2, min(bytes/4*3, bytes-uncountedProcessBytes))) //nolint:mnd // halves and quarters
 	}
 }
