Let requests that arrive together wait for each other

Callers of a host with a small memory budget were refused with 503 when many sent large bodies at the same moment: each body that did not fit closed the oldest, which had just begun, and hardly any arrived whole.

Cause: the connection with the oldest unfinished request yielded at once, however young it was; a connection that was giving back its memory was not waited for; requests counted twice, in the bound of all requests and in the memory budget, while they were handled; and an eighth of a very small host's memory is less than one request needs while its buffer grows.

TestYoungRequestsWaitForEachOther has the order of events forced.

Change: an unfinished request yields once it is 0.25 s old, until then others wait without being read; one is closed at a time. A whole request takes the place of unfinished ones at once. At least 8 MB are for requests.

--- a/core/intake/limits.go
+++ b/core/intake/limits.go
@@ -29,6 +29,8 @@
 	// of them.
 	relayedConnBytes = 64 << 10
 	relayedShare     = 1.0 / 4
+	// minBytes is for one large request with its buffer as it grows.
+	minBytes = 8 << 20
 	// defaultBytes is for requests at a host that does not state its memory.
 	defaultBytes = 64 << 20
 )
@@ -39,7 +41,7 @@
 		return defaultBytes
 	}
 
-	return int64(bytesShare * float64(memory))
+	return max(minBytes, int64(bytesShare*float64(memory)))
 }
 
 // LimitConns returns the limits of a host with some descriptors and bytes of memory, zero if they are unknown.
--- a/core/intake/pool.go
+++ b/core/intake/pool.go
@@ -8,6 +8,24 @@
 // Port identifies a listener of a process.
 type Port int
 
+// yieldAfter is the age from which an unfinished request is closed for another one. Younger ones are likely to be whole soon.
+const yieldAfter = 250 * time.Millisecond
+
+// Verdict says what becomes of a reservation.
+type Verdict int
+
+// Values of Verdict.
+const (
+	// Reserved means that the bytes are reserved.
+	Reserved Verdict = iota
+	// Evict means that another connection is to be closed first.
+	Evict
+	// Wait means that the bytes may soon be free.
+	Wait
+	// Refuse means that the bytes do not fit.
+	Refuse
+)
+
 // stalledAfter is the time without progress of a response after which its connection may be closed for another one.
 const stalledAfter = 3 * time.Second
 
@@ -35,8 +53,9 @@
 	port  Port
 	phase phase
 	// since is the beginning of the phase; a connection keeps the time of its first byte, or of its accept, until its request is whole.
-	since time.Time
-	bytes int64
+	since      time.Time
+	bytes      int64
+	isYielding bool
 	// place and holder are those in the queues of the port and of the holders of unfinished requests; nil if it is in none.
 	place, holder *list.Element
 }
@@ -55,6 +74,8 @@
 	limit, used int64
 	ports       map[Port]*queues
 	entries     map[C]*entry[C]
+	// yielding is the number of connections that hold bytes and are about to give them back for others.
+	yielding int
 	// holders are the connections with bytes of an unfinished request, the oldest first.
 	holders list.List
 }
@@ -93,7 +114,7 @@
 		if victim, hasVictim = p.oldest(now, q); !hasVictim {
 			return victim, false, false
 		}
-		p.Evict(victim)
+		p.MarkEvicted(victim)
 	}
 	e := &entry[C]{conn: conn, port: port, phase: awaitingFirst, since: now}
 	p.entries[conn] = e
@@ -138,17 +159,15 @@
 	e.phase = receiving
 }
 
-// Reserve takes bytes for the request of a connection. If they do not fit, it returns the connection to close first: the one that
-// has held an unfinished request longest. It reports false without one if there is none, or if it is the connection itself.
-func (p *Pool[C]) Reserve(conn C, bytes int64) (victim C, hasVictim, ok bool) {
+// Reserve takes bytes for the request of a connection. If they do not fit, the connection that has held an unfinished request longest is
+// closed, once that has taken a while; it is refused if it is the one that asks.
+func (p *Pool[C]) Reserve(now time.Time, conn C, bytes int64) (victim C, verdict Verdict) {
 	e, known := p.entries[conn]
 	if !known || e.isClosing() {
-		return victim, false, false
+		return victim, Refuse
 	}
 	if p.used+bytes > p.limit {
-		victim, hasVictim = p.OldestHolder(conn)
-
-		return victim, hasVictim, false
+		return p.yield(now, e, func(*entry[C]) bool { return true })
 	}
 	p.used += bytes
 	e.bytes += bytes
@@ -156,41 +175,55 @@
 		e.holder = p.pushHolder(e)
 	}
 
-	return victim, false, true
+	return victim, Reserved
 }
 
-// pushHolder adds a holder behind those whose requests began earlier, which is near the end in most cases.
-func (p *Pool[C]) pushHolder(e *entry[C]) *list.Element {
-	for other := p.holders.Back(); other != nil; other = other.Prev() {
-		if !other.Value.(*entry[C]).since.After(e.since) {
-			return p.holders.InsertAfter(e, other)
+// yield returns which of the connections with unfinished requests that match yields to another one: the oldest, once it has taken a while. One
+// is closed at a time, since its memory may be enough.
+func (p *Pool[C]) yield(now time.Time, asking *entry[C], match func(*entry[C]) bool) (victim C, verdict Verdict) {
+	var oldest *entry[C]
+	holders := 0
+	for place := p.holders.Front(); place != nil && holders < 2; place = place.Next() {
+		if e := place.Value.(*entry[C]); match(e) {
+			if holders++; oldest == nil {
+				oldest = e
+			}
 		}
 	}
-
-	return p.holders.PushFront(e)
+	switch {
+	case p.yielding > 0:
+		return victim, Wait
+	case holders == 0, holders == 1 && oldest == asking:
+		return victim, Refuse
+	case asking.phase != handling && now.Sub(oldest.since) < yieldAfter:
+		return victim, Wait
+	case oldest == asking:
+		return victim, Refuse
+	default:
+		return oldest.conn, Evict
+	}
 }
 
-// OldestHolder returns the connection that has held an unfinished request longest, and false if that is the connection that asks.
-func (p *Pool[C]) OldestHolder(asking C) (conn C, ok bool) {
-	first := p.holders.Front()
-	if first == nil || first.Value.(*entry[C]).conn == asking {
-		return conn, false
+// Yield returns which connection of the same port yields to another one, of those that hold more than some bytes of an unfinished request. A
+// request that is whole does not wait for one that is not.
+func (p *Pool[C]) Yield(now time.Time, conn C, bytes int64) (victim C, verdict Verdict) {
+	own, known := p.entries[conn]
+	if !known || own.isClosing() {
+		return victim, Refuse
 	}
 
-	return first.Value.(*entry[C]).conn, true
+	return p.yield(now, own, func(e *entry[C]) bool { return e.port == own.port && e.bytes > bytes })
 }
 
-// OldestHolderOfPort returns the connection of the same port that has held an unfinished request longest, and false if that is the connection
-// that asks.
-func (p *Pool[C]) OldestHolderOfPort(asking C) (conn C, ok bool) {
-	own, known := p.entries[asking]
-	for first := p.holders.Front(); known && first != nil; first = first.Next() {
-		if e := first.Value.(*entry[C]); e.port == own.port {
-			return e.conn, e != own
+// pushHolder adds a holder behind those whose requests began earlier, which is near the end in most cases.
+func (p *Pool[C]) pushHolder(e *entry[C]) *list.Element {
+	for other := p.holders.Back(); other != nil; other = other.Prev() {
+		if !other.Value.(*entry[C]).since.After(e.since) {
+			return p.holders.InsertAfter(e, other)
 		}
 	}
 
-	return conn, false
+	return p.holders.PushFront(e)
 }
 
 // Release gives back bytes of a connection, at most those that it has.
@@ -242,22 +275,35 @@
 	}
 }
 
-// Evict marks a connection that is about to close, so that no other one is closed in its place. What it holds counts until Remove.
-func (p *Pool[C]) Evict(conn C) {
+// MarkEvicted marks a connection that is about to close, so that no other one is closed in its place. What it holds counts until Remove.
+func (p *Pool[C]) MarkEvicted(conn C) {
 	if e, ok := p.entries[conn]; ok {
 		p.leave(e)
 		e.phase = evicted
+		if !e.isYielding && e.bytes > 0 {
+			e.isYielding = true
+			p.yielding++
+		}
+	}
+}
+
+// endYielding notes that a connection has given back its bytes.
+func (p *Pool[C]) endYielding(e *entry[C]) {
+	if e.isYielding {
+		e.isYielding = false
+		p.yielding--
 	}
 }
 
-// Refuse notes that a connection holds nothing any more and is about to close. Until then it is the first to be closed for others.
-func (p *Pool[C]) Refuse(conn C) {
+// MarkRefused notes that a connection holds nothing any more and is about to close. Until then it is the first to be closed for others.
+func (p *Pool[C]) MarkRefused(conn C) {
 	e, ok := p.entries[conn]
 	if !ok {
 		return
 	}
 	p.leave(e)
 	p.Release(conn, e.bytes)
+	p.endYielding(e)
 	e.phase = refused
 	e.place = p.port(e.port).unfinished.PushFront(e)
 }
@@ -270,6 +316,7 @@
 	}
 	p.leave(e)
 	p.used -= e.bytes
+	p.endYielding(e)
 	p.port(e.port).count--
 	delete(p.entries, conn)
 }
--- a/core/intake/pool_test.go
+++ b/core/intake/pool_test.go
@@ -25,36 +25,70 @@
 		_, _, ok := p.Add(at(i), callers, conn)
 		require.True(t, ok)
 	}
+	reserve := func(seconds int, conn string, bytes int64) (string, intake.Verdict) {
+		return p.Reserve(at(seconds), conn, bytes)
+	}
+	requireReserved := func(seconds int, conn string, bytes int64) {
+		t.Helper()
+		_, verdict := reserve(seconds, conn, bytes)
+		require.Equal(t, intake.Reserved, verdict)
+	}
 	// The second begins its first request before the first one does, but was accepted later.
 	for i, conn := range []string{"second", "first", "third"} {
 		p.Begin(at(10+i), conn)
-		_, _, ok := p.Reserve(conn, 33)
-		require.True(t, ok)
+		requireReserved(12, conn, 33)
 	}
 	p.Begin(at(20), "late")
-	victim, hasVictim, ok := p.Reserve("late", 33)
-	require.False(t, ok)
-	require.True(t, hasVictim)
+	victim, verdict := reserve(20, "late", 33)
+	require.Equal(t, intake.Evict, verdict)
 	require.Equal(t, "first", victim)
-	p.Evict(victim)
+	p.MarkEvicted(victim)
 	require.EqualValues(t, 99, p.Used(), "it holds its memory until it is gone")
-	victim, _, _ = p.Reserve("late", 33)
-	require.Equal(t, "second", victim, "none is closed twice")
-	p.Refuse("first")
-	_, _, ok = p.Reserve("late", 33)
-	require.True(t, ok)
+	_, verdict = reserve(20, "late", 33)
+	require.Equal(t, intake.Wait, verdict, "none is closed twice")
+	p.MarkRefused("first")
+	requireReserved(20, "late", 33)
 	require.False(t, p.Finish("first"))
 	require.True(t, p.Finish("third"))
-	victim, _, _ = p.Reserve("late", 50)
+	victim, _ = reserve(20, "late", 50)
 	require.Equal(t, "second", victim)
-	p.Evict("second")
+	p.MarkEvicted("second")
 	p.Remove("second")
-	_, hasVictim, ok = p.Reserve("late", 50)
-	require.False(t, ok, "what remains belongs to a request that is handled")
-	require.False(t, hasVictim)
+	_, verdict = reserve(20, "late", 50)
+	require.Equal(t, intake.Refuse, verdict, "what remains belongs to a request that is handled")
 	p.AwaitNext(at(30), "third")
-	_, _, ok = p.Reserve("late", 50)
-	require.True(t, ok)
+	requireReserved(30, "late", 50)
+}
+
+// Guards against requests that arrive at the same time and close each other, so that none is served.
+func TestYoungRequestsWaitForEachOther(t *testing.T) {
+	p := intake.New[string](100)
+	for _, conn := range []string{"a", "b", "c"} {
+		_, _, ok := p.Add(at(0), callers, conn)
+		require.True(t, ok)
+		p.Begin(at(0), conn)
+		_, verdict := p.Reserve(at(0), conn, 33)
+		require.Equal(t, intake.Reserved, verdict)
+	}
+	for _, conn := range []string{"a", "b", "c"} {
+		_, verdict := p.Reserve(at(0), conn, 33)
+		require.Equal(t, intake.Wait, verdict)
+	}
+	_, verdict := p.Reserve(at(1), "a", 33)
+	require.Equal(t, intake.Refuse, verdict, "it has taken too long")
+	victim, verdict := p.Reserve(at(1), "c", 33)
+	require.Equal(t, intake.Evict, verdict)
+	require.Equal(t, "a", victim)
+	p.MarkEvicted("a")
+	_, verdict = p.Reserve(at(1), "b", 33)
+	require.Equal(t, intake.Wait, verdict, "the memory of one may be enough")
+	p.MarkRefused("a")
+	require.True(t, p.Finish("c"))
+	victim, verdict = p.Yield(at(0), "c", 0)
+	require.Equal(t, intake.Evict, verdict, "a whole request does not wait")
+	require.Equal(t, "b", victim)
+	_, verdict = p.Yield(at(0), "c", 33)
+	require.Equal(t, intake.Refuse, verdict, "no other one holds more")
 }
 
 // Guards against a port that one crowd keeps from all others, and against requests in progress that are cut off for new connections.
@@ -109,7 +143,7 @@
 		open := make(map[int]bool)
 		next := 0
 		remove := func(conn int) {
-			p.Evict(conn)
+			p.MarkEvicted(conn)
 			p.Remove(conn)
 			delete(open, conn)
 		}
@@ -130,8 +164,8 @@
 			case 2:
 				p.Begin(now, conn)
 			case 3, 4:
-				victim, hasVictim, _ := p.Reserve(conn, rapid.Int64Range(0, 600).Draw(t, "bytes"))
-				if hasVictim {
+				victim, verdict := p.Reserve(now, conn, rapid.Int64Range(0, 600).Draw(t, "bytes"))
+				if verdict == intake.Evict {
 					require.True(t, open[victim])
 					require.NotEqual(t, conn, victim)
 					remove(victim)
@@ -145,7 +179,7 @@
 			case 8:
 				p.EndWrite(conn)
 			case 9:
-				p.Refuse(conn)
+				p.MarkRefused(conn)
 			}
 			require.LessOrEqual(t, p.Used(), p.Limit())
 			require.GreaterOrEqual(t, p.Used(), int64(0))
@@ -170,6 +204,7 @@
 		require.GreaterOrEqual(t, files-sum, limits.Callers*3/4, "each request of a caller needs a connection to an upstream")
 	}
 	require.EqualValues(t, 14<<20, intake.Bytes(112<<20))
+	require.EqualValues(t, 8<<20, intake.Bytes(8<<20))
 	require.EqualValues(t, 64<<20, intake.Bytes(0))
 	require.Equal(t, intake.ConnLimits{Callers: 4096, Peers: 2048, Directory: 1024, Readiness: 256, Metrics: 256, Relayed: 512, Relay: 256}, intake.LimitConns(0, 0))
 }
--- a/io/httpx/intake.go
+++ b/io/httpx/intake.go
@@ -61,7 +61,7 @@
 	i.mu.Lock()
 	victim, ok := i.pool.OldestConn(i.Now(), port)
 	if ok {
-		i.pool.Evict(victim)
+		i.pool.MarkEvicted(victim)
 	}
 	i.mu.Unlock()
 	if ok {
@@ -75,27 +75,64 @@
 func (i *Intake) reserve(c *conn, bytes int64) bool {
 	for {
 		i.mu.Lock()
-		victim, hasVictim, ok := i.pool.Reserve(c, bytes)
-		if hasVictim {
-			i.pool.Evict(victim)
+		victim, verdict := i.pool.Reserve(i.Now(), c, bytes)
+		if verdict == intake.Evict {
+			i.pool.MarkEvicted(victim)
 		}
 		i.mu.Unlock()
-		if ok || !hasVictim || !c.awaitEviction(victim) {
-			return ok
+		if verdict == intake.Reserved {
+			return true
+		}
+		if !c.followVerdict(victim, verdict) {
+			return false
 		}
 	}
 }
 
-// evictOldestHolder closes the connection of the same port with the oldest unfinished request, and reports false if it is the one that asks.
-func (i *Intake) evictOldestHolder(c *conn) bool {
+// makeRoom closes the connection of the same port with the oldest unfinished request of those that the memory budget counts, or waits for one
+// to be whole. It reports false if there is nothing to wait for.
+func (i *Intake) makeRoom(c *conn) bool {
 	i.mu.Lock()
-	victim, ok := i.pool.OldestHolderOfPort(c)
-	if ok {
-		i.pool.Evict(victim)
+	victim, verdict := i.pool.Yield(i.Now(), c, uncountedRequestBytes)
+	if verdict == intake.Evict {
+		i.pool.MarkEvicted(victim)
 	}
 	i.mu.Unlock()
 
-	return ok && c.awaitEviction(victim)
+	return c.followVerdict(victim, verdict)
+}
+
+// roomPollInterval is how often a connection tries again that waits for others.
+const roomPollInterval = 2 * time.Millisecond
+
+// followVerdict waits until there may be room, and reports false if there will be none for this connection.
+func (c *conn) followVerdict(victim *conn, verdict intake.Verdict) bool {
+	switch verdict {
+	case intake.Evict:
+		victim.evict()
+
+		return c.waitFor(victim.freed, nil)
+	case intake.Wait:
+		timer := time.NewTimer(roomPollInterval)
+		defer timer.Stop()
+
+		return c.waitFor(nil, timer.C)
+	case intake.Reserved, intake.Refuse:
+	}
+
+	return false
+}
+
+// waitFor waits for one of the events, and reports false if the connection is evicted meanwhile.
+func (c *conn) waitFor(freed <-chan struct{}, passed <-chan time.Time) bool {
+	select {
+	case <-freed:
+		return true
+	case <-passed:
+		return true
+	case <-c.evicted:
+		return false
+	}
 }
 
 // closeForOthers closes a connection whose descriptor is needed. It gets a short time to tell its client.
@@ -110,17 +147,6 @@
 	}
 }
 
-// awaitEviction evicts another connection and waits until it has given back its memory. It reports false if this one is evicted meanwhile.
-func (c *conn) awaitEviction(victim *conn) bool {
-	victim.evict()
-	select {
-	case <-victim.freed:
-		return true
-	case <-c.evicted:
-		return false
-	}
-}
-
 // release gives back bytes of a connection.
 func (i *Intake) release(c *conn, bytes int64) {
 	i.do(func(pool *intake.Pool[*conn]) { pool.Release(c, bytes) })
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -74,14 +74,27 @@
 }
 
 // Reserve reserves bytes for the connection from a remote address until its response has been written, and reports false if they
-// do not fit. The connections whose callers read nothing are closed first, the largest first.
+// do not fit. The connections whose callers read nothing are closed first, the largest first, then those whose requests have been
+// arriving longest.
 func (m *MemoryBudget) Reserve(remote string, bytes int64) bool {
-	if m == nil || m.tryReserve(remote, bytes) {
-		return true
+	for m != nil && !m.tryReserve(remote, bytes) {
+		if !m.evictUnfinished(remote) {
+			m.countRefusal(remote)
+
+			return false
+		}
 	}
-	m.countRefusal(remote)
 
-	return false
+	return true
+}
+
+// evictUnfinished closes a connection whose request is not whole yet for one whose request is, and reports false if there is none.
+func (m *MemoryBudget) evictUnfinished(remote string) bool {
+	m.mu.Lock()
+	c, open := m.byRemote[remote]
+	m.mu.Unlock()
+
+	return open && c.listener.intake.makeRoom(c)
 }
 
 // countRefusal counts a refused reservation, unless the connection has been closed.
@@ -234,7 +247,7 @@
 	}
 	if c.memory != nil {
 		for !c.reserveBudgeted(bytes) {
-			if c.class == memorybudget.Storage || !c.listener.intake.evictOldestHolder(c) {
+			if c.class == memorybudget.Storage || !c.listener.intake.makeRoom(c) {
 				c.listener.intake.release(c, bytes)
 				c.memory.countRefusal(c.remoteAddr)
 
--- a/io/httpx/receive.go
+++ b/io/httpx/receive.go
@@ -53,6 +53,10 @@
 
 		return err
 	}
+	if c.memory != nil && c.reservedBytes > 0 {
+		// The memory budget counts the request until its response has been sent.
+		c.listener.intake.release(c, c.request.HeldBytes())
+	}
 	c.unread = append(c.unread[:0], c.request.Head())
 	if body := c.request.Body(); len(body) > 0 {
 		c.unread = append(c.unread, body)
@@ -248,7 +252,7 @@
 	if c.memory != nil {
 		c.memory.endResponse(c)
 	}
-	c.listener.intake.do(func(pool *intake.Pool[*conn]) { pool.Refuse(c) })
+	c.listener.intake.do(func(pool *intake.Pool[*conn]) { pool.MarkRefused(c) })
 	c.freeOnce.Do(func() { close(c.freed) })
 }
 
