Reserve the memory of large events of upstreams

Callers saw a host end beside an upstream that sends events without an end: each stream held up to 1 MB that nobody counted.

Cause: an event is forwarded once it is whole, up to 1 MB, and the memory budget took events for uncounted bytes that wait for the caller.

Change: above 64 KB, an event's buffer is reserved before it is allocated, in the memory budget or, without one, in the 16 MB of bodies that are being read. A stream whose event does not fit is broken off as one that its upstream broke.

--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -130,6 +130,8 @@
 // forwardEvents forwards whole events until the stream ends; the response header is sent with the first event.
 func (p *Proxy) forwardEvents(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) (*eventWriter, error) {
 	events := upstreamclient.NewEventReader(sent.Body)
+	events.Memory = eventMemory{proxy: p, remote: req.remote}
+	defer events.Close()
 	req.firstEventAt, req.tokensAtFirstEvent = time.Time{}, req.outputTokens
 	var comments []byte
 	for {
--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -9,8 +9,9 @@
 const (
 	// eventBufferBytes is the size of the read buffer for events.
 	eventBufferBytes = 4096
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the size of one event, and largeEventBytes is the size from which the memory for one is reserved.
+	maxEventBytes   = 1 << 20
+	largeEventBytes = 64 << 10
 )
 
 // byteOrderMark may start a stream and belongs to no field.
@@ -29,9 +30,22 @@
 // IsComment reports whether the event has neither an id nor data, as comments that keep a connection open.
 func (e Event) IsComment() bool { return e.ID == "" && e.Data == nil }
 
+// EventMemory accounts for the buffers of large events.
+type EventMemory interface {
+	// Reserve is called before a buffer is allocated, and reports false if it does not fit.
+	Reserve(bytes int64) bool
+	// Release gives bytes back that were reserved.
+	Release(bytes int64)
+}
+
 // EventReader splits a response body into complete server-sent events. A line ends with a line feed, a carriage return, or both.
 type EventReader struct {
+	// Memory accounts for large events; nil means that any number of them fits.
+	Memory EventMemory
+
 	r *bufio.Reader
+	// held are the bytes that are reserved for the present event.
+	held int64
 	// hasBegun is set once the first line was read.
 	hasBegun bool
 	// isAfterReturn is set while a line feed that follows belongs to the carriage return before it.
@@ -43,9 +57,10 @@
 	return &EventReader{r: bufio.NewReaderSize(body, eventBufferBytes)}
 }
 
-// Next returns the next complete event. It returns io.EOF if the stream ends between events, io.ErrUnexpectedEOF or
-// the reader's error if it ends within an event, and ErrResponseLost if an event is too large.
+// Next returns the next complete event, which is valid until the next call. It returns io.EOF if the stream ends between events, io.ErrUnexpectedEOF or
+// the reader's error if it ends within an event, and ErrResponseLost if an event is too large or does not fit into memory.
 func (e *EventReader) Next() (Event, error) {
+	e.Close()
 	var event Event
 	for {
 		line, err := e.readLine(&event)
@@ -64,6 +79,39 @@
 	}
 }
 
+// Close gives back the memory of the last event.
+func (e *EventReader) Close() { e.setHeld(0) }
+
+// setHeld changes what is reserved, and reports false if that does not fit.
+func (e *EventReader) setHeld(bytes int64) bool {
+	switch {
+	case e.Memory == nil || bytes == e.held:
+		return true
+	case bytes < e.held:
+		e.Memory.Release(e.held - bytes)
+	case !e.Memory.Reserve(bytes - e.held):
+		return false
+	}
+	e.held = bytes
+
+	return true
+}
+
+// grow makes room for further bytes of an event, and reports false if there is none. The buffer doubles when it is full.
+func (e *EventReader) grow(event *Event, bytes int) bool {
+	needed := len(event.Raw) + bytes
+	if needed <= cap(event.Raw) {
+		return true
+	}
+	old, grown := cap(event.Raw), max(needed, 2*cap(event.Raw))
+	if grown > largeEventBytes && !e.setHeld(int64(old+grown)) {
+		return false
+	}
+	event.Raw = append(make([]byte, 0, grown), event.Raw...)
+
+	return grown <= largeEventBytes || e.setHeld(int64(grown))
+}
+
 // readLine appends the next line to the event's raw bytes, and returns it without its end. It does not wait for what follows a carriage
 // return, since the event may be complete.
 func (e *EventReader) readLine(event *Event) (line []byte, err error) {
@@ -80,6 +128,10 @@
 		if !isWhole {
 			length = len(buffered)
 		}
+		// The line's end may add two bytes.
+		if !e.grow(event, length+len("\r\n")) {
+			return nil, ErrResponseLost.New("an event of more than %d bytes does not fit into memory", len(event.Raw))
+		}
 		event.Raw = append(event.Raw, buffered[:length]...)
 		end := len(event.Raw)
 		if isWhole {
--- a/test/clients/clients_linux_test.go
+++ b/test/clients/clients_linux_test.go
@@ -72,6 +72,14 @@
 	crowd{addresses: atCallers, client: completeAndStay, hostOptions: hostOptions{hasNoBudget: true}}.run(t)
 }
 
+func TestUnendedEventsOfUpstreams(t *testing.T) {
+	crowd{addresses: atCallers, client: askForStream, hostOptions: hostOptions{unendedEventBytes: 900 << 10}}.run(t)
+}
+
+func TestUnendedEventsOfUpstreamsWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: askForStream, hostOptions: hostOptions{unendedEventBytes: 900 << 10, hasNoBudget: true}}.run(t)
+}
+
 func TestPipelinedRequestsAtCallerPort(t *testing.T) {
 	crowd{addresses: atCallers, client: pipeline}.run(t)
 }
--- a/test/clients/crowd_linux_test.go
+++ b/test/clients/crowd_linux_test.go
@@ -80,6 +80,12 @@
 	nothing          = send("")
 )
 
+// askForStream sends a request for a stream and stays.
+func askForStream(conn net.Conn) {
+	send("POST /draft/x HTTP/1.1\r\nHost: agents.example\r\nRequest-Id: " + conn.LocalAddr().String() +
+		"\r\nAuthorization: Bearer secret\r\nTime-Remaining-Ms: 20000\r\nContent-Length: 0\r\n\r\n")(conn)
+}
+
 // completeAndStay sends a large request, reads the response and stays.
 func completeAndStay(conn net.Conn) {
 	const body = 600 << 10
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -91,6 +91,8 @@
 type hostOptions struct {
 	// files is the number of descriptors of the host; zero means hostFiles.
 	files int
+	// unendedEventBytes are the bytes of an event without an end that upstreams of streams send; zero means that there are no such upstreams.
+	unendedEventBytes int
 	// hasNoBudget leaves out the optional memory budget.
 	hasNoBudget bool
 }
@@ -106,6 +108,14 @@
 		t.Cleanup(upstream.Close)
 		upstream.Register(store, "ready")
 	}
+	for i := range 2 {
+		upstream := standin.NewUpstream(fmt.Sprintf("engine-%d", i), "engines", 5)
+		t.Cleanup(upstream.Close)
+		if opts.unendedEventBytes > 0 {
+			upstream.SetUnendedEvents(opts.unendedEventBytes)
+			upstream.Register(store, "ready")
+		}
+	}
 	ports := freePorts(t, 6)
 	address := func(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 	if opts.files == 0 {
