Bound the headers of responses of the store and of peers

A faulty store, peer or upstream could make a host hold 10 MB of header for each call, the default of the HTTP client. Callers of such a host would see it end; that was not seen, it was found by reading every reader of bytes from others.

Evidence: TestLongHeadersOfResponsesAreRefused failed before the change: a response with 1 MB of header was taken.

Change: 64 KB at most, in the clients of the store, of peers' calls and of serve's daemon. What these peers send is far below 1 KB.

Result: the test passes; the call is in doubt, as any call without a valid response.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -31,6 +31,8 @@
 	slotGroup = "slots"
 	// slotTopicName is the topic of the owners' records; each partition is a slot.
 	slotTopicName = "slots"
+	// maxReplyHeaderBytes bounds the header of a peer's reply.
+	maxReplyHeaderBytes = 64 << 10
 	// peerDialTimeout bounds connecting to a peer.
 	peerDialTimeout = 300 * time.Millisecond
 	// peerKeepAliveInterval is the TCP keep-alive interval of connections to peers.
@@ -169,6 +171,7 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
 	c.httpClient = &http.Client{Transport: &memoryTransport{cluster: c, inner: &countingTransport{cluster: c, inner: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}}}}
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -123,6 +123,9 @@
 // connection.
 const readableBodyFactor = 4
 
+// maxResponseHeaderBytes bounds the header of a response of a peer, an upstream or the log.
+const maxResponseHeaderBytes = 64 << 10
+
 // maxPeerBodyBytes bounds the body of a request between hosts.
 const maxPeerBodyBytes = 32 << 20
 
@@ -139,6 +142,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerAddress,
 		DisableKeepAlives:   !keepAlive,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
