Share the bound of requests between the servers of serve

The three servers of serve bounded what they hold for requests each for itself, and the connections of a port not at all, so that one crowd could take the descriptors of the others and of calls to upstreams, peers and the log. That was read, not seen: no test of its own shows it, the same mechanism is tested for the gateway in test/clients.

Refusals are logged.

--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"cardamomward/core/id"
+	"cardamomward/core/intake"
 	"cardamomward/core/projection"
 	"cardamomward/core/settings"
 	"cardamomward/core/slotassignment"
@@ -102,16 +103,20 @@
 
 func (h *Host) openListeners() error {
 	var errs []error
-	listen := func(address string, maxBodyBytes int) *httpx.Server {
-		server, err := httpx.NewServer(httpx.Options{Address: address, MaxBodyBytes: maxBodyBytes, DrainTimeout: h.config.DrainTimeout})
+	requests := httpx.NewIntake(intake.Bytes(0), time.Now)
+	limits := intake.LimitConns(httpx.OpenFileLimit(0), 0)
+	listen := func(address string, maxBodyBytes, maxConns int) *httpx.Server {
+		server, err := httpx.NewServer(httpx.Options{
+			Address: address, MaxBodyBytes: maxBodyBytes, DrainTimeout: h.config.DrainTimeout, Intake: requests, MaxConns: maxConns, Logger: h.logger,
+		})
 		errs = append(errs, err)
 
 		return server
 	}
 	// Bodies of up to readableBodyFactor times the limit are read, so that the caller gets the documented error.
-	h.callerServer = listen(h.config.CallerAddress, readableBodyFactor*h.config.MaxBodyBytes)
-	h.operatorServer = listen(h.config.OperatorAddress, maxOperatorBodyBytes)
-	h.peerServer = listen(h.config.PeerAddress, maxPeerBodyBytes)
+	h.callerServer = listen(h.config.CallerAddress, readableBodyFactor*h.config.MaxBodyBytes, limits.Callers)
+	h.operatorServer = listen(h.config.OperatorAddress, maxOperatorBodyBytes, limits.Metrics)
+	h.peerServer = listen(h.config.PeerAddress, maxPeerBodyBytes, limits.Peers)
 
 	return errors.Join(errs...)
 }
--- a/io/gatewayhost/limits.go
+++ b/io/gatewayhost/limits.go
@@ -1,8 +1,6 @@
 package gatewayhost
 
 import (
-	"math"
-	"syscall"
 	"time"
 
 	"cardamomward/core/http1"
@@ -17,24 +15,9 @@
 	headTimeoutSlack = time.Second
 )
 
-// openFileLimit returns the descriptors that the host's process may open: the fewer of those of the host and of the process; zero if both are
-// unknown.
-func openFileLimit(hostLimit int) int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return hostLimit
-	}
-	processLimit := int(min(limit.Cur, math.MaxInt32))
-	if hostLimit <= 0 {
-		return processLimit
-	}
-
-	return min(hostLimit, processLimit)
-}
-
 // connLimits returns the most open connections of each port of the host.
 func (h *Host) connLimits() intake.ConnLimits {
-	return intake.LimitConns(openFileLimit(h.settings.MaxOpenFiles), h.settings.MemoryBytes)
+	return intake.LimitConns(httpx.OpenFileLimit(h.settings.MaxOpenFiles), h.settings.MemoryBytes)
 }
 
 // requestLimits returns the limits of callers' requests by the newest configuration.
