Do not wait for memory that a handler still holds

Callers whose requests did not fit would have waited for the handler of a connection that was closed for others since its client read nothing, which may take seconds: found by reading the change, not seen.

Cause: any closed connection counted as one that is about to give back its memory; only one with an unfinished request is.

Evidence: TestClosedConnectionInProgressIsNotWaitedFor got Wait instead of Refuse before the change, and passes with it.

--- a/core/intake/pool.go
+++ b/core/intake/pool.go
@@ -53,8 +53,9 @@
 	port  Port
 	phase phase
 	// since is the beginning of the phase; a connection keeps the time of its first byte, or of its accept, until its request is whole.
-	since      time.Time
-	bytes      int64
+	since time.Time
+	bytes int64
+	// isYielding is set while an evicted connection has not given back the bytes of its unfinished request.
 	isYielding bool
 	// place and holder are those in the queues of the port and of the holders of unfinished requests; nil if it is in none.
 	place, holder *list.Element
@@ -74,7 +75,7 @@
 	limit, used int64
 	ports       map[Port]*queues
 	entries     map[C]*entry[C]
-	// yielding is the number of connections that hold bytes and are about to give them back for others.
+	// yielding is the number of connections with isYielding.
 	yielding int
 	// holders are the connections with bytes of an unfinished request, the oldest first.
 	holders list.List
@@ -278,12 +279,13 @@
 // MarkEvicted marks a connection that is about to close, so that no other one is closed in its place. What it holds counts until Remove.
 func (p *Pool[C]) MarkEvicted(conn C) {
 	if e, ok := p.entries[conn]; ok {
-		p.leave(e)
-		e.phase = evicted
-		if !e.isYielding && e.bytes > 0 {
+		// A handler may hold its request for a while after the connection has been closed.
+		if e.phase == receiving && e.bytes > 0 {
 			e.isYielding = true
 			p.yielding++
 		}
+		p.leave(e)
+		e.phase = evicted
 	}
 }
 
--- a/core/intake/pool_test.go
+++ b/core/intake/pool_test.go
@@ -91,6 +91,26 @@
 	require.Equal(t, intake.Refuse, verdict, "no other one holds more")
 }
 
+// Guards against requests that wait for memory that a closed connection's handler still holds.
+func TestClosedConnectionInProgressIsNotWaitedFor(t *testing.T) {
+	p := intake.New[string](100)
+	for _, conn := range []string{"slow reader", "new"} {
+		_, _, ok := p.Add(at(0), callers, conn)
+		require.True(t, ok)
+		p.Begin(at(0), conn)
+		_, verdict := p.Reserve(at(0), conn, 50)
+		require.Equal(t, intake.Reserved, verdict)
+	}
+	require.True(t, p.Finish("slow reader"))
+	p.BeginWrite(at(0), "slow reader")
+	p.MarkEvicted("slow reader")
+	_, verdict := p.Reserve(at(10), "new", 50)
+	require.Equal(t, intake.Refuse, verdict)
+	p.Remove("slow reader")
+	_, verdict = p.Reserve(at(10), "new", 50)
+	require.Equal(t, intake.Reserved, verdict)
+}
+
 // Guards against a port that one crowd keeps from all others, and against requests in progress that are cut off for new connections.
 func TestFullPortClosesTheLeastUsefulConnection(t *testing.T) {
 	p := intake.New[string](100)
