--- a/core/http1/chunk.go
+++ b/core/http1/chunk.go
@@ -84,7 +84,7 @@
 func (r *Request) endTrailerLine(limits Limits, memory Memory) func(line []byte) error {
 	return func(line []byte) error {
 		if len(line) == 0 {
-			return r.complete(limits, memory)
+			return r.complete(memory)
 		}
 		if r.overhead += len(line); r.overhead > limits.HeadBytes {
 			return ErrHeadTooLarge
--- a/core/http1/head.go
+++ b/core/http1/head.go
@@ -134,7 +134,7 @@
 }
 
 // complete ends the request. A chunked body has become one of a known length.
-func (r *Request) complete(_ Limits, memory Memory) error {
+func (r *Request) complete(memory Memory) error {
 	r.phase = phaseComplete
 	if !r.isChunked {
 		return nil
--- a/core/http1/request.go
+++ b/core/http1/request.go
@@ -163,7 +163,7 @@
 
 		return nil
 	case r.bodyLeft == 0:
-		return r.complete(limits, memory)
+		return r.complete(memory)
 	default:
 		r.phase, r.announced = phaseBody, r.bodyLeft
 
--- a/io/httpx/intake.go
+++ b/io/httpx/intake.go
@@ -7,8 +7,12 @@
 	"cardamomward/core/intake"
 )
 
-// defaultIntakeBytes bounds the requests of a server without an Intake, in bytes.
-const defaultIntakeBytes = 64 << 20
+const (
+	// defaultIntakeBytes bounds the requests of a server without an Intake, in bytes.
+	defaultIntakeBytes = 64 << 20
+	// roomPollInterval is how often a connection tries again that waits for others.
+	roomPollInterval = 2 * time.Millisecond
+)
 
 // Intake bounds what the servers of a process hold for requests, from their first byte until their responses have been sent. It may be used
 // from many goroutines.
@@ -102,9 +106,6 @@
 	return c.followVerdict(victim, verdict)
 }
 
-// roomPollInterval is how often a connection tries again that waits for others.
-const roomPollInterval = 2 * time.Millisecond
-
 // followVerdict waits until there may be room, and reports false if there will be none for this connection.
 func (c *conn) followVerdict(victim *conn, verdict intake.Verdict) bool {
 	switch verdict {
