--- a/test/clients/clients_linux_test.go
+++ b/test/clients/clients_linux_test.go
@@ -40,6 +40,30 @@
 	crowd{addresses: atCallers, client: sendChunks(1, endlessBytes), hostOptions: hostOptions{hasNoBudget: true}}.run(t)
 }
 
+func TestChunksThatStopShortAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("chunked")}.run(t)
+}
+
+func TestChunksThatStopShortAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("chunked"), hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestBodiesThatStopShortAtCallerPort(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("length")}.run(t)
+}
+
+func TestBodiesThatStopShortAtCallerPortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("length"), hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
+func TestLargestBodyIsServedBesideBodiesThatStopShort(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("chunked"), sendsLargest: true}.run(t)
+}
+
+func TestLargestBodyIsServedBesideBodiesThatStopShortWithoutBudget(t *testing.T) {
+	crowd{addresses: atCallers, client: stopShort("length"), sendsLargest: true, hostOptions: hostOptions{hasNoBudget: true}}.run(t)
+}
+
 func TestEndlessChunkExtensionsAtCallerPort(t *testing.T) {
 	crowd{addresses: atCallers, client: endlessExtension}.run(t)
 }
--- a/test/clients/crowd_linux_test.go
+++ b/test/clients/crowd_linux_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -19,8 +21,9 @@
 	rounds    = 2
 	// sendTimeout bounds the time in which a client sends what it has, or waits for a response.
 	sendTimeout = 8 * time.Second
-	// ordinaryBytes is the body of an ordinary request.
+	// ordinaryBytes is the body of an ordinary request, and largestBytes the limit of the configuration.
 	ordinaryBytes = 20 << 10
+	largestBytes  = 4 << 20
 	// endlessBytes is what a client sends of something that has no end.
 	endlessBytes = 2 << 20
 	// settleTime is for the host to read what is still in the kernel's buffers.
@@ -65,6 +68,17 @@
 	return sendEndless(head+"Transfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), total)
 }
 
+// stopShort returns a client that sends all of a body within the limits but its last byte.
+func stopShort(framing string) client {
+	const body = 1 << 20
+	text := strings.Repeat("x", body-1)
+	if framing == "chunked" {
+		return send(head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", body) + text)
+	}
+
+	return send(head + "Content-Length: " + strconv.Itoa(body) + "\r\n\r\n" + text)
+}
+
 var (
 	// Each client announces much more than it sends.
 	announcedChunk  = send(head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", 15<<20) + strings.Repeat("x", 64<<10))
@@ -117,6 +131,8 @@
 	// addresses returns the addresses of the host to which the clients connect.
 	addresses func(h *host) []string
 	client    client
+	// sendsLargest is set if a request with the largest body is sent beside the crowd, too.
+	sendsLargest bool
 }
 
 func atCallers(h *host) []string   { return []string{h.settings.CallerAddress} }
@@ -148,6 +164,11 @@
 		leave := c.arrive(t, h)
 		h.requireWithinBounds(files, fmt.Sprintf("in round %d", round))
 		h.requireServes(fmt.Sprintf("in round %d", round))
+		if c.sendsLargest {
+			status, err := h.lookUp(strings.Repeat("x", largestBytes))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status, "the largest body in round %d", round)
+		}
 		leave()
 		h.requireServes(fmt.Sprintf("after round %d", round))
 		h.requireWithinBounds(files, fmt.Sprintf("after round %d", round))
