Leave memory beside large events of upstreams

Cause: large events could take all that the memory budget has for callers.

Change: large events of all streams take a quarter of the budget at most.

--- a/io/reverseproxy/eventmemory.go
+++ b/io/reverseproxy/eventmemory.go
@@ -1,7 +1,9 @@
 package reverseproxy
 
-// eventMemory accounts for the large events of a stream, which an upstream may never end: in the memory budget, or else with the bodies that
-// are being read.
+// eventShare is the part of the memory budget that large events may take, so that others find memory while upstreams do not end theirs.
+const eventShare = 4
+
+// eventMemory accounts for the large events of a stream, which an upstream may never end: in the memory budget, and all together.
 type eventMemory struct {
 	proxy  *Proxy
 	remote string
@@ -9,11 +11,8 @@
 
 // Reserve reserves bytes for the caller's connection.
 func (m eventMemory) Reserve(bytes int64) bool {
-	if m.proxy.Memory != nil {
-		return m.proxy.Memory.Reserve(m.remote, bytes)
-	}
-	if m.proxy.bufferedBytes.Add(bytes) > maxBufferedBytes {
-		m.Release(bytes)
+	if m.proxy.bufferedBytes.Add(bytes) > m.proxy.maxEventBytes() || !m.proxy.Memory.Reserve(m.remote, bytes) {
+		m.proxy.bufferedBytes.Add(-bytes)
 
 		return false
 	}
@@ -23,10 +22,15 @@
 
 // Release gives bytes back.
 func (m eventMemory) Release(bytes int64) {
-	if m.proxy.Memory != nil {
-		m.proxy.Memory.Release(m.remote, bytes)
+	m.proxy.Memory.Release(m.remote, bytes)
+	m.proxy.bufferedBytes.Add(-bytes)
+}
 
-		return
+// maxEventBytes returns the most bytes of large events of all streams.
+func (p *Proxy) maxEventBytes() int64 {
+	if _, budget, _ := p.Memory.Usage(); budget > 0 {
+		return min(maxBufferedBytes, budget/eventShare)
 	}
-	m.proxy.bufferedBytes.Add(-bytes)
+
+	return maxBufferedBytes
 }
