Grow the buffer of a large body without a last copy of almost its size

A caller with a body of the configured limit may be refused with 503 in calm at a host with little memory: while its buffer grew from just below the final size, both took almost twice the body. Found when large requests had to leave a part of the memory to others.

Cause: a buffer grew by half whatever was left, and one of a chunked body without regard to the limit.

Evidence: TestBuffersOfLargestBodyGrowWithinTwoThirdsMore failed before: 7,181,312 bytes for a body of 4 MB that arrives in parts of 1 KB.

Change: a step that would leave less than half of the new size goes to the final size, which for a chunked body is the limit.

Result: at most two thirds more than the body, whatever the parts and the framing.

--- a/core/http1/buffer.go
+++ b/core/http1/buffer.go
@@ -10,8 +10,9 @@
 // buffer holds bytes in memory that is reserved before it is allocated.
 type buffer struct{ data []byte }
 
-// append adds bytes. The buffer grows with what has arrived, and at most to the length that is expected if that is known.
-func (b *buffer) append(bytes []byte, expected int64, memory Memory) error {
+// append adds bytes. The buffer grows with what has arrived, and at most to its final size if that is known. It is not left just below that, as
+// the last copy would need almost twice the size.
+func (b *buffer) append(bytes []byte, final int64, memory Memory) error {
 	needed := len(b.data) + len(bytes)
 	if needed <= cap(b.data) {
 		b.data = append(b.data, bytes...)
@@ -23,8 +24,8 @@
 		grown = cap(b.data) + cap(b.data)/2
 	}
 	grown = max(needed, grown)
-	if expected >= int64(needed) {
-		grown = int(min(int64(grown), expected))
+	if final >= int64(needed) && int64(grown+grown/2) >= final {
+		grown = int(final)
 	}
 	if !memory.Reserve(int64(grown)) {
 		return ErrNoMemory
--- a/core/http1/request.go
+++ b/core/http1/request.go
@@ -46,8 +46,8 @@
 	body      buffer
 	// bodyLeft is what is left of a body of known length or of the present chunk.
 	bodyLeft int64
-	// announced is the length of the body as far as it is known.
-	announced    int64
+	// finalBytes is the length of the body or, for a chunked one, the most that it may have.
+	finalBytes   int64
 	hasLength    bool
 	isChunked    bool
 	expectsReply bool
@@ -145,7 +145,7 @@
 // feedBody takes bytes of the body or of a chunk, after which next follows.
 func (r *Request) feedBody(data []byte, memory Memory, next phase) (taken int, err error) {
 	part := data[:min(int64(len(data)), r.bodyLeft)]
-	if err := r.body.append(part, r.announced, memory); err != nil {
+	if err := r.body.append(part, r.finalBytes, memory); err != nil {
 		return 0, err
 	}
 	if r.bodyLeft -= int64(len(part)); r.bodyLeft == 0 {
@@ -159,13 +159,13 @@
 func (r *Request) beginBody(limits Limits, memory Memory) error {
 	switch {
 	case r.isChunked:
-		r.phase = phaseChunkLine
+		r.phase, r.finalBytes = phaseChunkLine, limits.BodyBytes
 
 		return nil
 	case r.bodyLeft == 0:
 		return r.complete(memory)
 	default:
-		r.phase, r.announced = phaseBody, r.bodyLeft
+		r.phase, r.finalBytes = phaseBody, r.bodyLeft
 
 		return r.checkAnnounced(r.bodyLeft, limits, memory)
 	}
--- a/core/http1/request_test.go
+++ b/core/http1/request_test.go
@@ -41,6 +41,29 @@
 	return data, nil
 }
 
+// Guards against the largest body that is refused in calm, since its buffers do not fit while they grow.
+func TestBuffersOfLargestBodyGrowWithinTwoThirdsMore(t *testing.T) {
+	const body = 4 << 20
+	most := http1.Limits{HeadBytes: 2000, BodyBytes: body}
+	for _, framing := range []string{"length", "chunks"} {
+		for _, size := range []int{1 << 10, 3000, 16 << 10, 50_000, 64 << 10} {
+			m := &memory{limit: 1 << 30}
+			request := &http1.Request{}
+			head := get + "Content-Length: 4194304\r\n\r\n"
+			if framing == "chunks" {
+				head = get + "Transfer-Encoding: chunked\r\n\r\n400000\r\n"
+			}
+			_, err := request.Feed([]byte(head), most, m)
+			require.NoError(t, err)
+			for left := body; left > 0; left -= size {
+				_, err := request.Feed(make([]byte, min(size, left)), most, m)
+				require.NoError(t, err)
+			}
+			require.LessOrEqual(t, m.most, int64(body*5/3+64<<10), "%s in parts of %d bytes", framing, size)
+		}
+	}
+}
+
 const get = "GET /a HTTP/1.1\r\nHost: h\r\n"
 
 // Guards against requests that are read in another way depending on how their bytes arrive, and against framing that is passed on.
