Count header fields, and leave memory beside large requests

Callers saw a host end beside 200 clients whose heads are within the limits: 15 KB of fields such as "a:". With 64 KB of them the directory's and the peers' port did it, too.

Cause: a request counted the bytes that arrived. Parsed and copied to be forwarded, a field takes 80 to 140 bytes more, and all clients may have requests in progress at the same time.

TestLargeRequestsLeaveMemoryToSmallOnes fails without the second part of the change.

Change: each field counts 256 bytes until the response has been sent, reserved once the head is whole. As such requests are large and cannot be given up while they are handled, requests above 64 KB leave an eighth of the bound to others, so that ordinary ones are still answered.

--- a/core/http1/head.go
+++ b/core/http1/head.go
@@ -63,7 +63,11 @@
 func (r *Request) endHeadLine(line []byte) (keep bool, err error) {
 	switch {
 	case len(line) > 0 && r.lineStart > 0:
-		return r.interpretField(line)
+		if keep, err = r.interpretField(line); keep {
+			r.fieldCount++
+		}
+
+		return keep, err
 	case len(line) > 0:
 		return true, checkRequestLine(line)
 	case r.lineStart == 0:
--- a/core/http1/request.go
+++ b/core/http1/request.go
@@ -43,7 +43,9 @@
 	lineStart int
 	// headBytes were read of the head, also those that are not kept.
 	headBytes int
-	body      buffer
+	// fieldCount is the number of header fields that are kept.
+	fieldCount int
+	body       buffer
 	// bodyLeft is what is left of a body of known length or of the present chunk.
 	bodyLeft int64
 	// finalBytes is the length of the body or, for a chunked one, the most that it may have.
@@ -85,6 +87,9 @@
 	return r.head.data
 }
 
+// FieldCount returns the number of header fields that have arrived, without those that are dropped.
+func (r *Request) FieldCount() int { return r.fieldCount }
+
 // Body returns the decoded body as far as it has arrived.
 func (r *Request) Body() []byte { return r.body.data }
 
--- a/core/intake/pool.go
+++ b/core/intake/pool.go
@@ -26,6 +26,12 @@
 	Refuse
 )
 
+const (
+	// largeBytes is the size above which a request is large, and smallShare the part of the limit that large ones leave to others.
+	largeBytes = 64 << 10
+	smallShare = 8
+)
+
 // stalledAfter is the time without progress of a response after which its connection may be closed for another one.
 const stalledAfter = 3 * time.Second
 
@@ -73,6 +79,8 @@
 // Pool accounts for the connections of all ports of a process. It is not safe for use from many goroutines.
 type Pool[C comparable] struct {
 	limit, used int64
+	// usedByLarge are the bytes of large requests.
+	usedByLarge int64
 	ports       map[Port]*queues
 	entries     map[C]*entry[C]
 	// yielding is the number of connections with isYielding.
@@ -161,7 +169,7 @@
 }
 
 // Reserve takes bytes for the request of a connection. If they do not fit, the connection that has held an unfinished request longest is
-// closed, once that has taken a while; it is refused if it is the one that asks.
+// closed, once that has taken a while; it is refused if it is the one that asks. Large requests leave a part of the limit to others.
 func (p *Pool[C]) Reserve(now time.Time, conn C, bytes int64) (victim C, verdict Verdict) {
 	e, known := p.entries[conn]
 	if !known || e.isClosing() {
@@ -170,8 +178,10 @@
 	if p.used+bytes > p.limit {
 		return p.yield(now, e, func(*entry[C]) bool { return true })
 	}
-	p.used += bytes
-	e.bytes += bytes
+	if large := asLarge(e.bytes + bytes); large > 0 && p.usedByLarge-asLarge(e.bytes)+large > p.limit-p.limit/smallShare {
+		return p.yield(now, e, func(other *entry[C]) bool { return asLarge(other.bytes) > 0 })
+	}
+	p.setBytes(e, e.bytes+bytes)
 	if e.holder == nil && e.phase == receiving {
 		e.holder = p.pushHolder(e)
 	}
@@ -230,10 +240,24 @@
 // Release gives back bytes of a connection, at most those that it has.
 func (p *Pool[C]) Release(conn C, bytes int64) {
 	if e, ok := p.entries[conn]; ok {
-		bytes = min(bytes, e.bytes)
-		e.bytes -= bytes
-		p.used -= bytes
+		p.setBytes(e, e.bytes-min(bytes, e.bytes))
+	}
+}
+
+// setBytes sets what a connection holds.
+func (p *Pool[C]) setBytes(e *entry[C], bytes int64) {
+	p.used += bytes - e.bytes
+	p.usedByLarge += asLarge(bytes) - asLarge(e.bytes)
+	e.bytes = bytes
+}
+
+// asLarge returns the bytes of a request if they make it a large one, else zero.
+func asLarge(bytes int64) int64 {
+	if bytes > largeBytes {
+		return bytes
 	}
+
+	return 0
 }
 
 // Finish notes that a request has arrived whole, and reports false if its connection is to be closed.
@@ -317,7 +341,7 @@
 		return
 	}
 	p.leave(e)
-	p.used -= e.bytes
+	p.setBytes(e, 0)
 	p.endYielding(e)
 	p.port(e.port).count--
 	delete(p.entries, conn)
--- a/core/intake/pool_test.go
+++ b/core/intake/pool_test.go
@@ -60,6 +60,39 @@
 	requireReserved(30, "late", 50)
 }
 
+// Guards against ordinary requests that are refused because large ones, which are handled and cannot yield, hold all memory.
+func TestLargeRequestsLeaveMemoryToSmallOnes(t *testing.T) {
+	const limit, large, small = 8 << 20, 1 << 20, 32 << 10
+	p := intake.New[int](limit)
+	admit := func(conn int, bytes int64) bool {
+		_, _, ok := p.Add(at(0), callers, conn)
+		require.True(t, ok)
+		p.Begin(at(0), conn)
+		if _, verdict := p.Reserve(at(0), conn, bytes); verdict != intake.Reserved {
+			return false
+		}
+
+		return p.Finish(conn)
+	}
+	var handled []int
+	for conn := range 2 * limit / large {
+		if admit(conn, large) {
+			handled = append(handled, conn)
+		}
+	}
+	require.Len(t, handled, limit/large-1)
+	require.True(t, admit(100, small))
+	require.False(t, admit(101, large), "it does not take what is left to small ones")
+	p.AwaitNext(at(1), handled[0])
+	require.True(t, admit(102, large))
+	for _, conn := range append(handled[1:], 100, 102) {
+		p.Remove(conn)
+	}
+	require.Zero(t, p.Used())
+	_, verdict := p.Reserve(at(1), 101, limit*3/4)
+	require.Equal(t, intake.Reserved, verdict, "a single large request has the limit but for that part")
+}
+
 // Guards against requests that arrive at the same time and close each other, so that none is served.
 func TestYoungRequestsWaitForEachOther(t *testing.T) {
 	p := intake.New[string](100)
--- a/io/httpx/receive.go
+++ b/io/httpx/receive.go
@@ -23,6 +23,8 @@
 	// connection is reset, and evictedRefusalTimeout how long a connection is open that is closed for another one.
 	refusalTimeout        = 500 * time.Millisecond
 	evictedRefusalTimeout = 20 * time.Millisecond
+	// fieldBytes is what a header field takes once it has been parsed and copied to be forwarded.
+	fieldBytes = 256
 	// dropBufferBytes is the size of the buffer for dropped bytes.
 	dropBufferBytes = 4 << 10
 )
@@ -94,6 +96,9 @@
 		if err == nil && c.request.HasHead() && !hadHead {
 			hadHead = true
 			err = c.beginBody(begun)
+			if err == nil && !c.listener.intake.reserve(c, int64(c.request.FieldCount())*fieldBytes) {
+				err = errors.Join(http1.ErrNoMemory, c.evictionError())
+			}
 		}
 		if err != nil {
 			return err
