Discard what arrives behind a request that is handled, above 4 KB

Callers saw a host end beside 1,000 clients that send 15 KB behind a request for a stream; what 400 clients send, 1 MB each, stays in the kernel, where the platform counts it as well. A client that has left behind such bytes is not noticed: its request goes on, and its two descriptors stay open.

Cause: bytes behind a request were kept in a buffer that nobody counts or not read at all, and a closed connection shows only once they have been read.

Change: up to 4 KB stay where they are. More is read and discarded while the request is handled, and the connection is closed, after a pause for the client to read, once the response has been sent. Requests that are pipelined in less are served as before.

--- a/io/httpx/conn.go
+++ b/io/httpx/conn.go
@@ -41,6 +41,8 @@
 	rest    []byte
 	// hasServed is set once a request has been received.
 	hasServed bool
+	// discards is set once more has arrived behind a request than is kept while it is handled. Nothing can follow its response.
+	discards bool
 
 	// output holds the parts of the response that are not sent yet, and outputBuffer the memory for small parts.
 	output       [][]byte
@@ -234,6 +236,11 @@
 	return c.Conn.Write(p)
 }
 
+// discardRest drops what has arrived behind the present request.
+func (c *conn) discardRest() {
+	c.rest, c.discards = nil, true
+}
+
 // Close closes the connection and stops tracking it.
 func (c *conn) Close() error {
 	err := net.ErrClosed
@@ -286,8 +293,9 @@
 type sensingConn struct {
 	*conn
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+	aborted atomic.Bool
 }
 
 // abortDeadline is a deadline that has passed, which ends a wait.
@@ -297,6 +305,7 @@
 func (c *sensingConn) DetectConnectionClose() {
 	c.SetReadDeadline(time.Time{}) //nolint:errcheck // the wait ends if the connection is closed
 	c.done = make(chan struct{})
+	c.aborted.Store(false)
 	go func() {
 		defer close(c.done)
 		if c.waitForClose() {
@@ -307,23 +316,48 @@
 
 // AbortBlockingRead ends the wait.
 func (c *sensingConn) AbortBlockingRead() {
+	c.aborted.Store(true)
 	c.SetReadDeadline(abortDeadline) //nolint:errcheck // the wait ends if the connection is closed
 	<-c.done
 }
 
-// waitForClose waits until the peer closes the connection, and reports false if the wait was ended. What a client sends ahead of its next
-// request is not read, so that it takes no memory; the end behind it is not noticed.
-func (c *conn) waitForClose() bool {
+// waitForClose waits until the peer closes the connection, and reports false if the wait was ended.
+func (c *sensingConn) waitForClose() bool {
 	if c.socket == nil {
 		return false
 	}
 	isClosed := false
 	err := c.socket.Read(func(fd uintptr) bool {
-		bytes, err := peekSocket(fd)
-		isClosed = bytes == 0 && !isWouldBlock(err)
+		isClosed = c.sense(int(fd))
 
 		return isClosed
 	})
 
 	return isClosed || (err != nil && !isTimeout(err))
 }
+
+// sense reports whether the peer has closed the connection. A little that it sends ahead of its next request stays where it is; more is read
+// and discarded, as it would take memory, and the end behind it would not be noticed.
+func (c *sensingConn) sense(fd int) (isClosed bool) {
+	scratch := scratchPool.Get().(*[scratchBytes]byte)
+	defer scratchPool.Put(scratch)
+	for !c.aborted.Load() {
+		if !c.discards {
+			n, _, err := syscall.Recvfrom(fd, scratch[:maxBytesAhead+1], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			if n <= 0 {
+				return !isWouldBlock(err)
+			}
+			if len(c.rest)+n <= maxBytesAhead {
+				return false
+			}
+			c.discardRest()
+		}
+		n, err := syscall.Read(fd, scratch[:])
+		if n <= 0 {
+			return !isWouldBlock(err)
+		}
+		c.listener.counter.AddReceived(n)
+	}
+
+	return false
+}
--- a/io/httpx/intake_test.go
+++ b/io/httpx/intake_test.go
@@ -209,6 +209,39 @@
 	}
 }
 
+// Guards against handlers that go on for callers who are gone, since what they sent behind their request hides the end.
+func TestContextEndsWithTheConnectionBehindManyBytes(t *testing.T) {
+	server := startIntakeServer(t, httpx.Options{MaxBodyBytes: 1 << 10, Forwarding: true})
+	handling, canceled := make(chan struct{}), make(chan struct{})
+	server.GET("/wait", func(ctx context.Context, _ *app.RequestContext) {
+		close(handling)
+		<-ctx.Done()
+		close(canceled)
+	})
+	conn := dial(t, server)
+	send(t, conn, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive(t, handling)
+	send(t, conn, strings.Repeat("x", 1<<20))
+	conn.Close()
+	select {
+	case <-canceled:
+	case <-time.After(testTimeout):
+		require.FailNow(t, "the handler goes on")
+	}
+}
+
+// Guards against a response that is lost, or followed by another one, if many bytes arrive behind its request.
+func TestRequestIsAnsweredBeforeManyBytesBehindItEndTheConnection(t *testing.T) {
+	server := startIntakeServer(t, httpx.Options{MaxBodyBytes: 1 << 10, Forwarding: true})
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		conn := dial(t, server)
+		send(t, conn, firstRequest)
+		time.Sleep(delay)
+		go func() { io.WriteString(conn, strings.Repeat(secondRequest, 10_000)) }() //nolint:errcheck // the server may close the connection
+		requireAnswer(t, conn, "first")
+	}
+}
+
 // Guards against a server that ends for good since it could not accept one connection.
 func TestServerGoesOnAfterErrorsOfAccept(t *testing.T) {
 	server, failures := startFailingServer(t)
--- a/io/httpx/receive.go
+++ b/io/httpx/receive.go
@@ -25,6 +25,8 @@
 	evictedRefusalTimeout = 20 * time.Millisecond
 	// fieldBytes is what a header field takes once it has been parsed and copied to be forwarded.
 	fieldBytes = 256
+	// maxBytesAhead is the most that a connection keeps of what its client sends behind a request that is handled.
+	maxBytesAhead = 4 << 10
 	// dropBufferBytes is the size of the buffer for dropped bytes.
 	dropBufferBytes = 4 << 10
 )
@@ -64,6 +66,9 @@
 		c.unread = append(c.unread, body)
 	}
 	c.hasServed = true
+	if len(c.rest) > maxBytesAhead {
+		c.discardRest()
+	}
 
 	return nil
 }
@@ -222,35 +227,38 @@
 		return
 	}
 	c.listener.logRefusal(time.Now(), c, cause, held)
-	timeout := refusalTimeout
+	timeout, evictions := refusalTimeout, int32(0)
 	if errors.Is(cause, errEvicted) {
-		timeout = evictedRefusalTimeout
+		timeout, evictions = evictedRefusalTimeout, 1
 	}
 	c.SetDeadline(time.Now().Add(timeout)) //nolint:errcheck // the connection is about to end
 	if _, err := c.Conn.Write(response); err != nil {
 		return
 	}
+	c.linger(evictions)
+}
+
+// endDiscarding ends a connection whose bytes behind the last request were discarded.
+func (c *conn) endDiscarding() {
+	c.free()
+	c.SetDeadline(time.Now().Add(refusalTimeout)) //nolint:errcheck // the connection is about to end
+	c.linger(0)
+}
+
+// linger reads and drops what still arrives, as a reset would take the response from the client, until the deadline of the connection or until
+// others need its place. It has been closed for others some times already.
+func (c *conn) linger(evictions int32) {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.CloseWrite() //nolint:errcheck // the connection is about to end
 	}
 	buf := make([]byte, dropBufferBytes)
-	for !c.isEvictedAgain(cause) {
+	for c.evictions.Load() <= evictions {
 		if _, err := c.Conn.Read(buf); err != nil {
 			return
 		}
 	}
 }
 
-// isEvictedAgain reports whether others need the place of a connection that is refused.
-func (c *conn) isEvictedAgain(cause error) bool {
-	evictions := c.evictions.Load()
-	if errors.Is(cause, errEvicted) {
-		evictions--
-	}
-
-	return evictions > 0
-}
-
 // free gives back the memory of the present request.
 func (c *conn) free() {
 	c.request, c.unread, c.rest = http1.Request{}, nil, nil
--- a/io/httpx/transport.go
+++ b/io/httpx/transport.go
@@ -64,6 +64,11 @@
 		if err := t.serveRequest(c); err != nil {
 			return
 		}
+		if c.discards {
+			c.endDiscarding()
+
+			return
+		}
 		c.awaitNext()
 	}
 }
