Count responses until they have been sent, also without a memory budget

Callers saw a host without a memory budget end beside 200 clients that ask for a response of 1 MB and do not read it.

Cause: without a budget, bodies counted only while they were read from the upstream, 16 MB together. What waited for the caller counted nowhere.

Evidence: TestUnreadResponsesAtCallerPortWithoutBudget on: 295 MB in a process of 64 MB.

Before, a body beyond the 16 MB failed at once.

The tests of memory, budgets, endless and slow responses of io/gatewayhost pass with the race detector.

--- a/io/gatewayhost/handlers.go
+++ b/io/gatewayhost/handlers.go
@@ -131,7 +131,7 @@
 		work := h.cluster.OwnWork()
 		fmt.Fprintf(c, "tracked-requests %d\noutstanding-work-millis %.0f\nreserved-tokens %d\n", work.Running, work.WorkMillis, work.ReservedTokens)
 	}
-	used, limit, refused := h.proxy.Memory.Usage()
+	used, limit, refused := h.proxy.ResponseMemory.Usage()
 	fmt.Fprintf(c, "memory-held-bytes %d\nmemory-budget-bytes %d\nmemory-refusals %d\n", used, limit, refused)
 	used, limit = h.intake.Usage()
 	fmt.Fprintf(c, "request-buffer-bytes %d\nrequest-buffer-limit-bytes %d\n", used, limit)
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -107,6 +107,7 @@
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
 		Reports:   &upstreamreport.Reader{Client: h.upstreamClient, Now: now},
 		Shutdowns: h.cluster, FailureDomain: settings.FailureDomain, Work: h.cluster,
+		ResponseMemory: newMemoryBudget(h, responseBytes(settings.MemoryBytes)),
 	}
 
 	return h
@@ -206,7 +207,8 @@
 		servers = append(servers, server)
 	}
 	addServer(httpx.Options{
-		Address: h.settings.CallerAddress, RequestLimits: h.requestLimits, MaxConns: limits.Callers, Forwarding: true, Memory: h.proxy.Memory,
+		Address: h.settings.CallerAddress, RequestLimits: h.requestLimits, MaxConns: limits.Callers, Forwarding: true,
+		Memory: h.proxy.ResponseMemory, ResponsesOnly: h.proxy.Memory == nil,
 		// Callers do not tell their failure domain in requests.
 		Traffic:       h.traffic.Get(traffic.Caller, traffic.Unknown),
 		RefusalHeader: platform.RefusalHeader,
--- a/io/gatewayhost/memory.go
+++ b/io/gatewayhost/memory.go
@@ -19,18 +19,40 @@
 // relayedConnBytes is the memory that a relayed connection takes at most.
 const relayedConnBytes = 64 << 10
 
+const (
+	// responseShare is the part of the host's memory for responses without a memory budget, and maxResponseBytes the most that they take.
+	responseShare    = 4
+	maxResponseBytes = 32 << 20
+)
+
+// responseBytes returns the bytes for responses at a host with some memory, zero if that is unknown, and without a memory budget.
+func responseBytes(memory int64) int64 {
+	if memory <= 0 {
+		return maxResponseBytes
+	}
+
+	return min(maxResponseBytes, memory/responseShare)
+}
+
+// newMemoryBudget returns a budget that logs the connections that it closes.
+func newMemoryBudget(h *Host, limit int64) *httpx.MemoryBudget {
+	memory := httpx.NewMemoryBudget(limit, h.now)
+	memory.OnIdleClosed = func(remote string, bytes int64) {
+		h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
+	}
+
+	return memory
+}
+
 // useMemoryBudget bounds what is held for callers, relayed connections and calls between hosts.
 func (h *Host) useMemoryBudget(limit int64) {
-	memory := httpx.NewMemoryBudget(limit, h.now)
+	memory := newMemoryBudget(h, limit)
 	for class, share := range map[memorybudget.Class]float64{
 		memorybudget.Callers: callerShare, memorybudget.Relays: relayShare, memorybudget.Calls: callShare, memorybudget.Storage: storageShare,
 	} {
 		memory.Guarantee(class, int64(share*float64(limit)))
 	}
-	memory.OnIdleClosed = func(remote string, bytes int64) {
-		h.logger.Info("idle-caller-closed", "address", remote, "bytes", bytes)
-	}
-	h.proxy.Memory, h.cluster.Memory = memory, memory
+	h.proxy.Memory, h.proxy.ResponseMemory, h.cluster.Memory = memory, memory, memory
 	h.relay.Reserve = func() (func(), bool) { return memory.Hold(memorybudget.Relays, relayedConnBytes) }
 }
 
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -24,9 +24,10 @@
 	// limits returns the limits of the next request; readTimeout and idleTimeout bound its arrival and the wait for it.
 	limits                   func() RequestLimits
 	readTimeout, idleTimeout time.Duration
-	// memory is nil if the connections have no budget; copies, classOf and refusalHeader are the options BodyCopies, MemoryClass and
-	// RefusalHeader.
+	// memory is nil if the connections have no budget; responsesOnly, copies, classOf and refusalHeader are the options ResponsesOnly,
+	// BodyCopies, MemoryClass and RefusalHeader.
 	memory        *MemoryBudget
+	responsesOnly bool
 	copies        int64
 	classOf       func(path string) memorybudget.Class
 	refusalHeader func(request http.Header) http.Header
@@ -75,6 +76,9 @@
 	}
 }
 
+// budgetsRequests reports whether a memory budget counts the connections' requests.
+func (l *listener) budgetsRequests() bool { return l.memory != nil && !l.responsesOnly }
+
 // headTimeout returns the time limit of a request's head.
 func (l *listener) headTimeout(limits RequestLimits) time.Duration {
 	if limits.HeadTimeout > 0 {
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -94,7 +94,7 @@
 	c, open := m.byRemote[remote]
 	m.mu.Unlock()
 
-	return open && c.listener.intake.makeRoom(c)
+	return open && c.listener.budgetsRequests() && c.listener.intake.makeRoom(c)
 }
 
 // countRefusal counts a refused reservation, unless the connection has been closed.
@@ -245,7 +245,7 @@
 	if !c.listener.intake.reserve(c, bytes) {
 		return false
 	}
-	if c.memory != nil {
+	if c.listener.budgetsRequests() {
 		for !c.reserveBudgeted(bytes) {
 			if c.class == memorybudget.Storage || !c.listener.intake.makeRoom(c) {
 				c.listener.intake.release(c, bytes)
@@ -263,7 +263,7 @@
 func (m requestMemory) Release(bytes int64) {
 	c := m.conn
 	c.listener.intake.release(c, bytes)
-	if c.memory == nil {
+	if !c.listener.budgetsRequests() {
 		return
 	}
 	c.heldBytes -= bytes
@@ -279,7 +279,7 @@
 	if _, limit := c.listener.intake.Usage(); bytes > limit {
 		return false
 	}
-	if c.memory == nil {
+	if !c.listener.budgetsRequests() {
 		return true
 	}
 	c.classify()
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -75,8 +75,9 @@
 	// Forwarding configures the server as a proxy: nothing is added to responses, no body is parsed, and a handler's
 	// context is cancelled when the peer closes the connection.
 	Forwarding bool
-	// Memory bounds what is held for requests and responses; nil means no bound.
-	Memory *MemoryBudget
+	// Memory bounds what is held for requests and responses; nil means no bound. With ResponsesOnly, it does not count requests.
+	Memory        *MemoryBudget
+	ResponsesOnly bool
 	// BodyCopies is the number of copies of a body that Memory reserves before it is read, for the server's buffer and those of the handler; zero
 	// means one.
 	BodyCopies int
@@ -123,7 +124,7 @@
 // newListener returns the listener of a server with the options' limits.
 func (o *Options) newListener(inner net.Listener) *listener {
 	l := &listener{
-		Listener: inner, counter: o.Traffic, intake: o.Intake, limits: o.RequestLimits, memory: o.Memory, copies: int64(o.BodyCopies),
+		Listener: inner, counter: o.Traffic, intake: o.Intake, limits: o.RequestLimits, memory: o.Memory, responsesOnly: o.ResponsesOnly, copies: int64(o.BodyCopies),
 		classOf: o.MemoryClass, refusalHeader: o.RefusalHeader, logger: o.Logger,
 		readTimeout: cmp.Or(o.ReadTimeout, defaultReadTimeout), idleTimeout: cmp.Or(o.IdleTimeout, defaultIdleTimeout),
 	}
--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cardamomward/core/id"
+	"cardamomward/io/httpx"
 )
 
 const (
@@ -23,6 +24,15 @@
 	bufferGrowth = 2
 )
 
+// responseMemory returns what bounds responses.
+func (p *Proxy) responseMemory() *httpx.MemoryBudget {
+	if p.ResponseMemory != nil {
+		return p.ResponseMemory
+	}
+
+	return p.Memory
+}
+
 // reserveBody reserves memory for the copies of the request's body.
 func (p *Proxy) reserveBody(req *proxiedRequest, bytes int) *errorResponse {
 	if !p.Memory.Reserve(req.remote, int64(bodyCopies*bytes)) {
@@ -84,7 +94,7 @@
 		return 0, io.ErrShortBuffer
 	}
 	n, err := r.inner.Read(p)
-	r.proxy.Memory.Release(r.remote, needed-int64(bufferGrowth*n))
+	r.proxy.responseMemory().Release(r.remote, needed-int64(bufferGrowth*n))
 	r.reserved += int64(bufferGrowth * n)
 
 	return n, err
@@ -92,7 +102,7 @@
 
 // awaitMemory reserves bytes, and reports false if there is no memory for them within memoryWait.
 func (r *budgetedReader) awaitMemory(bytes int64) bool {
-	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.Memory.Reserve(r.remote, bytes); {
+	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.responseMemory().Reserve(r.remote, bytes); {
 		if !r.proxy.Now().Before(waitUntil) {
 			return false
 		}
@@ -116,4 +126,4 @@
 }
 
 // release gives the memory of a response back that is not forwarded.
-func (r *budgetedReader) release() { r.proxy.Memory.Release(r.remote, r.reserved) }
+func (r *budgetedReader) release() { r.proxy.responseMemory().Release(r.remote, r.reserved) }
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -201,10 +201,12 @@
 	Shutdowns      ShutdownTracker
 	// Overload is nil if admission under overload is off.
 	Overload *OverloadAdmission
-	// Memory bounds what is held for callers and upstreams; nil means that only maxBufferedBytes applies.
+	// Memory bounds requests, transcripts and their copies; nil means no bound beside that of the server.
 	Memory *httpx.MemoryBudget
-	Logger logr.Logger
-	Now    func() time.Time
+	// ResponseMemory bounds responses until callers have received them; nil means Memory.
+	ResponseMemory *httpx.MemoryBudget
+	Logger         logr.Logger
+	Now            func() time.Time
 	// Metrics is optional.
 	Metrics *Metrics
 	// FailureDomain is the host's, and FailureDomainCost the cost of an upstream in another one.
@@ -219,8 +221,8 @@
 
 	// activeConnections holds the remote addresses of the connections with a request in progress.
 	activeConnections sync.Map
-	// bufferedBytes is the size of the response bodies that are being read.
-	bufferedBytes atomic.Int64
+	// largeEventBytes is the size of the large events that are being read.
+	largeEventBytes atomic.Int64
 
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
@@ -16,10 +15,6 @@
 // maxBufferedBodyBytes limits a response body that is buffered before it is forwarded.
 const maxBufferedBodyBytes = 16 << 20
 
-// maxBufferedBytes limits the bodies that are being read at the same time: an upstream may send bytes without end to many
-// requests.
-const maxBufferedBytes = 16 << 20
-
 // serveUnary handles a request whose response is forwarded as a whole.
 func (p *Proxy) serveUnary(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
 	for {
@@ -52,27 +47,20 @@
 	}
 }
 
-// readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes or the memory
-// budget, or, without a budget, all bodies that are being read exceed maxBufferedBytes. With a budget, the memory is held until
-// the caller has received the body.
+// readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes or the memory for
+// responses, which is held until the caller has received the body.
 func (p *Proxy) readBody(req *proxiedRequest, sent *sentRequest) ([]byte, error) {
-	if p.Memory != nil {
-		reader := &budgetedReader{inner: sent.Body, proxy: p, remote: req.remote}
-		read := func() ([]byte, error) { return readWhole(reader) }
-		if length := sent.ContentLength; length > 0 && length <= maxBufferedBodyBytes && req.Method != http.MethodHead {
-			read = func() ([]byte, error) { return reader.readExactly(length) }
-		}
-		body, err := read()
-		if err != nil {
-			reader.release()
-		}
-
-		return body, err
+	reader := &budgetedReader{inner: sent.Body, proxy: p, remote: req.remote}
+	read := func() ([]byte, error) { return readWhole(reader) }
+	if length := sent.ContentLength; length > 0 && length <= maxBufferedBodyBytes && req.Method != http.MethodHead {
+		read = func() ([]byte, error) { return reader.readExactly(length) }
+	}
+	body, err := read()
+	if err != nil {
+		reader.release()
 	}
-	reader := &countingReader{inner: sent.Body, total: &p.bufferedBytes}
-	defer reader.release()
 
-	return readWhole(reader)
+	return body, err
 }
 
 // readWhole reads a body of at most maxBufferedBodyBytes.
@@ -89,26 +77,6 @@
 	return body.Bytes(), nil
 }
 
-// countingReader adds the bytes that it reads to the total of all bodies that are being read.
-type countingReader struct {
-	inner     io.Reader
-	total     *atomic.Int64
-	readBytes int64
-}
-
-func (r *countingReader) Read(p []byte) (int, error) {
-	n, err := r.inner.Read(p)
-	r.readBytes += int64(n)
-	if r.total.Add(int64(n)) > maxBufferedBytes {
-		return n, io.ErrShortBuffer
-	}
-
-	return n, err
-}
-
-// release subtracts the bytes from the total.
-func (r *countingReader) release() { r.total.Add(-r.readBytes) }
-
 func (p *Proxy) writeResponse(c *app.RequestContext, req *proxiedRequest, sent *sentRequest, body []byte) {
 	platform.CopyResponseHeader(&c.Response.Header, sent.Header)
 	c.Response.SetStatusCode(sent.Status)
@@ -116,10 +84,10 @@
 	p.logRequest(req, sent.Status, "answered")
 }
 
-// setResponseBody sets the body of a response. With a memory budget, a large one is written from a stream: the server's connection refers
+// setResponseBody sets the body of a response. A large one is written from a stream: the server's connection refers
 // to other bodies of 4 KB and more until its next response, so that idle connections would hold bodies that are not counted.
 func (p *Proxy) setResponseBody(c *app.RequestContext, body []byte) {
-	if p.Memory == nil || len(body) < maxRetainedBodyBytes {
+	if len(body) < maxRetainedBodyBytes {
 		c.Response.SetBodyRaw(body)
 
 		return
