Do not take locks for each small chunk

Callers waited for a host beside 200 clients that send chunks of one byte: what it had received and not read grew from 11 to 27 MB, also behind connections whose clients had left.

Cause: for each chunk, thousands in one read, the host asked whether the announced body could fit, which takes the locks of the bound of requests and of the memory budget; all connections waited for each other there.

Evidence: TestUnendedChunksOfOneByteAtCallerPort on: 41 MB resident and 27 MB not read in a process of 64 MB.

Change: chunks of up to 4 KB are not checked before they arrive. They are reserved when they do, as before, and the limit of the body is checked for each.

--- a/core/http1/chunk.go
+++ b/core/http1/chunk.go
@@ -8,6 +8,9 @@
 // maxChunkDigits bounds the digits of a chunk's size, so that it fits into 63 bits.
 const maxChunkDigits = 15
 
+// smallChunkBytes is the size up to which a chunk is not checked before it arrives: there may be one for each byte.
+const smallChunkBytes = 4 << 10
+
 // feedLine takes bytes up to the end of a line of the chunked framing, which is not kept.
 func (r *Request) feedLine(data []byte, limits Limits, end func(line []byte) error) (taken int, err error) {
 	part := data
@@ -61,8 +64,12 @@
 		return nil
 	}
 	r.phase, r.bodyLeft = phaseChunkData, size
+	total := int64(len(r.body.data)) + size
+	if total <= limits.BodyBytes && size <= smallChunkBytes {
+		return nil
+	}
 
-	return r.checkAnnounced(int64(len(r.body.data))+size, limits, memory)
+	return r.checkAnnounced(total, limits, memory)
 }
 
 // isHexDigit reports whether a character is a digit of a chunk's size, without the sign and the separators that numbers may have elsewhere.
