End serve if one of its servers ends

A process of serve whose listener has ended would live on without it: callers do not reach it, and nobody starts it again.

Cause: nobody read the result of serve's three servers.

Change: Run waits for the servers as well, and returns the error of the one that ended. The gateway uses the same method.

--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// Run serves until ctx ends or the host has been drained.
+// Run serves until ctx ends or the host has been drained; it returns an error if a server ends before.
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -231,17 +231,24 @@
 	} {
 		group.Go(func() { loop(ctx) })
 	}
+	ended := make(chan error, len(h.servers()))
+	for _, server := range h.servers() {
+		group.Go(func() { ended <- server.AwaitEnd(ctx) })
+	}
+	var err error
 	select {
 	case <-ctx.Done():
 		h.abortServers()
 	case <-h.drained:
 		h.closeServers()
+	case err = <-ended:
+		h.abortServers()
 	}
 	cancel()
 	group.Wait()
 	h.logger.Info("host-stopped")
 
-	return nil
+	return err
 }
 
 // closeTimeout bounds the shutdown of the servers once the host is drained.
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -157,7 +156,7 @@
 	ended := make(chan error, len(servers))
 	for _, s := range servers {
 		s.Start()
-		tasks.Go(func() { ended <- awaitEnd(ctx, s) })
+		tasks.Go(func() { ended <- s.AwaitEnd(ctx) })
 	}
 	tasks.Go(func() { h.cleanUpLoop(ctx, servers) })
 	h.logger.Info("started", "host", h.settings.Name, "callers", h.settings.CallerAddress)
@@ -177,16 +176,6 @@
 	return err
 }
 
-// awaitEnd waits for a server to end, which is an error unless the host ends first: callers would not reach the host any more.
-func awaitEnd(ctx context.Context, server *httpx.Server) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case err := <-server.Ended():
-		return errors.Join(fmt.Errorf("the server at %s has ended", server.Address()), err)
-	}
-}
-
 // listen opens the servers, or none of them if one fails.
 func (h *Host) listen() ([]*httpx.Server, error) {
 	var servers []*httpx.Server
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -156,6 +158,17 @@
 // Ended returns a channel that gets one value once the server does not accept connections any more.
 func (s *Server) Ended() <-chan error { return s.ended }
 
+// AwaitEnd waits until the server does not accept connections any more, which is an error unless ctx ends first: clients would not reach
+// the process at this address, while it runs.
+func (s *Server) AwaitEnd(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-s.ended:
+		return errors.Join(fmt.Errorf("the server at %s has ended", s.Address()), err)
+	}
+}
+
 // Close stops accepting connections, waits for open connections to end until ctx is done or DrainTimeout has passed, and
 // closes the rest.
 func (s *Server) Close(ctx context.Context) error {
