Do not discard the next request of a client that has its response

Callers that send a head above 4 KB on a kept connection lost some of their requests: the connection was closed without a response.

Cause: the response to the request before is whole at the client a moment before its handler has returned. What arrived then counted as bytes behind a request that is handled.

TestLargeRequestRightAfterResponseIsServed forces the order and failed before the change.

Change: bytes are discarded only if the response has not ended after four pauses of 25 ms, each of which leaves the handler time even if the process was suspended in one of them.

--- a/io/httpx/conn.go
+++ b/io/httpx/conn.go
@@ -24,6 +24,12 @@
 	writeTimeout    = 30 * time.Second
 )
 
+// excessPause and excessPauses are the pauses between the arrival of too much behind a request and its discarding.
+const (
+	excessPause  = 25 * time.Millisecond
+	excessPauses = 4
+)
+
 // conn is a connection of a client. The server library reads from it the request that has arrived, and writes the response to it.
 type conn struct {
 	net.Conn
@@ -293,9 +299,9 @@
 type sensingConn struct {
 	*conn
 
-	cancel  context.CancelFunc
-	done    chan struct{}
-	aborted atomic.Bool
+	cancel context.CancelFunc
+	// aborted is closed to end the wait for the end of the connection, and done once that has ended.
+	aborted, done chan struct{}
 }
 
 // abortDeadline is a deadline that has passed, which ends a wait.
@@ -304,8 +310,7 @@
 // DetectConnectionClose begins to wait for the client to close the connection.
 func (c *sensingConn) DetectConnectionClose() {
 	c.SetReadDeadline(time.Time{}) //nolint:errcheck // the wait ends if the connection is closed
-	c.done = make(chan struct{})
-	c.aborted.Store(false)
+	c.aborted, c.done = make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(c.done)
 		if c.waitForClose() {
@@ -316,7 +321,7 @@
 
 // AbortBlockingRead ends the wait.
 func (c *sensingConn) AbortBlockingRead() {
-	c.aborted.Store(true)
+	close(c.aborted)
 	c.SetReadDeadline(abortDeadline) //nolint:errcheck // the wait ends if the connection is closed
 	<-c.done
 }
@@ -326,38 +331,84 @@
 	if c.socket == nil {
 		return false
 	}
-	isClosed := false
-	err := c.socket.Read(func(fd uintptr) bool {
-		isClosed = c.sense(int(fd))
+	for {
+		found := nothingSensed
+		err := c.socket.Read(func(fd uintptr) bool {
+			found = c.sense(int(fd))
+
+			return found != nothingSensed
+		})
+		if found != excessSensed {
+			return found == closeSensed || (err != nil && !isTimeout(err))
+		}
+		if c.isAbortedSoon() {
+			return false
+		}
+		c.discardRest()
+	}
+}
 
-		return isClosed
-	})
+// sensed is what a look at a connection finds whose request is handled.
+type sensed int
 
-	return isClosed || (err != nil && !isTimeout(err))
-}
+const (
+	nothingSensed sensed = iota
+	// closeSensed means that the peer has closed the connection, and excessSensed that it has sent too much ahead.
+	closeSensed
+	excessSensed
+)
 
-// sense reports whether the peer has closed the connection. A little that it sends ahead of its next request stays where it is; more is read
-// and discarded, as it would take memory, and the end behind it would not be noticed.
-func (c *sensingConn) sense(fd int) (isClosed bool) {
+// sense looks at the connection. A little that the peer sends ahead of its next request stays where it is; more is discarded in the end, as
+// it would take memory, and the end behind it would not be noticed.
+func (c *sensingConn) sense(fd int) sensed {
 	scratch := scratchPool.Get().(*[scratchBytes]byte)
 	defer scratchPool.Put(scratch)
-	for !c.aborted.Load() {
-		if !c.discards {
-			n, _, err := syscall.Recvfrom(fd, scratch[:maxBytesAhead+1], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if n <= 0 {
-				return !isWouldBlock(err)
-			}
-			if len(c.rest)+n <= maxBytesAhead {
-				return false
-			}
-			c.discardRest()
+	for !c.isAborted() {
+		n, err := 0, error(nil)
+		if c.discards {
+			n, err = syscall.Read(fd, scratch[:])
+			c.listener.counter.AddReceived(max(0, n))
+		} else {
+			n, _, err = syscall.Recvfrom(fd, scratch[:maxBytesAhead+1], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
+		switch {
+		case n <= 0 && isWouldBlock(err):
+			return nothingSensed
+		case n <= 0:
+			return closeSensed
+		case c.discards:
+		case len(c.rest)+n <= maxBytesAhead:
+			return nothingSensed
+		default:
+			return excessSensed
 		}
-		n, err := syscall.Read(fd, scratch[:])
-		if n <= 0 {
-			return !isWouldBlock(err)
+	}
+
+	return nothingSensed
+}
+
+func (c *sensingConn) isAborted() bool {
+	select {
+	case <-c.aborted:
+		return true
+	default:
+		return false
+	}
+}
+
+// isAbortedSoon waits for a short time, and reports whether the response has ended in it: what arrives may be the next request, since the
+// client has the whole response a moment before the wait for its close ends. Several short pauses leave time for that also if the process was
+// suspended in one of them.
+func (c *sensingConn) isAbortedSoon() bool {
+	ticker := time.NewTicker(excessPause)
+	defer ticker.Stop()
+	for range excessPauses {
+		select {
+		case <-c.aborted:
+			return true
+		case <-ticker.C:
 		}
-		c.listener.counter.AddReceived(n)
 	}
 
-	return false
+	return c.isAborted()
 }
--- a/io/httpx/intake_test.go
+++ b/io/httpx/intake_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/http1"
@@ -230,6 +231,30 @@
 	}
 }
 
+// Guards against a request that is discarded since it arrives, after the whole response to the one before it, while that is still handled.
+func TestLargeRequestRightAfterResponseIsServed(t *testing.T) {
+	server := startIntakeServer(t, httpx.Options{MaxBodyBytes: 1 << 10, Forwarding: true})
+	server.GET("/stream", func(_ context.Context, c *app.RequestContext) {
+		writer := resp.NewChunkedBodyWriter(&c.Response, c.GetWriter())
+		c.Response.HijackWriter(writer)
+		writer.Write([]byte("event")) //nolint:errcheck // the client is there
+		writer.Flush()                //nolint:errcheck // the client is there
+		writer.Finalize()             //nolint:errcheck // the client is there
+		c.Flush()                     //nolint:errcheck // the client is there
+		time.Sleep(20 * time.Millisecond)
+	})
+	conn := dial(t, server)
+	responses := bufio.NewReader(conn)
+	for range 20 {
+		send(t, conn, "GET /stream HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("x", 10<<10)+"\r\n\r\n")
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, "event", string(body))
+	}
+}
+
 // Guards against a response that is lost, or followed by another one, if many bytes arrive behind its request.
 func TestRequestIsAnsweredBeforeManyBytesBehindItEndTheConnection(t *testing.T) {
 	server := startIntakeServer(t, httpx.Options{MaxBodyBytes: 1 << 10, Forwarding: true})
