Bound the programs whose state a host keeps

Callers would see a host end beside clients that begin programs one after the other, each within the limits: nothing bounds the programs of a workspace that has no rate.

Cause: the token counts and the locations of a program stay at the owner of its slot until 75 s after its last turn, and the origins of streams for up to 30 s, 32,768 of them at any host, whatever memory it has. A heap profile of a trial with 45,000 programs has 31 MB for counts, 27 MB for locations and 14 MB for origins.

Evidence: TestManyPrograms on the code before: 90 MB in a process of 64 MB after 200 clients had begun up to 250 programs each, twice.

Change: an owner refuses new programs with 503 at once beyond an eighth of its memory at 2 KB each; programs that have begun go on. Origins are bounded by a part of the memory, too.

--- a/core/affinity/locations.go
+++ b/core/affinity/locations.go
@@ -58,6 +58,9 @@
 	return ok
 }
 
+// Len returns the number of programs.
+func (l *Locations) Len() int { return len(l.programs) }
+
 // RemoveOlderThan removes programs whose last turn ran more than maxAge ago.
 func (l *Locations) RemoveOlderThan(now time.Time, maxAge time.Duration) {
 	for programID, p := range l.programs {
--- a/core/streamorigin/index.go
+++ b/core/streamorigin/index.go
@@ -47,18 +47,29 @@
 
 // Index holds the origins of recent attempts; its zero value is empty.
 type Index struct {
+	// MaxAttempts bounds the attempts of a generation; zero, or more than 32,768, means 32,768.
+	MaxAttempts int
+
 	current, previous map[Attempt]Origin
 	rotatedAt         time.Time
 }
 
 // Record stores the origin of an attempt.
 func (x *Index) Record(now time.Time, attempt Attempt, origin Origin) {
-	if x.current == nil || now.Sub(x.rotatedAt) >= rotationInterval || len(x.current) >= maxAttemptsPerGeneration {
+	if x.current == nil || now.Sub(x.rotatedAt) >= rotationInterval || len(x.current) >= x.maxAttempts() {
 		x.rotate(now)
 	}
 	x.current[attempt] = origin
 }
 
+func (x *Index) maxAttempts() int {
+	if x.MaxAttempts > 0 {
+		return min(x.MaxAttempts, maxAttemptsPerGeneration)
+	}
+
+	return maxAttemptsPerGeneration
+}
+
 // Lookup returns the origin of an attempt, and false if it is not known.
 func (x *Index) Lookup(attempt Attempt) (Origin, bool) {
 	if origin, ok := x.current[attempt]; ok {
--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -276,6 +276,13 @@
 	return ok && a.committedTokens() > a.lossTokens
 }
 
+// HasAccount reports whether a program has an account.
+func (l *Ledger) HasAccount(program id.Program) bool {
+	_, ok := l.accounts[program]
+
+	return ok
+}
+
 // Len returns the number of accounts.
 func (l *Ledger) Len() int { return len(l.accounts) }
 
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -137,6 +137,7 @@
 	pushSlots         chan struct{}
 	handover          turnHandover
 	programWatermarks tokenbudget.ReportedWatermarks
+	programs          programLimit
 
 	streamOriginsMu sync.Mutex
 	streamOrigins   streamorigin.Index
@@ -173,6 +174,8 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}}}}
+	c.programs.setMemory(opts.Settings.MemoryBytes)
+	c.streamOrigins.MaxAttempts = int(opts.Settings.MemoryBytes / originShare / originBytes)
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
 	for index := range opts.Settings.Store.Partitions {
@@ -349,6 +352,7 @@
 			for _, s := range c.slots {
 				s.removeExpired(now)
 			}
+			c.countPrograms()
 			c.crashesMu.Lock()
 			c.crashCounter.RemoveExpired(now)
 			c.crashesMu.Unlock()
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -40,6 +40,11 @@
 
 		return reply, nil
 	}
+	program := id.Program(req.Program)
+	isNew := !s.knowsProgram(program)
+	if isNew && srv.cluster.programs.isFull() {
+		return nil, errTooManyPrograms
+	}
 	if req.Previous != "" && !req.HaveChain {
 		if !reserveTranscript(ctx, s.turns.TranscriptBytes(id.Workspace(req.Workspace), req.Previous)) {
 			return nil, errNoMemory
@@ -52,7 +57,6 @@
 		}
 		reply.Chain = transcript
 	}
-	program := id.Program(req.Program)
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
 		if !s.knowsAllPrograms && s.ledger.Count(program).Tokens == 0 {
@@ -67,6 +71,9 @@
 		}
 		reply.Durable = int64(s.ledger.Count(program).Durable)
 	}
+	if isNew && reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
+		srv.cluster.programs.count.Add(1)
+	}
 	location := s.locations.Lookup(program, req.Line)
 	reply.Last, reply.Kept = string(location.Upstream), int64(location.CachedTokens)
 
--- a/io/cluster/turns.go
+++ b/io/cluster/turns.go
@@ -55,6 +55,8 @@
 	for {
 		reply, err := c.tryBeginTurn(ctx, req)
 		switch {
+		case isTooManyPrograms(err):
+			return reverseproxy.BeginResult{Status: reverseproxy.TooManyPrograms}
 		case err != nil || reply.Outcome == fleetpb.Outcome_OUTCOME_NOT_OWNER:
 			c.requestOwnersRefresh()
 		case reply.Outcome == fleetpb.Outcome_OUTCOME_OK:
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -99,6 +99,8 @@
 	PreviousTurnNotFound
 	// OwnerUnavailable means that the program's owner did not respond in time.
 	OwnerUnavailable
+	// TooManyPrograms means that the program is new and its owner has no memory for another one.
+	TooManyPrograms
 )
 
 // BeginResult is the owner's response to TurnService.BeginTurn.
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -272,6 +272,8 @@
 		return &errorResponse{status: http.StatusPaymentRequired, reason: "budget-spent"}
 	case PreviousTurnNotFound:
 		return &errorResponse{status: http.StatusNotFound, reason: "no-such-turn"}
+	case TooManyPrograms:
+		return notExecutedResponse("programs-full", retryDelay)
 	case OwnerUnavailable:
 	}
 
--- a/test/clients/clients_linux_test.go
+++ b/test/clients/clients_linux_test.go
@@ -157,6 +157,10 @@
 	}.run(t)
 }
 
+func TestManyPrograms(t *testing.T) {
+	crowd{addresses: atCallers, client: beginPrograms(250), hostOptions: hostOptions{hasStreams: true}}.run(t)
+}
+
 func TestUnreadResponsesAtCallerPort(t *testing.T) {
 	crowd{addresses: atCallers, client: ask("/look/x", "", ""), hostOptions: hostOptions{responseBytes: 1 << 20}}.run(t)
 }
--- a/test/clients/crowd_linux_test.go
+++ b/test/clients/crowd_linux_test.go
@@ -105,6 +105,24 @@
 	}
 }
 
+// beginPrograms returns a client that begins programs one after the other, and reads the responses.
+func beginPrograms(count int) client {
+	return func(conn net.Conn) {
+		responses := bufio.NewReader(conn)
+		for i := range count {
+			program := fmt.Sprintf("%s-%d", conn.LocalAddr(), i)
+			ask("/draft/x", "Program-Id: "+program+"\r\nSession-Id: "+program+
+				"\r\nProgram-Time-Left: 5000\r\nToken-Budget: 1000\r\nToken-Usage: 500,100\r\nModel: m\r\n", "")(conn)
+			resp, err := http.ReadResponse(responses, nil)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, resp.Body) //nolint:errcheck // the host may break it off
+			resp.Body.Close()
+		}
+	}
+}
+
 // emptyFields returns the shortest header fields there are.
 func emptyFields(count int) string { return strings.Repeat("a:\r\n", count) }
 
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -95,6 +95,8 @@
 	files int
 	// unendedEventBytes are the bytes of an event without an end that upstreams of streams send; zero means that there are no such upstreams.
 	unendedEventBytes int
+	// hasStreams adds upstreams of ordinary streams.
+	hasStreams bool
 	// hasNoBudget leaves out the optional memory budget.
 	hasNoBudget bool
 	// responseBytes is the size of plain responses; zero means a few bytes.
@@ -122,6 +124,8 @@
 		t.Cleanup(upstream.Close)
 		if opts.unendedEventBytes > 0 {
 			upstream.SetUnendedEvents(opts.unendedEventBytes)
+		}
+		if opts.unendedEventBytes > 0 || opts.hasStreams {
 			upstream.Register(store, "ready")
 		}
 	}
