Do not close requests that have just begun for the responses to others

An ordinary caller with a body of 20 KB got 503 beside 200 clients that ask for responses of 1 MB, 20 ms after its connection.

Cause: a response that waits for memory tries again every 20 ms, and each time closed the connection with the oldest unfinished request, however young it was. That rule is for requests that are whole and cannot wait. It was hidden as such a refusal reads as any other without memory.

TestResponsesDoNotCloseYoungRequests has the order of events.

Change: for a response, unfinished requests yield once they are 0.25 s old, as for one that arrives. Ordinary requests of the tests show why they were refused.

--- a/core/intake/pool.go
+++ b/core/intake/pool.go
@@ -176,10 +176,10 @@
 		return victim, Refuse
 	}
 	if p.used+bytes > p.limit {
-		return p.yield(now, e, func(*entry[C]) bool { return true })
+		return p.yield(now, e, e.phase != handling, func(*entry[C]) bool { return true })
 	}
 	if large := asLarge(e.bytes + bytes); large > 0 && p.usedByLarge-asLarge(e.bytes)+large > p.limit-p.limit/smallShare {
-		return p.yield(now, e, func(other *entry[C]) bool { return asLarge(other.bytes) > 0 })
+		return p.yield(now, e, e.phase != handling, func(other *entry[C]) bool { return asLarge(other.bytes) > 0 })
 	}
 	p.setBytes(e, e.bytes+bytes)
 	if e.holder == nil && e.phase == receiving {
@@ -189,9 +189,9 @@
 	return victim, Reserved
 }
 
-// yield returns which of the connections with unfinished requests that match yields to another one: the oldest, once it has taken a while. One
-// is closed at a time, since its memory may be enough.
-func (p *Pool[C]) yield(now time.Time, asking *entry[C], match func(*entry[C]) bool) (victim C, verdict Verdict) {
+// yield returns which of the connections with unfinished requests that match yields to another one: the oldest, for one that can wait once it
+// has taken a while. One is closed at a time, since its memory may be enough.
+func (p *Pool[C]) yield(now time.Time, asking *entry[C], canWait bool, match func(*entry[C]) bool) (victim C, verdict Verdict) {
 	var oldest *entry[C]
 	holders := 0
 	for place := p.holders.Front(); place != nil && holders < 2; place = place.Next() {
@@ -206,7 +206,7 @@
 		return victim, Wait
 	case holders == 0, holders == 1 && oldest == asking:
 		return victim, Refuse
-	case asking.phase != handling && now.Sub(oldest.since) < yieldAfter:
+	case canWait && now.Sub(oldest.since) < yieldAfter:
 		return victim, Wait
 	case oldest == asking:
 		return victim, Refuse
@@ -216,14 +216,14 @@
 }
 
 // Yield returns which connection of the same port yields to another one, of those that hold more than some bytes of an unfinished request. A
-// request that is whole does not wait for one that is not.
-func (p *Pool[C]) Yield(now time.Time, conn C, bytes int64) (victim C, verdict Verdict) {
+// request that is whole does not wait for one that is not, unless its own response can wait.
+func (p *Pool[C]) Yield(now time.Time, conn C, bytes int64, canWait bool) (victim C, verdict Verdict) {
 	own, known := p.entries[conn]
 	if !known || own.isClosing() {
 		return victim, Refuse
 	}
 
-	return p.yield(now, own, func(e *entry[C]) bool { return e.port == own.port && e.bytes > bytes })
+	return p.yield(now, own, canWait || own.phase != handling, func(e *entry[C]) bool { return e.port == own.port && e.bytes > bytes })
 }
 
 // pushHolder adds a holder behind those whose requests began earlier, which is near the end in most cases.
--- a/core/intake/pool_test.go
+++ b/core/intake/pool_test.go
@@ -60,6 +60,24 @@
 	requireReserved(30, "late", 50)
 }
 
+// Guards against ordinary requests that are closed as soon as they begin, since the responses to others wait for memory.
+func TestResponsesDoNotCloseYoungRequests(t *testing.T) {
+	p := intake.New[string](100)
+	for _, conn := range []string{"handled", "arriving"} {
+		_, _, ok := p.Add(at(0), callers, conn)
+		require.True(t, ok)
+		p.Begin(at(0), conn)
+		_, verdict := p.Reserve(at(0), conn, 10)
+		require.Equal(t, intake.Reserved, verdict)
+	}
+	require.True(t, p.Finish("handled"))
+	_, verdict := p.Yield(at(0), "handled", 0, true)
+	require.Equal(t, intake.Wait, verdict)
+	victim, verdict := p.Yield(at(1), "handled", 0, true)
+	require.Equal(t, intake.Evict, verdict, "it has taken too long")
+	require.Equal(t, "arriving", victim)
+}
+
 // Guards against ordinary requests that are refused because large ones, which are handled and cannot yield, hold all memory.
 func TestLargeRequestsLeaveMemoryToSmallOnes(t *testing.T) {
 	const limit, large, small = 8 << 20, 1 << 20, 32 << 10
@@ -117,10 +135,10 @@
 	require.Equal(t, intake.Wait, verdict, "the memory of one may be enough")
 	p.MarkRefused("a")
 	require.True(t, p.Finish("c"))
-	victim, verdict = p.Yield(at(0), "c", 0)
+	victim, verdict = p.Yield(at(0), "c", 0, false)
 	require.Equal(t, intake.Evict, verdict, "a whole request does not wait")
 	require.Equal(t, "b", victim)
-	_, verdict = p.Yield(at(0), "c", 33)
+	_, verdict = p.Yield(at(0), "c", 33, false)
 	require.Equal(t, intake.Refuse, verdict, "no other one holds more")
 }
 
--- a/io/httpx/intake.go
+++ b/io/httpx/intake.go
@@ -95,9 +95,9 @@
 
 // makeRoom closes the connection of the same port with the oldest unfinished request of those that the memory budget counts, or waits for one
 // to be whole. It reports false if there is nothing to wait for.
-func (i *Intake) makeRoom(c *conn) bool {
+func (i *Intake) makeRoom(c *conn, canWait bool) bool {
 	i.mu.Lock()
-	victim, verdict := i.pool.Yield(i.Now(), c, uncountedRequestBytes)
+	victim, verdict := i.pool.Yield(i.Now(), c, uncountedRequestBytes, canWait)
 	if verdict == intake.Evict {
 		i.pool.MarkEvicted(victim)
 	}
--- a/io/httpx/memory.go
+++ b/io/httpx/memory.go
@@ -77,8 +77,17 @@
 // do not fit. The connections whose callers read nothing are closed first, the largest first, then those whose requests have been
 // arriving longest.
 func (m *MemoryBudget) Reserve(remote string, bytes int64) bool {
+	return m.reserve(remote, bytes, false)
+}
+
+// ReserveResponse is Reserve for the response to a request, which can wait until young requests have arrived.
+func (m *MemoryBudget) ReserveResponse(remote string, bytes int64) bool {
+	return m.reserve(remote, bytes, true)
+}
+
+func (m *MemoryBudget) reserve(remote string, bytes int64, canWait bool) bool {
 	for m != nil && !m.tryReserve(remote, bytes) {
-		if !m.evictUnfinished(remote) {
+		if !m.evictUnfinished(remote, canWait) {
 			m.countRefusal(remote)
 
 			return false
@@ -89,12 +98,12 @@
 }
 
 // evictUnfinished closes a connection whose request is not whole yet for one whose request is, and reports false if there is none.
-func (m *MemoryBudget) evictUnfinished(remote string) bool {
+func (m *MemoryBudget) evictUnfinished(remote string, canWait bool) bool {
 	m.mu.Lock()
 	c, open := m.byRemote[remote]
 	m.mu.Unlock()
 
-	return open && c.listener.budgetsRequests() && c.listener.intake.makeRoom(c)
+	return open && c.listener.budgetsRequests() && c.listener.intake.makeRoom(c, canWait)
 }
 
 // countRefusal counts a refused reservation, unless the connection has been closed.
@@ -247,7 +256,7 @@
 	}
 	if c.listener.budgetsRequests() {
 		for !c.reserveBudgeted(bytes) {
-			if c.class == memorybudget.Storage || !c.listener.intake.makeRoom(c) {
+			if c.class == memorybudget.Storage || !c.listener.intake.makeRoom(c, true) {
 				c.listener.intake.release(c, bytes)
 				c.memory.countRefusal(c.remoteAddr)
 
--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -102,7 +102,7 @@
 
 // awaitMemory reserves bytes, and reports false if there is no memory for them within memoryWait.
 func (r *budgetedReader) awaitMemory(bytes int64) bool {
-	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.responseMemory().Reserve(r.remote, bytes); {
+	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.responseMemory().ReserveResponse(r.remote, bytes); {
 		if !r.proxy.Now().Before(waitUntil) {
 			return false
 		}
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -322,7 +322,7 @@
 	return do(req)
 }
 
-// do sends a request on a connection of its own.
+// do sends a request on a connection of its own. The error has the body of a refusal.
 func do(req *http.Request) (int, error) {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
@@ -331,7 +331,10 @@
 		return 0, err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", resp.Status, body)
+	}
 
 	return resp.StatusCode, err
 }
