Revert "Leave memory beside large responses"

With large steps, leaving a sixteenth wastes much of a small budget.

What the commit was for stays open: large responses may take all that the budget has for callers, so that others get 503 then.

--- a/core/memorybudget/memorybudget.go
+++ b/core/memorybudget/memorybudget.go
@@ -72,7 +72,7 @@
 	if held, ok := b.holders[holder]; ok && held.bytes > 0 {
 		class = held.class
 	}
-	if bytes < 0 || (bytes > 0 && !b.fits(class, holder, bytes+b.leftToSmall(class, holder, bytes))) {
+	if bytes < 0 || (bytes > 0 && !b.fits(class, holder, bytes)) {
 		return false
 	}
 	b.Add(class, holder, bytes)
@@ -80,23 +80,6 @@
 	return true
 }
 
-const (
-	// largeBytes is the size above which a caller's request with its response is large, and smallShare the part of the limit that large ones
-	// leave to others.
-	largeBytes = 64 << 10
-	smallShare = 16
-)
-
-// leftToSmall returns the bytes that must stay free if a holder takes further ones. A large holder that is alone takes what there is.
-func (b *Budget) leftToSmall(class Class, holder Holder, bytes int64) int64 {
-	held := b.Held(holder)
-	if class != Callers || held+bytes <= largeBytes || b.used[class] == held {
-		return 0
-	}
-
-	return b.limit / smallShare
-}
-
 // Add adds bytes to a holder whether they fit or not, because they are held already. While the limit is exceeded, nothing else fits
 // beyond what its class is guaranteed.
 func (b *Budget) Add(class Class, holder Holder, bytes int64) {
