--- a/io/httpx/conn.go
+++ b/io/httpx/conn.go
@@ -348,7 +348,7 @@
 	}
 }
 
-// sensed is what a look at a connection finds whose request is handled.
+// sensed is the result of a look at a connection whose request is handled.
 type sensed int
 
 const (
--- a/io/httpx/receive.go
+++ b/io/httpx/receive.go
@@ -23,7 +23,7 @@
 	// connection is reset, and evictedRefusalTimeout how long a connection is open that is closed for another one.
 	refusalTimeout        = 500 * time.Millisecond
 	evictedRefusalTimeout = 20 * time.Millisecond
-	// fieldBytes is what a header field takes once it has been parsed and copied to be forwarded.
+	// fieldBytes is the memory of a header field once it has been parsed and copied to be forwarded.
 	fieldBytes = 256
 	// maxBytesAhead is the most that a connection keeps of what its client sends behind a request that is handled.
 	maxBytesAhead = 4 << 10
