Add plays of ids of two workspaces, of a longer retention, and of program ids

Cause: turns are kept by their id and counts by the program's id alone, whatever their workspace, and counts for 75 s, whatever retention_s says. Change: the plays tenants, programs and retention of the review's program; the client of the answer that is cut off has segments of 1,460 bytes, and its answer 4 MB.

--- a/review/_kit2/cases/drain.go
+++ b/review/_kit2/cases/drain.go
@@ -18,13 +18,15 @@
 )
 
 const (
-	answerBytes    = 8 << 20
+	answerBytes    = 4 << 20
 	orderDeadline  = 4 * time.Second
 	sentAfterTerm  = 2700 * time.Millisecond
-	clientBufBytes = 64 << 10
+	clientBufBytes = 16 << 10
+	// clientSegmentBytes is that of clients on an Ethernet; the loopback device has segments of 64 KB, with buffers to match.
+	clientSegmentBytes = 1460
 	// The client reads slowly at first: a busy machine that catches up within its deadline.
 	slowFor            = 3 * time.Second
-	slowBytesPerSecond = 1 << 20
+	slowBytesPerSecond = 256 << 10
 )
 
 // resolve asks a host for addresses, as clients do.
@@ -74,7 +76,8 @@
 	time.Sleep(time.Until(resolvedAt.Add(sentAfterTerm)))
 	dialer := net.Dialer{Control: func(_, _ string, socket syscall.RawConn) error {
 		return socket.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientBufBytes) //nolint:errcheck // a larger one is as good
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientBufBytes)       //nolint:errcheck // a larger one is as good
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, clientSegmentBytes) //nolint:errcheck // as on Ethernet
 		})
 	}}
 	conn, err := dialer.Dial("tcp", stopping.address())
@@ -108,7 +111,7 @@
 		return false, errors.New("the order was refused")
 	}
 	received := 0
-	buf := make([]byte, 64<<10)
+	buf := make([]byte, 8<<10)
 	var readErr error
 	for received < length && readErr == nil {
 		n, err := io.ReadFull(resp.Body, buf[:min(len(buf), length-received)])
--- a/review/_kit2/cases/fleet.go
+++ b/review/_kit2/cases/fleet.go
@@ -44,6 +44,8 @@
 	store   *standin.Store
 	engines []*standin.Upstream
 	hosts   []*host
+	// retention is retention_s of the routes.
+	retention int
 }
 
 // host is one machine with its gateway process.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, started: time.Now(), out: out, trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore()}
+	f := &fleet{dir: dir, started: time.Now(), out: out, trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), retention: 60}
 	f.record("trouble: %t", f.trouble)
 
 	return f, nil
@@ -129,7 +131,7 @@
 	for number, r := range routes {
 		list = append(list, map[string]any{
 			"name": fmt.Sprintf("route-%d", number), "host": "agents.example", "path_prefix": r.prefix, "kind": "streaming", "timeout_ms": 3000,
-			"target_latency_ms": 200, "service": "engines", "max_attempts": 2, "retains_context": r.retainsContext, "retention_s": 60,
+			"target_latency_ms": 200, "service": "engines", "max_attempts": 2, "retains_context": r.retainsContext, "retention_s": f.retention,
 			"resumable": r.resumable, "gap_target_ms": 300, "sticky_sessions": true, "priority": 1,
 		})
 	}
@@ -344,7 +346,7 @@
 
 func main() {
 	cases := map[string]func(*fleet) (broken bool, err error){
-		"budget": playBudget, "resume": playResume, "ids": playIDs, "drain": playDrain, "charge": playCharge,
+		"budget": playBudget, "resume": playResume, "ids": playIDs, "drain": playDrain, "charge": playCharge, "tenants": playTenants, "programs": playPrograms, "retention": playRetention,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: cases NAME RECORD")
