--- a/review/_kit2/cases/drain.go
+++ b/review/_kit2/cases/drain.go
@@ -1,34 +1,67 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
-	"bufio"
-
 	"cardamomward/platform"
+	"cardamomward/platform/standin"
 )
 
 const (
-	answerBytes    = 4 << 20
-	orderDeadline  = 4 * time.Second
-	sentAfterTerm  = 2700 * time.Millisecond
+	answerBytes = 4 << 20
+	// orderDeadline is the time that the stand-in of a client gives its requests.
+	orderDeadline  = 3 * time.Second
+	sentAfterTerm  = 2900 * time.Millisecond
 	clientBufBytes = 16 << 10
 	// clientSegmentBytes is that of clients on an Ethernet; the loopback device has segments of 64 KB, with buffers to match.
 	clientSegmentBytes = 1460
-	// The client reads slowly at first: a busy machine that catches up within its deadline.
-	slowFor            = 3 * time.Second
+	// The client reads slowly at first and catches up within its deadline.
+	slowFor            = 2720 * time.Millisecond
 	slowBytesPerSecond = 256 << 10
 )
 
+// slowConn is a connection that is read slowly for a time.
+type slowConn struct {
+	net.Conn
+
+	openedAt time.Time
+	received int
+}
+
+// Read reads no more than the rate allows.
+func (c *slowConn) Read(p []byte) (int, error) {
+	if time.Since(c.openedAt) < slowFor {
+		time.Sleep(time.Until(c.openedAt.Add(time.Duration(c.received) * time.Second / slowBytesPerSecond)))
+	}
+	n, err := c.Conn.Read(p[:min(len(p), 8<<10)])
+	c.received += n
+
+	return n, err
+}
+
+// dialSlowly opens a connection with the buffers of a client on an Ethernet.
+func dialSlowly(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, socket syscall.RawConn) error {
+		return socket.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientBufBytes)       //nolint:errcheck // a larger one is as good
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, clientSegmentBytes) //nolint:errcheck // as on Ethernet
+		})
+	}}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+
+	return &slowConn{Conn: conn, openedAt: time.Now()}, nil
+}
+
 // resolve asks a host for addresses, as clients do.
 func resolve(h *host) ([]string, error) {
 	resp, err := http.Get("http://" + h.settings.ResolveAddress + platform.ResolvePath + "?name=agents.example&region=r&zone=" + string(h.settings.FailureDomain))
@@ -74,59 +107,26 @@
 		f.record("%s gets SIGTERM; its grace period is %s", stopping.settings.Name, gracePeriod)
 	}
 	time.Sleep(time.Until(resolvedAt.Add(sentAfterTerm)))
-	dialer := net.Dialer{Control: func(_, _ string, socket syscall.RawConn) error {
-		return socket.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, clientBufBytes)       //nolint:errcheck // a larger one is as good
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, clientSegmentBytes) //nolint:errcheck // as on Ethernet
-		})
-	}}
-	conn, err := dialer.Dial("tcp", stopping.address())
-	if err != nil {
-		return false, err
-	}
-	defer conn.Close() //nolint:errcheck // nothing follows
-	requestID := newID()
-	sentAt := time.Now()
-	body := "an order"
-	_, err = fmt.Fprintf(conn, "POST /order/a HTTP/1.1\r\nHost: agents.example\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nTime-Remaining-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		requestID, apiKey, orderDeadline.Milliseconds(), len(body), body)
-	if err != nil {
-		return false, err
-	}
+	requestID, sentAt := newID(), time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), orderDeadline)
+	defer cancel()
 	f.record("order %s is sent to %s", requestID, stopping.settings.Name)
-	conn.SetReadDeadline(sentAt.Add(orderDeadline)) //nolint:errcheck // the read fails then
-	reader := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
-	if err != nil {
-		f.record("no answer: %v", err)
-		if _, ran := f.execution(requestID); !ran {
-			return false, errors.New("the order did not run")
-		}
-
-		return f.trouble, nil
-	}
-	f.record("answer: %d, %s bytes, signature %q, connection close %t", resp.StatusCode, resp.Header.Get("Content-Length"), resp.Header.Get("Response-Signature"), resp.Close)
-	length, err := strconv.Atoi(resp.Header.Get("Content-Length"))
-	if err != nil || resp.StatusCode != 200 {
-		return false, errors.New("the order was refused")
-	}
-	received := 0
-	buf := make([]byte, 8<<10)
-	var readErr error
-	for received < length && readErr == nil {
-		n, err := io.ReadFull(resp.Body, buf[:min(len(buf), length-received)])
-		received += n
-		readErr = err
-		if time.Since(sentAt) < slowFor {
-			time.Sleep(time.Until(sentAt.Add(time.Duration(received) * time.Second / slowBytesPerSecond)))
-		}
-	}
+	client := &http.Client{Transport: &http.Transport{DialContext: dialSlowly, DisableCompression: true, ReadBufferSize: 4 << 10}}
+	response, err := standin.CallerRequest{Path: "/order/a", APIKey: apiKey, Body: "an order"}.SendWith(ctx, client, requestID, stopping.address())
 	took := time.Since(sentAt)
-	_, ran := f.execution(requestID)
-	f.record("the client has read %d of %d bytes in %s of its %s: %v; the order ran: %t", received, length, took.Round(time.Millisecond), orderDeadline, readErr, ran)
-	if received < length && took >= orderDeadline-100*time.Millisecond {
+	run, ran := f.execution(requestID)
+	if !ran {
+		return false, errors.New("the order did not run")
+	}
+	f.record("a runner ran the order %s after it was sent", run.At.Sub(sentAt).Round(time.Millisecond))
+	f.record("the client has status %d (%v), signed %t, and %d bytes of %d after %s of its %s, cut off %t", response.Status, err, response.IsFromUpstream(),
+		len(response.Body), answerBytes, took.Round(time.Millisecond), orderDeadline, response.Truncated)
+	switch {
+	case took >= orderDeadline-50*time.Millisecond:
 		return false, errors.New("the client was too slow")
+	case err != nil:
+		return true, nil
+	default:
+		return response.Truncated, nil
 	}
-
-	return received < length && ran, nil
 }
