--- a/review/_kit2/cases/fleet.go
+++ b/review/_kit2/cases/fleet.go
@@ -27,7 +27,6 @@
 	apiKey      = "key-clerks"
 	otherKey    = "key-planners"
 	gracePeriod = 8 * time.Second
-	memoryBytes = 314 << 20
 	maxFiles    = 8200
 	partitions  = 12
 )
@@ -41,11 +40,15 @@
 	recordMu sync.Mutex
 	out      *os.File
 
-	store   *standin.Store
+	store *standin.Store
+	// front stands before the store if that is not nil.
+	front   *front
 	engines []*standin.Upstream
 	hosts   []*host
 	// retention is retention_s of the routes.
 	retention int
+	// memory is that of each machine in MB.
+	memory int64
 }
 
 // host is one machine with its gateway process.
@@ -68,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, started: time.Now(), out: out, trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), retention: 60}
+	f := &fleet{dir: dir, started: time.Now(), out: out, trouble: os.Getenv("TROUBLE") != "0", store: standin.NewStore(), retention: 60, memory: 314}
 	f.record("trouble: %t", f.trouble)
 
 	return f, nil
@@ -92,6 +95,9 @@
 		engine.CloseClientConnections()
 		engine.Close()
 	}
+	if f.front != nil {
+		f.front.CloseClientConnections()
+	}
 	f.store.CloseClientConnections()
 	f.out.Close() //nolint:errcheck // nothing follows
 	if os.Getenv("KEEP") == "" {
@@ -161,6 +167,10 @@
 
 // startHosts starts gateways, each with an address of its own in the loopback range, and waits until they serve.
 func (f *fleet) startHosts(count int) error {
+	storeAddress := f.store.Address()
+	if f.front != nil {
+		storeAddress = f.front.address()
+	}
 	network := fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))
 	for number := range count {
 		ip := fmt.Sprintf("%s.%d", network, number+1)
@@ -168,9 +178,9 @@
 		h := &host{fleet: f, settings: &platform.HostSettings{
 			Name: id.Host(fmt.Sprintf("front-%d", number)), IP: ip, FailureDomain: standin.InitialFailureDomain, CallerAddress: address(8368),
 			ReadinessAddress: address(8369), ResolveAddress: address(8360), PeerPorts: [2]int{7780, 7795}, FirstStart: true, CPUCores: 0.4,
-			MemoryBytes: memoryBytes, MaxOpenFiles: maxFiles, LinkBytesPerSecond: 125e6,
+			MemoryBytes: f.memory << 20, MaxOpenFiles: maxFiles, LinkBytesPerSecond: 125e6,
 			Store: platform.StoreSettings{
-				Address: f.store.Address(), Partitions: partitions, MaxRecordBytes: 262144, MaxCallBytes: 2097152, MinLeaseDuration: time.Second,
+				Address: storeAddress, Partitions: partitions, MaxRecordBytes: 262144, MaxCallBytes: 2097152, MinLeaseDuration: time.Second,
 			},
 			Bounds: platform.Bounds{
 				DrainTimeout: 2 * time.Second, ConfigurationApply: 2 * time.Second, GracePeriod: gracePeriod, ResolveTTL: 5 * time.Second,
@@ -346,7 +356,7 @@
 
 func main() {
 	cases := map[string]func(*fleet) (broken bool, err error){
-		"budget": playBudget, "resume": playResume, "ids": playIDs, "drain": playDrain, "charge": playCharge, "tenants": playTenants, "programs": playPrograms, "retention": playRetention,
+		"budget": playBudget, "resume": playResume, "ids": playIDs, "drain": playDrain, "charge": playCharge, "memory": playMemory, "tenants": playTenants, "programs": playPrograms, "retention": playRetention,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: cases NAME RECORD")
