--- a/review/_kit2/cases/budget.go
+++ b/review/_kit2/cases/budget.go
@@ -86,7 +86,7 @@
 		f.record("the store is down: it answers 503")
 		downSince := time.Now()
 		restarts.Go(func() {
-			time.Sleep(time.Until(downSince.Add(7 * time.Second)))
+			time.Sleep(time.Until(downSince.Add(4500 * time.Millisecond)))
 			f.store.SetFaults(standin.Faults{})
 			f.record("the store is back")
 		})
@@ -107,12 +107,12 @@
 			})
 		}
 	}
-	for until, number := time.Now().Add(9*time.Second), 0; time.Now().Before(until); number++ {
+	for until, number := time.Now().Add(8*time.Second), 0; time.Now().Before(until); number++ {
 		h := rest[number%len(rest)]
 		status, tokens, requestID, err := budgetTurn(f, apiKey, program, h.address(), "", "/draft/")
 		total += tokens
 		f.record("turn %s at %s: %d %v, %d tokens, %d in all", requestID, h.settings.Name, status, err, tokens, total)
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 	}
 	restarts.Wait()
 	f.record("tokens handed to the client: %d; the budget and the most of one turn are %d", total, budgetTokens+turnTokens)
--- a/review/_kit2/cases/memory.go
+++ b/review/_kit2/cases/memory.go
@@ -17,6 +17,8 @@
 	largeTurns = 40
 	largeBytes = 4 << 20
 	usualBytes = 17000
+	// promptTokens is what the clients name as the length of each prompt, which fits into the memory of the sheet's runners.
+	promptTokens = "400000"
 	// largeMemory is that of the smaller machines of neendakara-lelam-grown, whose routes retain context, in MB.
 	largeMemory = 144
 	// restartDelay is the time between the end of a process and the next start.
@@ -92,7 +94,8 @@
 	body := strings.Repeat("x", size)
 	send := func(number int, program, body string) bool {
 		request := standin.NewTurnRequest("/chat/a", apiKey, program, "", body)
-		request.Header["Token-Budget"] = "1000000"
+		request.Header["Token-Budget"], request.Header["Token-Usage"] = "1000000", promptTokens+",100"
+		request.Header["Prompt-Prefix"] = "aa:400,bb:" + promptTokens
 		callCtx, cancelCall := context.WithTimeout(ctx, 3*time.Second)
 		defer cancelCall()
 		response, err := request.Send(callCtx, newID(), f.hosts[number%len(f.hosts)].address())
