Read responses of upstreams as strictly as requests

What callers saw: the response inside the body of one with status 000, bytes behind a body whose length stands as 'Content-Length : 5', the lines of the chunked coding after 'Transfer-Encoding : chunked', and lines such as 'Bad Name: x'. A malformed refusal was believed. Cause: net/http forgives such heads, and any status below 200 counted as an interim response. Fix: core/http1 interprets heads of responses, io/http1 reads them with their bodies. A response that two readers could read in two ways is lost: its request may have run, nothing that it says counts, and its connection is closed. There is one reading only, so no body can be cut elsewhere.

--- /dev/null
+++ b/io/gatewayhost/malformedresponse_test.go
@@ -0,0 +1,87 @@
+package gatewayhost_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/platform"
+	"cardamomward/platform/standin"
+)
+
+// withRawUpstreams registers the upstreams of plain requests at a server that responds with any bytes.
+func withRawUpstreams(t *testing.T, respond standin.Respond) func(*testCluster, *platform.HostSettings) {
+	t.Helper()
+	server, err := standin.NewRawServer(respond)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+
+	return func(c *testCluster, _ *platform.HostSettings) {
+		for _, upstream := range c.plainUpstreams {
+			upstream.RegisteredAddress = server.Address()
+			upstream.Register(c.store, "ready")
+			c.network.SetAddressName(server.Address(), upstream.ID)
+		}
+	}
+}
+
+// respondWith returns a responder that reads the whole request, writes the text that its path names, and closes the connection. In the
+// text, ID stands for the fields that name the request, the signature and the end of the connection.
+func respondWith(texts map[string]string) standin.Respond {
+	return func(conn *net.TCPConn, req *http.Request) {
+		defer conn.Close()            //nolint:errcheck // a test
+		io.Copy(io.Discard, req.Body) //nolint:errcheck // the client may have left
+		fields := "Request-Id: " + req.Header.Get("Request-Id") + "\r\nResponse-Signature: sig\r\nConnection: close"
+		name := strings.ReplaceAll(req.URL.Path[strings.LastIndex(req.URL.Path, "/")+1:], "-", " ")
+		io.WriteString(conn, strings.ReplaceAll(texts[name], "ID", fields)) //nolint:errcheck // the client may have left
+	}
+}
+
+// Callers got such responses as the upstream's, with bytes that were not its body, or with the malformed line.
+func TestMalformedResponseIsNotReturnedToCaller(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nID\r\nContent-Length: 5\r\n\r\ninner"
+	texts := map[string]string{
+		"status 000":                  "HTTP/1.1 000 None\r\nID\r\nContent-Length: 4\r\n\r\ndone",
+		"status 000 with a response":  "HTTP/1.1 000 None\r\nID\r\nContent-Length: 200\r\n\r\n" + inner,
+		"interim with a body":         "HTTP/1.1 103 Early Hints\r\nContent-Length: 200\r\n\r\n" + inner,
+		"switching protocols":         "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 200\r\n\r\n" + inner,
+		"space in a name":             "HTTP/1.1 200 OK\r\nID\r\nBad Name: x\r\nContent-Length: 4\r\n\r\ndone",
+		"space after a length's name": "HTTP/1.1 200 OK\r\nID\r\nContent-Length : 4\r\n\r\ndone and more",
+		"space after a coding's name": "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+		"control byte in a name":      "HTTP/1.1 200 OK\r\nID\r\nBa\x01d: x\r\nContent-Length: 4\r\n\r\ndone",
+		"refusal":                     "HTTP/1.1 503 Busy\r\nID\r\nNot-Executed: 1\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n",
+	}
+	c := newTestCluster(t, 1, withRawUpstreams(t, respondWith(texts)))
+	for name := range texts {
+		t.Run(name, func(t *testing.T) {
+			path := "/order/" + strings.ReplaceAll(name, " ", "-")
+			response := c.do("host-0", standin.CallerRequest{Path: path, APIKey: "secret", Body: "x"})
+			require.Equal(t, http.StatusBadGateway, response.Status, "the request may have run: %q", response.Body)
+			require.Empty(t, response.Header.Get("Response-Signature"))
+		})
+	}
+}
+
+func TestUnusualResponseIsReturnedToCaller(t *testing.T) {
+	texts := map[string]string{
+		"without a length":   "HTTP/1.1 200 OK\r\nID\r\n\r\ndone",
+		"after interim ones": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nID\r\nContent-Length: 4\r\n\r\ndone",
+		"with extensions":    "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b\r\ndone\r\n0\r\nGood: x\r\n\r\n",
+		"of HTTP 1.0":        "HTTP/1.0 200 OK\r\nID\r\nContent-Length: 4\r\n\r\ndone",
+		"with odd fields":    "HTTP/1.1 200 Fine\r\nID\r\nEmpty:\r\n!#$%&'*+-.^_`|~: a\tb\r\nContent-Length: 4\r\n\r\ndone",
+	}
+	c := newTestCluster(t, 1, withRawUpstreams(t, respondWith(texts)))
+	for name := range texts {
+		t.Run(name, func(t *testing.T) {
+			path := "/order/" + strings.ReplaceAll(name, " ", "-")
+			response := c.do("host-0", standin.CallerRequest{Path: path, APIKey: "secret", Body: "x"})
+			require.Equal(t, http.StatusOK, response.Status)
+			require.Equal(t, "sig", response.Header.Get("Response-Signature"))
+			require.Equal(t, "done", response.Body)
+		})
+	}
+}
--- a/io/upstreamclient/conn.go
+++ b/io/upstreamclient/conn.go
@@ -19,7 +19,7 @@
 	// relay is the host that relays the connection; empty if it is direct.
 	relay     Relay
 	counter   *traffic.Counter
-	source    *limitedReader
+	source    *countingReader
 	reader    *bufio.Reader
 	openedAt  time.Time
 	expiresAt time.Time
@@ -27,38 +27,19 @@
 }
 
 func newConn(inner net.Conn, address string, relay Relay) *conn {
-	source := &limitedReader{inner: inner}
+	source := &countingReader{inner: inner}
 
 	return &conn{Conn: inner, address: address, relay: relay, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
-var errHeadTooLarge = errors.New("the head of the response is too large")
-
-// limitedReader limits the bytes that are read while isLimited is set: the head of a response is held in memory as a whole.
-type limitedReader struct {
-	inner     io.Reader
-	isLimited bool
-	remaining int
-	counter   *traffic.Counter
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	inner   io.Reader
+	counter *traffic.Counter
 }
 
-// setLimit limits the bytes that are read before removeLimit is called.
-func (r *limitedReader) setLimit(bytes int) { r.isLimited, r.remaining = true, bytes }
-
-func (r *limitedReader) removeLimit() { r.isLimited = false }
-
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if !r.isLimited {
-		n, err := r.inner.Read(p)
-		r.counter.AddReceived(n)
-
-		return n, err
-	}
-	if r.remaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := r.inner.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.inner.Read(p)
 	r.counter.AddReceived(n)
 
 	return n, err
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"cardamomward/io/http1"
 )
 
 const (
@@ -59,7 +61,7 @@
 
 	client          *Client
 	conn            *conn
-	resp            *http.Response
+	resp            *http1.Response
 	writeResult     <-chan error
 	stopCancelWatch func() bool
 	closed          bool
@@ -170,7 +172,7 @@
 // readHead reads the header of the response and skips late responses to earlier requests.
 func (x *Exchange) readHead(req Request) error {
 	for staleResponses := 0; ; staleResponses++ {
-		resp, err := x.readFinalHead(req.Method) //nolint:bodyclose // the exchange reads it to its end or closes the connection
+		resp, err := x.readFinalHead(req.Method)
 		if err != nil {
 			return err
 		}
@@ -178,11 +180,11 @@
 			return ErrResponseLost.New("the head of the response begins with a piece of another")
 		}
 		if x.belongsToRequest(req, resp) {
-			x.resp, x.Status, x.Header, x.Body, x.ContentLength = resp, resp.StatusCode, resp.Header, resp.Body, resp.ContentLength
+			x.resp, x.Status, x.Header, x.Body, x.ContentLength = resp, resp.Status, resp.Header, resp.Body, resp.Length
 
 			return nil
 		}
-		if staleResponses >= maxStaleResponses || resp.Close {
+		if staleResponses >= maxStaleResponses || resp.Closes {
 			return ErrResponseLost.New("the response belongs to another request")
 		}
 		if _, err := io.CopyN(io.Discard, resp.Body, maxStaleBodyBytes); err != io.EOF { //nolint:errorlint // io.Copy returns io.EOF itself
@@ -196,11 +198,11 @@
 
 // containsStatusLine reports whether the head of a response contains the status line of another one: the head of a late response that
 // ends within a line is continued by the head of the next one on its connection.
-func containsStatusLine(resp *http.Response) bool {
+func containsStatusLine(resp *http1.Response) bool {
 	isEmbedded := func(text string) bool {
 		return strings.Contains(text, "HTTP/1.") && embeddedStatusLine.MatchString(text)
 	}
-	if isEmbedded(resp.Status) {
+	if isEmbedded(resp.Reason) {
 		return true
 	}
 	for _, values := range resp.Header {
@@ -214,20 +216,18 @@
 
 // belongsToRequest reports whether a response belongs to the request. One that names no request may be a late copy of an earlier
 // response, unless it is the first one of its connection.
-func (x *Exchange) belongsToRequest(req Request, resp *http.Response) bool {
-	responseID := req.ResponseID(resp.StatusCode, resp.Header)
+func (x *Exchange) belongsToRequest(req Request, resp *http1.Response) bool {
+	responseID := req.ResponseID(resp.Status, resp.Header)
 	x.isUnnamed = responseID == ""
 
 	return responseID == req.ID || (x.isUnnamed && !x.conn.reused)
 }
 
 // readFinalHead reads the head of the next response that is not an interim one.
-func (x *Exchange) readFinalHead(method string) (*http.Response, error) {
-	defer x.conn.source.removeLimit()
+func (x *Exchange) readFinalHead(method string) (*http1.Response, error) {
 	for range maxInterimResponses {
-		x.conn.source.setLimit(maxHeadBytes)
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
+		resp, err := http1.ReadResponse(x.conn.reader, method, maxHeadBytes)
+		if err != nil || !resp.IsInterim() {
 			return resp, err
 		}
 	}
@@ -251,7 +251,7 @@
 		return
 	}
 	x.end()
-	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Close || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
+	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Closes || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
 		x.client.closeConn(x.conn)
 
 		return
--- a/io/upstreamclient/exchange_test.go
+++ b/io/upstreamclient/exchange_test.go
@@ -17,6 +17,9 @@
 	"cardamomward/io/upstreamclient"
 )
 
+// closes at the end of a response makes the server close its connection after the response.
+const closes = "\x00close"
+
 // startServer responds to the n-th request with script(n); an empty string sends nothing.
 func startServer(t *testing.T, script func(n int) string) net.Listener {
 	t.Helper()
@@ -42,7 +45,11 @@
 					}
 					io.Copy(io.Discard, req.Body) //nolint:errcheck // a test
 					n++
-					io.WriteString(conn, script(n)) //nolint:errcheck // a test
+					response, isLast := strings.CutSuffix(script(n), closes)
+					io.WriteString(conn, response) //nolint:errcheck // a test
+					if isLast {
+						conn.Close()
+					}
 				}
 			}()
 		}
