Await the write of a request before its response counts as ended by its connection

What callers saw: a part of a response without a length as the complete one, after an upstream had reset the connection during a long request; a stream ended as complete. Cause: the kernel reports a reset once. If the writer of the request gets it, the reader of the response gets the end of the connection, which ends such a response regularly. Fix: such an end is believed only once the whole request was written without an error. Nobody else can have got the reset then. The connection's deadline bounds the wait.

--- a/io/gatewayhost/host_test.go
+++ b/io/gatewayhost/host_test.go
@@ -52,6 +52,8 @@
 	gatewaySettings *gatewaysettings.Settings
 	// network holds the links between hosts and upstreams.
 	network netsim.Network
+	// dial connects hosts to upstreams instead of the network; nil means the network.
+	dial upstreamclient.DialFunc
 	// runsProcesses runs each host in a process of its own; processOutput returns where its logs go and may be nil.
 	runsProcesses bool
 	processOutput func(name string) io.Writer
@@ -194,6 +196,9 @@
 		h.instance.OperatorToken = c.operatorToken
 	}
 	h.instance.DialUpstream = upstreamclient.DialFunc(c.network.DialerFrom(name))
+	if c.dial != nil {
+		h.instance.DialUpstream = c.dial
+	}
 	h.drain = func() { h.instance.Drain(context.Background()) }
 	go func(running *gatewayhost.Host, done chan struct{}) {
 		defer close(done)
--- a/io/gatewayhost/malformedresponse_test.go
+++ b/io/gatewayhost/malformedresponse_test.go
@@ -1,11 +1,13 @@
 package gatewayhost_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +87,50 @@
 		})
 	}
 }
+
+// An upstream that resets the connection during a long request has not completed a response without a length.
+func TestResponseWithoutLengthIsNotCompleteIfUploadIsReset(t *testing.T) {
+	const uploadBytes = 4<<20 - 1
+	for name, tt := range map[string]struct{ path, fields string }{
+		"plain":  {"/order/", ""},
+		"stream": {"/chat/", "Content-Type: text/event-stream\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialed := make(chan *standin.ResetConn, 1)
+			respond := func(conn *net.TCPConn, req *http.Request) {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: "+req.Header.Get("Request-Id")+"\r\nResponse-Signature: sig\r\n"+tt.fields+"\r\nid: 1\ndata: part\n\n") //nolint:errcheck // a test
+				(<-dialed).AwaitRead()
+				conn.SetLinger(0) //nolint:errcheck // Close resets the connection
+				conn.Close()      //nolint:errcheck // a test
+			}
+			server, err := standin.NewRawServer(respond)
+			require.NoError(t, err)
+			t.Cleanup(server.Close)
+			c := newTestCluster(t, 1)
+			c.kill("host-0")
+			for _, upstream := range c.allUpstreams() {
+				upstream.RegisteredAddress = server.Address()
+				upstream.Register(c.store, "ready")
+			}
+			c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				ordered := standin.NewResetConn(conn)
+				dialed <- ordered
+
+				return ordered, nil
+			}
+			c.start("host-0")
+			var response standin.CallerResponse
+			require.Eventually(t, func() bool {
+				call := standin.NewTurnRequest(tt.path, "secret", "p", "", strings.Repeat("x", uploadBytes))
+				response, err = call.Send(t.Context(), "upload", c.hosts["host-0"].settings.CallerAddress)
+
+				return err == nil && response.Status != http.StatusServiceUnavailable
+			}, waitTimeout, 50*time.Millisecond, "the host is ready")
+			require.True(t, response.Truncated || response.Status == http.StatusBadGateway, "%d: %q", response.Status, response.Body)
+		})
+	}
+}
--- a/io/upstreamclient/exchange.go
+++ b/io/upstreamclient/exchange.go
@@ -7,7 +7,6 @@
 	"regexp"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -62,7 +61,6 @@
 	client          *Client
 	conn            *conn
 	resp            *http1.Response
-	writeResult     <-chan error
 	stopCancelWatch func() bool
 	closed          bool
 	// isUnnamed is set if the response names no request.
@@ -70,8 +68,7 @@
 
 	watchdog watchdog
 	stall    stallDetector
-	// isWritten is set once the whole request was passed to the connection, or that failed.
-	isWritten atomic.Bool
+	write    writeOutcome
 }
 
 // Send sends a request and reads the status and header of its response. Errors are of type ErrNotSent or
@@ -91,17 +88,17 @@
 
 		return nil, ErrNotSent.Wrap(err, "set the connection's deadline")
 	}
-	x := &Exchange{client: c, conn: conn}
+	x := &Exchange{client: c, conn: conn, write: newWriteOutcome()}
 	x.stopCancelWatch = context.AfterFunc(ctx, func() { conn.Close() })
 	c.addExchange(x)
 	x.watchdog.start(req.ProbeAfter, func() bool { return c.isAlive(ctx, conn) }, func() { conn.Close() })
-	if err := x.write(req); err != nil {
+	if err := x.writeRequest(req); err != nil {
 		x.Abort()
 
 		return nil, x.ErrorType().Wrap(err, "send the request to %s", req.Address)
 	}
 	if conn.relay == "" && c.Relays != nil {
-		x.stall.start(ctx, conn.Conn, x.isWritten.Load, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
+		x.stall.start(ctx, conn.Conn, x.write.isKnown, func(ctx context.Context) { c.checkPath(ctx, conn.address) })
 	}
 	if err := x.readHead(req); err != nil {
 		x.Abort()
@@ -148,22 +145,18 @@
 	return ErrResponseLost
 }
 
-// write sends the request; large ones are sent in the background, since an upstream may respond before it has read all.
-func (x *Exchange) write(req Request) error {
+// writeRequest sends the request; large ones are sent in the background, since an upstream may respond before it has read all.
+func (x *Exchange) writeRequest(req Request) error {
 	message := slices.Concat(req.Head, req.Body)
-	done := make(chan error, 1)
-	x.writeResult = done
 	if len(message) < asyncWriteThresholdBytes {
 		_, err := x.conn.Write(message)
-		x.isWritten.Store(true)
-		done <- err
+		x.write.set(err)
 
 		return err
 	}
 	go func() {
 		_, err := x.conn.Write(message)
-		x.isWritten.Store(true)
-		done <- err
+		x.write.set(err)
 	}()
 
 	return nil
@@ -181,6 +174,9 @@
 		}
 		if x.belongsToRequest(req, resp) {
 			x.resp, x.Status, x.Header, x.Body, x.ContentLength = resp, resp.Status, resp.Header, resp.Body, resp.Length
+			if resp.EndsWithConnection() {
+				x.Body = &connectionBody{inner: resp.Body, write: &x.write}
+			}
 
 			return nil
 		}
@@ -251,7 +247,7 @@
 		return
 	}
 	x.end()
-	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Closes || x.conn.reader.Buffered() > 0 || !x.isFullyWritten() {
+	if !x.stopCancelWatch() || x.isUnnamed || x.resp.Closes || x.conn.reader.Buffered() > 0 || !x.write.hasSucceeded() {
 		x.client.closeConn(x.conn)
 
 		return
@@ -264,13 +260,3 @@
 	}
 	x.client.releaseConn(x.conn, now, idleTimeout)
 }
-
-// isFullyWritten reports whether the complete request was written without an error.
-func (x *Exchange) isFullyWritten() bool {
-	select {
-	case err := <-x.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
