--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/io/relay"
+	"cardamomward/platform/standin"
 )
 
 const testTimeout = 5 * time.Second
@@ -102,6 +104,59 @@
 	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
 }
 
+// The writer of a request can get the only report of a reset, and the reader of the response the end of the connection.
+func TestResponseThatUpstreamBreaksOffDuringRequestDoesNotLookComplete(t *testing.T) {
+	dialed := make(chan *standin.ResetConn, 1)
+	upstream := listen(t, func(conn net.Conn) {
+		conn.Read(make([]byte, 1)) //nolint:errcheck // the response follows in any case
+		conn.Write([]byte("half")) //nolint:errcheck // the test reads it
+		(<-dialed).AwaitRead()
+		conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // Close resets the connection
+		conn.Close()
+	})
+	_, address := newRelay(t, func(s *relay.Server) {
+		s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			ordered := standin.NewResetConn(conn)
+			dialed <- ordered
+
+			return ordered, err
+		}
+	})
+	conn := dial(t, address, upstream)
+	go conn.Write(make([]byte, 32<<20)) //nolint:errcheck // the upstream does not read it
+	response, err := io.ReadAll(conn)
+	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Equal(t, "half", string(response))
+}
+
+// An upstream may end its response and read the rest of the request afterwards.
+func TestRequestIsPassedOnAfterEndOfResponse(t *testing.T) {
+	const requestBytes = 32 << 20
+	received := make(chan int64, 1)
+	upstream := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		conn.Read(make([]byte, 1))       //nolint:errcheck // the response follows in any case
+		conn.Write([]byte("whole"))      //nolint:errcheck // the test reads it
+		conn.(*net.TCPConn).CloseWrite() //nolint:errcheck // the test reads the end
+		n, _ := io.CopyN(io.Discard, conn, requestBytes-1)
+		received <- n
+	})
+	_, address := newRelay(t, func(*relay.Server) {})
+	conn := dial(t, address, upstream)
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(make([]byte, requestBytes))
+		written <- err
+	}()
+	response, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, "whole", string(response))
+	require.NoError(t, <-written)
+	require.EqualValues(t, requestBytes-1, <-received)
+}
+
 // interruptedListener keeps the connections that it accepts, so that a test can end them as the kernel does for a process that is killed.
 type interruptedListener struct {
 	net.Listener
