Tell resets from ends in all clients that write and read at the same time

What callers saw: nothing yet; found while the other readers of answers were checked. Fix: io/tcp has a connection whose reads return the end only if no write has failed.

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -23,6 +23,7 @@
 	"cardamomward/core/traffic"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/httpx"
+	"cardamomward/io/tcp"
 	"cardamomward/platform"
 )
 
@@ -170,8 +171,11 @@
 		pushSlots:   make(chan struct{}, maxConcurrentPushes),
 	}
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: peerKeepAliveInterval}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return tcp.DialWith(ctx, dialer.DialContext, network, address)
+	}
 	c.httpClient = &http.Client{Transport: &memoryTransport{cluster: c, inner: &countingTransport{cluster: c, inner: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}}}}
 	c.programs.setMemory(opts.Settings.MemoryBytes)
--- a/io/daemon/host.go
+++ b/io/daemon/host.go
@@ -25,6 +25,7 @@
 	"cardamomward/io/operatorapi"
 	"cardamomward/io/peer"
 	"cardamomward/io/platformclient"
+	"cardamomward/io/tcp"
 )
 
 const (
@@ -139,7 +140,7 @@
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
 
-		return h.dial(ctx, network, address)
+		return tcp.DialWith(ctx, h.dial, network, address)
 	}
 
 	return &http.Client{Transport: &http.Transport{
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -15,6 +15,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/core/traffic"
+	"cardamomward/io/tcp"
 )
 
 const (
@@ -178,7 +179,7 @@
 	}
 	enableKeepAlive(upstream)
 
-	return &upstreamConn{Conn: upstream, domain: domain, releasePlace: releasePlace}, http.StatusOK
+	return &upstreamConn{Conn: tcp.NewConn(upstream), domain: domain, releasePlace: releasePlace}, http.StatusOK
 }
 
 // acquirePlace takes a place and the memory for a connection to an address, and returns a function that gives them back.
--- /dev/null
+++ b/io/tcp/doc.go
@@ -0,0 +1,2 @@
+// Package tcp tells connections that have ended from connections that were reset.
+package tcp
