Reject malformed and oversized responses in clients of net/http

What callers saw: a program's call got a service's response above 4 MB cut there as its outcome, or one with status 000. Others were found while the other readers were checked: a status of 000, 101 or 600 was a success to calls with JSON bodies. Cause: net/http accepts any status of three digits and names with blanks, and bodies were read through a limit that ends them as complete. Fix: http1.StrictTransport checks the status and names, and fails beyond the limit of a body; redirects are not followed. Calls between hosts and clients of engines, services, the log, the list of hosts, operators and the product's API use it.

--- a/core/http1/response.go
+++ b/core/http1/response.go
@@ -201,3 +201,18 @@
 
 	return false
 }
+
+// CheckResponse returns an error that wraps ErrMalformedResponse for a response that a more tolerant reader has read, if its status is not
+// that of a final response or the name of a field is none.
+func CheckResponse(status int, header http.Header) error {
+	if status < http.StatusOK || status > maxStatus {
+		return malformed("the status is %d", status)
+	}
+	for name := range header {
+		if !isToken([]byte(name)) {
+			return malformed("the name of a field is %.40q", name)
+		}
+	}
+
+	return nil
+}
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -15,6 +15,7 @@
 	"cardamomward/core/apierror"
 	"cardamomward/core/id"
 	"cardamomward/io/engineclient"
+	"cardamomward/io/http1"
 )
 
 // Client is a client of the callers' API, for the demo, the load tool and tests.
@@ -140,7 +141,7 @@
 		return Response{}, errTransport.Wrap(err, "%s %s", method, path)
 	}
 	defer httpResp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBytes))
+	body, err := io.ReadAll(httpResp.Body)
 	if err != nil {
 		return Response{}, errTransport.Wrap(err, "read the response of %s %s", method, path)
 	}
@@ -177,9 +178,10 @@
 }
 
 func (c *Client) httpClient() *http.Client {
-	if c.HTTPClient == nil {
-		return http.DefaultClient
+	client := c.HTTPClient
+	if client == nil {
+		client = http.DefaultClient
 	}
 
-	return c.HTTPClient
+	return http1.NewStrictClient(client, maxResponseBytes)
 }
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -22,6 +22,7 @@
 	"cardamomward/core/tokenbudget"
 	"cardamomward/core/traffic"
 	"cardamomward/io/fleet/fleetpb"
+	"cardamomward/io/http1"
 	"cardamomward/io/httpx"
 	"cardamomward/io/tcp"
 	"cardamomward/platform"
@@ -40,7 +41,7 @@
 	peerKeepAliveInterval = time.Second
 	// maxIdlePeerConns bounds the idle connections to one peer.
 	maxIdlePeerConns = 8
-	// maxPeerBodyBytes bounds the body of a call between hosts.
+	// maxPeerBodyBytes bounds the body of a call between hosts, and that of its reply.
 	maxPeerBodyBytes = 64 << 20
 )
 
@@ -174,10 +175,11 @@
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return tcp.DialWith(ctx, dialer.DialContext, network, address)
 	}
-	c.httpClient = &http.Client{Transport: &memoryTransport{cluster: c, inner: &countingTransport{cluster: c, inner: &http.Transport{
+	transport := &countingTransport{cluster: c, inner: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdlePeerConns, DisableCompression: true,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes,
-	}}}}
+	}}
+	c.httpClient = http1.NewStrictClient(&http.Client{Transport: &memoryTransport{cluster: c, inner: transport}}, maxPeerBodyBytes)
 	c.programs.setMemory(opts.Settings.MemoryBytes)
 	c.streamOrigins.MaxAttempts = int(opts.Settings.MemoryBytes / originShare / originBytes)
 	c.mustRejoin.Store(true)
--- a/io/engineclient/connpool.go
+++ b/io/engineclient/connpool.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"sync"
+
+	"cardamomward/io/http1"
 )
 
 // ConnPool holds the connections to one engine, so that all of them can be replaced without affecting other engines.
@@ -20,7 +22,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == nil {
-		c.current = c.NewClient()
+		c.current = http1.NewStrictClient(c.NewClient(), 0)
 	}
 
 	return c.current, c.generation
--- a/io/httpx/client.go
+++ b/io/httpx/client.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"cardamomward/core/apierror"
+	"cardamomward/io/http1"
 )
 
 var (
@@ -46,12 +47,12 @@
 		return err
 	}
 	httpReq.Header.Set("Content-Type", "application/json")
-	httpResp, err := client.Do(httpReq)
+	httpResp, err := http1.NewStrictClient(client, maxResponseBytes).Do(httpReq)
 	if err != nil {
 		return ErrNoResponse.Wrap(err, "%s %s", method, url)
 	}
 	defer httpResp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBytes))
+	data, err := io.ReadAll(httpResp.Body)
 	if err != nil {
 		return ErrNoResponse.Wrap(err, "read the response of %s %s", method, url)
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/twitchtv/twirp"
 
+	"cardamomward/io/http1"
 	"cardamomward/io/peer/peerpb"
 )
 
@@ -22,9 +23,13 @@
 
 var _ SlotOwner = (*Client)(nil)
 
+// maxReplyBytes bounds the body of a reply.
+const maxReplyBytes = 64 << 20
+
 // NewClient returns a client of the host at a peer address.
 func NewClient(address string, httpClient *http.Client) *Client {
 	baseURL := "http://" + address
+	httpClient = http1.NewStrictClient(httpClient, maxReplyBytes)
 	interceptors := twirp.WithClientInterceptors(clientInterceptor)
 
 	return &Client{
--- a/io/serviceclient/client.go
+++ b/io/serviceclient/client.go
@@ -10,6 +10,8 @@
 	"net/http"
 
 	"github.com/joomcode/errorx"
+
+	"cardamomward/io/http1"
 )
 
 var (
@@ -21,7 +23,7 @@
 	ErrOutcomeUnknown = errs.NewType("unknown")
 )
 
-// maxResponseBytes bounds the body of a response; longer bodies are truncated.
+// maxResponseBytes bounds the body of a response; the outcome of a call with a longer one is unknown.
 const maxResponseBytes = 4 << 20
 
 // Request is a request to a plain service; no other headers of the caller are passed on.
@@ -61,12 +63,12 @@
 	if request.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", request.IdempotencyKey)
 	}
-	resp, err := c.clientWithoutRedirects().Do(req)
+	resp, err := c.strictClient().Do(req)
 	if err != nil {
 		return Response{}, classifySendError(err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Response{}, ErrOutcomeUnknown.Wrap(err, "read response")
 	}
@@ -74,12 +76,9 @@
 	return Response{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// clientWithoutRedirects returns a copy of the HTTP client that follows no redirects, which would send a second request.
-func (c *Client) clientWithoutRedirects() *http.Client {
-	client := *c.HTTPClient
-	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
-	return &client
+// strictClient returns the HTTP client with the limit of responses.
+func (c *Client) strictClient() *http.Client {
+	return http1.NewStrictClient(c.HTTPClient, maxResponseBytes)
 }
 
 // classifySendError returns ErrNotSent if the connection could not be established, else ErrOutcomeUnknown.
@@ -103,12 +102,12 @@
 	if err != nil {
 		return Response{}, false, err
 	}
-	resp, err := c.HTTPClient.Do(req)
+	resp, err := c.strictClient().Do(req)
 	if err != nil {
 		return Response{}, false, ErrOutcomeUnknown.Wrap(err, "query outcome")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Response{}, false, ErrOutcomeUnknown.Wrap(err, "read outcome")
 	}
