Bound the response of a relay and read it strictly

What callers saw: nothing yet; found while the other readers of answers were checked. Cause: the response to CONNECT was read by net/http, without a bound. A framing whose name has a blank was none, so that the frames' lengths would have been read as bytes of the upstream. Evidence: TestMalformedResponseOfRelayIsNoConnection fails in 3 of 5 cases on; endless heads were read until the deadline. Fix: io/http1 reads the head, of at most 4 KB. Result: the test passes, and the relay's others.

--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/joomcode/errorx"
+
+	"cardamomward/io/http1"
 )
 
 var (
@@ -48,6 +50,9 @@
 	}
 }
 
+// maxResponseBytes bounds the head of the response to a CONNECT request.
+const maxResponseBytes = 4 << 10
+
 // requestConnection requests a connection to an upstream and returns the framing of its bytes.
 func requestConnection(ctx context.Context, conn net.Conn, relay, upstream string) (framing string, err error) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
@@ -56,18 +61,17 @@
 		return "", ErrBusy.Wrap(err, "request a connection from relay %s", relay)
 	}
 	reader := bufio.NewReaderSize(conn, 512) //nolint:mnd // the response is short
-	resp, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
+	resp, err := http1.ReadResponse(reader, http.MethodConnect, maxResponseBytes)
 	if err != nil {
 		return "", ErrBusy.Wrap(err, "read the response of relay %s", relay)
 	}
-	resp.Body.Close()
 	switch {
-	case resp.StatusCode == http.StatusBadGateway:
+	case resp.Status == http.StatusBadGateway:
 		return "", ErrUpstream.New("relay %s cannot connect to %s", relay, upstream)
-	case resp.StatusCode == http.StatusForbidden:
+	case resp.Status == http.StatusForbidden:
 		return "", ErrUnknownUpstream.New("relay %s does not know %s", relay, upstream)
-	case resp.StatusCode != http.StatusOK:
-		return "", ErrBusy.New("relay %s responds with status %d", relay, resp.StatusCode)
+	case resp.Status != http.StatusOK:
+		return "", ErrBusy.New("relay %s responds with status %d", relay, resp.Status)
 	case reader.Buffered() > 0 || !stop():
 		return "", ErrBusy.Wrap(ctx.Err(), "relay %s responded too late or sent further bytes", relay)
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/stretchr/testify/require"
 
 	"cardamomward/core/id"
@@ -104,6 +106,32 @@
 	require.Error(t, err, "the end of the bytes is a reset, not their regular end")
 }
 
+// Bytes that a relay sends in place of a response were read without a bound, and a framing whose name has a blank was none.
+func TestMalformedResponseOfRelayIsNoConnection(t *testing.T) {
+	for name, tt := range map[string]struct{ text, repeated string }{
+		"status 000":         {text: "HTTP/1.1 000 None\r\n\r\n"},
+		"space after a name": {text: "HTTP/1.1 200 OK\r\nRelay-Framing : length-prefixed\r\n\r\n"},
+		"endless head":       {text: "HTTP/1.1 200 OK\r\n", repeated: strings.Repeat("Name: x\r\n", 100)},
+		"endless line":       {text: "HTTP/1.1 200 OK\r\nName: ", repeated: strings.Repeat("x", 1000)},
+		"endless body":       {text: "HTTP/1.1 503 Busy\r\n\r\n", repeated: strings.Repeat("x", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := listen(t, func(conn net.Conn) {
+				defer conn.Close()
+				_, err := io.WriteString(conn, tt.text)
+				for err == nil && tt.repeated != "" {
+					_, err = io.WriteString(conn, tt.repeated)
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			_, err := relay.Dial(ctx, address, "127.0.0.1:1")
+			require.True(t, errorx.IsOfType(err, relay.ErrBusy), "%v", err)
+			require.NoError(t, ctx.Err(), "the response is given up before the deadline")
+		})
+	}
+}
+
 // The writer of a request can get the only report of a reset, and the reader of the response the end of the connection.
 func TestResponseThatUpstreamBreaksOffDuringRequestDoesNotLookComplete(t *testing.T) {
 	dialed := make(chan *standin.ResetConn, 1)
