Continue a begun stream only with a response that goes on with it

What callers saw: after a stream had broken, the events of an upstream's error in the middle of it; or a stream that ended as complete with an error without a body or a 204. Cause: whether a response goes on with a stream was decided by its type alone. Fix: a signed response with the status of the first one and the type of event streams may follow, once an event's id shows its place. Others are lost attempts: another upstream is tried within the route's attempts, or the caller's stream is cut. Nothing else can write into a begun stream or end it.

--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -32,6 +30,8 @@
 type eventWriter struct {
 	network.ExtWriter
 
+	// status is that of the response.
+	status  int
 	aborted bool
 	// close closes the connection to the caller.
 	close func()
@@ -88,8 +88,8 @@
 
 			return
 		}
-		if !strings.HasPrefix(sent.Header.Get("Content-Type"), "text/event-stream") {
-			p.forwardNonStream(ctx, c, req, sent, writer)
+		if writer == nil && !sent.isStream() {
+			p.forwardNonStream(ctx, c, req, sent)
 
 			return
 		}
@@ -102,11 +102,7 @@
 
 			return
 		}
-		if ctx.Err() == nil && p.isBeforeDeadline(req) {
-			p.recordFailure(sent.instance)
-		}
-		p.abortExchange(sent)
-		reason := p.diagnoseLoss(ctx, req, sent.instance)
+		reason := p.endBrokenAttempt(ctx, req, sent, err)
 		p.Logger.Info("stream-broken", "request", req.ID, "upstream", sent.instance.ID, "after", req.lastSentEventID, "error", err)
 		if ctx.Err() != nil || errors.Is(err, errStreamAborted) || !p.mayResume(req, sent.instance, reason) {
 			p.endTurn(ctx, req, false)
@@ -117,6 +113,22 @@
 	}
 }
 
+// endBrokenAttempt ends an exchange that did not complete the stream, and returns why its upstream counts as ended. An upstream that
+// responds to a resumption with something else has not crashed.
+func (p *Proxy) endBrokenAttempt(ctx context.Context, req *proxiedRequest, sent *sentRequest, err error) endReason {
+	if errors.Is(err, errNotContinued) {
+		p.abortExchange(sent)
+
+		return p.findEndReason(ctx, req, sent.instance)
+	}
+	if ctx.Err() == nil && p.isBeforeDeadline(req) {
+		p.recordFailure(sent.instance)
+	}
+	p.abortExchange(sent)
+
+	return p.diagnoseLoss(ctx, req, sent.instance)
+}
+
 // mayResume reports whether the host may resume a broken stream at another upstream.
 func (p *Proxy) mayResume(req *proxiedRequest, instance *registry.Instance, reason endReason) bool {
 	if req.origin != nil && p.Discovery.VerifyOrigin(*req.origin) != streamorigin.Known {
@@ -129,6 +141,10 @@
 
 // forwardEvents forwards whole events until the stream ends; the response header is sent with the first event.
 func (p *Proxy) forwardEvents(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) (*eventWriter, error) {
+	continuation := continuation{isResumed: writer != nil, lastEventID: req.lastSentEventID}
+	if continuation.isResumed && (!sent.isStream() || sent.Status != writer.status) {
+		return writer, errNotContinued
+	}
 	events := upstreamclient.NewEventReader(sent.Body)
 	events.Memory = eventMemory{proxy: p, remote: req.remote}
 	defer events.Close()
@@ -142,6 +158,9 @@
 		if err != nil {
 			return writer, err
 		}
+		if !continuation.mayFollow(event) {
+			return writer, errNotContinued
+		}
 		if event.IsComment() {
 			if comments, err = p.forwardComment(writer, comments, event.Raw); err != nil {
 				return writer, err
@@ -207,26 +226,14 @@
 	platform.CopyResponseHeader(&c.Response.Header, sent.Header)
 	c.Response.SetStatusCode(sent.Status)
 	writer := &eventWriter{
-		ExtWriter: resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()),
-		close:     func() { closeConnection(ctx, c) },
+		ExtWriter: resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()), status: sent.Status,
+		close: func() { closeConnection(ctx, c) },
 	}
 	c.Response.HijackWriter(writer)
 
 	return writer
 }
 
-// isAfterEvent reports whether an event comes after the last one that was forwarded; it is true if an id is
-// empty or not a number.
-func isAfterEvent(eventID, lastEventID string) bool {
-	if lastEventID == "" || eventID == "" {
-		return true
-	}
-	a, errA := strconv.ParseInt(eventID, 10, 64)
-	b, errB := strconv.ParseInt(lastEventID, 10, 64)
-
-	return errA != nil || errB != nil || a > b
-}
-
 // recordEvent records an event that was forwarded: its id, tokens and, if the turn is retained, its data. Callers are not given an event
 // without data, which only sets the id.
 func (req *proxiedRequest) recordEvent(event upstreamclient.Event) {
@@ -255,13 +262,13 @@
 	p.logRequest(req, c.Response.StatusCode(), "streamed")
 }
 
-// forwardNonStream forwards a response that is not an event stream, such as an error of the upstream.
-func (p *Proxy) forwardNonStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) {
+// forwardNonStream forwards a response that is not an event stream, such as an error of the upstream, before a stream has begun.
+func (p *Proxy) forwardNonStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest) {
 	body, err := p.readBody(req, sent)
 	p.endTurn(ctx, req, false)
-	if err != nil || writer != nil {
+	if err != nil {
 		p.abortExchange(sent)
-		p.failStream(ctx, c, req, writer, failedUpstreamResponse(req, "answer-cut"))
+		p.failRequest(ctx, c, req, failedUpstreamResponse(req, "answer-cut"))
 
 		return
 	}
