Refuse requests that a stopping host cannot finish

What callers saw: a host that was stopped as planned took requests late in its grace period and cut them at its end without a response, among them ones that must not be repeated. Cause: all requests were taken until 2.5 s before the end, and what was in progress half a second before it was cut, whatever its deadline. Fix: core/drain decides by the deadline, or for requests that may be repeated by what those of the route take. Others get a true 503 at once and go to another host. What is taken ends before the host does, with 504 at the latest. Requests that can end are served as before (TestDrainingHostTakesRequestThatItCanFinish, TestDrainingHostServesTurnsUntilItStopsAccepting).

--- /dev/null
+++ b/core/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain decides which requests a host still takes while it shuts down.
+package drain
--- a/io/gatewayhost/brokenstream_test.go
+++ b/io/gatewayhost/brokenstream_test.go
@@ -28,7 +28,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	counts := make(map[string]int)
-	server, err := standin.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
+	register := registerAtRawServer(t, func(conn *net.TCPConn, req *http.Request) {
 		defer conn.Close()            //nolint:errcheck // a test
 		io.Copy(io.Discard, req.Body) //nolint:errcheck // a test
 		request := req.Header.Get("Request-Id")
@@ -51,17 +51,12 @@
 		}
 		io.WriteString(conn, strings.Replace(text, "ID", named, 1)) //nolint:errcheck // the client may have left
 	})
-	require.NoError(t, err)
-	t.Cleanup(server.Close)
 
 	return func(c *testCluster, _ *platform.HostSettings) {
 		standin.Configuration{Version: 2, APIKeys: []string{"secret"}, MaxAttempts: attempts}.WriteToStore(c.store)
 		c.engines = append(c.engines, standin.NewUpstream("engine-2", "engines", 5))
 		t.Cleanup(c.engines[len(c.engines)-1].Close)
-		for _, engine := range c.engines {
-			engine.RegisteredAddress = server.Address()
-			engine.Register(c.store, "ready")
-		}
+		register(c, c.engines)
 	}
 }
 
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -71,6 +71,8 @@
 	metrics        reverseproxy.Metrics
 	traffic        traffic.Counters
 	draining       atomic.Bool
+	// abortAt is when a draining host aborts the requests in progress; nil while it does not drain.
+	abortAt atomic.Pointer[time.Time]
 	// weightsConfig is the configuration whose workspaces the weights were last compared with. Only cleanUpLoop uses it.
 	weightsConfig   *routing.Config
 	drainPeriodOver chan struct{}
@@ -102,7 +104,7 @@
 	}
 	h.discovery.ScalePause = h.scaleUpstreamReadPause
 	h.proxy = &reverseproxy.Proxy{
-		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, Metrics: &h.metrics,
+		Discovery: h.discovery, UpstreamClient: h.upstreamClient, Logger: logger, Now: now, ShouldCloseConnections: h.shouldCloseConnections, ResponsesEndAt: h.responsesEndAt, Metrics: &h.metrics,
 		RateLimiter: h.cluster, Turns: h.cluster, Crashes: h.cluster, Streams: h.cluster, Loads: h.cluster, Limits: h.cluster,
 		Reports:   &upstreamreport.Reader{Client: h.upstreamClient, Now: now},
 		Shutdowns: h.cluster, FailureDomain: settings.FailureDomain, Work: h.cluster,
@@ -267,6 +269,8 @@
 	if !h.draining.CompareAndSwap(false, true) {
 		return
 	}
+	abortAt := h.now().Add(h.settings.Bounds.GracePeriod - abortMargin)
+	h.abortAt.Store(&abortAt)
 	h.logger.Info("draining", "host", h.settings.Name)
 	go h.cluster.Leave(ctx)
 	go func() {
@@ -289,7 +293,7 @@
 	isDone := func() bool {
 		return h.proxy.IsIdle() && h.relay.ConnCount() == 0 && h.cluster.CountTurnsToHandOver() == 0
 	}
-	for until := h.now().Add(stopAcceptingMargin - abortMargin); h.now().Before(until) && !isDone(); {
+	for h.now().Before(*h.abortAt.Load()) && !isDone() {
 		topicconsumer.SleepContext(ctx, idlePollInterval)
 	}
 	if turns := h.cluster.CountTurnsToHandOver(); turns > 0 {
@@ -298,6 +302,16 @@
 	topicconsumer.SleepContext(ctx, flushDelay)
 }
 
+// responsesEndAt returns when this host aborts the requests in progress, and false while it does not drain.
+func (h *Host) responsesEndAt() (time.Time, bool) {
+	abortAt := h.abortAt.Load()
+	if abortAt == nil {
+		return time.Time{}, false
+	}
+
+	return *abortAt, true
+}
+
 // shouldCloseConnections reports whether callers should reconnect to another host.
 func (h *Host) shouldCloseConnections() bool {
 	return h.draining.Load() || h.cluster.IsIsolated(h.now())
--- /dev/null
+++ b/io/gatewayhost/lateadmission_test.go
@@ -0,0 +1,86 @@
+package gatewayhost_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cardamomward/platform"
+	"cardamomward/platform/standin"
+)
+
+const (
+	// shortGracePeriod lets a draining host accept requests for half a second and finish them for two more.
+	shortGracePeriod = 3 * time.Second
+	// longStreamInterval is the interval of events with which a stream takes longer than that, and less than its route's timeout.
+	longStreamInterval = 550 * time.Millisecond
+)
+
+func withShortGracePeriod(_ *testCluster, settings *platform.HostSettings) {
+	settings.Bounds.GracePeriod = shortGracePeriod
+}
+
+// A draining host took requests that it could not finish, and cut their responses at the end of the grace period.
+func TestDrainingHostRefusesRequestThatItCannotFinish(t *testing.T) {
+	for _, path := range []string{"/draft/late", "/chat/late"} {
+		t.Run(path, func(t *testing.T) {
+			c := newTestCluster(t, 2, withShortGracePeriod)
+			c.slowStreams(longStreamInterval)
+			// The host learns how long such streams take.
+			learned := c.do("host-0", standin.NewTurnRequest(path, "secret", "before", "", "x"))
+			require.Equal(t, http.StatusOK, learned.Status)
+			c.hosts["host-0"].instance.Drain(context.Background())
+			late := c.do("host-0", standin.NewTurnRequest(path, "secret", "late", "", "x"))
+			require.False(t, late.Truncated, "the response is cut")
+			require.Equal(t, http.StatusServiceUnavailable, late.Status)
+			require.True(t, late.ClosesConnection)
+			require.NotEmpty(t, late.Header.Get("Retry-After"))
+			elsewhere := c.do("host-1", standin.NewTurnRequest(path, "secret", "late", "", "x"))
+			require.Equal(t, wholeStream, elsewhere.Body)
+			<-c.hosts["host-0"].done
+			require.Empty(t, c.executionsOf(late.RequestID), "a 503 means that the request was not executed")
+		})
+	}
+}
+
+func TestDrainingHostTakesRequestThatItCanFinish(t *testing.T) {
+	c := newTestCluster(t, 2, withShortGracePeriod)
+	for range 2 {
+		require.Equal(t, http.StatusOK, c.do("host-0", standin.NewTurnRequest("/draft/before", "secret", "before", "", "x")).Status)
+	}
+	c.hosts["host-0"].instance.Drain(context.Background())
+	stream := c.do("host-0", standin.NewTurnRequest("/draft/late", "secret", "late", "", "x"))
+	require.Equal(t, wholeStream, stream.Body, "such streams have been short")
+	for _, path := range []string{"/order/late", "/look/late"} {
+		response := c.do("host-0", standin.CallerRequest{Path: path, APIKey: "secret"})
+		require.Equal(t, http.StatusOK, response.Status, "the route's timeout ends in time")
+	}
+	limited := standin.NewTurnRequest("/chat/late", "secret", "late", "", "x")
+	limited.Header["Time-Remaining-Ms"] = "1000"
+	response := c.do("host-0", limited)
+	require.Equal(t, wholeStream, response.Body, "the caller's deadline ends in time")
+	<-c.hosts["host-0"].done
+}
+
+// A request that takes longer than expected gets a response before the host ends.
+func TestRequestThatDrainingHostTookIsAnswered(t *testing.T) {
+	c := newTestCluster(t, 2, withShortGracePeriod, withRawEngines(t, func(conn *net.TCPConn, req *http.Request) {
+		io.Copy(io.Discard, req.Body) //nolint:errcheck // a test
+		if req.URL.Path == "/draft/late" {
+			return
+		}
+		named := "Request-Id: " + req.Header.Get("Request-Id") + "\r\nResponse-Signature: sig\r\nConnection: close\r\n"
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+named+eventStream+"\r\n"+wholeStream) //nolint:errcheck // a test
+		conn.Close()                                                                     //nolint:errcheck // a test
+	}))
+	c.hosts["host-0"].instance.Drain(context.Background())
+	response := c.do("host-0", standin.NewTurnRequest("/draft/late", "secret", "late", "", "x"))
+	require.Equal(t, http.StatusGatewayTimeout, response.Status)
+	require.False(t, response.Truncated)
+	<-c.hosts["host-0"].done
+}
--- a/io/gatewayhost/malformedresponse_test.go
+++ b/io/gatewayhost/malformedresponse_test.go
@@ -15,22 +15,37 @@
 	"cardamomward/platform/standin"
 )
 
-// withRawUpstreams registers the upstreams of plain requests at a server that responds with any bytes.
-func withRawUpstreams(t *testing.T, respond standin.Respond) func(*testCluster, *platform.HostSettings) {
+// registerAtRawServer starts a server that responds with any bytes, and returns a function that registers upstreams at it.
+func registerAtRawServer(t *testing.T, respond standin.Respond) func(c *testCluster, upstreams []*standin.Upstream) {
 	t.Helper()
 	server, err := standin.NewRawServer(respond)
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 
-	return func(c *testCluster, _ *platform.HostSettings) {
-		for _, upstream := range c.plainUpstreams {
+	return func(c *testCluster, upstreams []*standin.Upstream) {
+		for _, upstream := range upstreams {
 			upstream.RegisteredAddress = server.Address()
 			upstream.Register(c.store, "ready")
-			c.network.SetAddressName(server.Address(), upstream.ID)
 		}
 	}
 }
 
+// withRawUpstreams registers the upstreams of plain requests at a server that responds with any bytes.
+func withRawUpstreams(t *testing.T, respond standin.Respond) func(*testCluster, *platform.HostSettings) {
+	t.Helper()
+	register := registerAtRawServer(t, respond)
+
+	return func(c *testCluster, _ *platform.HostSettings) { register(c, c.plainUpstreams) }
+}
+
+// withRawEngines does the same for the upstreams of streams.
+func withRawEngines(t *testing.T, respond standin.Respond) func(*testCluster, *platform.HostSettings) {
+	t.Helper()
+	register := registerAtRawServer(t, respond)
+
+	return func(c *testCluster, _ *platform.HostSettings) { register(c, c.engines) }
+}
+
 // respondWith returns a responder that reads the whole request, writes the text that its path names, and closes the connection. In the
 // text, ID stands for the fields that name the request, the signature and the end of the connection.
 func respondWith(texts map[string]string) standin.Respond {
@@ -103,15 +118,9 @@
 				conn.SetLinger(0) //nolint:errcheck // Close resets the connection
 				conn.Close()      //nolint:errcheck // a test
 			}
-			server, err := standin.NewRawServer(respond)
-			require.NoError(t, err)
-			t.Cleanup(server.Close)
 			c := newTestCluster(t, 1)
 			c.kill("host-0")
-			for _, upstream := range c.allUpstreams() {
-				upstream.RegisteredAddress = server.Address()
-				upstream.Register(c.store, "ready")
-			}
+			registerAtRawServer(t, respond)(c, c.allUpstreams())
 			c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 				if err != nil {
@@ -126,6 +135,7 @@
 			var response standin.CallerResponse
 			require.Eventually(t, func() bool {
 				call := standin.NewTurnRequest(tt.path, "secret", "p", "", strings.Repeat("x", uploadBytes))
+				var err error
 				response, err = call.Send(t.Context(), "upload", c.hosts["host-0"].settings.CallerAddress)
 
 				return err == nil && response.Status != http.StatusServiceUnavailable
--- a/io/reverseproxy/proxy.go
+++ b/io/reverseproxy/proxy.go
@@ -221,11 +221,16 @@
 	// isolated from the others.
 	ShouldCloseConnections func() bool
 
+	// ResponsesEndAt returns when the host ends all responses, and false while it does not shut down; nil means that it never does.
+	ResponsesEndAt func() (time.Time, bool)
+
 	// activeConnections holds the remote addresses of the connections with a request in progress.
 	activeConnections sync.Map
 	// largeEventBytes is the size of the large events that are being read.
 	largeEventBytes atomic.Int64
 
+	durations routeDurations
+
 	statsMu sync.Mutex
 	stats   upstreamstats.Tracker
 	learned learnedCosts
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -139,6 +139,9 @@
 		return notExecutedResponse("no-service", retryDelay)
 	}
 	req.setDeadline()
+	if errResp := p.checkShutdown(req); errResp != nil {
+		return errResp
+	}
 	req.fingerprint = req.Fingerprint()
 	if p.Crashes.IsRequestBlocked(req.fingerprint) {
 		return notExecutedResponse("crashes-upstreams", 0)
@@ -319,6 +322,9 @@
 	now := p.Now()
 	duration := now.Sub(req.startedAt)
 	p.Metrics.observeRequest(outcome, duration)
+	if len(req.triedUpstreams) > 0 {
+		p.durations.record(now, req.route.Name, duration)
+	}
 	p.Logger.Info("request", "request", req.ID, "status", status, "outcome", outcome, "took", duration.Round(time.Microsecond),
 		"left", req.timeLeft(now), "config", req.configVersion(), "route", req.routeName(), "workspace", req.workspaceName(),
 		"program", req.Program, "previous", req.PreviousTurn, "upstreams", req.triedUpstreams, "tokens", req.outputTokens, "budget", req.TokenBudget, "begun", req.beginResult.ContinuesProgram, "last", req.beginResult.LastLocation.Upstream)
