--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -124,19 +124,8 @@
 		return errResp
 	}
 	req.Body = bytes.Clone(c.Request.Body())
-	route, ok := req.config.Match(req.Host, req.Path)
-	if !ok {
-		return &errorResponse{status: http.StatusNotFound, reason: "no-route"}
-	}
-	req.route = route
-	if !route.Public && len(req.config.Workspaces) > 0 {
-		if req.workspace, ok = req.config.Authenticate(req.APIKey); !ok {
-			return &errorResponse{status: http.StatusUnauthorized, reason: "unknown-key"}
-		}
-	}
-	req.service = req.config.Services[route.PickService(req.ResolveAffinityKey())]
-	if req.service == nil {
-		return notExecutedResponse("no-service", retryDelay)
+	if errResp := req.resolveService(); errResp != nil {
+		return errResp
 	}
 	req.setDeadline()
 	if errResp := p.checkShutdown(req); errResp != nil {
@@ -168,6 +157,26 @@
 	return errResp
 }
 
+// resolveService sets the route, the workspace and the service of the request.
+func (req *proxiedRequest) resolveService() *errorResponse {
+	route, ok := req.config.Match(req.Host, req.Path)
+	if !ok {
+		return &errorResponse{status: http.StatusNotFound, reason: "no-route"}
+	}
+	req.route = route
+	if !route.Public && len(req.config.Workspaces) > 0 {
+		if req.workspace, ok = req.config.Authenticate(req.APIKey); !ok {
+			return &errorResponse{status: http.StatusUnauthorized, reason: "unknown-key"}
+		}
+	}
+	req.service = req.config.Services[route.PickService(req.ResolveAffinityKey())]
+	if req.service == nil {
+		return notExecutedResponse("no-service", retryDelay)
+	}
+
+	return nil
+}
+
 // checkRateLimit returns an error if the workspace is over its request rate.
 func (p *Proxy) checkRateLimit(ctx context.Context, req *proxiedRequest) *errorResponse {
 	if req.workspace == nil || req.workspace.RequestsPerSecond <= 0 {
