Finish responses that clients still read when a host stops

What callers saw: a stopping host closed the connection of a client that was reading a large response, 2.5 s before the end of the grace period and within the deadline. Cause: a connection counted as busy while its request was handled, and was closed as an idle one while the response was written.

--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -288,10 +289,10 @@
 // durable, up to abortMargin before the grace period ends.
 func (h *Host) finishRequests(ctx context.Context, servers []*httpx.Server) {
 	for _, s := range servers {
-		s.StopAccepting(h.proxy.HasActiveRequest)
+		s.StopAccepting()
 	}
 	isDone := func() bool {
-		return h.proxy.IsIdle() && h.relay.ConnCount() == 0 && h.cluster.CountTurnsToHandOver() == 0
+		return !slices.ContainsFunc(servers, (*httpx.Server).HasRequests) && h.relay.ConnCount() == 0 && h.cluster.CountTurnsToHandOver() == 0
 	}
 	for h.now().Before(*h.abortAt.Load()) && !isDone() {
 		topicconsumer.SleepContext(ctx, idlePollInterval)
--- a/io/gatewayhost/lateadmission_test.go
+++ b/io/gatewayhost/lateadmission_test.go
@@ -1,6 +1,7 @@
 package gatewayhost_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -84,3 +85,34 @@
 	require.False(t, response.Truncated)
 	<-c.hosts["host-0"].done
 }
+
+// A stopping host closed connections on which a response was still being written, as if they were idle.
+func TestStoppingHostFinishesResponseThatIsRead(t *testing.T) {
+	const responseBytes = 12 << 20
+	c := newTestCluster(t, 2, withShortGracePeriod)
+	for _, upstream := range c.plainUpstreams {
+		upstream.ResponsePadding = responseBytes
+	}
+	conn, err := net.Dial("tcp4", c.hosts["host-0"].settings.CallerAddress)
+	require.NoError(t, err)
+	defer conn.Close()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitTimeout)))
+	_, err = io.WriteString(conn, "POST /order/slow HTTP/1.1\r\nHost: agents.example\r\nRequest-Id: slow\r\nAuthorization: Bearer secret\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 4<<10), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	c.hosts["host-0"].instance.Drain(context.Background())
+	require.Eventually(t, func() bool {
+		probe, err := net.Dial("tcp4", c.hosts["host-0"].settings.CallerAddress)
+		if err == nil {
+			probe.Close()
+		}
+
+		return err != nil
+	}, waitTimeout, 10*time.Millisecond, "the host stops accepting")
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err, "%d bytes arrived", len(body))
+	require.Greater(t, len(body), responseBytes)
+	<-c.hosts["host-0"].done
+}
--- a/io/httpx/conn.go
+++ b/io/httpx/conn.go
@@ -40,6 +40,8 @@
 	// requestBegunNanos is when the first byte was read since the last response, in nanoseconds since the Unix epoch; zero if
 	// none was.
 	requestBegunNanos atomic.Int64
+	// isServing is set from the arrival of a request to the end of its response.
+	isServing atomic.Bool
 
 	// request is the present request, unread the parts of it that the library has not read yet, and rest what has arrived behind it.
 	request http1.Request
--- a/io/httpx/listener.go
+++ b/io/httpx/listener.go
@@ -104,13 +104,26 @@
 	}
 }
 
-// closeIdle closes the connections for which isBusy returns false, but for those on which a request has begun to arrive.
-func (l *listener) closeIdle(isBusy func(remote string) bool) {
+// closeIdle closes the connections without a response in progress, but for those on which a request has begun to arrive.
+func (l *listener) closeIdle() {
 	l.closeMatching(func(c *conn) bool {
-		return !isBusy(c.remoteAddr) && c.requestBegunNanos.Load() == 0 && !c.hasUnreadBytes()
+		return !c.isServing.Load() && c.requestBegunNanos.Load() == 0 && !c.hasUnreadBytes()
 	})
 }
 
+// hasRequests reports whether a request is in progress on a connection, from its first byte until its response is written.
+func (l *listener) hasRequests() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c.isServing.Load() || c.requestBegunNanos.Load() != 0 {
+			return true
+		}
+	}
+
+	return false
+}
+
 // closeStalled closes the connections for which isBusy returns false and on which a request began to arrive before a time.
 func (l *listener) closeStalled(before time.Time, isBusy func(remote string) bool) int {
 	return l.closeMatching(func(c *conn) bool {
--- a/io/httpx/server.go
+++ b/io/httpx/server.go
@@ -178,13 +178,15 @@
 	return err
 }
 
-// StopAccepting stops accepting connections and closes those for which isBusy returns false and on which no request has begun to
-// arrive.
-func (s *Server) StopAccepting(isBusy func(remote string) bool) {
+// StopAccepting stops accepting connections and closes those without a response in progress on which no request has begun to arrive.
+func (s *Server) StopAccepting() {
 	s.listener.Close() //nolint:errcheck // the server is about to end
-	s.listener.closeIdle(isBusy)
+	s.listener.closeIdle()
 }
 
+// HasRequests reports whether a request is in progress, from its first byte until its response is written.
+func (s *Server) HasRequests() bool { return s.listener.hasRequests() }
+
 // CloseStalledRequests closes the connections for which isBusy returns false and on which a request began to arrive before a time, and
 // returns their number: a peer that sends a byte now and then would hold its connection for ever.
 func (s *Server) CloseStalledRequests(before time.Time, isBusy func(remote string) bool) int {
--- a/io/httpx/server_test.go
+++ b/io/httpx/server_test.go
@@ -80,12 +80,14 @@
 		send(t, conn, secondRequest[:len(secondRequest)-3])
 	}
 	time.Sleep(50 * time.Millisecond)
-	server.StopAccepting(isNeverBusy)
+	server.StopAccepting()
 	requireClosed(t, idle)
+	require.True(t, server.HasRequests(), "requests have begun to arrive")
 	for _, conn := range []net.Conn{kept, fresh} {
 		send(t, conn, secondRequest[len(secondRequest)-3:])
 		requireAnswer(t, conn, "second")
 	}
+	require.Eventually(t, func() bool { return !server.HasRequests() }, testTimeout, time.Millisecond)
 }
 
 func TestRequestThatArrivesByteByByteDoesNotHoldItsConnection(t *testing.T) {
--- a/io/httpx/transport.go
+++ b/io/httpx/transport.go
@@ -74,6 +74,8 @@
 }
 
 func (t *transport) serveRequest(c *conn) error {
+	c.isServing.Store(true)
+	defer c.isServing.Store(false)
 	if !t.sensesClose {
 		return t.protocol.Serve(context.Background(), c)
 	}
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -100,18 +100,6 @@
 	return busy
 }
 
-// IsIdle reports whether no request is in progress.
-func (p *Proxy) IsIdle() bool {
-	idle := true
-	p.activeConnections.Range(func(any, any) bool {
-		idle = false
-
-		return false
-	})
-
-	return idle
-}
-
 // admitRequest validates and authenticates a request, sets its route, workspace, service and deadline, and begins its turn.
 func (p *Proxy) admitRequest(ctx context.Context, c *app.RequestContext, req *proxiedRequest) *errorResponse {
 	if req.config == nil {
