Read bodies of responses into segments that are allocated as bytes arrive

What callers saw: a host of 128 MB did not serve a response of 16 MB without a length; one of 64 MB went just above its memory while 150 callers waited for bodies at the limit. Cause: a body without a length was read into a buffer that doubles, which took up to three times its size and counted twice. One with a length took its announced size before anything had arrived. The length of a body is still reserved as a whole, so that bodies do not wait for each other.

--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -1,7 +1,6 @@
 package reverseproxy
 
 import (
-	"io"
 	"time"
 
 	"cardamomward/core/id"
@@ -20,8 +19,6 @@
 	// often it tries.
 	memoryWait         = time.Second
 	memoryPollInterval = 20 * time.Millisecond
-	// bufferGrowth is how much larger than its content a growing buffer is with the old one that it is copied from.
-	bufferGrowth = 2
 )
 
 // responseMemory returns what bounds responses.
@@ -78,52 +75,3 @@
 
 	return nil
 }
-
-// budgetedReader reads a response body and reserves memory for it. While there is none, it does not read, so that the upstream is
-// held back.
-type budgetedReader struct {
-	inner    io.Reader
-	proxy    *Proxy
-	remote   string
-	reserved int64
-}
-
-func (r *budgetedReader) Read(p []byte) (int, error) {
-	needed := int64(bufferGrowth * len(p))
-	if !r.awaitMemory(needed) {
-		return 0, io.ErrShortBuffer
-	}
-	n, err := r.inner.Read(p)
-	r.proxy.responseMemory().Release(r.remote, needed-int64(bufferGrowth*n))
-	r.reserved += int64(bufferGrowth * n)
-
-	return n, err
-}
-
-// awaitMemory reserves bytes, and reports false if there is no memory for them within memoryWait.
-func (r *budgetedReader) awaitMemory(bytes int64) bool {
-	for waitUntil := r.proxy.Now().Add(memoryWait); !r.proxy.responseMemory().ReserveResponse(r.remote, bytes); {
-		if !r.proxy.Now().Before(waitUntil) {
-			return false
-		}
-		time.Sleep(memoryPollInterval)
-	}
-
-	return true
-}
-
-// readExactly reads a body of a known length into a buffer of that size, which is allocated once there is memory for all of it. Many
-// bodies that are read at the same time would otherwise each hold a part and wait for the rest.
-func (r *budgetedReader) readExactly(length int64) ([]byte, error) {
-	if !r.awaitMemory(length) {
-		return nil, io.ErrShortBuffer
-	}
-	r.reserved += length
-	body := make([]byte, length)
-	_, err := io.ReadFull(r.inner, body)
-
-	return body, err
-}
-
-// release gives the memory of a response back that is not forwarded.
-func (r *budgetedReader) release() { r.proxy.responseMemory().Release(r.remote, r.reserved) }
--- a/io/reverseproxy/unary.go
+++ b/io/reverseproxy/unary.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -12,9 +11,6 @@
 	"cardamomward/platform"
 )
 
-// maxBufferedBodyBytes limits a response body that is buffered before it is forwarded.
-const maxBufferedBodyBytes = 16 << 20
-
 // serveUnary handles a request whose response is forwarded as a whole.
 func (p *Proxy) serveUnary(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
 	for {
@@ -49,11 +45,11 @@
 
 // readBody reads the whole response body. It returns io.ErrShortBuffer if the body exceeds maxBufferedBodyBytes or the memory for
 // responses, which is held until the caller has received the body.
-func (p *Proxy) readBody(req *proxiedRequest, sent *sentRequest) ([]byte, error) {
-	reader := &budgetedReader{inner: sent.Body, proxy: p, remote: req.remote}
-	read := func() ([]byte, error) { return readWhole(reader) }
+func (p *Proxy) readBody(req *proxiedRequest, sent *sentRequest) (*responseBody, error) {
+	reader := &bodyReader{proxy: p, remote: req.remote}
+	read := func() (*responseBody, error) { return reader.readWhole(sent.Body) }
 	if length := sent.ContentLength; length > 0 && length <= maxBufferedBodyBytes && req.Method != http.MethodHead {
-		read = func() ([]byte, error) { return reader.readExactly(length) }
+		read = func() (*responseBody, error) { return reader.readExactly(sent.Body, length) }
 	}
 	body, err := read()
 	if err != nil {
@@ -63,21 +59,7 @@
 	return body, err
 }
 
-// readWhole reads a body of at most maxBufferedBodyBytes.
-func readWhole(reader io.Reader) ([]byte, error) {
-	// The buffer doubles as it grows, which leaves less garbage than io.ReadAll does.
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(reader, maxBufferedBodyBytes+1)); err != nil {
-		return nil, err
-	}
-	if body.Len() > maxBufferedBodyBytes {
-		return nil, io.ErrShortBuffer
-	}
-
-	return body.Bytes(), nil
-}
-
-func (p *Proxy) writeResponse(c *app.RequestContext, req *proxiedRequest, sent *sentRequest, body []byte) {
+func (p *Proxy) writeResponse(c *app.RequestContext, req *proxiedRequest, sent *sentRequest, body *responseBody) {
 	platform.CopyResponseHeader(&c.Response.Header, sent.Header)
 	c.Response.SetStatusCode(sent.Status)
 	p.setResponseBody(c, body)
@@ -86,13 +68,13 @@
 
 // setResponseBody sets the body of a response. A large one is written from a stream: the server's connection refers
 // to other bodies of 4 KB and more until its next response, so that idle connections would hold bodies that are not counted.
-func (p *Proxy) setResponseBody(c *app.RequestContext, body []byte) {
-	if len(body) < maxRetainedBodyBytes {
-		c.Response.SetBodyRaw(body)
+func (p *Proxy) setResponseBody(c *app.RequestContext, body *responseBody) {
+	if body.length < maxRetainedBodyBytes {
+		c.Response.SetBodyRaw(bytes.Join(body.segments, nil))
 
 		return
 	}
-	c.Response.SetBodyStream(bytes.NewReader(body), len(body))
+	c.Response.SetBodyStream(body.reader(), body.length)
 }
 
 // maxRetainedBodyBytes bounds the bodies that are not written from a stream.
