Use the buffer of a small event for the next one

What callers saw: nothing; a host of 64 MB came near its memory beside streams of small events without end. Cause: each event, also one that is skipped, took a new buffer. Evidence: 150 streams of events with the same id took 55 to 62 MB of 64 in four processes of the memory tests.

--- a/io/upstreamclient/eventreader.go
+++ b/io/upstreamclient/eventreader.go
@@ -46,6 +46,8 @@
 	r *bufio.Reader
 	// held are the bytes that are reserved for the present event.
 	held int64
+	// raw is the buffer of the last event, if that was small; an upstream may send small events without end.
+	raw []byte
 	// hasBegun is set once the first line was read.
 	hasBegun bool
 	// isAfterReturn is set while a line feed that follows belongs to the carriage return before it.
@@ -61,7 +63,8 @@
 // the reader's error if it ends within an event, and ErrResponseLost if an event is too large or does not fit into memory.
 func (e *EventReader) Next() (Event, error) {
 	e.Close()
-	var event Event
+	event := Event{Raw: e.raw[:0]}
+	defer func() { e.keepBuffer(event.Raw) }()
 	for {
 		line, err := e.readLine(&event)
 		switch {
@@ -82,6 +85,14 @@
 // Close gives back the memory of the last event.
 func (e *EventReader) Close() { e.setHeld(0) }
 
+// keepBuffer keeps the buffer of an event for the next one.
+func (e *EventReader) keepBuffer(buffer []byte) {
+	if cap(buffer) > largeEventBytes {
+		buffer = nil
+	}
+	e.raw = buffer
+}
+
 // setHeld changes what is reserved, and reports false if that does not fit.
 func (e *EventReader) setHeld(bytes int64) bool {
 	switch {
