Bound the output of turns that are retained

What callers saw: an upstream that sent events without an end on a route that retains turns ended the host, and other clients' requests with it. Cause: the output was kept as long as events arrived, and counted by the tokens that the caller named. Fix: above 8 KB the output is reserved as it grows, before it is allocated, and has 16 MB at most; the stream breaks off if it does not fit.

--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -5,6 +5,7 @@
 
 	"cardamomward/core/id"
 	"cardamomward/io/httpx"
+	"cardamomward/io/upstreamclient"
 )
 
 const (
@@ -15,6 +16,8 @@
 	bytesPerToken = 4
 	// maxExpectedBytes bounds the expected sizes of a transcript and of an output, since callers may name any number of tokens.
 	maxExpectedBytes = 1 << 20
+	// maxOutputBytes bounds the output of a turn that is retained.
+	maxOutputBytes = 16 << 20
 	// memoryWait is how long a response of an upstream waits for memory, during which it is not read, and memoryPollInterval how
 	// often it tries.
 	memoryWait         = time.Second
@@ -55,6 +58,39 @@
 	return nil
 }
 
+const (
+	// uncountedOutputBytes is the size up to which the output of a turn is not counted; most outputs fit.
+	uncountedOutputBytes = 8 << 10
+	// outputCopies is how many copies of a larger one are held: the buffer, the one that it grows from, and the one that is retained.
+	outputCopies = 3
+)
+
+// reserveOutput makes room for the data of an event in the output of a turn that is retained, and reports false if there is none: an
+// upstream may send events without end. What was reserved for the turn's tokens counts.
+func (p *Proxy) reserveOutput(req *proxiedRequest, event upstreamclient.Event) bool {
+	if !req.route.RetainsContext {
+		return true
+	}
+	needed := len(req.output) + len(event.Data) + len("\n")
+	switch {
+	case needed > maxOutputBytes:
+		return false
+	case needed <= cap(req.output):
+		return true
+	}
+	grown := max(needed, 2*cap(req.output))
+	total := int64(outputCopies * grown)
+	if missing := total - max(req.outputBytes, expectedBytes(req.MaxTokens)); grown > uncountedOutputBytes && missing > 0 {
+		if !p.responseMemory().Reserve(req.remote, missing) {
+			return false
+		}
+		req.outputBytes = total
+	}
+	req.output = append(make([]byte, 0, grown), req.output...)
+
+	return true
+}
+
 func expectedBytes(tokens id.Tokens) int64 {
 	return int64(bytesPerToken * max(0, min(tokens, maxExpectedBytes/bytesPerToken)))
 }
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -52,7 +52,9 @@
 	triedUpstreams    []id.Upstream
 	outputTokens      id.Tokens
 	output            []byte
-	lastSentEventID   string
+	// outputBytes are reserved for the output.
+	outputBytes     int64
+	lastSentEventID string
 	// origin is where the stream began; nil before its first event. Only upstreams of that version may continue it.
 	origin     *streamorigin.Origin
 	resumption resumption
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -21,6 +21,7 @@
 var (
 	errStreamAborted    = errors.New("event stream to the caller was aborted")
 	errCommentsTooLarge = errors.New("the upstream sends comments without an event")
+	errOutputTooLarge   = errors.New("the output of the turn does not fit into memory")
 )
 
 // maxCommentBytes bounds the comments before the first event.
@@ -172,6 +173,9 @@
 		if !isAfterEvent(event.ID, req.lastSentEventID) {
 			continue
 		}
+		if !p.reserveOutput(req, event) {
+			return writer, errOutputTooLarge
+		}
 		p.recordOrigin(req, sent)
 		if writer == nil {
 			writer = p.startStream(ctx, c, sent)
