Skip late responses to other requests before an upstream's report

What callers saw: nothing yet; found while the other readers of answers were checked. A stream that was resumed could have been refused, or its process not verified. Cause: any response on the connection was taken for the report, and a 404 means that the upstream has none; so did a malformed one. Fix: a response that names a request belongs to that one.

--- a/io/upstreamreport/reader.go
+++ b/io/upstreamreport/reader.go
@@ -1,6 +1,7 @@
 package upstreamreport
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -94,8 +95,10 @@
 	report := streamorigin.Report{Kind: streamorigin.ReportMissing, RequestedAt: now}
 	exchange, err := r.Client.Send(ctx, now, upstreamclient.Request{
 		Address: address, Method: http.MethodGet, Head: platform.AppendReportRequestHead(nil, address), Deadline: now.Add(maxTimeout),
-		// Reports name no request. A connection carries one request at a time, and a late copy of another response names no start.
-		ID: requestID, ResponseID: func(int, http.Header) string { return requestID },
+		// Reports name no request; a response that does is a late one to another.
+		ID: requestID, ResponseID: func(status int, header http.Header) string {
+			return cmp.Or(platform.DecodeResponseHead(status, header).RequestID, requestID)
+		},
 	})
 	if err != nil {
 		return report
--- a/io/upstreamreport/reader_test.go
+++ b/io/upstreamreport/reader_test.go
@@ -1,7 +1,10 @@
 package upstreamreport_test
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +59,39 @@
 	require.Equal(t, streamorigin.ReportMissing, newReader().Read(t.Context(), crashed.Address(), plenty).Kind)
 }
 
+// A late response to another request on the connection, such as a 404, was taken for the report.
+func TestLateResponseToOtherRequestIsNoReport(t *testing.T) {
+	const late = "HTTP/1.1 404 Not Found\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n"
+	const report = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":7}"
+	server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) {
+		io.WriteString(conn, late+report) //nolint:errcheck // a test
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	read := newReader().Read(t.Context(), server.Address(), plenty)
+	require.Equal(t, streamorigin.ReportReceived, read.Kind)
+	require.EqualValues(t, 7, read.Incarnation)
+}
+
+func TestBrokenResponseIsNoReport(t *testing.T) {
+	for name, text := range map[string]string{
+		"status 000":       "HTTP/1.1 000 None\r\nContent-Length: 10\r\n\r\n{\"born\":7}",
+		"malformed 404":    "HTTP/1.1 404 Not Found\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n",
+		"cut":              "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"born\":7}",
+		"beyond its limit": "HTTP/1.1 200 OK\r\n\r\n{\"born\":7," + strings.Repeat(" ", 64<<10) + "\"a\":1}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) {
+				io.WriteString(conn, text) //nolint:errcheck // a test
+				conn.Close()               //nolint:errcheck // a test
+			})
+			require.NoError(t, err)
+			t.Cleanup(server.Close)
+			require.Equal(t, streamorigin.ReportMissing, newReader().Read(t.Context(), server.Address(), plenty).Kind)
+		})
+	}
+}
+
 func TestUpstreamThatDoesNotRespondTakesFractionOfTimeLeft(t *testing.T) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
