Share the responder of the tests that send one text, and shorten comments

Five tests had the same responder of a raw server; the stand-in has it now. Comments of the form 'x is how y does z' that this work added say what the value holds.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -7,7 +7,7 @@
 	sampleWindow = 30 * time.Second
 	// minSamples is the number of durations from which the longest of them says how long further requests take.
 	minSamples = 8
-	// durationMargin is how many times as long as the longest one a request may take.
+	// durationMargin is the ratio of the time expected of a request to the longest recent duration.
 	durationMargin = 2
 )
 
@@ -48,9 +48,9 @@
 	}
 }
 
-// Request is what is known of a request when it arrives at a host that shuts down.
+// Request holds the known limits of a request that arrives at a host that shuts down.
 type Request struct {
-	// Deadline is when it ends at the latest.
+	// Deadline is the latest end of the request.
 	Deadline time.Time
 	// IsRepeatable is set if its caller may send it again after its response was lost.
 	IsRepeatable bool
--- a/core/http1/response.go
+++ b/core/http1/response.go
@@ -29,7 +29,7 @@
 	isChunked   bool
 }
 
-// Framing is how the end of a body is known.
+// Framing defines the end of a body.
 type Framing int
 
 // Values of Framing.
--- a/io/gatewayhost/host.go
+++ b/io/gatewayhost/host.go
@@ -72,7 +72,7 @@
 	metrics        reverseproxy.Metrics
 	traffic        traffic.Counters
 	draining       atomic.Bool
-	// abortAt is when a draining host aborts the requests in progress; nil while it does not drain.
+	// abortAt is the time at which a draining host aborts the requests in progress; nil while it does not drain.
 	abortAt atomic.Pointer[time.Time]
 	// weightsConfig is the configuration whose workspaces the weights were last compared with. Only cleanUpLoop uses it.
 	weightsConfig   *routing.Config
--- a/io/http1/stricttransport_test.go
+++ b/io/http1/stricttransport_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,11 +16,7 @@
 // startRawServer starts a server that sends a text in response to each request and closes the connection.
 func startRawServer(t *testing.T, text string) string {
 	t.Helper()
-	server, err := standin.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
-		io.Copy(io.Discard, req.Body) //nolint:errcheck // a test
-		io.WriteString(conn, text)    //nolint:errcheck // a test
-		conn.Close()                  //nolint:errcheck // a test
-	})
+	server, err := standin.NewRawServer(standin.RespondWith(text))
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 
--- a/io/httpx/client_test.go
+++ b/io/httpx/client_test.go
@@ -1,8 +1,6 @@
 package httpx_test
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -19,11 +17,7 @@
 		"HTTP/1.1 000 None\r\n", "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 600 None\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
 	} {
 		t.Run(head, func(t *testing.T) {
-			server, err := standin.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
-				io.Copy(io.Discard, req.Body)                            //nolint:errcheck // a test
-				io.WriteString(conn, head+"Content-Length: 2\r\n\r\n{}") //nolint:errcheck // a test
-				conn.Close()                                             //nolint:errcheck // a test
-			})
+			server, err := standin.NewRawServer(standin.RespondWith(head + "Content-Length: 2\r\n\r\n{}"))
 			require.NoError(t, err)
 			t.Cleanup(server.Close)
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/io/reverseproxy/memory.go
+++ b/io/reverseproxy/memory.go
@@ -61,7 +61,7 @@
 const (
 	// uncountedOutputBytes is the size up to which the output of a turn is not counted; most outputs fit.
 	uncountedOutputBytes = 8 << 10
-	// outputCopies is how many copies of a larger one are held: the buffer, the one that it grows from, and the one that is retained.
+	// outputCopies is the number of copies of a larger one: the buffer, the one that it grows from, and the one that is retained.
 	outputCopies = 3
 )
 
--- a/io/serviceclient/client_test.go
+++ b/io/serviceclient/client_test.go
@@ -1,8 +1,6 @@
 package serviceclient_test
 
 import (
-	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,11 +16,7 @@
 // newClient returns a client of a service that responds to each request with a text.
 func newClient(t *testing.T, text string) *serviceclient.Client {
 	t.Helper()
-	server, err := standin.NewRawServer(func(conn *net.TCPConn, req *http.Request) {
-		io.Copy(io.Discard, req.Body) //nolint:errcheck // a test
-		io.WriteString(conn, text)    //nolint:errcheck // a test
-		conn.Close()                  //nolint:errcheck // a test
-	})
+	server, err := standin.NewRawServer(standin.RespondWith(text))
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 
--- a/io/tcp/conn_test.go
+++ b/io/tcp/conn_test.go
@@ -60,11 +60,7 @@
 }
 
 func TestConnectionThatEndsAfterUploadEndsResponse(t *testing.T) {
-	body, err := post(t, func(conn *net.TCPConn, req *http.Request) {
-		io.Copy(io.Discard, req.Body)                        //nolint:errcheck // a test
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nwhole") //nolint:errcheck // a test
-		conn.Close()                                         //nolint:errcheck // a test
-	}, func(inner net.Conn) net.Conn { return inner })
+	body, err := post(t, standin.RespondWith("HTTP/1.1 200 OK\r\n\r\nwhole"), func(inner net.Conn) net.Conn { return inner })
 	require.NoError(t, err)
 	require.Equal(t, "whole", body)
 }
--- a/io/upstreamreport/reader_test.go
+++ b/io/upstreamreport/reader_test.go
@@ -81,10 +81,7 @@
 		"beyond its limit": "HTTP/1.1 200 OK\r\n\r\n{\"born\":7," + strings.Repeat(" ", 64<<10) + "\"a\":1}",
 	} {
 		t.Run(name, func(t *testing.T) {
-			server, err := standin.NewRawServer(func(conn *net.TCPConn, _ *http.Request) {
-				io.WriteString(conn, text) //nolint:errcheck // a test
-				conn.Close()               //nolint:errcheck // a test
-			})
+			server, err := standin.NewRawServer(standin.RespondWith(text))
 			require.NoError(t, err)
 			t.Cleanup(server.Close)
 			require.Equal(t, streamorigin.ReportMissing, newReader().Read(t.Context(), server.Address(), plenty).Kind)
