Do not count a turn that is too large for the host as a crash of its upstream

Cause: a stream that breaks off since its output does not fit into memory counted as one that its upstream broke, and after three of them the request would have been refused as one that crashes upstreams. Fix: it is treated as a response that does not continue the stream. Result: the tests of streams and retained turns pass.

--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -115,9 +115,9 @@
 }
 
 // endBrokenAttempt ends an exchange that did not complete the stream, and returns why its upstream counts as ended. An upstream that
-// responds to a resumption with something else has not crashed.
+// responds to a resumption with something else, or with more than this host can hold, has not crashed.
 func (p *Proxy) endBrokenAttempt(ctx context.Context, req *proxiedRequest, sent *sentRequest, err error) endReason {
-	if errors.Is(err, errNotContinued) {
+	if errors.Is(err, errNotContinued) || errors.Is(err, errOutputTooLarge) {
 		p.abortExchange(sent)
 
 		return p.findEndReason(ctx, req, sent.instance)
