Take only refusals of engines as a promise that a request did not run

What callers saw: the product's callers were told not-run for requests that an engine had answered with 500, 502, 504 or a malformed response, and that may have run. Cause: any status but 200 counted as a refusal. Fix: client errors and 503 are refusals; anything else is a stream that ended early.

--- a/io/engineclient/client.go
+++ b/io/engineclient/client.go
@@ -183,8 +183,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		// The body may contain the prompt, which must not appear in errors or logs.
-		return ErrNotStarted.New("the engine responded with status %d", resp.StatusCode)
+		return newStatusError(resp.StatusCode)
 	}
 	streamWatchdog.recordKeepalive()
 	if run := resp.Header.Get(HeaderEngineRun); run != "" && stream.onAccepted != nil {
@@ -198,6 +197,17 @@
 	return err
 }
 
+// newStatusError returns the error for a status that is no success: only a refusal says that the request did not run. The body may contain
+// the prompt, which must not appear in errors or logs.
+func newStatusError(status int) error {
+	isClientError := status >= http.StatusBadRequest && status < http.StatusInternalServerError
+	if isClientError || status == http.StatusServiceUnavailable {
+		return ErrNotStarted.New("the engine responded with status %d", status)
+	}
+
+	return ErrTruncated.New("the engine responded with status %d", status)
+}
+
 // isDialError reports whether the connection could not be established.
 func isDialError(err error) bool {
 	var opErr *net.OpError
--- a/io/engineclient/client_test.go
+++ b/io/engineclient/client_test.go
@@ -12,6 +12,7 @@
 
 	"cardamomward/core/prompt"
 	"cardamomward/io/engineclient"
+	platformstandin "cardamomward/platform/standin"
 	standin "cardamomward/standin/engine"
 )
 
@@ -206,3 +207,36 @@
 	_, err := client.FetchLoad(t.Context())
 	require.True(t, engineclient.IsConnectionRefused(err), "%v", err)
 }
+
+// An engine's response that promises nothing was taken for one that it had not run the request, and callers were told so.
+func TestOnlyRefusalMeansThatRequestDidNotRun(t *testing.T) {
+	for head, didNotRun := range map[string]bool{
+		"HTTP/1.1 000 None":                false,
+		"HTTP/1.1 101 Switching Protocols": false,
+		"HTTP/1.1 202 Accepted":            false,
+		"HTTP/1.1 302 Found":               false,
+		"HTTP/1.1 500 Internal Error":      false,
+		"HTTP/1.1 502 Bad Gateway":         false,
+		"HTTP/1.1 504 Gateway Timeout":     false,
+		"HTTP/1.1 503 Busy\r\nBad Name: x": false,
+		"HTTP/1.1 200 OK":                  false,
+		"HTTP/1.1 400 Bad Request":         true,
+		"HTTP/1.1 429 Too Many Requests":   true,
+		"HTTP/1.1 503 Service Unavailable": true,
+	} {
+		t.Run(head, func(t *testing.T) {
+			server, err := platformstandin.NewRawServer(platformstandin.RespondWith(head + "\r\nConnection: close\r\n\r\n"))
+			require.NoError(t, err)
+			t.Cleanup(server.Close)
+			client := &engineclient.Client{
+				Address:  server.Address(),
+				ConnPool: &engineclient.ConnPool{NewClient: func() *http.Client { return &http.Client{Transport: &http.Transport{}} }},
+			}
+			client.SetProgressTimeout(time.Second)
+			var a recordedAnswer
+			err = client.Chat(t.Context(), chatRequest("refused"), a.streamOptions())
+			require.Error(t, err)
+			require.Equal(t, didNotRun, errorx.IsOfType(err, engineclient.ErrNotStarted), "%v", err)
+		})
+	}
+}
