--- a/io/gatewayhost/lateadmission_test.go
+++ b/io/gatewayhost/lateadmission_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,24 +29,36 @@
 
 // A draining host took requests that it could not finish, and cut their responses at the end of the grace period.
 func TestDrainingHostRefusesRequestThatItCannotFinish(t *testing.T) {
-	for _, path := range []string{"/draft/late", "/chat/late"} {
-		t.Run(path, func(t *testing.T) {
-			c := newTestCluster(t, 2, withShortGracePeriod)
-			c.slowStreams(longStreamInterval)
-			// The host learns how long such streams take.
-			learned := c.do("host-0", standin.NewTurnRequest(path, "secret", "before", "", "x"))
-			require.Equal(t, http.StatusOK, learned.Status)
-			c.hosts["host-0"].instance.Drain(context.Background())
-			late := c.do("host-0", standin.NewTurnRequest(path, "secret", "late", "", "x"))
-			require.False(t, late.Truncated, "the response is cut")
-			require.Equal(t, http.StatusServiceUnavailable, late.Status)
-			require.True(t, late.ClosesConnection)
-			require.NotEmpty(t, late.Header.Get("Retry-After"))
-			elsewhere := c.do("host-1", standin.NewTurnRequest(path, "secret", "late", "", "x"))
-			require.Equal(t, wholeStream, elsewhere.Body)
-			<-c.hosts["host-0"].done
-			require.Empty(t, c.executionsOf(late.RequestID), "a 503 means that the request was not executed")
-		})
+	c := newTestCluster(t, 2, withShortGracePeriod)
+	c.slowStreams(longStreamInterval)
+	paths := []string{"/draft/late", "/chat/late"}
+	send := func(host string) []standin.CallerResponse {
+		responses := make([]standin.CallerResponse, len(paths))
+		var tasks sync.WaitGroup
+		for i, path := range paths {
+			tasks.Go(func() { responses[i] = c.do(host, standin.NewTurnRequest(path, "secret", host+path, "", "x")) })
+		}
+		tasks.Wait()
+
+		return responses
+	}
+	for _, response := range send("host-0") {
+		require.Equal(t, wholeStream, response.Body, "the host learns how long such streams take")
+	}
+	c.hosts["host-0"].instance.Drain(context.Background())
+	refused := send("host-0")
+	for i, response := range refused {
+		require.False(t, response.Truncated, "%s: the response is cut", paths[i])
+		require.Equal(t, http.StatusServiceUnavailable, response.Status, paths[i])
+		require.True(t, response.ClosesConnection, paths[i])
+		require.NotEmpty(t, response.Header.Get("Retry-After"), paths[i])
+	}
+	for i, response := range send("host-1") {
+		require.Equal(t, wholeStream, response.Body, "%s: another host serves it", paths[i])
+	}
+	<-c.hosts["host-0"].done
+	for _, response := range refused {
+		require.Empty(t, c.executionsOf(response.RequestID), "a 503 means that the request was not executed")
 	}
 }
 
