Accept the end of a connection with the last bytes of a body

Cause: a reader may return its end together with bytes, and a body of a known length that it completes was an unexpected end then.

--- a/io/http1/response.go
+++ b/io/http1/response.go
@@ -96,7 +96,10 @@
 		return 0, io.EOF
 	}
 	n, err := b.inner.Read(p[:min(int64(len(p)), b.remaining)])
-	b.remaining -= int64(n)
+	if b.remaining -= int64(n); b.remaining == 0 {
+		// A reader may return its end with the last bytes.
+		return n, nil
+	}
 
 	return n, unexpectedEnd(err)
 }
--- a/io/http1/response_test.go
+++ b/io/http1/response_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+func TestBodyThatArrivesWithEndOfConnectionIsWhole(t *testing.T) {
+	body := strings.Repeat("x", 2*maxHeadBytes)
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 8192\r\n\r\n" + body,
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\n" + body + "\r\n0\r\n\r\n",
+		"close":   "HTTP/1.1 200 OK\r\n\r\n" + body,
+	} {
+		t.Run(name, func(t *testing.T) {
+			resp, err := http1.ReadResponse(bufio.NewReaderSize(iotest.DataErrReader(strings.NewReader(text)), 64), http.MethodGet, maxHeadBytes)
+			require.NoError(t, err)
+			read, err := io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			require.Equal(t, body, string(read))
+		})
+	}
+}
+
 // FuzzResponse reads any bytes as a response, in one piece and byte by byte. Invariants: there is no panic; what is accepted, net/http
 // reads in the same way, from the status to the end of the body and of the response.
 func FuzzResponse(f *testing.F) {
