Continue a stream only where its ids leave no gap

What callers saw: a stream that went on at another upstream without the events in between. Cause: any id after the last one could follow. Fix: where the ids so far are consecutive numbers, the first new event of an attempt must have the next one. Other ids are compared as before: they may have steps of any size.

--- a/io/gatewayhost/brokenstream_test.go
+++ b/io/gatewayhost/brokenstream_test.go
@@ -77,6 +77,8 @@
 	"success with a similar type": "HTTP/1.1 200 OK\r\nIDContent-Type: text/event-streams\r\n\r\n" + restOfStream,
 	"head in the body":            "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\nHTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\nfailed\n\n" + restOfStream,
 	"event without an id":         "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\ndata: failed\n\n" + restOfStream,
+	"event after a gap":           "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\nid: 4\ndata: word-4\n\n",
+	"gap after received events":   "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\n" + begunStream + "id: 4\ndata: word-4\n\n",
 	"event with another id":       "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\nid: other\ndata: failed\n\n" + restOfStream,
 }
 
--- a/io/reverseproxy/continuation.go
+++ b/io/reverseproxy/continuation.go
@@ -21,29 +21,63 @@
 	return isSuccess && strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// eventNumbers tells whether the ids of a stream's events have been consecutive numbers; its zero value has seen none.
+type eventNumbers struct {
+	last    int64
+	hasLast bool
+	// areConsecutive is set once two events have had consecutive numbers, and areOther once two have not.
+	areConsecutive, areOther bool
+}
+
+// record adds the id of an event that the caller has received.
+func (n *eventNumbers) record(eventID string) {
+	number, err := strconv.ParseInt(eventID, 10, 64)
+	isNext := err == nil && number == n.last+1
+	n.areConsecutive = n.areConsecutive || n.hasLast && isNext
+	n.areOther = n.areOther || err != nil || n.hasLast && !isNext
+	n.last, n.hasLast = number, true
+}
+
+// mayFollow reports whether the event with an id may be the next one: as far as the numbers tell, none is missing between them.
+func (n *eventNumbers) mayFollow(eventID string) bool {
+	number, err := strconv.ParseInt(eventID, 10, 64)
+
+	return !n.areConsecutive || n.areOther || err != nil || number <= n.last+1
+}
+
 // continuation decides whether the events of an attempt may follow those that the caller has received; its zero value is the first
 // attempt, whose events all may.
 type continuation struct {
 	isResumed bool
-	// lastEventID is the id of the last event that the caller has received.
+	// lastEventID is the id of the last event that the caller has received, and numbers are those of all.
 	lastEventID string
-	// hasPlace is set once the attempt has had an event whose id shows its place in the stream.
-	hasPlace bool
+	numbers     eventNumbers
+	// hasContinued is set once the attempt has had an event that the caller has not received.
+	hasContinued bool
 }
 
-// mayFollow reports whether the next event of the attempt may be part of the stream: until one has a place, only comments may.
+// mayFollow reports whether the next event of the attempt may be part of the stream. Before the first new event, only comments and events
+// that the caller has received may come.
 func (c *continuation) mayFollow(event upstreamclient.Event) bool {
-	if !c.isResumed || c.hasPlace || c.lastEventID == "" {
+	switch {
+	case !c.isResumed || c.lastEventID == "" || c.hasContinued:
 		return true
-	}
-	if event.IsComment() {
+	case event.IsComment():
 		return bytes.HasPrefix(event.Raw, []byte(":")) || len(bytes.TrimSpace(event.Raw)) == 0
+	case !isComparable(event.ID, c.lastEventID):
+		return false
 	}
-	_, lastErr := strconv.ParseInt(c.lastEventID, 10, 64)
-	_, err := strconv.ParseInt(event.ID, 10, 64)
-	c.hasPlace = event.ID != "" && (lastErr != nil || err == nil)
+	c.hasContinued = isAfterEvent(event.ID, c.lastEventID)
+
+	return c.numbers.mayFollow(event.ID)
+}
+
+// isComparable reports whether the id of an event shows its place after another one; ids that are not numbers are not compared.
+func isComparable(eventID, lastEventID string) bool {
+	_, errLast := strconv.ParseInt(lastEventID, 10, 64)
+	_, err := strconv.ParseInt(eventID, 10, 64)
 
-	return c.hasPlace
+	return eventID != "" && (errLast != nil || err == nil)
 }
 
 // isAfterEvent reports whether an event comes after the last one that was forwarded; it is true if an id is
--- a/io/reverseproxy/request.go
+++ b/io/reverseproxy/request.go
@@ -55,6 +55,7 @@
 	// outputBytes are reserved for the output.
 	outputBytes     int64
 	lastSentEventID string
+	eventNumbers    eventNumbers
 	// origin is where the stream began; nil before its first event. Only upstreams of that version may continue it.
 	origin     *streamorigin.Origin
 	resumption resumption
--- a/io/reverseproxy/stream.go
+++ b/io/reverseproxy/stream.go
@@ -80,6 +80,9 @@
 
 // serveStream forwards the events of the response as they arrive, and resumes at another upstream if the stream breaks.
 func (p *Proxy) serveStream(ctx context.Context, c *app.RequestContext, req *proxiedRequest) {
+	if req.LastEventID != "" {
+		req.eventNumbers.record(req.LastEventID)
+	}
 	var writer *eventWriter
 	for {
 		sent, errResp := p.sendWithRetries(ctx, req)
@@ -142,7 +145,7 @@
 
 // forwardEvents forwards whole events until the stream ends; the response header is sent with the first event.
 func (p *Proxy) forwardEvents(ctx context.Context, c *app.RequestContext, req *proxiedRequest, sent *sentRequest, writer *eventWriter) (*eventWriter, error) {
-	continuation := continuation{isResumed: writer != nil, lastEventID: req.lastSentEventID}
+	continuation := continuation{isResumed: writer != nil, lastEventID: req.lastSentEventID, numbers: req.eventNumbers}
 	if continuation.isResumed && (!sent.isStream() || sent.Status != writer.status) {
 		return writer, errNotContinued
 	}
@@ -243,6 +246,7 @@
 func (req *proxiedRequest) recordEvent(event upstreamclient.Event) {
 	if event.ID != "" {
 		req.lastSentEventID = event.ID
+		req.eventNumbers.record(event.ID)
 	}
 	if event.Data == nil {
 		return
