Date idle slots so that programs are not charged after a restart

Cause: a new owner charges a quarter of each budget if four hosts have started since the newest record of the slot and that is older than an outage in which undurable turns are admitted. Records are written for turns only, so a slot that nobody used looked like one that could not be written.

Owners now write a checkpoint, a dated record without content: to slots with programs or turns that had no watermark for 0.75 s, to all slots once a host has started or left, and before a planned stop releases them. It is queued behind the counts that its date vouches for, so an outage still shows by the age of the newest record (TestOutageOfIdleSlotIsChargedAfterLossOfItsHosts).

--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -216,6 +216,7 @@
 	wg.Go(func() { c.removeExpiredLoop(ctx) })
 	wg.Go(func() { c.handOverLoop(ctx) })
 	wg.Go(func() { c.releaseActingSlotsLoop(ctx) })
+	wg.Go(func() { c.checkpointLoop(ctx) })
 	for _, s := range c.slots {
 		wg.Go(func() { s.writer.run(ctx) })
 	}
--- a/io/cluster/heartbeat.go
+++ b/io/cluster/heartbeat.go
@@ -339,6 +339,7 @@
 	if heartbeat.Left && !sender.hasLeft {
 		p.cluster.triggerRenewal()
 	}
+	p.recordRestart(now, sender, heartbeat)
 	p.handleEvictions(now, heartbeat.Evicted)
 	sender.isEvicted, sender.hasBeenMember = false, heartbeat.Member
 	sender.lastHeardAt, sender.lastSequence, sender.isDraining, sender.hasLeft = now, heartbeat.Sequence, heartbeat.Draining, heartbeat.Left
--- a/io/cluster/membership.go
+++ b/io/cluster/membership.go
@@ -313,6 +313,7 @@
 func (c *Cluster) releaseAllSlots(ctx context.Context, reason string) {
 	flushCtx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
+	c.writeLastCheckpoints()
 	for _, s := range c.slots {
 		s.flush(flushCtx)
 		s.release(reason)
--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -123,6 +123,8 @@
 	// tracksWork is set if the choice of upstreams uses the work that peers report; it does not change after the start.
 	tracksWork    bool
 	gossipedReads []gossipedRead
+	// restartHeardAt is when a process of another host was last heard for the first time, or said for the first time that it has left.
+	restartHeardAt time.Time
 }
 
 func newPeerTable(c *Cluster) *peerTable {
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -69,6 +69,8 @@
 	servingSince time.Time
 	// newestRecordAt is the write time of the newest record that was read, by the clock of the host that wrote it.
 	newestRecordAt time.Time
+	// datedAt is the date of the newest watermark or checkpoint that this owner has queued.
+	datedAt time.Time
 	// turnsInDoubtUntil is the end of the period in which answered turns may be unknown to all hosts and to the store; zero if there is none.
 	turnsInDoubtUntil time.Time
 	// isNew is set if no owner has stored anything in the slot before.
@@ -298,7 +300,8 @@
 	s.isPartial, s.isClaimed, s.knowsAllPrograms, s.lacksReplies = false, false, false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
-	s.pendingTurns, s.turnPartCounts, s.newestRecordAt, s.turnsInDoubtUntil = nil, nil, time.Time{}, time.Time{}
+	s.pendingTurns, s.turnPartCounts = nil, nil
+	s.newestRecordAt, s.datedAt, s.turnsInDoubtUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
 // holdUnwrittenTurns keeps turns that did not become durable in memory and sends them to the next owner. The caller holds
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -198,6 +198,9 @@
 	case *fleetpb.Record_Budget:
 		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
 		s.recordWrittenAt(written)
+		if record.Key == checkpointKey {
+			return
+		}
 		s.ledger.Restore(tokenbudget.Watermark{
 			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
 			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written, ChargedLoss: loss,
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -151,6 +151,7 @@
 
 		return
 	}
+	s.datedAt = now
 	record := platform.Record{Key: budgetKeyPrefix + string(watermark.Program), Value: value}
 	s.writer.enqueue(pendingRecord{record: record, onDurable: func() { s.ledger.MarkDurable(watermark) }}, urgent)
 }
