Bound the memory of retained turns at the owners of their slots

Up to a quarter of the turns of other programs were not served meanwhile.

Cause: an owner kept the text of all retained turns in memory and a new owner read all of it at once, beside the pages of the store. No bound counted what a turn leaves behind.

The text of retained turns now takes an eighth of the host's memory. Beyond it the largest durable turns are evicted, so that programs with ordinary turns do not wait for others; their id, size and retention stay. A continuation reads the missing text from the store and waits for it; while the store is down it gets 503, never 404. A new owner reads a slot page by page within the same bound. The parts of a turn got keys that follow each other in the pages; those of earlier releases are still read and deleted.

--- a/core/turnstore/store.go
+++ b/core/turnstore/store.go
@@ -1,6 +1,7 @@
 package turnstore
 
 import (
+	"slices"
 	"time"
 
 	"cardamomward/core/id"
@@ -18,18 +19,43 @@
 	Output          []byte
 	// ExpiresAt is the end of the turn's retention.
 	ExpiresAt time.Time
+	// IsDurable is set once the text can be read from elsewhere.
+	IsDurable bool
+	// IsEvicted is set while the text is not in memory. TextBytes and HasPriorTranscript are then to be set; for other turns, Add
+	// sets them.
+	IsEvicted          bool
+	TextBytes          int
+	HasPriorTranscript bool
+
+	keptUntil time.Time
 }
 
-// Store keeps the turns of a slot; its zero value is empty.
-type Store struct{ turns map[string]*Turn }
+// Store keeps the turns of a slot, the text of some only by its size; its zero value is empty.
+type Store struct {
+	turns         map[string]*Turn
+	residentBytes int
+}
 
 // Add adds a turn and extends the retention of the turns before it to its own.
 func (s *Store) Add(turn *Turn) {
 	if s.turns == nil {
 		s.turns = make(map[string]*Turn)
 	}
+	if replaced, ok := s.turns[turn.ID]; ok {
+		s.residentBytes -= replaced.residentBytes()
+	}
+	if !turn.IsEvicted {
+		turn.TextBytes = len(turn.PriorTranscript) + len(turn.Input) + len(turn.Output)
+		turn.HasPriorTranscript = len(turn.PriorTranscript) > 0
+	}
 	s.turns[turn.ID] = turn
-	for t := turn; t.PreviousID != "" && len(t.PriorTranscript) == 0; {
+	s.residentBytes += turn.residentBytes()
+	s.extendPrior(turn)
+}
+
+// extendPrior extends the retention of the turns before one to its own.
+func (s *Store) extendPrior(turn *Turn) {
+	for t := turn; t.PreviousID != "" && !t.HasPriorTranscript; {
 		previous, ok := s.turns[t.PreviousID]
 		if !ok || !previous.ExpiresAt.Before(turn.ExpiresAt) {
 			return
@@ -43,7 +69,7 @@
 // turns of the slot are restored, since they may have been added out of order.
 func (s *Store) ExtendRetention() {
 	for _, turn := range s.turns {
-		s.Add(turn)
+		s.extendPrior(turn)
 	}
 }
 
@@ -62,10 +88,10 @@
 }
 
 // Transcript returns the inputs and outputs of a turn and all turns before it, the oldest first. It returns false if one of
-// the turns is missing or belongs to another workspace.
+// the turns is missing, belongs to another workspace or is evicted.
 func (s *Store) Transcript(workspace id.Workspace, turn string) ([]byte, bool) {
 	turns, ok := s.chain(workspace, turn)
-	if !ok {
+	if !ok || slices.ContainsFunc(turns, func(t *Turn) bool { return t.IsEvicted }) {
 		return nil, false
 	}
 	transcript := make([]byte, 0, transcriptBytes(turns))
@@ -86,7 +112,7 @@
 func transcriptBytes(turns []*Turn) int {
 	size := 0
 	for _, t := range turns {
-		size += len(t.PriorTranscript) + len(t.Input) + len(t.Output)
+		size += t.TextBytes
 	}
 
 	return size
@@ -103,7 +129,7 @@
 		}
 		turns = append(turns, t)
 		next = t.PreviousID
-		if len(t.PriorTranscript) > 0 {
+		if t.HasPriorTranscript {
 			next = ""
 		}
 	}
@@ -117,6 +143,7 @@
 	for turn, t := range s.turns {
 		if now.After(t.ExpiresAt) {
 			expired = append(expired, turn)
+			s.residentBytes -= t.residentBytes()
 			delete(s.turns, turn)
 		}
 	}
--- a/io/cluster/cluster.go
+++ b/io/cluster/cluster.go
@@ -49,7 +49,7 @@
 type Store interface {
 	Append(ctx context.Context, a platform.AppendBatch) (int64, error)
 	Read(ctx context.Context, p platform.Partition, offset int64, maxWait time.Duration) (platform.RecordPage, error)
-	ListNewestRecords(ctx context.Context, p platform.Partition, pageTimeout time.Duration) ([]platform.Record, int64, error)
+	ReadNewestPage(ctx context.Context, p platform.Partition, afterKey string, timeout time.Duration) (platform.NewestPage, error)
 	JoinGroup(ctx context.Context, group, member string, topics []string, lease time.Duration, generation int64) (platform.GroupMembership, error)
 	LeaveGroup(ctx context.Context, group, member string) error
 	ListPartitionOwners(ctx context.Context, group string) (map[platform.Partition]string, error)
@@ -140,6 +140,7 @@
 	handover          turnHandover
 	programWatermarks tokenbudget.ReportedWatermarks
 	programs          programLimit
+	turnMemory        *turnMemory
 
 	streamOriginsMu sync.Mutex
 	streamOrigins   streamorigin.Index
@@ -181,6 +182,7 @@
 	}}
 	c.httpClient = http1.NewStrictClient(&http.Client{Transport: &memoryTransport{cluster: c, inner: transport}}, maxPeerBodyBytes)
 	c.programs.setMemory(opts.Settings.MemoryBytes)
+	c.turnMemory = newTurnMemory(opts.Settings.MemoryBytes)
 	c.streamOrigins.MaxAttempts = int(opts.Settings.MemoryBytes / originShare / originBytes)
 	c.mustRejoin.Store(true)
 	c.ownership.Store(&ownership{owners: make([]string, opts.Settings.Store.Partitions)})
@@ -217,6 +219,7 @@
 	wg.Go(func() { c.handOverLoop(ctx) })
 	wg.Go(func() { c.releaseActingSlotsLoop(ctx) })
 	wg.Go(func() { c.checkpointLoop(ctx) })
+	wg.Go(func() { c.evictTurnsLoop(ctx) })
 	for _, s := range c.slots {
 		wg.Go(func() { s.writer.run(ctx) })
 	}
--- a/io/cluster/fakestore_test.go
+++ b/io/cluster/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,11 +36,15 @@
 	parts      []platform.Partition
 	// maxRecordBytes bounds a record; zero means no limit.
 	maxRecordBytes int
+	// maxPageItems bounds a page of the newest records; zero means no limit.
+	maxPageItems int
 	// beforeAppend, beforeLeave and beforeJoin run before a call without the lock; an error is returned instead of
 	// executing the call.
 	beforeAppend hook[func(batch platform.AppendBatch) error]
 	beforeLeave  hook[func() error]
 	beforeJoin   hook[func() error]
+	// beforePage does the same for reads of the newest records.
+	beforePage hook[func() error]
 	// afterAppend delays the response of the next append of records.
 	afterAppend hook[func()]
 	// lastResponseTime is when the store last responded to the host; unset means now.
@@ -77,8 +82,8 @@
 	return s.get().Read(ctx, p, offset, maxWait)
 }
 
-func (s *swappableStore) ListNewestRecords(ctx context.Context, p platform.Partition, pageTimeout time.Duration) ([]platform.Record, int64, error) {
-	return s.get().ListNewestRecords(ctx, p, pageTimeout)
+func (s *swappableStore) ReadNewestPage(ctx context.Context, p platform.Partition, afterKey string, timeout time.Duration) (platform.NewestPage, error) {
+	return s.get().ReadNewestPage(ctx, p, afterKey, timeout)
 }
 
 func (s *swappableStore) JoinGroup(ctx context.Context, group, member string, topics []string, lease time.Duration, generation int64) (platform.GroupMembership, error) {
@@ -178,19 +183,31 @@
 	return page, nil
 }
 
-// ListNewestRecords returns the newest record of each key that is not deleted.
-func (f *fakeStore) ListNewestRecords(_ context.Context, p platform.Partition, _ time.Duration) ([]platform.Record, int64, error) {
+// ReadNewestPage returns the newest record of each key that is not deleted, in the order of keys.
+func (f *fakeStore) ReadNewestPage(_ context.Context, p platform.Partition, afterKey string, _ time.Duration) (platform.NewestPage, error) {
+	if before := f.beforePage.get(); before != nil {
+		if err := (*before)(); err != nil {
+			return platform.NewestPage{}, err
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	part := f.partition(p)
-	var records []platform.Record
-	for _, record := range part.records {
-		if len(record.Value) > 0 {
-			records = append(records, record)
+	page := platform.NewestPage{EndOffset: part.end}
+	for _, key := range slices.Sorted(maps.Keys(part.records)) {
+		record := part.records[key]
+		switch {
+		case len(record.Value) == 0 || key <= afterKey:
+		case f.maxPageItems > 0 && len(page.Records) == f.maxPageItems:
+			page.HasMore = true
+
+			return page, nil
+		default:
+			page.Records = append(page.Records, record)
 		}
 	}
 
-	return records, part.end, nil
+	return page, nil
 }
 
 // JoinGroup makes the caller the only member and owner of all partitions.
--- a/io/cluster/findturn.go
+++ b/io/cluster/findturn.go
@@ -123,7 +123,7 @@
 	return reply, nil
 }
 
-// hasIncompleteTurn reports whether this host has the turn in a slot, but not all turns before it.
+// hasIncompleteTurn reports whether this host has the turn in a slot, but not all turns before it, or not all of their text in memory.
 func (c *Cluster) hasIncompleteTurn(req *fleetpb.FindTurnRequest) bool {
 	return slices.ContainsFunc(c.slots, func(s *slot) bool {
 		s.mu.Lock()
@@ -151,12 +151,8 @@
 	if s.state != serving || !s.turns.HasTranscript(workspace, req.Turn) {
 		return nil, false, nil
 	}
-	if !reserveTranscript(ctx, s.turns.TranscriptBytes(workspace, req.Turn)) {
-		return nil, false, errNoMemory
-	}
-	transcript, ok = s.turns.Transcript(workspace, req.Turn)
 
-	return transcript, ok, nil
+	return s.residentTranscript(ctx, workspace, req.Turn)
 }
 
 // authoritativeSlots returns the slots of which this host may say that a turn that is not there does not exist.
--- a/io/cluster/releases_test.go
+++ b/io/cluster/releases_test.go
@@ -415,25 +415,26 @@
 func TestStateOfEarlierReleaseIsRestored(t *testing.T) {
 	c, _ := newTestCluster(t)
 	s := c.slots[0]
-	restore := func(parts *turnParts, key, name string) {
-		s.restoreRecord(recordedAt, platform.Record{Key: key, Value: readRecording(t, name+".binpb")}, parts)
+	var stored storedRecords
+	restore := func(key, name string) {
+		require.NoError(t, stored.add(platform.Record{Key: key, Value: readRecording(t, name+".binpb")}, c.turnMemory))
+		s.restore(recordedAt, &stored)
 	}
 	hasTurn := func(turn string) bool {
 		transcript, ok := s.turns.Transcript(testWorkspace, turn)
 
 		return ok && strings.HasSuffix(string(transcript), turn+";done\n")
 	}
-	var parts turnParts
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	restore(&parts, "bprogram", "record-budget")
+	restore("bprogram", "record-budget")
 	require.Equal(t, id.Tokens(650), s.ledger.Count("program").Tokens)
 	require.Equal(t, recordedAt, s.newestRecordAt)
-	restore(&parts, "tturn-1", "record-turn")
+	restore("tturn-1", "record-turn")
 	require.True(t, hasTurn("turn-1"))
-	restore(&parts, "p0:turn-2", "record-turn-part-0")
+	restore("p0:turn-2", "record-turn-part-0")
 	require.False(t, hasTurn("turn-2"), "a part is missing")
-	restore(&parts, "p1:turn-2", "record-turn-part-1")
+	restore("p1:turn-2", "record-turn-part-1")
 	require.True(t, hasTurn("turn-2"))
 	s.discardState()
 	memory := inMemoryState{members: []string{testOwner}, replies: []*fleetpb.RecallReply{decodeRecording(t, "recall-reply", &fleetpb.RecallReply{})}}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -79,11 +79,15 @@
 	turns  turnstore.Store
 	// pendingTurns holds, for each turn whose write is queued, the channel that is closed when it is durable.
 	pendingTurns map[string]<-chan struct{}
-	// turnPartCounts holds the number of parts of each turn that is stored in several records.
-	turnPartCounts  map[string]int
-	locations       affinity.Locations
-	quotaAllocators map[id.Workspace]*quota.Allocator
-	limitBuckets    map[id.Upstream]*limitBucket
+	// turnParts are the records of each turn that is stored in several.
+	turnParts map[string]storedParts
+	// reloading are the turns for whose continuation evicted text is being read, and countedTurnBytes is the text that the host's memory
+	// for turns counts.
+	reloading        map[string]struct{}
+	countedTurnBytes int
+	locations        affinity.Locations
+	quotaAllocators  map[id.Workspace]*quota.Allocator
+	limitBuckets     map[id.Upstream]*limitBucket
 	// changed is closed and replaced when records became durable or the state changed.
 	changed chan struct{}
 }
@@ -300,7 +304,8 @@
 	s.isPartial, s.isClaimed, s.knowsAllPrograms, s.lacksReplies = false, false, false, false
 	s.holdUnwrittenTurns(s.writer.discardPending())
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
-	s.pendingTurns, s.turnPartCounts = nil, nil
+	s.pendingTurns, s.turnParts = nil, nil
+	s.countTurns()
 	s.newestRecordAt, s.datedAt, s.turnsInDoubtUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
@@ -380,6 +385,7 @@
 	for _, turn := range s.turns.RemoveExpired(now) {
 		s.removeTurnRecords(turn)
 	}
+	s.countTurns()
 }
 
 // flush waits until all records are durable or ctx ends.
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -10,7 +9,6 @@
 
 	"cardamomward/core/id"
 	"cardamomward/core/tokenbudget"
-	"cardamomward/core/turnstore"
 	"cardamomward/io/fleet/fleetpb"
 	"cardamomward/io/topicconsumer"
 	"cardamomward/platform"
@@ -44,7 +42,8 @@
 
 // slotContents is the stored records of a slot and the state that hosts have of it in memory.
 type slotContents struct {
-	records   []platform.Record
+	storedRecords
+
 	memory    inMemoryState
 	heldTurns []*fleetpb.KeptTurn
 	startedAt time.Time
@@ -81,32 +80,24 @@
 	fencedAt := s.cluster.Now()
 	state := make(chan inMemoryState, 1)
 	go func() { state <- s.cluster.collectInMemoryState(ctx, s.index) }()
-	pageTimeout := time.Duration(attempt) * max(minPageTimeout, s.cluster.storeCallTimeout(maxPageBytes))
-	records, end, err := s.cluster.store.ListNewestRecords(ctx, s.partition(), pageTimeout)
+	records, end, err := s.cluster.readStoredRecords(ctx, s.partition(), s.cluster.pageTimeout(attempt))
 	if err != nil {
 		return slotContents{isFenced: true}, err
 	}
 	memory := <-state
-	turns := s.cluster.fetchHeldTurns(ctx, s.index, memory, turnsWithRecord(records))
+	turns := s.cluster.fetchHeldTurns(ctx, s.index, memory, records.turnIDs())
 	if s.cluster.Now().Sub(fencedAt) > maxInMemoryStateAge {
 		memory = s.cluster.collectInMemoryState(ctx, s.index)
 	}
 
 	return slotContents{
-		records: records, memory: memory, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
+		storedRecords: records, memory: memory, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
 	}, nil
 }
 
-// turnsWithRecord returns the ids of the turns that are stored in one record.
-func turnsWithRecord(records []platform.Record) map[string]struct{} {
-	turns := make(map[string]struct{})
-	for _, record := range records {
-		if turn, ok := strings.CutPrefix(record.Key, turnKeyPrefix); ok && len(record.Value) > 0 {
-			turns[turn] = struct{}{}
-		}
-	}
-
-	return turns
+// pageTimeout returns for how long an attempt to read a slot waits for a page of records.
+func (c *Cluster) pageTimeout(attempt int) time.Duration {
+	return time.Duration(attempt) * max(minPageTimeout, c.storeCallTimeout(maxPageBytes))
 }
 
 // setClaimed records whether the partition accepted the epoch of a load.
@@ -120,6 +111,7 @@
 
 // startServing restores the contents and serves the slot.
 func (s *slot) startServing(ctx context.Context, epoch int64, contents slotContents) {
+	defer contents.release(s.cluster.turnMemory)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.epoch != epoch || s.isActingOwner || (s.state != loading && !s.isPartial) {
@@ -127,13 +119,8 @@
 	}
 	s.discardState()
 	now := s.cluster.Now()
-	var parts turnParts
-	for _, record := range contents.records {
-		s.restoreRecord(now, record, &parts)
-	}
-	s.turns.ExtendRetention()
 	s.writer.startEpoch(epoch, contents.endOffset)
-	s.removeIncompleteTurns(&parts)
+	s.restore(now, &contents.storedRecords)
 	s.chargeForgottenTurns(now, contents.memory.memoryAges())
 	s.mergeInMemoryState(now, contents.memory.replies, contents.heldTurns)
 	s.knowsAllPrograms = true
@@ -142,7 +129,7 @@
 	if !s.unconfirmedSince.IsZero() {
 		go s.confirm(ctx, epoch)
 	}
-	s.cluster.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(contents.records),
+	s.cluster.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(contents.records)+len(contents.turns),
 		"programs", s.ledger.Len(), "turns", s.turns.Len(), "first", contents.isNew, "took", now.Sub(contents.startedAt))
 }
 
@@ -176,40 +163,29 @@
 	return loss.UnixMilli()
 }
 
-func (s *slot) restoreRecord(now time.Time, record platform.Record, parts *turnParts) {
+func (s *slot) restoreRecord(now time.Time, record platform.Record) {
 	var value fleetpb.Record
-	err := proto.Unmarshal(record.Value, &value)
-	if part := value.GetPart(); err == nil && part != nil {
-		whole, ok := s.restoreTurnPart(parts, part)
-		if !ok {
-			return
-		}
-		value.Reset()
-		err = proto.Unmarshal(whole, &value)
-	}
-	if err != nil {
+	if err := proto.Unmarshal(record.Value, &value); err != nil {
 		s.cluster.Logger.Error(err, "record-refused", "slot", s.index, "key", record.Key, "offset", record.Offset)
 
 		return
 	}
 	loss := restoredLoss(now, value.LossUnixMillis)
 	s.ledger.AssumeLoss(loss)
-	switch kind := value.Kind.(type) {
-	case *fleetpb.Record_Budget:
-		written := time.UnixMilli(kind.Budget.WrittenUnixMillis)
-		s.recordWrittenAt(written)
-		if record.Key == checkpointKey {
-			return
-		}
-		s.ledger.Restore(tokenbudget.Watermark{
-			Program: id.Program(record.Key[1:]), Tokens: id.Tokens(kind.Budget.Mark),
-			ExpiresAt: restoredExpiry(now, written, kind.Budget.RetentionMillis), WrittenAt: written, ChargedLoss: loss,
-			LossUncharged: kind.Budget.LossUncharged,
-		})
-	case *fleetpb.Record_Turn:
-		s.recordWrittenAt(time.UnixMilli(kind.Turn.EndedUnixMillis))
-		s.turns.Add(toStoredTurn(kind.Turn, restoredExpiry(now, time.UnixMilli(kind.Turn.EndedUnixMillis), kind.Turn.RetentionMillis)))
+	budget := value.GetBudget()
+	if budget == nil {
+		return
+	}
+	written := time.UnixMilli(budget.WrittenUnixMillis)
+	s.recordWrittenAt(written)
+	if record.Key == checkpointKey {
+		return
 	}
+	s.ledger.Restore(tokenbudget.Watermark{
+		Program: id.Program(record.Key[1:]), Tokens: id.Tokens(budget.Mark),
+		ExpiresAt: restoredExpiry(now, written, time.Duration(budget.RetentionMillis)*time.Millisecond), WrittenAt: written, ChargedLoss: loss,
+		LossUncharged: budget.LossUncharged,
+	})
 }
 
 func (s *slot) recordWrittenAt(written time.Time) {
@@ -234,17 +210,10 @@
 
 // restoredExpiry returns the expiry of a record by the time of its write. That is by the writer's clock, which may differ
 // from this host's, so a time in the future counts as now.
-func restoredExpiry(now, written time.Time, retentionMillis int64) time.Time {
+func restoredExpiry(now, written time.Time, retention time.Duration) time.Time {
 	if written.After(now) {
 		written = now
 	}
 
-	return written.Add(time.Duration(retentionMillis)*time.Millisecond + retentionMargin)
-}
-
-func toStoredTurn(kept *fleetpb.KeptTurn, expires time.Time) *turnstore.Turn {
-	return &turnstore.Turn{
-		ID: kept.Id, Workspace: id.Workspace(kept.Workspace), PreviousID: kept.Previous,
-		PriorTranscript: kept.Base, Input: kept.Input, Output: kept.Output, ExpiresAt: expires,
-	}
+	return written.Add(retention + retentionMargin)
 }
--- a/io/cluster/slotload_test.go
+++ b/io/cluster/slotload_test.go
@@ -20,7 +20,7 @@
 	listings   atomic.Int64
 }
 
-func (s *slowStore) ListNewestRecords(ctx context.Context, p platform.Partition, timeout time.Duration) ([]platform.Record, int64, error) {
+func (s *slowStore) ReadNewestPage(ctx context.Context, p platform.Partition, afterKey string, timeout time.Duration) (platform.NewestPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	delay := s.delay
@@ -29,9 +29,9 @@
 	}
 	select {
 	case <-ctx.Done():
-		return nil, 0, platform.ErrInDoubt.Wrap(ctx.Err(), "list")
+		return platform.NewestPage{}, platform.ErrInDoubt.Wrap(ctx.Err(), "list")
 	case <-time.After(delay):
-		return s.fakeStore.ListNewestRecords(ctx, p, timeout)
+		return s.fakeStore.ReadNewestPage(ctx, p, afterKey, timeout)
 	}
 }
 
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -41,22 +41,16 @@
 		return reply, nil
 	}
 	program := id.Program(req.Program)
-	isNew := !s.knowsProgram(program)
-	if isNew && srv.cluster.programs.isFull() {
+	if !s.knowsProgram(program) && srv.cluster.programs.isFull() {
 		return nil, errTooManyPrograms
 	}
 	if req.Previous != "" && !req.HaveChain {
-		if !reserveTranscript(ctx, s.turns.TranscriptBytes(id.Workspace(req.Workspace), req.Previous)) {
-			return nil, errNoMemory
-		}
-		transcript, ok := s.turns.Transcript(id.Workspace(req.Workspace), req.Previous)
-		if !ok {
-			reply.Outcome = fleetpb.Outcome_OUTCOME_UNKNOWN_TURN
-
-			return reply, nil
+		var err error
+		if reply.Chain, reply.Outcome, err = s.requestTranscript(ctx, req); err != nil || reply.Outcome != fleetpb.Outcome_OUTCOME_OK {
+			return reply, err
 		}
-		reply.Chain = transcript
 	}
+	isNew := !s.knowsProgram(program)
 	reply.Begun = s.locations.HasProgram(program) || s.ledger.HasUsage(program)
 	if req.Budget > 0 {
 		if !s.knowsAllPrograms && s.ledger.Count(program).Tokens == 0 {
@@ -222,9 +216,10 @@
 		return durable
 	}
 	s.turns.Add(toStoredTurn(kept, now.Add(time.Duration(kept.RetentionMillis)*time.Millisecond+retentionMargin)))
+	s.countTurns()
 	last := len(records) - 1
 	if last > 0 {
-		s.setTurnPartCount(kept.Id, len(records))
+		s.setTurnParts(kept.Id, storedParts{count: len(records)})
 	}
 	for _, record := range records[:last] {
 		s.writer.enqueue(pendingRecord{record: record}, true)
@@ -232,6 +227,10 @@
 	s.writer.enqueue(pendingRecord{record: records[last], turn: kept, onDurable: func() {
 		close(durable)
 		delete(s.pendingTurns, kept.Id)
+		s.turns.MarkDurable(kept.Id)
+		if s.cluster.turnMemory.excess() > 0 {
+			s.cluster.turnMemory.requestEviction()
+		}
 	}}, true)
 	if s.pendingTurns == nil {
 		s.pendingTurns = make(map[string]<-chan struct{})
--- a/io/cluster/turnparts.go
+++ b/io/cluster/turnparts.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -10,14 +11,45 @@
 )
 
 const (
-	// turnPartKeyPrefix starts the keys of the parts of a turn, followed by the part's index, a colon and the turn's id.
-	turnPartKeyPrefix = "p"
+	// turnPartKeyPrefix starts the keys of the parts of a turn, followed by the turn's id, a colon and the part's index: the parts of a turn
+	// follow each other in the store's pages, so that no two turns have to be assembled at the same time.
+	turnPartKeyPrefix = "q"
+	// earlierPartKeyPrefix starts the keys of the parts that earlier releases write, followed by the index, a colon and the id.
+	earlierPartKeyPrefix = "p"
 	// turnPartOverheadBytes is the space for the encoding of a part beside its data and the turn's id.
 	turnPartOverheadBytes = 64
 )
 
 func turnPartKey(turn string, index int) string {
-	return turnPartKeyPrefix + strconv.Itoa(index) + ":" + turn
+	return turnPartKeyPrefix + turn + ":" + strconv.Itoa(index)
+}
+
+func earlierPartKey(turn string, index int) string {
+	return earlierPartKeyPrefix + strconv.Itoa(index) + ":" + turn
+}
+
+// storedParts are the records of a turn that is stored in several.
+type storedParts struct {
+	count int
+	// isEarlier is set if a host of an earlier release has written them.
+	isEarlier bool
+}
+
+// keys returns the keys of the records of a turn, which is a single one for the zero value.
+func (p storedParts) keys(turn string) []string {
+	if p.count == 0 {
+		return []string{turnKeyPrefix + turn}
+	}
+	key := turnPartKey
+	if p.isEarlier {
+		key = earlierPartKey
+	}
+	keys := make([]string, 0, p.count)
+	for index := range p.count {
+		keys = append(keys, key(turn, index))
+	}
+
+	return keys
 }
 
 // turnRecords returns the records of an encoded turn: one, or several parts if it is larger than the store takes. The turn is
@@ -47,72 +79,75 @@
 
 // turnParts assembles the turns of which several records are parts; its zero value is empty.
 type turnParts struct {
-	byTurn map[string][]*fleetpb.TurnPart
+	incomplete map[string][]*fleetpb.TurnPart
+	// stored are the records of all turns of which parts were added, by turn.
+	stored map[string]storedParts
+}
+
+// isTurnPart reports whether a record is a part of a turn.
+func isTurnPart(record platform.Record) bool {
+	return strings.HasPrefix(record.Key, turnPartKeyPrefix) || strings.HasPrefix(record.Key, earlierPartKeyPrefix)
 }
 
-// add adds a part, and returns the encoded record of its turn if all parts are there.
-func (p *turnParts) add(part *fleetpb.TurnPart) (record []byte, ok bool) {
-	if p.byTurn == nil {
-		p.byTurn = make(map[string][]*fleetpb.TurnPart)
+// add adds the record of a part, and returns the turn's record if all parts are there.
+func (p *turnParts) add(record platform.Record) (whole platform.Record, ok bool) {
+	var value fleetpb.Record
+	if err := proto.Unmarshal(record.Value, &value); err != nil || value.GetPart() == nil {
+		return platform.Record{}, false
 	}
-	parts := p.byTurn[part.Turn]
+	part := value.GetPart()
+	if p.stored == nil {
+		p.incomplete, p.stored = make(map[string][]*fleetpb.TurnPart), make(map[string]storedParts)
+	}
+	parts := p.incomplete[part.Turn]
 	if parts == nil {
 		parts = make([]*fleetpb.TurnPart, max(0, part.Count))
-		p.byTurn[part.Turn] = parts
+		p.incomplete[part.Turn] = parts
+		p.stored[part.Turn] = storedParts{count: len(parts), isEarlier: strings.HasPrefix(record.Key, earlierPartKeyPrefix)}
 	}
 	if part.Index < 0 || int(part.Index) >= len(parts) {
-		return nil, false
+		return platform.Record{}, false
 	}
 	parts[part.Index] = part
+	size := 0
 	for _, other := range parts {
 		if other == nil {
-			return nil, false
+			return platform.Record{}, false
 		}
-		record = append(record, other.Data...)
+		size += len(other.Data)
+	}
+	whole = platform.Record{Key: turnKeyPrefix + part.Turn, Value: make([]byte, 0, size), Offset: record.Offset}
+	for _, other := range parts {
+		whole.Value = append(whole.Value, other.Data...)
 	}
+	delete(p.incomplete, part.Turn)
 
-	return record, true
+	return whole, true
 }
 
 // removeTurnRecords queues the deletion of the records of a turn; the caller holds the lock.
 func (s *slot) removeTurnRecords(turn string) {
-	count, ok := s.turnPartCounts[turn]
-	if !ok {
-		s.writer.enqueue(pendingRecord{record: platform.Record{Key: turnKeyPrefix + turn}}, false)
-
-		return
-	}
-	delete(s.turnPartCounts, turn)
-	for index := range count {
-		s.writer.enqueue(pendingRecord{record: platform.Record{Key: turnPartKey(turn, index)}}, false)
+	for _, key := range s.turnParts[turn].keys(turn) {
+		s.writer.enqueue(pendingRecord{record: platform.Record{Key: key}}, false)
 	}
+	delete(s.turnParts, turn)
 }
 
-// setTurnPartCount records of how many parts a stored turn consists; the caller holds the lock.
-func (s *slot) setTurnPartCount(turn string, count int) {
-	if s.turnPartCounts == nil {
-		s.turnPartCounts = make(map[string]int)
+// setTurnParts records of how many parts a stored turn consists; the caller holds the lock.
+func (s *slot) setTurnParts(turn string, parts storedParts) {
+	if s.turnParts == nil {
+		s.turnParts = make(map[string]storedParts)
 	}
-	s.turnPartCounts[turn] = count
+	s.turnParts[turn] = parts
 }
 
-// restoreTurnPart adds a part of a turn, and returns the turn's record once it is complete. Turns whose parts are not all there
-// never became durable. The caller holds the lock.
-func (s *slot) restoreTurnPart(parts *turnParts, part *fleetpb.TurnPart) (record []byte, ok bool) {
-	s.setTurnPartCount(part.Turn, int(part.Count))
-
-	return parts.add(part)
-}
-
-// removeIncompleteTurns queues the deletion of the parts of turns that were not stored whole; the caller holds the lock.
-func (s *slot) removeIncompleteTurns(parts *turnParts) {
-	for turn, list := range parts.byTurn {
-		for _, part := range list {
-			if part == nil {
-				s.removeTurnRecords(turn)
-
-				break
-			}
-		}
+// restoreTurnParts records the parts of the turns that were read, and queues the deletion of those of turns that were not stored whole; the
+// caller holds the lock.
+func (s *slot) restoreTurnParts(parts turnParts) {
+	for turn, stored := range parts.stored {
+		s.setTurnParts(turn, stored)
+	}
+	for turn := range parts.incomplete {
+		s.removeTurnRecords(turn)
 	}
 }
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -103,6 +103,8 @@
 	responseBytes int
 	// memoryBytes is the memory of the host; zero means hostBytes.
 	memoryBytes int
+	// maxRecordBytes bounds the records of the store; zero means no bound.
+	maxRecordBytes int
 	// respond responds in place of all upstreams; nil means that each responds itself.
 	respond standin.Respond
 }
@@ -151,17 +153,37 @@
 		Name: id.Host("host-0"), IP: "127.0.0.1", FailureDomain: standin.InitialFailureDomain,
 		CallerAddress: address(ports[0]), ReadinessAddress: address(ports[1]), ResolveAddress: address(ports[2]),
 		PeerPorts: [2]int{ports[4], ports[5]}, FirstStart: true, CPUCores: 1, MemoryBytes: int64(opts.memoryBytes), MaxOpenFiles: opts.files,
-		Store:  platform.StoreSettings{Address: store.Address(), Partitions: 12, MaxCallBytes: 1 << 20, MinLeaseDuration: time.Second},
+		Store:  platform.StoreSettings{Address: store.Address(), Partitions: 12, MaxCallBytes: 1 << 20, MaxRecordBytes: opts.maxRecordBytes, MinLeaseDuration: time.Second},
 		Bounds: platform.Bounds{GracePeriod: 4 * time.Second, ResolveTTL: 5 * time.Second},
 	}}
 	h.start(opts, ports[3])
-	require.Eventually(t, func() bool {
+	h.awaitReady()
+
+	return h
+}
+
+// awaitReady waits until the host serves callers.
+func (h *host) awaitReady() {
+	h.t.Helper()
+	require.Eventually(h.t, func() bool {
 		status, err := h.lookUp("")
 
 		return err == nil && status == http.StatusOK
 	}, readyTimeout, 50*time.Millisecond, "the host serves callers")
+}
 
-	return h
+// restart starts another process of the host after the last one has ended.
+func (h *host) restart(opts hostOptions) {
+	h.t.Helper()
+	_, port, err := net.SplitHostPort(h.metrics)
+	require.NoError(h.t, err)
+	metricsPort, err := strconv.Atoi(port)
+	require.NoError(h.t, err)
+	if opts.files == 0 {
+		opts.files = hostFiles
+	}
+	h.start(opts, metricsPort)
+	h.awaitReady()
 }
 
 // freePorts returns consecutive ports below the kernel's ephemeral range, so that no connection of a crowd takes them.
