Copy counts near the end of a budget to three other hosts

Cause: an acting owner takes a program that no host remembers for a new one unless four hosts have been lost, but only the counts of turns of an outage are on four hosts. Those of before were on two.

A forgotten program may spend a quarter of its budget and one turn once more. So the owner now sends the counts above three quarters, less one turn, to three other hosts when it admits a turn, in the background while the store responds: a copy that is lost on the way costs one turn, which the budget allows. Other programs cost no calls (TestCountsFarFromBudgetAreNotCopied).

--- a/core/tokenbudget/ledger.go
+++ b/core/tokenbudget/ledger.go
@@ -155,6 +155,12 @@
 // unavailable, before its next turn.
 func maxUndurableTokens(budget id.Tokens) id.Tokens { return budget / undurableBudgetDivisor }
 
+// MayOverspendIfForgotten reports whether a program could exceed its budget by more than one turn if its count were forgotten while the
+// platform's store is unavailable: it would be taken for a new one, and a part of its budget admitted once more.
+func MayOverspendIfForgotten(spent, maxTokens, budget id.Tokens) bool {
+	return spent+maxUndurableTokens(budget)+maxTokens > budget
+}
+
 // awaitsSettlement reports whether a turn may fit once the running ones have settled, and would fit now but for the tokens that are
 // charged for a loss: these may not have been spent, so they alone do not exhaust a budget.
 func (a *account) awaitsSettlement(turn Turn) bool {
--- a/core/tokenbudget/ledger_test.go
+++ b/core/tokenbudget/ledger_test.go
@@ -480,3 +480,26 @@
 		}
 	})
 }
+
+// Forgets the count of a program and admits its turns in an outage as those of a new one.
+func TestForgottenCountOverspendsOnlyWhereThatIsReported(t *testing.T) {
+	const budget, maxTokens = 1000, 50
+	for spent := id.Tokens(0); spent <= budget; spent += maxTokens {
+		var forgotten tokenbudget.Ledger
+		total := spent
+		for attempt := 0; ; attempt++ {
+			decision, _ := forgotten.Reserve(start, tokenbudget.Turn{
+				Program: "p", Attempt: fmt.Sprint(attempt), BudgetTokens: budget, MaxTokens: maxTokens,
+				Deadline: start.Add(3 * time.Second), Retention: time.Minute,
+			}, true)
+			if decision != tokenbudget.Admit {
+				break
+			}
+			total += maxTokens
+		}
+		if total > budget+maxTokens {
+			require.True(t, tokenbudget.MayOverspendIfForgotten(spent, maxTokens, budget), "%d tokens were spent before", spent)
+		}
+	}
+	require.False(t, tokenbudget.MayOverspendIfForgotten(budget/2, maxTokens, budget))
+}
--- a/io/cluster/counts.go
+++ b/io/cluster/counts.go
@@ -48,6 +48,20 @@
 	return len(holders) >= copies
 }
 
+// shareReservation copies the count of a program for which a turn was just admitted to other hosts if the budget depends on it, and
+// waits for that only if the turn must not run without the copies. The caller holds the lock, which is released while it waits.
+func (s *slot) shareReservation(ctx context.Context, program id.Program, req *fleetpb.BeginTurnRequest) fleetpb.Outcome {
+	count := s.ledger.Count(program)
+	switch {
+	case s.mustReplicateCount(s.cluster.Now(), program, req):
+		return s.replicateReservation(ctx, program, req.Attempt)
+	case tokenbudget.MayOverspendIfForgotten(count.Tokens, id.Tokens(req.MaxTokens), id.Tokens(req.Budget)):
+		go s.cluster.replicateCount(context.WithoutCancel(ctx), program, count)
+	}
+
+	return fleetpb.Outcome_OUTCOME_OK
+}
+
 // mustReplicateCount reports whether a turn that was just admitted may run only once other hosts have its program's count: the count cannot
 // become durable now, or the turn was admitted beyond the durable one. The caller holds the lock.
 func (s *slot) mustReplicateCount(now time.Time, program id.Program, req *fleetpb.BeginTurnRequest) bool {
--- a/io/cluster/counts_test.go
+++ b/io/cluster/counts_test.go
@@ -120,3 +120,82 @@
 	c.peers.mu.Unlock()
 	require.Equal(t, []time.Duration{3 * time.Second}, c.peers.lostHosts(now))
 }
+
+// In an outage of the store, the count of a program was known to the owner of its slot and to the host of its caller. When both were
+// lost, a program that had spent its budget was taken for a new one.
+func TestSpentBudgetOutlivesOwnerAndCallersHost(t *testing.T) {
+	owner, others, endOutage := newOwnerInOutage(t)
+	endOutage()
+	for turn := range int(forgottenBudget / forgottenMaxTokens) {
+		attempt := fmt.Sprintf("turn-%d", turn)
+		begin := func() *fleetpb.BeginTurnReply { return beginSmallTurn(t, owner, attempt) }
+		require.Eventually(t, func() bool { return begin().Outcome == fleetpb.Outcome_OUTCOME_OK }, testTimeout, time.Millisecond)
+		_, err := (&slotServer{cluster: owner}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{
+			Workspace: string(testWorkspace), Program: string(testProgram), Attempt: attempt, Tokens: int64(forgottenMaxTokens),
+		})
+		require.NoError(t, err)
+	}
+	require.Equal(t, fleetpb.Outcome_OUTCOME_SPENT, beginSmallTurn(t, owner, "beyond").Outcome)
+	require.Eventually(t, func() bool {
+		return countTokens(t, others[0]) == forgottenBudget && countTokens(t, others[1]) == forgottenBudget && countTokens(t, others[2]) == forgottenBudget
+	}, testTimeout, time.Millisecond, "three hosts beside the owner have the count")
+
+	acting := others[0]
+	for _, other := range others[1:] {
+		acting.addPeer(other.self, &slotServer{cluster: other})
+	}
+	acting.addLostPeers("127.0.0.8:7780", "127.0.0.9:7780")
+	acting.LastStoreResponse = func() time.Time { return time.Time{} }
+	s := acting.slots[0]
+	s.mu.Lock()
+	s.actForOwner(t.Context())
+	s.mu.Unlock()
+	require.Eventually(t, acting.isServing, testTimeout, time.Millisecond)
+	require.Equal(t, fleetpb.Outcome_OUTCOME_SPENT, beginSmallTurn(t, acting, "after the loss").Outcome)
+}
+
+// Copies cost calls between hosts, so programs whose loss cannot exceed their budget have none while the store responds.
+func TestCountsFarFromBudgetAreNotCopied(t *testing.T) {
+	owner, others, endOutage := newOwnerInOutage(t)
+	endOutage()
+	reply := beginSmallTurn(t, owner, "first")
+	require.Equal(t, fleetpb.Outcome_OUTCOME_OK, reply.Outcome)
+	time.Sleep(50 * time.Millisecond)
+	for _, other := range others {
+		require.Zero(t, countTokens(t, other))
+	}
+}
+
+// addLostPeers makes a host believe that others have just been lost.
+func (c *Cluster) addLostPeers(members ...string) {
+	c.peers.mu.Lock()
+	defer c.peers.mu.Unlock()
+	for _, member := range members {
+		lastHeardAt := c.Now().Add(-2 * baseSilenceTimeout)
+		c.peers.byHost[id.Host(member)] = &peer{hostEntry: hostEntry{PeerAddress: member}, listedAt: lastHeardAt, lastHeardAt: lastHeardAt}
+	}
+}
+
+// beginSmallTurn begins a turn at the owner of a slot for a caller of another host.
+func beginSmallTurn(t *testing.T, owner *Cluster, attempt string) *fleetpb.BeginTurnReply {
+	t.Helper()
+	reply, err := (&slotServer{cluster: owner}).BeginTurn(t.Context(), &fleetpb.BeginTurnRequest{
+		Workspace: string(testWorkspace), Program: string(testProgram), Attempt: attempt,
+		Budget: int64(forgottenBudget), MaxTokens: int64(forgottenMaxTokens), DeadlineMillis: testTimeout.Milliseconds(), WaitMillis: testTimeout.Milliseconds(),
+	})
+	require.NoError(t, err)
+
+	return reply
+}
+
+// countTokens returns the count of the test's program that a host has in memory.
+func countTokens(t *testing.T, c *Cluster) id.Tokens {
+	t.Helper()
+	reply, err := (&slotServer{cluster: c}).Recall(t.Context(), &fleetpb.RecallRequest{})
+	require.NoError(t, err)
+	if len(reply.Marks) == 0 {
+		return 0
+	}
+
+	return id.Tokens(reply.Marks[0].Tokens)
+}
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -60,8 +60,8 @@
 			return reply, nil
 		}
 		reply.Outcome, reply.Mark = s.reserveTokens(ctx, req)
-		if reply.Outcome == fleetpb.Outcome_OUTCOME_OK && s.mustReplicateCount(srv.cluster.Now(), program, req) {
-			reply.Outcome = s.replicateReservation(ctx, program, req.Attempt)
+		if reply.Outcome == fleetpb.Outcome_OUTCOME_OK {
+			reply.Outcome = s.shareReservation(ctx, program, req)
 		}
 		reply.Durable = int64(s.ledger.Count(program).Durable)
 	}
