Show that responses which end within their head are lost

An operator of a similar system reported an upstream that stopped in the middle of its response's head and closed: callers got a 200 with an empty or a short body, framed as whole.

It does not happen here: the strict reader of responses takes the end of the connection within a head, a chunk line or a trailer for a lost response.

--- a/io/gatewayhost/brokenstream_test.go
+++ b/io/gatewayhost/brokenstream_test.go
@@ -75,6 +75,7 @@
 	"redirect":                    "HTTP/1.1 302 Found\r\nID" + eventStream + "Location: /\r\n\r\n" + restOfStream,
 	"success with text":           "HTTP/1.1 200 OK\r\nIDContent-Type: text/plain\r\n\r\n" + restOfStream,
 	"success with a similar type": "HTTP/1.1 200 OK\r\nIDContent-Type: text/event-streams\r\n\r\n" + restOfStream,
+	"head without its end":        "HTTP/1.1 200 OK\r\nID" + eventStream,
 	"head in the body":            "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\nHTTP/1.1 500 Failed\r\nContent-Type: text/plain\r\n\r\nfailed\n\n" + restOfStream,
 	"event without an id":         "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\ndata: failed\n\n" + restOfStream,
 	"event after a gap":           "HTTP/1.1 200 OK\r\nID" + eventStream + "\r\nid: 4\ndata: word-4\n\n",
@@ -132,3 +133,12 @@
 	require.False(t, response.Truncated)
 	require.Equal(t, "id: 3\ndata: failed\n\n", response.Body)
 }
+
+// Guards against a stream that looks complete and empty because its upstream closed within the head.
+func TestStreamWhoseHeadEndsEarlyIsNotReturned(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\nID" + eventStream, "HTTP/1.1 200 OK\r\nIDContent-Ty", "HTTP/1.1 200 OK\r\n"} {
+		c := newTestCluster(t, 1, withBreakingEngines(t, 1, head))
+		response := c.do("host-0", standin.NewTurnRequest("/draft/failing", "secret", "p", "", "x"))
+		require.Equal(t, http.StatusBadGateway, response.Status, "%q after %q", response.Body, head)
+	}
+}
--- a/io/gatewayhost/malformedresponse_test.go
+++ b/io/gatewayhost/malformedresponse_test.go
@@ -70,6 +70,9 @@
 		"space after a length's name": "HTTP/1.1 200 OK\r\nID\r\nContent-Length : 4\r\n\r\ndone and more",
 		"space after a coding's name": "HTTP/1.1 200 OK\r\nID\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
 		"control byte in a name":      "HTTP/1.1 200 OK\r\nID\r\nBa\x01d: x\r\nContent-Length: 4\r\n\r\ndone",
+		"head without its end":        "HTTP/1.1 200 OK\r\nID\r\n",
+		"head that ends in a line":    "HTTP/1.1 200 OK\r\nID\r\nContent-Le",
+		"refusal without its end":     "HTTP/1.1 503 Busy\r\nID\r\nNot-Executed: 1\r\n",
 		"refusal":                     "HTTP/1.1 503 Busy\r\nID\r\nNot-Executed: 1\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n",
 	}
 	c := newTestCluster(t, 1, withRawUpstreams(t, respondWith(texts)))
--- a/io/http1/stricttransport_test.go
+++ b/io/http1/stricttransport_test.go
@@ -75,3 +75,31 @@
 	_, err = new(http1.StrictTransport).RoundTrip(req)
 	require.ErrorIs(t, err, corehttp1.ErrMalformedResponse)
 }
+
+// Guards against a response that ends within its head and that a client takes for a whole one.
+func TestResponseThatEndsEarlyIsNoResponse(t *testing.T) {
+	const withoutLength = "HTTP/1.1 200 OK\r\nGood: x\r\n\r\n"
+	for name, tt := range map[string]struct {
+		response string
+		end      int
+	}{
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 0},
+		"of length zero":   {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 0},
+		"in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\nGood: x\r\n\r\n", 0},
+		"without a length": {withoutLength + "done", len(withoutLength)},
+		"without content":  {"HTTP/1.1 204 No Content\r\nGood: x\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			end := tt.end
+			if end == 0 {
+				end = len(tt.response)
+			}
+			for cut := range end {
+				_, err := get(t, tt.response[:cut])
+				require.Error(t, err, "%q", tt.response[:cut])
+			}
+			_, err := get(t, tt.response)
+			require.NoError(t, err)
+		})
+	}
+}
