Bound the turns that wait to become durable in an outage

In an outage of the store, programs that sent turns of 4 MB again and again took a host of 112 MB over its memory, with all requests and turns on it.

Cause: a turn that cannot become durable stays at the owner of its slot until the store is back, as text and as a record to be written, also once its caller's deadline has passed. Nothing bounded these.

Evidence: found by a test, not reported.

Beyond a sixteenth of the host's memory a further turn now waits at its owner for 1.5 s and is then not stored. Its caller's host tries again until the deadline, as with every turn that is not durable yet. One turn may always wait, and a turn that waits already is not refused.

--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -85,9 +85,11 @@
 	// for turns counts.
 	reloading        map[string]struct{}
 	countedTurnBytes int
-	locations        affinity.Locations
-	quotaAllocators  map[id.Workspace]*quota.Allocator
-	limitBuckets     map[id.Upstream]*limitBucket
+	// undurableBytes is the text of the turns in pendingTurns.
+	undurableBytes  int
+	locations       affinity.Locations
+	quotaAllocators map[id.Workspace]*quota.Allocator
+	limitBuckets    map[id.Upstream]*limitBucket
 	// changed is closed and replaced when records became durable or the state changed.
 	changed chan struct{}
 }
@@ -306,6 +308,7 @@
 	s.ledger, s.turns, s.locations = tokenbudget.Ledger{}, turnstore.Store{}, affinity.Locations{}
 	s.pendingTurns, s.turnParts = nil, nil
 	s.countTurns()
+	s.countUndurable(-s.undurableBytes)
 	s.newestRecordAt, s.datedAt, s.turnsInDoubtUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -227,6 +227,7 @@
 	s.writer.enqueue(pendingRecord{record: records[last], turn: kept, onDurable: func() {
 		close(durable)
 		delete(s.pendingTurns, kept.Id)
+		s.countUndurable(-textBytes(kept))
 		s.turns.MarkDurable(kept.Id)
 		if s.cluster.turnMemory.excess() > 0 {
 			s.cluster.turnMemory.requestEviction()
@@ -236,6 +237,7 @@
 		s.pendingTurns = make(map[string]<-chan struct{})
 	}
 	s.pendingTurns[kept.Id] = durable
+	s.countUndurable(textBytes(kept))
 
 	return durable
 }
@@ -244,6 +246,14 @@
 // caller holds the lock, which is released while it waits.
 func (s *slot) storeTurnDurably(ctx context.Context, kept *fleetpb.KeptTurn) *fleetpb.EndTurnReply {
 	for {
+		switch hasRoom := s.awaitRoom(ctx, kept); {
+		case s.state != serving:
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_NOT_OWNER}
+		case !hasRoom:
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNSURE}
+		case !s.hasPriorTranscript(kept):
+			return &fleetpb.EndTurnReply{Outcome: fleetpb.Outcome_OUTCOME_UNKNOWN_TURN}
+		}
 		servingSince := s.servingSince
 		reply := s.awaitDurable(ctx, s.storeTurn(s.cluster.Now(), kept))
 		switch {
@@ -255,6 +265,24 @@
 	}
 }
 
+// awaitRoom waits until this host has memory for a turn that is not durable yet, for up to maxDurableWait, and reports whether it has. The
+// caller holds the lock, which is released while it waits.
+func (s *slot) awaitRoom(ctx context.Context, kept *fleetpb.KeptTurn) bool {
+	for until := s.cluster.Now().Add(maxDurableWait); ; {
+		_, isPending := s.pendingTurns[kept.Id]
+		if isPending || s.state != serving || s.cluster.turnMemory.hasRoom(textBytes(kept)) {
+			return true
+		}
+		remaining := until.Sub(s.cluster.Now())
+		if remaining <= 0 || ctx.Err() != nil {
+			s.cluster.Logger.Info("turn-refused", "slot", s.index, "turn", kept.Id, "bytes", textBytes(kept), "undurable", s.cluster.turnMemory.undurable.Load())
+
+			return false
+		}
+		s.awaitChange(ctx, min(remaining, outageCheckInterval))
+	}
+}
+
 // awaitDurable waits until a stored turn is durable or cannot become so because the store is down, or until the slot has been loaded,
 // which discards what was not durable. The caller holds the lock, which is released while it waits.
 func (s *slot) awaitDurable(ctx context.Context, durable <-chan struct{}) *fleetpb.EndTurnReply {
--- a/io/cluster/turnmemory.go
+++ b/io/cluster/turnmemory.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"cardamomward/core/turnstore"
+	"cardamomward/io/fleet/fleetpb"
 )
 
 const (
 	// turnShare is the part of a host's memory for the text of the retained turns of its slots. The text of the largest ones is evicted
 	// beyond it, and read from the store when a turn continues them.
 	turnShare = 8
+	// undurableCopies is the number of copies of the text of a turn that waits to become durable.
+	undurableCopies = 2
 	// evictionInterval is the interval of evictions while the text that was read for continuations is kept.
 	evictionInterval = 250 * time.Millisecond
 	// largeLoadBytes is the memory that the load of a slot of several pages takes while it assembles a turn, and maxLargeLoads bounds these
@@ -25,6 +28,8 @@
 	// limit is zero if there is none.
 	limit    int64
 	resident atomic.Int64
+	// undurable is the text of the turns that wait to become durable, each of which is also in a record that is to be written.
+	undurable atomic.Int64
 	// exceeded triggers an eviction.
 	exceeded chan struct{}
 	// largeLoads bounds the loads of slots of several pages, and reloads the continuations whose turns are read.
@@ -73,6 +78,13 @@
 	return false
 }
 
+// hasRoom reports whether another turn may wait to become durable. One may, whatever its size.
+func (m *turnMemory) hasRoom(bytes int) bool {
+	undurable := m.undurable.Load()
+
+	return m.limit == 0 || undurable == 0 || undurable+int64(bytes) <= m.limit/undurableCopies
+}
+
 // excess returns the bytes beyond the limit, or zero.
 func (m *turnMemory) excess() int {
 	if m.limit == 0 {
@@ -89,6 +101,17 @@
 	s.countedTurnBytes = resident
 }
 
+// countUndurable counts text of turns that wait to become durable, or have ceased to; the caller holds the lock.
+func (s *slot) countUndurable(bytes int) {
+	s.undurableBytes += bytes
+	s.cluster.turnMemory.undurable.Add(int64(bytes))
+}
+
+// textBytes returns the size of the text of a turn.
+func textBytes(kept *fleetpb.KeptTurn) int {
+	return len(kept.Base) + len(kept.Input) + len(kept.Output)
+}
+
 // evictTurnsLoop evicts text of turns while it exceeds its memory, until ctx ends.
 func (c *Cluster) evictTurnsLoop(ctx context.Context) {
 	ticker := time.NewTicker(evictionInterval)
--- a/io/cluster/turnmemory_test.go
+++ b/io/cluster/turnmemory_test.go
@@ -173,3 +173,37 @@
 		require.Equal(t, want, cap(newTurnMemory(bytes).largeLoads), "a host with %d bytes", bytes)
 	}
 }
+
+// Turns that could not become durable in an outage took memory without a bound.
+func TestTurnsOfOutageBeyondMemoryAreNotStored(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		store := &fakeStore{partitions: make(map[platform.Partition]*fakePartition)}
+		owner := newHostWithTurnMemory(t, store, "127.0.0.1")
+		join(t, owner)
+		storeTurn(t, owner, newTextTurn("before", ""))
+		endOutage := silenceStore(store)
+		end := func(turn string) *fleetpb.EndTurnReply {
+			reply, err := (&slotServer{cluster: owner}).EndTurn(t.Context(), &fleetpb.EndTurnRequest{
+				Workspace: string(testWorkspace), Program: string(testProgram), Kept: newTextTurn(turn, "before"),
+			})
+			require.NoError(t, err)
+
+			return reply
+		}
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, end("first").Outcome, "one turn may wait")
+		for range 3 {
+			require.Equal(t, fleetpb.Outcome_OUTCOME_UNSURE, end("second").Outcome)
+		}
+		require.LessOrEqual(t, owner.turnMemory.undurable.Load(), int64(turnMemoryLimit))
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, end("first").Outcome, "a turn that waits is asked for again")
+		endOutage()
+		require.True(t, end("second").Durable)
+		require.Zero(t, owner.turnMemory.undurable.Load())
+		requireTranscript(t, owner, "first", "before", "first")
+		requireTranscript(t, owner, "second", "before", "second")
+		silenceStore(store)
+		require.Equal(t, fleetpb.Outcome_OUTCOME_OK, end("third").Outcome)
+		owner.slots[0].release("lost")
+		require.Zero(t, owner.turnMemory.undurable.Load())
+	})
+}
--- a/test/clients/host_linux_test.go
+++ b/test/clients/host_linux_test.go
@@ -64,6 +64,7 @@
 	// upstream is the address of an upstream of plain requests.
 	upstream string
 	metrics  string
+	store    *standin.Store
 	process  *os.Process
 	done     chan struct{}
 	log      *lockedBuffer
@@ -149,7 +150,7 @@
 	if opts.memoryBytes == 0 {
 		opts.memoryBytes = hostBytes
 	}
-	h := &host{t: t, log: &lockedBuffer{}, upstream: plainUpstream, metrics: address(ports[3]), settings: &platform.HostSettings{
+	h := &host{t: t, log: &lockedBuffer{}, upstream: plainUpstream, metrics: address(ports[3]), store: store, settings: &platform.HostSettings{
 		Name: id.Host("host-0"), IP: "127.0.0.1", FailureDomain: standin.InitialFailureDomain,
 		CallerAddress: address(ports[0]), ReadinessAddress: address(ports[1]), ResolveAddress: address(ports[2]),
 		PeerPorts: [2]int{ports[4], ports[5]}, FirstStart: true, CPUCores: 1, MemoryBytes: int64(opts.memoryBytes), MaxOpenFiles: opts.files,
--- a/test/clients/retainedturns_linux_test.go
+++ b/test/clients/retainedturns_linux_test.go
@@ -112,3 +112,40 @@
 		require.Greater(t, most, least, "%s has its transcript", turn)
 	}
 }
+
+// Turns that could not become durable in an outage of the store stayed at the owners of their slots until its end, whether or not
+// their callers still waited.
+func TestTurnsOfOutageDoNotExhaustMemory(t *testing.T) {
+	const (
+		programs = 6
+		outage   = 15 * time.Second
+	)
+	for name, hasNoBudget := range map[string]bool{"with a budget": false, "without a budget": true} {
+		t.Run(name, func(t *testing.T) {
+			received := &prompts{bytes: make(map[string]int64)}
+			h := startHost(t, hostOptions{hasNoBudget: hasNoBudget, memoryBytes: smallestHostBytes, maxRecordBytes: maxRecordBytes, respond: received.respond})
+			h.store.SetFaults(standin.Faults{Down: true})
+			input := strings.Repeat("x", largestInputBytes)
+			ended := time.Now().Add(outage)
+			var senders sync.WaitGroup
+			for program := range programs {
+				senders.Go(func() {
+					for turn := 0; time.Now().Before(ended); turn++ {
+						call := standin.NewTurnRequest("/chat/a", "secret", fmt.Sprintf("program-%d", program), "", input)
+						call.Header["Token-Budget"] = "1000000"
+						ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
+						call.Send(ctx, fmt.Sprintf("turn-%d-%d", program, turn), h.settings.CallerAddress) //nolint:errcheck // turns of the outage may fail
+						cancel()
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+			}
+			senders.Wait()
+			h.requireWithinBounds(hostFiles, "in the outage")
+			h.store.SetFaults(standin.Faults{})
+			h.sendTurn("after", "after", "", input)
+			h.requireServes("after the outage")
+			h.requireWithinBounds(hostFiles, "after the outage")
+		})
+	}
+}
