--- a/io/cluster/storedrecords.go
+++ b/io/cluster/storedrecords.go
@@ -45,7 +45,7 @@
 	end, err := platform.VisitNewestRecords(ctx, c.store, p, pageTimeout, func(page platform.NewestPage) error {
 		for _, record := range page.Records {
 			if err := stored.add(record, c.turnMemory); err != nil {
-				c.Logger.Error(err, "record-refused", "partition", p.Number, "key", record.Key, "offset", record.Offset)
+				c.Logger.Error(err, "record-refused", "slot", p.Number, "key", record.Key, "offset", record.Offset)
 			}
 		}
 		if isLarge || !page.HasMore {
--- a/io/gatewayhost/outage_test.go
+++ b/io/gatewayhost/outage_test.go
@@ -70,7 +70,7 @@
 	defer r.mu.Unlock()
 	var turns []string
 	for turn := range r.transcripts {
-		if !r.store.IsStored(topic, "t"+turn) && !r.store.IsStored(topic, "p0:"+turn) {
+		if !r.store.IsStored(topic, "t"+turn) && !r.store.IsStored(topic, "q"+turn+":0") {
 			turns = append(turns, turn)
 		}
 	}
