Keep slots new that have checkpoints alone

Callers of workspaces with a rate would have got 429 within their bursts after the first start of a fleet. Found by reading, not seen by callers.

Cause: a slot counts as new, and the rates of its workspaces start full, if its partition is empty. Since each owner writes a checkpoint once it has taken a slot, so a slot that moves while hosts start was no longer new.

Evidence: on the code before, TestSlotWithCheckpointsAloneIsNew Should be true: nothing but a checkpoint was stored

A checkpoint now says whether anything else has ever been stored in the slot, also if all of it is deleted.

--- a/io/cluster/checkpoint.go
+++ b/io/cluster/checkpoint.go
@@ -14,6 +14,8 @@
 	// checkpointKey is the key of the record that shows until when the owners of a slot could write to it: a slot that nobody uses
 	// otherwise looks like one in an outage of the store. Hosts of earlier releases read it as the budget of a program without a name.
 	checkpointKey = "c"
+	// writtenMark is the mark of checkpoints of slots in which other records have been stored, though all of them may be deleted.
+	writtenMark = 1
 	// checkpointInterval is the least time between dated records that are written for their dates. It is shorter than the outages in
 	// which undurable turns are admitted.
 	checkpointInterval = undurableTurnsAfter / 2
@@ -55,9 +57,11 @@
 	if s.state != serving || s.isActingOwner || s.isPartial {
 		return
 	}
-	value, err := proto.Marshal(&fleetpb.Record{
-		LossUnixMillis: s.lossUnixMillis(now), Kind: &fleetpb.Record_Budget{Budget: &fleetpb.BudgetMark{WrittenUnixMillis: now.UnixMilli()}},
-	})
+	checkpoint := &fleetpb.BudgetMark{WrittenUnixMillis: now.UnixMilli()}
+	if !s.isUnwritten {
+		checkpoint.Mark = writtenMark
+	}
+	value, err := proto.Marshal(&fleetpb.Record{LossUnixMillis: s.lossUnixMillis(now), Kind: &fleetpb.Record_Budget{Budget: checkpoint}})
 	if err != nil {
 		s.cluster.Logger.Error(err, "checkpoint-failed", "slot", s.index)
 
--- a/io/cluster/checkpoint_test.go
+++ b/io/cluster/checkpoint_test.go
@@ -122,3 +122,35 @@
 		requireCheckpoints(1, 1, 10, "the host has left")
 	})
 }
+
+// Slots that move while hosts start for the first time were no longer new once they had a checkpoint, and the rates of their workspaces
+// started below their bursts.
+func TestSlotWithCheckpointsAloneIsNew(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		first, store := newTestCluster(t)
+		hosts := []*Cluster{first, newTestHost(t, store, "127.0.0.2"), newTestHost(t, store, "127.0.0.3"), newTestHost(t, store, "127.0.0.4")}
+		for _, host := range hosts {
+			host.Settings.FirstStart = true
+		}
+		serve := func(host *Cluster) (isNew bool) {
+			join(t, host)
+			s := host.slots[0]
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.writeCheckpoint(time.Now(), true)
+
+			return s.isNew
+		}
+		leave := func(host *Cluster) { host.releaseAllSlots(t.Context(), "leaving") }
+		require.True(t, serve(hosts[0]))
+		leave(hosts[0])
+		require.True(t, store.hasRecord(first.slots[0].partition(), checkpointKey))
+		require.True(t, serve(hosts[1]), "nothing but a checkpoint was stored")
+		reserveTurn(t, hosts[1], testProgram)
+		hosts[1].slots[0].removeExpired(time.Now().Add(2 * budgetRetention))
+		leave(hosts[1])
+		require.False(t, serve(hosts[2]), "a program was stored, and is deleted")
+		leave(hosts[2])
+		require.False(t, serve(hosts[3]), "the checkpoints after it say so too")
+	})
+}
--- a/io/cluster/slot.go
+++ b/io/cluster/slot.go
@@ -73,10 +73,12 @@
 	datedAt time.Time
 	// turnsInDoubtUntil is the end of the period in which answered turns may be unknown to all hosts and to the store; zero if there is none.
 	turnsInDoubtUntil time.Time
-	// isNew is set if no owner has stored anything in the slot before.
-	isNew  bool
-	ledger tokenbudget.Ledger
-	turns  turnstore.Store
+	// isNew is set if no owner had stored anything in the slot when this one began to serve it, since its first start. isUnwritten is set
+	// while no owner has stored anything but checkpoints.
+	isNew       bool
+	isUnwritten bool
+	ledger      tokenbudget.Ledger
+	turns       turnstore.Store
 	// pendingTurns holds, for each turn whose write is queued, the channel that is closed when it is durable.
 	pendingTurns map[string]<-chan struct{}
 	// turnParts are the records of each turn that is stored in several.
--- a/io/cluster/slotload.go
+++ b/io/cluster/slotload.go
@@ -51,8 +51,8 @@
 	isFenced bool
 	// endOffset is the end of the partition.
 	endOffset int64
-	// isNew is set if no owner has stored anything in the slot before.
-	isNew bool
+	// isUnwritten is set if no owner has stored anything but checkpoints in the slot before.
+	isUnwritten bool
 }
 
 const (
@@ -91,7 +91,7 @@
 	}
 
 	return slotContents{
-		storedRecords: records, memory: memory, heldTurns: turns, isFenced: true, endOffset: end, isNew: s.cluster.Settings.FirstStart && end == 0,
+		storedRecords: records, memory: memory, heldTurns: turns, isFenced: true, endOffset: end, isUnwritten: end == 0 || records.areUnwritten(),
 	}, nil
 }
 
@@ -124,13 +124,14 @@
 	s.chargeForgottenTurns(now, contents.memory.memoryAges())
 	s.mergeInMemoryState(now, contents.memory.replies, contents.heldTurns)
 	s.knowsAllPrograms = true
-	s.state, s.servingSince, s.isNew = serving, now, contents.isNew
+	s.isUnwritten, s.isNew = contents.isUnwritten, contents.isUnwritten && s.cluster.Settings.FirstStart
+	s.state, s.servingSince = serving, now
 	s.notifyChanged()
 	if !s.unconfirmedSince.IsZero() {
 		go s.confirm(ctx, epoch)
 	}
 	s.cluster.Logger.Info("slot-taken", "slot", s.index, "epoch", epoch, "records", len(contents.records)+len(contents.turns),
-		"programs", s.ledger.Len(), "turns", s.turns.Len(), "first", contents.isNew, "took", now.Sub(contents.startedAt))
+		"programs", s.ledger.Len(), "turns", s.turns.Len(), "first", s.isNew, "took", now.Sub(contents.startedAt))
 }
 
 // undurableTurnsAfter is how long records cannot become durable before more than one turn of a program is admitted by the count in
--- a/io/cluster/slotserver.go
+++ b/io/cluster/slotserver.go
@@ -145,7 +145,7 @@
 
 		return
 	}
-	s.datedAt = now
+	s.datedAt, s.isUnwritten = now, false
 	record := platform.Record{Key: budgetKeyPrefix + string(watermark.Program), Value: value}
 	s.writer.enqueue(pendingRecord{record: record, onDurable: func() { s.ledger.MarkDurable(watermark) }}, urgent)
 }
@@ -215,6 +215,7 @@
 
 		return durable
 	}
+	s.isUnwritten = false
 	s.turns.Add(toStoredTurn(kept, now.Add(time.Duration(kept.RetentionMillis)*time.Millisecond+retentionMargin)))
 	s.countTurns()
 	last := len(records) - 1
--- a/io/cluster/storedrecords.go
+++ b/io/cluster/storedrecords.go
@@ -71,9 +71,9 @@
 func (r *storedRecords) add(record platform.Record, memory *turnMemory) error {
 	isLarge := isTurnPart(record)
 	if isLarge {
-		whole, ok := r.parts.add(record)
+		whole, ok, err := r.parts.add(record)
 		if !ok {
-			return nil
+			return err
 		}
 		record = whole
 	}
@@ -112,6 +112,17 @@
 	r.keptBytes = 0
 }
 
+// areUnwritten reports whether the records show that no owner has stored anything but checkpoints.
+func (r *storedRecords) areUnwritten() bool {
+	if len(r.records) != 1 || r.records[0].Key != checkpointKey || len(r.turns) > 0 || len(r.parts.stored) > 0 {
+		return false
+	}
+	var value fleetpb.Record
+	err := proto.Unmarshal(r.records[0].Value, &value)
+
+	return err == nil && value.GetBudget() != nil && value.GetBudget().Mark != writtenMark
+}
+
 // turnIDs returns the ids of the turns that are stored whole.
 func (r *storedRecords) turnIDs() map[string]struct{} {
 	ids := make(map[string]struct{}, len(r.turns))
--- a/io/cluster/turnparts.go
+++ b/io/cluster/turnparts.go
@@ -89,11 +89,11 @@
 	return strings.HasPrefix(record.Key, turnPartKeyPrefix) || strings.HasPrefix(record.Key, earlierPartKeyPrefix)
 }
 
-// add adds the record of a part, and returns the turn's record if all parts are there.
-func (p *turnParts) add(record platform.Record) (whole platform.Record, ok bool) {
+// add adds the record of a part, and returns the turn's record if all parts are there. It fails if the record cannot be decoded.
+func (p *turnParts) add(record platform.Record) (whole platform.Record, ok bool, err error) {
 	var value fleetpb.Record
 	if err := proto.Unmarshal(record.Value, &value); err != nil || value.GetPart() == nil {
-		return platform.Record{}, false
+		return platform.Record{}, false, err
 	}
 	part := value.GetPart()
 	if p.stored == nil {
@@ -106,13 +106,13 @@
 		p.stored[part.Turn] = storedParts{count: len(parts), isEarlier: strings.HasPrefix(record.Key, earlierPartKeyPrefix)}
 	}
 	if part.Index < 0 || int(part.Index) >= len(parts) {
-		return platform.Record{}, false
+		return platform.Record{}, false, nil
 	}
 	parts[part.Index] = part
 	size := 0
 	for _, other := range parts {
 		if other == nil {
-			return platform.Record{}, false
+			return platform.Record{}, false, nil
 		}
 		size += len(other.Data)
 	}
@@ -122,7 +122,7 @@
 	}
 	delete(p.incomplete, part.Turn)
 
-	return whole, true
+	return whole, true, nil
 }
 
 // removeTurnRecords queues the deletion of the records of a turn; the caller holds the lock.
--- a/io/cluster/turnread.go
+++ b/io/cluster/turnread.go
@@ -159,14 +159,15 @@
 	_, err := platform.VisitNewestRecords(ctx, pagesAfter{c.store, after}, p, c.pageTimeout(1), func(page platform.NewestPage) error {
 		for _, record := range page.Records {
 			isWanted := slices.Contains(keys, record.Key)
+			var err error
 			if isWanted && isTurnPart(record) {
-				record, isWanted = parts.add(record)
-			}
-			if !isWanted {
-				continue
+				record, isWanted, err = parts.add(record)
 			}
 			var value fleetpb.Record
-			if err := proto.Unmarshal(record.Value, &value); err != nil {
+			if isWanted && err == nil {
+				err = proto.Unmarshal(record.Value, &value)
+			}
+			if err != nil {
 				return err
 			}
 			if kept := value.GetTurn(); kept != nil {
