--- a/io/cluster/peers.go
+++ b/io/cluster/peers.go
@@ -123,7 +123,7 @@
 	// tracksWork is set if the choice of upstreams uses the work that peers report; it does not change after the start.
 	tracksWork    bool
 	gossipedReads []gossipedRead
-	// restartHeardAt is when a process of another host was last heard for the first time, or said for the first time that it has left.
+	// restartHeardAt is the time of the last heartbeat that was the first one of a process, or the first one to say that it has left.
 	restartHeardAt time.Time
 }
 
--- a/io/cluster/turnread.go
+++ b/io/cluster/turnread.go
@@ -21,7 +21,8 @@
 	reloadTimeout = 5 * time.Second
 	// reloadRetryInterval is the pause after a read that failed.
 	reloadRetryInterval = 100 * time.Millisecond
-	// reloadKeepTime is how long turns that were read stay in memory for the request that waits for them or its next attempt.
+	// reloadKeepTime bounds the time for which turns that were read are not evicted: the request that waits for them, or its next attempt,
+	// needs them.
 	reloadKeepTime = 2 * time.Second
 )
 
