Bound the text that is read for continuations of evicted turns

Callers that continued many evicted turns at the same time, and left, could take the owner of their slots over its memory. Found by reading, not seen by callers.

Cause: text that was read for a continuation is not evicted for 2 s, so that the request or its next attempt finds it, and nothing bounded how much text is kept so at the same time.

The next chain is now read only once the limit is met again, or 2 s later, and text that has gone into a transcript is not kept any longer.

--- a/io/cluster/turnmemory.go
+++ b/io/cluster/turnmemory.go
@@ -17,6 +17,8 @@
 	undurableCopies = 2
 	// evictionInterval is the interval of evictions while the text that was read for continuations is kept.
 	evictionInterval = 250 * time.Millisecond
+	// excessCheckInterval is the interval of the checks whether the text that was read for a continuation has been evicted.
+	excessCheckInterval = 10 * time.Millisecond
 	// largeLoadBytes is the memory that the load of a slot of several pages takes while it assembles a turn, and maxLargeLoads bounds these
 	// loads at a host whose memory is not known.
 	largeLoadBytes = 8 << 20
@@ -94,6 +96,14 @@
 	return int(max(0, m.resident.Load()-m.limit))
 }
 
+// awaitNoExcess waits until the limit is met, for a time at most. Text that was read for one continuation may exceed it, but not that
+// of several.
+func (m *turnMemory) awaitNoExcess(limit time.Duration) {
+	for waited := time.Duration(0); waited < limit && m.excess() > 0; waited += excessCheckInterval {
+		time.Sleep(excessCheckInterval)
+	}
+}
+
 // countTurns counts the text of the slot's turns in the host's memory; the caller holds the lock.
 func (s *slot) countTurns() {
 	resident := s.turns.ResidentBytes()
--- a/io/cluster/turnmemory_test.go
+++ b/io/cluster/turnmemory_test.go
@@ -1,8 +1,11 @@
 package cluster
 
 import (
+	"context"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +210,37 @@
 		require.Zero(t, owner.turnMemory.undurable.Load())
 	})
 }
+
+// Guards against the text of many turns that are continued at the same time: each is kept for its continuation.
+func TestContinuationsOfManyEvictedTurnsDoNotAddUp(t *testing.T) {
+	simulate(t, func(t *testing.T) {
+		const turns = 20
+		store := &fakeStore{partitions: make(map[platform.Partition]*fakePartition)}
+		owner := newHostWithTurnMemory(t, store, "127.0.0.1")
+		join(t, owner)
+		for turn := range turns {
+			storeTurn(t, owner, newTextTurn(fmt.Sprint(turn), ""))
+		}
+		requireWithinTurnMemory(t, owner)
+		var most atomic.Int64
+		store.beforePage.set(func() error {
+			most.Store(max(most.Load(), owner.turnMemory.resident.Load()))
+
+			return nil
+		})
+		var callers sync.WaitGroup
+		for turn := range turns {
+			// Callers that leave before their turns are read.
+			callers.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+				defer cancel()
+				owner.BeginTurn(ctx, newTurn(fmt.Sprintf("next-%d", turn), fmt.Sprint(turn)))
+			})
+		}
+		callers.Wait()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, most.Load(), int64(2*turnMemoryLimit))
+		store.beforePage.clear()
+		requireTranscript(t, owner, "7", "7")
+	})
+}
--- a/io/cluster/turnread.go
+++ b/io/cluster/turnread.go
@@ -68,6 +68,7 @@
 		return nil, false, errNoMemory
 	}
 	transcript, ok = s.turns.Transcript(workspace, turn)
+	s.turns.Keep(workspace, turn, time.Time{})
 
 	return transcript, ok, nil
 }
@@ -82,28 +83,33 @@
 	}
 	s.reloading[turn] = struct{}{}
 	parts := make([]storedParts, 0, len(evicted))
-	for _, id := range evicted {
-		parts = append(parts, s.turnParts[id])
+	for _, missing := range evicted {
+		parts = append(parts, s.turnParts[missing])
 	}
-	servingSince := s.servingSince
+	servingSince, memory := s.servingSince, s.cluster.turnMemory
 	go func() {
-		if err := s.reload(workspace, turn, evicted, parts, servingSince); err != nil {
+		memory.reloads <- struct{}{}
+		err := s.reload(workspace, turn, evicted, parts, servingSince)
+		if err != nil {
+			<-memory.reloads
 			s.cluster.Logger.Error(err, "turn-reload-failed", "slot", s.index, "turn", turn)
 			time.Sleep(reloadRetryInterval)
 		}
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		delete(s.reloading, turn)
 		s.notifyChanged()
+		s.mu.Unlock()
+		if err == nil {
+			memory.awaitNoExcess(reloadKeepTime)
+			<-memory.reloads
+		}
 	}()
 }
 
 // reload reads the text of evicted turns, which are kept for a moment beside the others that a continuation of a turn needs.
 func (s *slot) reload(workspace id.Workspace, turn string, evicted []string, parts []storedParts, servingSince time.Time) error {
-	s.cluster.turnMemory.reloads <- struct{}{}
-	defer func() { <-s.cluster.turnMemory.reloads }()
-	for i, id := range evicted {
-		text, err := s.cluster.readTurn(s.partition(), id, parts[i])
+	for i, missing := range evicted {
+		text, err := s.cluster.readTurn(s.partition(), missing, parts[i])
 		if err != nil {
 			return err
 		}
