--- a/test/clients/retainedturns_linux_test.go
+++ b/test/clients/retainedturns_linux_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -149,3 +150,47 @@
 		})
 	}
 }
+
+// Guards against small requests that make a host hold a large transcript each.
+func TestContinuationsOfLargeTurnsDoNotExhaustMemory(t *testing.T) {
+	for name, hasNoBudget := range map[string]bool{"with a budget": false, "without a budget": true} {
+		t.Run(name, func(t *testing.T) { continueLargeTurns(t, hasNoBudget, "large") })
+	}
+}
+
+// A program that continues a turn of another one retains the whole transcript with its own turn.
+func TestContinuationsByOtherProgramsDoNotExhaustMemory(t *testing.T) {
+	continueLargeTurns(t, false, "program-%d")
+}
+
+// The same at a host that counts no transcripts.
+func TestContinuationsByOtherProgramsDoNotExhaustMemoryWithoutBudget(t *testing.T) {
+	continueLargeTurns(t, true, "program-%d")
+}
+
+// continueLargeTurns leaves large turns behind and continues all of them at the same time, as programs whose names have a format.
+func continueLargeTurns(t *testing.T, hasNoBudget bool, programs string) {
+	t.Helper()
+	received := &prompts{bytes: make(map[string]int64)}
+	h := startHost(t, hostOptions{hasNoBudget: hasNoBudget, memoryBytes: smallestHostBytes, maxRecordBytes: maxRecordBytes, respond: received.respond})
+	input := strings.Repeat("x", largestInputBytes)
+	for turn := range retainedTurns {
+		h.sendTurn("large", fmt.Sprintf("turn-%d", turn), "", input)
+	}
+	h.sendTurn("small", "small", "", "x")
+	var callers sync.WaitGroup
+	for turn := range retainedTurns {
+		callers.Go(func() {
+			program := strings.ReplaceAll(programs, "%d", strconv.Itoa(turn))
+			call := standin.NewTurnRequest("/chat/a", "secret", program, fmt.Sprintf("turn-%d", turn), "y")
+			ctx, cancel := context.WithTimeout(t.Context(), requestTimeout)
+			defer cancel()
+			call.Send(ctx, fmt.Sprintf("continues-%d", turn), h.settings.CallerAddress) //nolint:errcheck // some are refused
+		})
+	}
+	callers.Wait()
+	h.requireWithinBounds(hostFiles, "after the continuations")
+	requireContinued(t, h, received, "after the crowd")
+	h.requireServes("after the continuations")
+	h.requireWithinBounds(hostFiles, "in the end")
+}
