--- a/review/_kit3/cases/quota.go
+++ b/review/_kit3/cases/quota.go
@@ -2,14 +2,11 @@
 
 import (
 	"fmt"
-	"os"
+	"math/rand/v2"
+	"net/http"
 	"sort"
-	"strconv"
 	"sync"
-	"syscall"
 	"time"
-
-	"cardamomward/core/id"
 )
 
 func sortedRuns(f *Fleet) []Run {
@@ -19,89 +16,117 @@
 	return runs
 }
 
-func envFloat(name string, value float64) float64 {
-	if parsed, err := strconv.ParseFloat(os.Getenv(name), 64); err == nil {
-		return parsed
-	}
+// quotaCase is a tenant that sends more than its limit while the machines are restarted in turn.
+type quotaCase struct {
+	machines int
+	tenant   Tenant
+	// offered is how many requests the tenant sends a second.
+	offered float64
+	// hasPrograms is set if programs have run before, so that the system has records of each partition of its own topic.
+	hasPrograms bool
+	// gap is the time between two machines that get SIGTERM.
+	gap time.Duration
+}
 
-	return value
+// runQuotaFresh restarts the machines in turn before any program has run.
+func runQuotaFresh() (bool, error) {
+	return quotaCase{
+		machines: 6, tenant: Tenant{Name: "hule930", Key: "3fexd9dnn2ctnfzs989a", Rate: 120, Burst: 120}, offered: 300, gap: 1300 * time.Millisecond,
+	}.run()
 }
 
-// runQuota lets a tenant send more than its limit while the machine that keeps its rate freezes for a moment again and again, or while
-// the machines that keep it are killed one after the other.
-func runQuota() (bool, error) {
-	nodes := int(envFloat("NODES", 10))
-	f, err := newFleet(nodes)
+// runQuotaRoll restarts the machines in turn after programs have run.
+func runQuotaRoll() (bool, error) {
+	return quotaCase{
+		machines: 12, tenant: Tenant{Name: "hule930", Key: "3fexd9dnn2ctnfzs989a", Rate: 16, Burst: 16}, offered: 75, hasPrograms: true, gap: time.Second,
+	}.run()
+}
+
+func (q quotaCase) run() (bool, error) {
+	f, err := newFleet(q.machines)
 	if err != nil {
 		return false, err
 	}
 	defer f.Close()
-	tenant := Tenant{Name: "hule930", Key: "3fexd9dnn2ctnfzs989a", Rate: envFloat("RATE", 4), Burst: envFloat("BURST", 4)}
-	f.Configure(1, []Tenant{tenant}, retentionS)
-	for range 4 {
-		if err := f.AddRunner("desk").Start(); err != nil {
+	other := Tenant{Name: "wuno96b", Key: "nu6wsjnbanfqasnmgkcu"}
+	f.Configure(1, []Tenant{q.tenant, other}, retentionS)
+	for _, service := range []string{"desk", "desk", "desk", "desk", "engines"} {
+		if err := f.AddRunner(service).Start(); err != nil {
 			return false, err
 		}
 	}
 	if err := f.StartAll(5 * time.Second); err != nil {
 		return false, err
 	}
-	part := id.HashSlot(tenant.Name, 12)
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for _, n := range f.Nodes {
-		for i := range 4 {
-			clients.Go(func() {
-				for number := 0; ; number++ {
-					select {
-					case <-stop:
-						return
-					default:
-					}
-					answer := Attempt{Method: "GET", Path: fmt.Sprintf("/look/%d-%d", i, number), Key: tenant.Key, Deadline: 2 * time.Second}.Send(n.Front)
-					f.Log("%s sent to %s: %d %v", answer.ID, n.Name, answer.Status, answer.Err)
-					time.Sleep(100 * time.Millisecond)
-				}
-			})
+	if q.hasPrograms {
+		for i := range 60 {
+			if answer, _ := runTurn(f.Nodes[i%q.machines], other.Key, fmt.Sprintf("p%d", i), 3000); answer.Status != http.StatusOK {
+				return false, fmt.Errorf("a turn was answered %d: %w", answer.Status, answer.Err)
+			}
 		}
 	}
+	stop := q.startClients(f)
 	time.Sleep(8 * time.Second)
-	frozen, running := time.Duration(envFloat("FROZEN", 400))*time.Millisecond, time.Duration(envFloat("RUNNING", 400))*time.Millisecond
-	mode := os.Getenv("MODE")
-	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); {
-		owner := f.Owner(part)
-		if !isTroubled() || owner == nil {
-			time.Sleep(100 * time.Millisecond)
-
-			continue
-		}
-		if mode == "kill" {
-			f.Log("%s is killed", owner.Name)
-			owner.Kill()
-			go func() {
-				time.Sleep(3 * time.Second)
-				owner.Start() //nolint:errcheck // the record shows it
-			}()
-			time.Sleep(time.Duration(envFloat("GAP", 1200)) * time.Millisecond)
-
-			continue
+	var restarts sync.WaitGroup
+	for _, n := range f.Nodes {
+		if isTroubled() {
+			restarts.Go(func() {
+				n.Stop()
+				if err := n.Start(); err != nil {
+					f.Log("%s does not start: %v", n.Name, err)
+				}
+			})
 		}
-		f.Log("%s freezes", owner.Name)
-		owner.signal(syscall.SIGSTOP)
-		time.Sleep(frozen)
-		owner.signal(syscall.SIGCONT)
-		time.Sleep(running)
+		time.Sleep(q.gap)
 	}
-	time.Sleep(3 * time.Second)
-	close(stop)
-	clients.Wait()
+	restarts.Wait()
+	time.Sleep(5 * time.Second)
+	stop()
 	var times []time.Time
-	for _, run := range f.AllRuns() {
-		times = append(times, run.At)
+	for _, run := range sortedRuns(f) {
+		if run.Tenant == q.tenant.Name {
+			times = append(times, run.At)
+		}
 	}
 	most, at := largestWindow(times, quotaWindow)
-	limit := (tenant.Rate*quotaWindow.Seconds()+tenant.Burst)*(1+quotaOvershoot) + quotaSlack
+	limit := (q.tenant.Rate*quotaWindow.Seconds()+q.tenant.Burst)*(1+quotaOvershoot) + quotaSlack
 	f.Say("%d requests of the tenant ran, at most %d in %v, from %.3f s on; the limit is %.1f", len(times), most, quotaWindow, at.Sub(f.began).Seconds(), limit)
 
 	return float64(most) <= limit, nil
 }
+
+// startClients starts the tenant's clients, which follow the directory, and returns a function that ends them.
+func (q quotaCase) startClients(f *Fleet) (stop func()) {
+	const clientCount = 24
+	stopped := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range clientCount {
+		directory := &Directory{fleet: f}
+		clients.Go(func() {
+			for number := 0; ; number++ {
+				pause := time.Duration(rand.ExpFloat64() * clientCount / q.offered * float64(time.Second))
+				select {
+				case <-stopped:
+					return
+				case <-time.After(pause):
+				}
+				clients.Go(func() {
+					front := directory.Pick()
+					if front == "" {
+						return
+					}
+					answer := Attempt{Method: http.MethodGet, Path: fmt.Sprintf("/look/%d-%d", i, number), Key: q.tenant.Key, Deadline: 2 * time.Second}.Send(front)
+					if answer.Status == 0 {
+						directory.Failed(front)
+					}
+					f.Log("%s sent to %s: %d %v", answer.ID, front, answer.Status, answer.Err)
+				})
+			}
+		})
+	}
+
+	return func() {
+		close(stopped)
+		clients.Wait()
+	}
+}
--- a/review/_kit3/cases/runner.go
+++ b/review/_kit3/cases/runner.go
@@ -137,8 +137,8 @@
 	r.mu.Lock()
 	r.Runs = append(r.Runs, run)
 	r.mu.Unlock()
+	r.fleet.Log("%s runs %s %s of %s", id, run.ID, run.Path, run.Tenant)
 	if r.Crashes != nil && r.Crashes(run.Body) {
-		r.fleet.Log("%s runs %s", id, run.ID)
 		go r.crash()
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
