--- a/review/_kit3/cases/client.go
+++ b/review/_kit3/cases/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	Status int
 	Header http.Header
 	Body   string
+	// IsKept is set if the connection had carried a request before.
+	IsKept bool
 	// Err is set if the response is not complete, or there is none.
 	Err error
 }
@@ -46,6 +49,7 @@
 		client = &http.Client{Transport: transport}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.Deadline)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { answer.IsKept = info.Reused }})
 	defer cancel()
 	method := a.Method
 	if method == "" {
--- a/review/_kit3/cases/fleet.go
+++ b/review/_kit3/cases/fleet.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -42,6 +43,8 @@
 
 	mu     sync.Mutex
 	record *os.File
+	// storeAddress is that of the store in settings; empty means the Store's own.
+	storeAddress string
 }
 
 // Node is a machine of the system with one gateway process.
@@ -124,7 +127,7 @@
 			"quota_window_s": quotaWindow.Seconds(), "quota_overshoot": quotaOvershoot, "quota_slack": quotaSlack, "recovery_s": 12, "ttl_max_s": 5,
 		},
 		"platform": map[string]any{
-			"address": n.fleet.Store.Address(), "form": "log", "writes_per_s": 800, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0, "record_bytes": 262144,
+			"address": cmp.Or(n.fleet.storeAddress, n.fleet.Store.Address()), "form": "log", "writes_per_s": 800, "reads_per_s": 2000, "parts": 12, "append_ms": 2.0, "record_bytes": 262144,
 			"call_bytes": 2097152, "retention_s": 300, "part_mb": 200, "min_ttl_ms": 1000,
 		},
 	})
