--- a/review/_kit3/cases/runner.go
+++ b/review/_kit3/cases/runner.go
@@ -32,6 +32,8 @@
 	DownFor time.Duration
 	// Crashes reports whether a request crashes the runner that begins to run it; nil means that none does.
 	Crashes func(body string) bool
+	// CrashesLate is set if the runner has sent a part of its answer before it crashes.
+	CrashesLate bool
 
 	mu     sync.Mutex
 	id     string
@@ -139,6 +141,13 @@
 	r.mu.Unlock()
 	r.fleet.Log("%s runs %s %s of %s", id, run.ID, run.Path, run.Tenant)
 	if r.Crashes != nil && r.Crashes(run.Body) {
+		if r.CrashesLate {
+			w.Header().Set("Response-Signature", "sig-"+run.ID)
+			w.Header().Set("Content-Length", "800")
+			io.WriteString(w, strings.Repeat("x", 400)) //nolint:errcheck // the runner crashes
+			http.NewResponseController(w).Flush()       //nolint:errcheck // the runner crashes
+			time.Sleep(r.Work)
+		}
 		go r.crash()
 		conn, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
