--- /dev/null
+++ b/review/_kit3/cases/sameinput.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// commonInput is what the programs of the tenant say in each turn but the first, such as the word of an agent's loop.
+const commonInput = "Continue."
+
+// chatProgram is a program on the route that retains context.
+type chatProgram struct {
+	fleet    *Fleet
+	key      string
+	name     string
+	previous string
+}
+
+// turn sends a turn to a machine drawn at random.
+func (p *chatProgram) turn(input string) Answer {
+	n := p.fleet.Nodes[rand.IntN(len(p.fleet.Nodes))]
+	header := map[string]string{
+		"Program-Id": p.name, "Session-Id": p.name, "Program-Time-Left": "60000", "Token-Budget": "100000", "Model": "m",
+		"Token-Usage": fmt.Sprintf("100,%d", turnTokens), "Prompt-Prefix": "5c1e07a2:80,91bd3f06:20",
+	}
+	if p.previous != "" {
+		header["Previous-Turn"] = p.previous
+	}
+	answer := Attempt{Path: "/chat/4b", Key: p.key, Body: input, Header: header}.Send(n.Front)
+	p.fleet.Log("turn %s of %s after %q (%s) sent to %s: %d %v %s", answer.ID, p.name, p.previous, input, n.Name, answer.Status, answer.Err, refusal(answer))
+	if answer.Status == http.StatusOK && answer.Err == nil {
+		p.previous = answer.ID
+	}
+
+	return answer
+}
+
+// runSameInput lets runners crash one after the other while programs that say the same run, and then lets others that say it go on.
+func runSameInput() (bool, error) {
+	f, err := newFleet(4)
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	tenant := Tenant{Name: "hule930", Key: "3fexd9dnn2ctnfzs989a"}
+	f.Configure(1, []Tenant{tenant}, retentionS)
+	for range 8 {
+		r := f.AddRunner("engines")
+		r.EventGap, r.DownFor = 50*time.Millisecond, 4*time.Second
+		if err := r.Start(); err != nil {
+			return false, err
+		}
+	}
+	if err := f.StartAll(4 * time.Second); err != nil {
+		return false, err
+	}
+	stop := make(chan struct{})
+	var programs sync.WaitGroup
+	var whole atomic.Int64
+	for i := range 24 {
+		programs.Go(func() {
+			p := &chatProgram{fleet: f, key: tenant.Key, name: fmt.Sprintf("p%d", i)}
+			for input := "begin " + p.name; ; input = commonInput {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(50+rand.IntN(100)) * time.Millisecond):
+				}
+				if answer := p.turn(input); input == commonInput && answer.Status == http.StatusOK && answer.Err == nil {
+					whole.Add(1)
+				}
+				if p.previous == "" {
+					p.name += "x"
+				}
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	for _, r := range f.Runners[:3] {
+		if isTroubled() {
+			r.crash()
+		}
+		time.Sleep(6 * time.Second)
+	}
+	close(stop)
+	programs.Wait()
+	f.Log("%d turns with the common input have been answered whole", whole.Load())
+	// From here on nothing has disturbed anything for stable_window_ms.
+	time.Sleep(time.Second)
+	firsts, starved := 0, 0
+	var last []string
+	for i := range 20 {
+		p := &chatProgram{fleet: f, key: tenant.Key, name: fmt.Sprintf("q%d", i)}
+		if p.turn("begin " + p.name); p.previous == "" {
+			continue
+		}
+		firsts++
+		reached := false
+		var tries []string
+		for range 6 {
+			answer := p.turn(commonInput)
+			tries = append(tries, fmt.Sprintf("%d %s", answer.Status, refusal(answer)))
+			if reached = f.hasRun(answer.ID); reached {
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if !reached {
+			starved++
+			last = tries
+		}
+	}
+	f.Say("%d of 20 first turns reached a runner; %d turns that continue them reached none in 6 tries: %s", firsts, starved, strings.Join(last, "; "))
+	if firsts < 18 {
+		return false, fmt.Errorf("only %d of 20 first turns reached a runner", firsts)
+	}
+
+	return starved == 0, nil
+}
+
+// hasRun reports whether a runner has begun to run a request.
+func (f *Fleet) hasRun(id string) bool {
+	for _, run := range f.AllRuns() {
+		if run.ID == id {
+			return true
+		}
+	}
+
+	return false
+}
