--- a/review/_kit3/cases/sameinput.go
+++ b/review/_kit3/cases/sameinput.go
@@ -32,7 +32,7 @@
 		header["Previous-Turn"] = p.previous
 	}
 	answer := Attempt{Path: "/chat/4b", Key: p.key, Body: input, Header: header}.Send(n.Front)
-	p.fleet.Log("turn %s of %s after %q (%s) sent to %s: %d %v %s", answer.ID, p.name, p.previous, input, n.Name, answer.Status, answer.Err, refusal(answer))
+	p.fleet.Log("turn %s of %s after %q (%.40s) sent to %s: %d %v %s", answer.ID, p.name, p.previous, input, n.Name, answer.Status, answer.Err, refusal(answer))
 	if answer.Status == http.StatusOK && answer.Err == nil {
 		p.previous = answer.ID
 	}
@@ -62,7 +62,7 @@
 	stop := make(chan struct{})
 	var programs sync.WaitGroup
 	var whole atomic.Int64
-	for i := range 24 {
+	for i := range 64 {
 		programs.Go(func() {
 			p := &chatProgram{fleet: f, key: tenant.Key, name: fmt.Sprintf("p%d", i)}
 			for input := "begin " + p.name; ; input = commonInput {
@@ -81,8 +81,11 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	for _, r := range f.Runners[:3] {
+	crashed := make(map[*Runner]bool)
+	for range 3 {
 		if isTroubled() {
+			r := f.lastUsed(crashed)
+			crashed[r] = true
 			r.crash()
 		}
 		time.Sleep(6 * time.Second)
@@ -133,3 +136,21 @@
 
 	return false
 }
+
+// lastUsed returns the runner that has begun to run a turn last, of those that have not crashed.
+func (f *Fleet) lastUsed(crashed map[*Runner]bool) *Runner {
+	var last *Runner
+	var lastAt time.Time
+	for _, r := range f.Runners {
+		r.mu.Lock()
+		if count := len(r.Runs); !crashed[r] && (last == nil || count > 0 && r.Runs[count-1].At.After(lastAt)) {
+			last = r
+			if count > 0 {
+				lastAt = r.Runs[count-1].At
+			}
+		}
+		r.mu.Unlock()
+	}
+
+	return last
+}
