--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review3/cases ] && [ -x target/cardamomward ] || exit 2
-RECORD="$here/record.txt" exec target/review3/cases budget
+RECORD="$here/record.txt" exec target/review3/cases poison-late
