--- a/review/_kit3/cases/sameinput.go
+++ b/review/_kit3/cases/sameinput.go
@@ -40,8 +40,37 @@
 	return answer
 }
 
-// runSameInput lets runners crash one after the other while programs that say the same run, and then lets others that say it go on.
+// runSameInput lets runners crash one after the other while programs that say the same run.
 func runSameInput() (bool, error) {
+	return playSameInput(func(f *Fleet) {
+		crashed := make(map[*Runner]bool)
+		for range 3 {
+			if isTroubled() {
+				r := f.lastUsed(crashed)
+				crashed[r] = true
+				r.crash()
+			}
+			time.Sleep(6 * time.Second)
+		}
+	})
+}
+
+// runSameInputLost lets runners lose answers for 5.5 s while programs that say the same run.
+func runSameInputLost() (bool, error) {
+	return playSameInput(func(f *Fleet) {
+		for _, r := range f.Runners[:4] {
+			r.mu.Lock()
+			if r.LosesShare = 0.025; isTroubled() {
+				r.LosesUntil = time.Now().Add(5500 * time.Millisecond)
+			}
+			r.mu.Unlock()
+		}
+		time.Sleep(9 * time.Second)
+	})
+}
+
+// playSameInput makes trouble while programs that say the same run, and then lets others that say it go on.
+func playSameInput(trouble func(f *Fleet)) (bool, error) {
 	f, err := newFleet(4)
 	if err != nil {
 		return false, err
@@ -81,15 +110,7 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	crashed := make(map[*Runner]bool)
-	for range 3 {
-		if isTroubled() {
-			r := f.lastUsed(crashed)
-			crashed[r] = true
-			r.crash()
-		}
-		time.Sleep(6 * time.Second)
-	}
+	trouble(f)
 	close(stop)
 	programs.Wait()
 	f.Log("%d turns with the common input have been answered whole", whole.Load())
