--- a/review/_kit3/cases/main.go
+++ b/review/_kit3/cases/main.go
@@ -7,7 +7,7 @@
 
 // A case returns whether the rule held, or an error if the case could not run.
 var cases = map[string]func() (held bool, err error){
-	"poison": runPoison, "poison-late": runPoisonLate, "same-input": runSameInput, "charge": runCharge, "same-input-lost": runSameInputLost, "poison-busy": runPoisonBusy, "full": runFull, "quota-fresh": runQuotaFresh, "quota-roll": runQuotaRoll, "budget": runBudget, "retention": runRetention,
+	"poison": runPoison, "poison-late": runPoisonLate, "poison-early": runPoisonEarly, "same-input": runSameInput, "charge": runCharge, "same-input-lost": runSameInputLost, "poison-busy": runPoisonBusy, "full": runFull, "quota-fresh": runQuotaFresh, "quota-roll": runQuotaRoll, "budget": runBudget, "retention": runRetention,
 }
 
 func main() {
--- a/review/_kit3/cases/poison.go
+++ b/review/_kit3/cases/poison.go
@@ -97,23 +97,32 @@
 	body           string
 }
 
-// runPoisonLate lets the runners crash while they send their answers. Without the trouble they crash before.
+// runPoisonLate lets the runners crash while they send their answers.
 func runPoisonLate() (bool, error) {
-	return poisonCase{isLate: isTroubled(), every: time.Second, times: 30, body: poisonBody}.run()
+	return poisonCase{isLate: true, every: time.Second, times: 30, body: troubledBody()}.run()
+}
+
+// runPoisonEarly lets the runners crash before they answer.
+func runPoisonEarly() (bool, error) {
+	return poisonCase{every: time.Second, times: 30, body: troubledBody()}.run()
 }
 
 // runPoisonBusy lets the request come among other requests, which keep connections to all runners open. Without the trouble it crashes none.
 func runPoisonBusy() (bool, error) {
-	body := "harmless"
+	return poisonCase{isBusy: true, every: 5 * time.Second, times: 8, body: troubledBody()}.run()
+}
+
+const poisonBody = "poison"
+
+// troubledBody returns the body of a request that crashes runners, or of a harmless one if the disruption is left out.
+func troubledBody() string {
 	if isTroubled() {
-		body = poisonBody
+		return poisonBody
 	}
 
-	return poisonCase{isBusy: true, every: 5 * time.Second, times: 8, body: body}.run()
+	return "harmless"
 }
 
-const poisonBody = "poison"
-
 func (p poisonCase) run() (bool, error) {
 	f, err := newFleet(4)
 	if err != nil {
